--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+# Modules of the workspace; go.work lists them too.
+MODULES = api lib fold daemon standin cmd proofs
+PACKAGES = $(MODULES:%=./%/...)
+STATICCHECK = honnef.co/go/tools/cmd/staticcheck@v0.8.2
+
+.PHONY: build test lint fuzz clean
+
+build: ## the programs, into bin/
+	go build -o bin/ ./cmd/... ./standin/cmd/...
+
+test: build ## all tests, fixed seeds
+	go test -count=1 -timeout 20m $(PACKAGES)
+
+lint: ## format, vet and staticcheck
+	@fmt=$$(gofmt -l $(MODULES)); test -z "$$fmt" || { echo "gofmt: $$fmt"; exit 1; }
+	go vet $(PACKAGES)
+	go run $(STATICCHECK) $(PACKAGES)
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/daemon/claim/coordinator.go
@@ -0,0 +1,197 @@
+package claim
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	peerv1 "maststage.dev/api/peer/v1"
+	"maststage.dev/daemon/store"
+	"maststage.dev/fold/fact"
+	"maststage.dev/fold/view"
+	"maststage.dev/lib/errkind"
+	"maststage.dev/lib/guard"
+)
+
+// Pauses between tries of a claim.
+const (
+	pauseMin = 5 * time.Millisecond
+	pauseMax = 40 * time.Millisecond
+)
+
+// Replicas asks the replicas of an id; this host's own register among them.
+type Replicas interface {
+	ClaimAt(ctx context.Context, m view.Member, r *peerv1.ClaimRequest) (Answer, error)
+}
+
+// Coordinator gets claims for one incarnation.
+type Coordinator struct {
+	inc      string
+	region   string
+	store    *store.Store
+	replicas Replicas
+	reg      *Register
+	out      Outbox
+	logUp    func() bool
+	tries    atomic.Uint64
+}
+
+// NewCoordinator makes the coordinator of incarnation inc.
+func NewCoordinator(inc, region string, s *store.Store, reps Replicas, reg *Register, out Outbox, logUp func() bool) *Coordinator {
+	return &Coordinator{inc: inc, region: region, store: s, replicas: reps, reg: reg, out: out, logUp: logUp}
+}
+
+// Taken says that another incarnation has the request.
+type Taken struct{ Incarnation string }
+
+func (t *Taken) Error() string { return "taken by " + t.Incarnation }
+
+// Grant is a claim that was won: the holder, and only it, may dispatch.
+type Grant struct {
+	c      *Coordinator
+	id     string
+	token  string
+	logged bool
+}
+
+// tally is what the replicas said to one try.
+type tally struct {
+	granted int
+	others  map[string]int // by token
+	need    int
+}
+
+// Claim gets the right to run id. The error is a *Taken, or of kind
+// Unavailable: then this incarnation has not run it and won't under this claim.
+func (c *Coordinator) Claim(ctx context.Context, id string, wait time.Duration) (*Grant, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		members, epoch, settled := c.store.Replicas(id, c.region)
+		if _, in := c.store.Member(c.inc); settled && in && len(members) > 0 {
+			g, err := c.try(ctx, id, members, epoch)
+			if g != nil || err != nil {
+				return g, err
+			}
+		}
+		t := time.NewTimer(pauseMin + rand.N(pauseMax-pauseMin))
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return nil, errkind.New(errkind.Unavailable, "no majority of the replicas of the request could be reached")
+		}
+	}
+}
+
+// try asks all replicas once. Nil and nil: neither won nor taken, try again.
+func (c *Coordinator) try(ctx context.Context, id string, members []view.Member, epoch uint64) (*Grant, error) {
+	// The store is settled, so it has every claim of before that any host knows
+	// of; a replica may not have read as far yet.
+	if f, ok := c.store.Fact(id); ok && f.Claimant != "" && fact.Incarnation(f.Claimant) != c.inc {
+		return nil, &Taken{Incarnation: fact.Incarnation(f.Claimant)}
+	}
+	g := &Grant{c: c, id: id, token: fact.Token(c.inc, c.tries.Add(1))}
+	t := c.ask(ctx, members, &peerv1.ClaimRequest{Id: id, Claimant: g.token, Epoch: epoch})
+	if t.granted >= t.need {
+		return g, nil
+	}
+	c.release(members, id, g.token)
+	for token, n := range t.others {
+		if n >= t.need || c.inLog(id, token) {
+			return nil, &Taken{Incarnation: fact.Incarnation(token)}
+		}
+	}
+	return nil, nil
+}
+
+func (c *Coordinator) inLog(id, token string) bool {
+	f, ok := c.store.Fact(id)
+	return ok && f.Claimant == token
+}
+
+// ask sends a claim to all replicas and counts until the outcome is certain.
+func (c *Coordinator) ask(ctx context.Context, members []view.Member, r *peerv1.ClaimRequest) tally {
+	answers := make(chan Answer, len(members))
+	for _, m := range members {
+		guard.Go("claim", func() {
+			a, err := c.replicas.ClaimAt(ctx, m, r)
+			if err != nil {
+				a = Answer{}
+			}
+			answers <- a
+		})
+	}
+	t := tally{others: map[string]int{}, need: len(members)/2 + 1}
+	for range members {
+		a := <-answers
+		switch {
+		case a.Granted:
+			t.granted++
+		case a.Claimant != "":
+			t.others[a.Claimant]++
+		}
+		if t.granted >= t.need {
+			break
+		}
+	}
+	return t
+}
+
+// release takes back a claim that was not won. It is safe if it is lost: the
+// token then only blocks a place that others don't need.
+func (c *Coordinator) release(members []view.Member, id, token string) {
+	r := &peerv1.ClaimRequest{Id: id, Claimant: token, Release: true}
+	for _, m := range members {
+		guard.Go("release", func() {
+			_, _ = c.replicas.ClaimAt(context.Background(), m, r)
+		})
+	}
+}
+
+// Log waits until the claim is in the log, so that it outlives all hosts. It
+// gives up after wait, or at once while the log is down: the claim is then only
+// held by two hosts in two failure domains. The error is a *Taken, or of kind
+// Overloaded if the outbox is full; the claim must be released then.
+func (g *Grant) Log(ctx context.Context, wait time.Duration) error {
+	if err := g.c.reg.Log(g.id, g.token); err != nil {
+		return err
+	}
+	g.logged = true
+	if !g.c.logUp() {
+		return nil
+	}
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		changed := g.c.store.Changed()
+		f, ok := g.c.store.Fact(g.id)
+		if ok && f.Claimant == g.token {
+			return nil
+		}
+		if ok && f.Claimant != "" && !same(f.Claimant, g.token) {
+			return &Taken{Incarnation: fact.Incarnation(f.Claimant)}
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// Release gives the claim up: the request was not run under it and won't be.
+func (g *Grant) Release() {
+	members, _, _ := g.c.store.Replicas(g.id, g.c.region)
+	g.c.release(members, g.id, g.token)
+	if g.logged {
+		rec := &peerv1.Release{Id: g.id, Claimant: g.token}
+		_ = g.c.out.Put(&peerv1.Record{Kind: &peerv1.Record_Release{Release: rec}})
+	}
+}
+
+// Token names the claim.
+func (g *Grant) Token() string { return g.token }
--- /dev/null
+++ b/daemon/entry/forward.go
@@ -0,0 +1,300 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	peerv1 "maststage.dev/api/peer/v1"
+	"maststage.dev/daemon/run"
+	"maststage.dev/daemon/store"
+	"maststage.dev/fold/view"
+	"maststage.dev/lib/errkind"
+	"maststage.dev/lib/guard"
+)
+
+const (
+	maxHops     = 8 // hosts tried for one request
+	acceptWait  = 1500 * time.Millisecond
+	againPause  = 50 * time.Millisecond
+	maxRedirect = 3
+)
+
+// Peers reaches other hosts.
+type Peers interface {
+	Client(addr string) (peerv1.PeerClient, error)
+}
+
+// Engine is this host's own.
+type Engine interface {
+	Execute(ctx context.Context, req *peerv1.ExecuteRequest, send run.Send) error
+}
+
+// Router finds the host that answers for a request and follows it when that
+// host dies, stops, or turns out to be another.
+type Router struct {
+	region string
+	self   func() string // incarnation
+	store  *store.Store
+	peers  Peers
+	engine Engine
+	silent func(inc string) bool // a member not heard of for long
+}
+
+// NewRouter makes a router for a host of a region.
+func NewRouter(region string, self func() string, s *store.Store, p Peers, e Engine, silent func(string) bool) *Router {
+	return &Router{region: region, self: self, store: s, peers: p, engine: e, silent: silent}
+}
+
+// outcome is how an attempt at one host ended.
+type outcome struct {
+	done     bool
+	moved    bool
+	redirect string
+	refused  *errkind.Error // the host's own answer
+	lost     error          // the host could not be reached, or was lost
+	sent     bool           // lost after the host may have begun
+	caller   error          // the caller is gone
+}
+
+// Forward gets req run and passes the answer on. The error says truly whether
+// the request may have been run.
+func (r *Router) Forward(ctx context.Context, req *peerv1.ExecuteRequest, leaving <-chan struct{}, send func(*peerv1.ExecuteResponse) error) error {
+	f := &forwarding{router: r, req: req, leaving: leaving, send: send, maybe: req.Attempt > 1, tried: map[string]bool{}}
+	return f.run(ctx)
+}
+
+// forwarding is the state of one request at its entry host.
+type forwarding struct {
+	router  *Router
+	req     *peerv1.ExecuteRequest
+	leaving <-chan struct{}
+	send    func(*peerv1.ExecuteResponse) error
+	maybe   bool // an earlier attempt may have run it
+	tried   map[string]bool
+	next    string // incarnation to go to, by redirect
+	turns   int    // redirects followed
+	last    *errkind.Error
+}
+
+func (f *forwarding) run(ctx context.Context) error {
+	for range maxHops {
+		m, ok := f.pick()
+		if !ok {
+			break
+		}
+		o := f.attempt(ctx, m)
+		switch {
+		case o.done:
+			return nil
+		case o.caller != nil:
+			return o.caller
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case f.leaves() && o.lost != nil:
+			return errLeaving
+		case o.redirect != "":
+			if err := f.redirected(o.redirect); err != nil {
+				return err
+			}
+		case o.moved:
+			f.tried = map[string]bool{m.Incarnation: true}
+			pause(ctx, againPause)
+		case o.refused != nil:
+			if !passOver(o.refused.Kind) {
+				return f.truthful(o.refused)
+			}
+			f.last = o.refused
+			f.tried[m.Incarnation] = true
+		default:
+			f.maybe = f.maybe || o.sent
+			f.tried[m.Incarnation] = true
+			f.last = errkind.New(errkind.Unavailable, "host %s: %w", m.Host, o.lost)
+		}
+	}
+	if f.last == nil {
+		f.last = errkind.New(errkind.Unavailable, "no host answers for the request")
+	}
+	return f.truthful(f.last)
+}
+
+// passOver says whether another host may take a request that one refused so.
+func passOver(k errkind.Kind) bool {
+	return k == errkind.Draining || k == errkind.Unavailable
+}
+
+// truthful never says "not run" of a request that may have been run.
+func (f *forwarding) truthful(e *errkind.Error) error {
+	if f.maybe && errkind.Lookup(e.Kind).Ran == errkind.RanNo && e.Kind != errkind.Invalid {
+		return errkind.New(errkind.Unknown, "an earlier attempt may have run it: %w", e).Retry(e.RetryAfter())
+	}
+	return e
+}
+
+// redirected notes the host that has the run.
+func (f *forwarding) redirected(inc string) error {
+	f.turns++
+	m, live := f.router.store.Member(inc)
+	if !live || f.turns > maxRedirect || f.tried[inc] {
+		return errkind.New(errkind.Unknown, "taken on by %s, which can't be reached", inc)
+	}
+	f.next = m.Incarnation
+	f.maybe = true
+	return nil
+}
+
+// pick gives the next host to try: the one redirected to, or the first replica
+// that was not tried, those in doubt last.
+func (f *forwarding) pick() (view.Member, bool) {
+	if f.next != "" {
+		m, ok := f.router.store.Member(f.next)
+		f.next = ""
+		return m, ok
+	}
+	id := run.Key(f.req.Organisation, f.req.RequestId)
+	members, _, _ := f.router.store.Replicas(id, f.router.region)
+	var doubtful *view.Member
+	for i, m := range members {
+		if f.tried[m.Incarnation] {
+			continue
+		}
+		if f.router.silent(m.Incarnation) {
+			if doubtful == nil {
+				doubtful = &members[i]
+			}
+			continue
+		}
+		return m, true
+	}
+	if doubtful != nil {
+		return *doubtful, true
+	}
+	return view.Member{}, false
+}
+
+// attempt sends the request to one host and follows its answer.
+func (f *forwarding) attempt(ctx context.Context, m view.Member) outcome {
+	req := f.req
+	if f.maybe && req.Attempt == 1 {
+		req.Attempt = 2
+	}
+	o := outcome{}
+	if m.Incarnation == f.router.self() {
+		err := f.router.engine.Execute(ctx, req, func(msg *peerv1.ExecuteResponse) error {
+			f.message(&o, msg)
+			return o.caller
+		})
+		if err != nil && o.caller == nil {
+			o.lost, o.sent = err, true
+		}
+		return o
+	}
+	f.remote(ctx, m, req, &o)
+	return o
+}
+
+// remote follows another host's answer. A host that does not take the request
+// on in good time is given up; it may have begun nevertheless.
+func (f *forwarding) remote(ctx context.Context, m view.Member, req *peerv1.ExecuteRequest, o *outcome) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	late := time.AfterFunc(acceptWait, cancel)
+	defer late.Stop()
+	done := make(chan struct{})
+	defer close(done)
+	guard.Go("stream mover", func() {
+		select {
+		case <-f.leaving:
+			cancel()
+		case <-done:
+		}
+	})
+	client, err := f.router.peers.Client(m.Address)
+	if err != nil {
+		o.lost = err
+		return
+	}
+	stream, err := client.Execute(ctx, req)
+	if err != nil {
+		o.lost, o.sent = err, sentAnyway(err)
+		return
+	}
+	for !o.final() {
+		msg, err := stream.Recv()
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = errors.New("the host ended the answer without its end")
+			}
+			o.lost, o.sent = err, sentAnyway(err)
+			return
+		}
+		late.Stop()
+		f.message(o, msg)
+	}
+}
+
+// leaves says whether streams are to be taken up again at another entry host.
+func (f *forwarding) leaves() bool {
+	select {
+	case <-f.leaving:
+		return true
+	default:
+		return false
+	}
+}
+
+// sentAnyway says whether the host may have got the request. gRPC reports a
+// connection that could not be made as Unavailable before anything is sent, but
+// uses the same code for one that broke, so only the dial error is certain.
+func sentAnyway(err error) bool {
+	s, ok := status.FromError(err)
+	return !ok || s.Code() != codes.Unavailable || !isDialError(s.Message())
+}
+
+func (o *outcome) final() bool {
+	return o.done || o.moved || o.redirect != "" || o.refused != nil || o.caller != nil
+}
+
+// message takes in one message of a host.
+func (f *forwarding) message(o *outcome, m *peerv1.ExecuteResponse) {
+	switch {
+	case m.RequestId != f.req.RequestId:
+		o.refused = errkind.New(errkind.Internal, "a host answered for another request")
+	case m.Accepted:
+	case m.Failure != nil:
+		o.refused = errkind.New(errkind.Kind(m.Failure.Kind), "%s", m.Failure.Message).
+			Retry(time.Duration(m.Failure.RetryAfterMs) * time.Millisecond)
+	case m.Redirect != "":
+		o.redirect = m.Redirect
+	case m.Moved:
+		o.moved = true
+	default:
+		if o.caller = f.send(m); o.caller != nil {
+			return
+		}
+		if m.End {
+			o.done = true
+			return
+		}
+		f.req.ResumeFrom = m.Index + 1
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// isDialError finds the words of gRPC for a connection that was not made.
+func isDialError(message string) bool {
+	return strings.Contains(message, "error while dialing") || strings.Contains(message, "Error while dialing")
+}
--- /dev/null
+++ b/daemon/logio/writer.go
@@ -0,0 +1,213 @@
+// Package logio appends to the platform's log and follows it.
+package logio
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	log "github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "maststage.dev/api/peer/v1"
+	"maststage.dev/fold"
+	"maststage.dev/lib/errkind"
+	"maststage.dev/lib/guard"
+)
+
+const (
+	maxBatchRecords = 2000
+	maxBatchBytes   = 512 << 10
+	resendAfter     = 1500 * time.Millisecond // a batch not seen in the log by then is sent again
+	flushNow        = "log writer"
+)
+
+// Appender appends to the log; an error says nothing of whether it did.
+type Appender interface {
+	Append(ctx context.Context, data []byte) error
+}
+
+// Writer appends the records of one incarnation in order, one batch at a time.
+// A batch counts as logged only when it is read back: replies may be lost. It is
+// sent again under the same number until then, the fold drops what comes twice.
+type Writer struct {
+	inc      string
+	app      Appender
+	interval time.Duration
+	timeout  time.Duration
+	limit    int
+
+	mu      sync.Mutex
+	pending []*peerv1.Record
+	sent    int // of pending, in the batch under way
+	seq     uint64
+	since   time.Time // when the batch under way was first sent
+
+	wake   chan struct{}
+	logged chan uint64
+	done   chan struct{}
+}
+
+// NewWriter makes a writer; Run starts it. interval is the least time between
+// two appends, limit how many records may wait.
+func NewWriter(inc string, app Appender, interval, timeout time.Duration, limit int) *Writer {
+	return &Writer{
+		inc: inc, app: app, interval: interval, timeout: timeout, limit: limit,
+		wake:   make(chan struct{}, 1),
+		logged: make(chan uint64, 64),
+		done:   make(chan struct{}),
+	}
+}
+
+// Put queues records. It fails if too many wait already; nothing is queued then.
+func (w *Writer) Put(records ...*peerv1.Record) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.pending)+len(records) > w.limit {
+		return errkind.New(errkind.Overloaded, "%d records wait for the log", len(w.pending))
+	}
+	w.pending = append(w.pending, records...)
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// Unlogged copies the records that are not known to be in the log.
+func (w *Writer) Unlogged() []*peerv1.Record {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.pending)
+}
+
+// Waiting is how many records are not known to be in the log.
+func (w *Writer) Waiting() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.pending)
+}
+
+// Stuck is for how long the batch under way has not been seen in the log.
+func (w *Writer) Stuck() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.sent == 0 {
+		return 0
+	}
+	return time.Since(w.since)
+}
+
+// Event hears from the fold which batches are in the log.
+func (w *Writer) Event(e fold.Event) {
+	a, ok := e.(fold.Applied)
+	if !ok || a.Incarnation != w.inc {
+		return
+	}
+	select {
+	case w.logged <- a.Seq:
+	default: // the run loop looks again when it sends the batch once more
+	}
+}
+
+// Run appends until ctx ends.
+func (w *Writer) Run(ctx context.Context) {
+	defer close(w.done)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.wake:
+		}
+		for w.Waiting() > 0 {
+			if !w.step(ctx) {
+				return
+			}
+		}
+	}
+}
+
+// step gets one batch into the log.
+func (w *Writer) step(ctx context.Context) bool {
+	start := time.Now()
+	data, seq, err := w.next()
+	if err != nil {
+		log.WithError(err).Error("can't encode a batch")
+		return false
+	}
+	for !w.try(ctx, data, seq) {
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+	w.finish()
+	pause(ctx, w.interval-time.Since(start))
+	return ctx.Err() == nil
+}
+
+// next builds the batch to send.
+func (w *Writer) next() (data []byte, seq uint64, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n, size := 0, 0
+	for n < len(w.pending) && n < maxBatchRecords && size < maxBatchBytes {
+		size += proto.Size(w.pending[n])
+		n++
+	}
+	w.seq++
+	w.sent = n
+	w.since = time.Now()
+	b := &peerv1.Batch{Incarnation: w.inc, Seq: w.seq, Records: w.pending[:n]}
+	data, err = proto.Marshal(b)
+	return data, w.seq, err
+}
+
+// try appends the batch once and waits until it is seen in the log.
+func (w *Writer) try(ctx context.Context, data []byte, seq uint64) bool {
+	appended := make(chan error, 1)
+	guard.Go(flushNow, func() {
+		c, cancel := context.WithTimeout(ctx, w.timeout)
+		defer cancel()
+		appended <- w.app.Append(c, data)
+	})
+	again := time.NewTimer(resendAfter)
+	defer again.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case got := <-w.logged:
+			if got >= seq {
+				return true
+			}
+		case err := <-appended:
+			if err != nil {
+				log.WithError(err).WithField("seq", seq).Debug("append failed or its reply was lost")
+				again.Reset(w.interval * 2)
+			}
+			appended = nil
+		case <-again.C:
+			return false
+		}
+	}
+}
+
+func (w *Writer) finish() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pending = w.pending[w.sent:]
+	w.sent = 0
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/daemon/node/links.go
@@ -0,0 +1,240 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"connectrpc.com/connect"
+
+	peerv1 "maststage.dev/api/peer/v1"
+	platformv1 "maststage.dev/api/platform/v1"
+	"maststage.dev/api/platform/v1/platformv1connect"
+	"maststage.dev/daemon/claim"
+	"maststage.dev/fold/view"
+)
+
+const (
+	stateTimeout = 10 * time.Second
+	borrowPeers  = 6 // most hosts asked for one loan
+)
+
+// platform reaches the platform's log, for appends through another host if
+// need be.
+type platform struct {
+	log  platformv1connect.LogClient
+	node *Node
+}
+
+// Append appends to the log. An error leaves open whether it took effect.
+func (p *platform) Append(ctx context.Context, data []byte) error {
+	err := p.direct(ctx, data)
+	if err == nil {
+		return nil
+	}
+	for _, m := range p.node.others() {
+		if s := p.node.detector().Last(m.Incarnation); s == nil || !s.LogUp {
+			continue
+		}
+		c, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.node.cfg.Platform.Timeout)
+		defer cancel()
+		client, cerr := p.node.pool.Client(m.Address)
+		if cerr != nil {
+			return cerr
+		}
+		_, err = client.Relay(c, &peerv1.RelayRequest{Data: data})
+		return err
+	}
+	return err
+}
+
+func (p *platform) direct(ctx context.Context, data []byte) error {
+	_, err := p.log.Append(ctx, connect.NewRequest(&platformv1.AppendRequest{Data: data}))
+	return err
+}
+
+// Read reads the log.
+func (p *platform) Read(ctx context.Context, from uint64, max uint32, wait time.Duration) (*platformv1.ReadResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+p.node.cfg.Platform.Timeout)
+	defer cancel()
+	r, err := p.log.Read(ctx, connect.NewRequest(&platformv1.ReadRequest{
+		From: from, Max: max, WaitMs: uint32(wait.Milliseconds()),
+	}))
+	if err != nil {
+		return nil, err
+	}
+	return r.Msg, nil
+}
+
+// Tail reads the log's recent entries from the peer that is furthest.
+func (p *platform) Tail(ctx context.Context, from uint64) ([]*peerv1.TailEntry, error) {
+	var best view.Member
+	var offset uint64
+	for _, m := range p.node.others() {
+		if s := p.node.detector().Last(m.Incarnation); s != nil && s.Offset > offset && !p.node.detector().Silent(m.Incarnation) {
+			best, offset = m, s.Offset
+		}
+	}
+	if offset < from {
+		return nil, fmt.Errorf("no peer has offset %d", from)
+	}
+	c, cancel := context.WithTimeout(ctx, p.node.cfg.Peers.Timeout)
+	defer cancel()
+	client, err := p.node.pool.Client(best.Address)
+	if err != nil {
+		return nil, err
+	}
+	r, err := client.Tail(c, &peerv1.TailRequest{From: from, Max: tailMax})
+	if err != nil {
+		return nil, err
+	}
+	return r.Entries, nil
+}
+
+const tailMax = 500
+
+// State copies the fold of a host that the platform lists.
+func (p *platform) State(ctx context.Context) ([]byte, error) {
+	addrs := p.node.registry.Hosts()
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	err := fmt.Errorf("the platform lists no other host")
+	for _, addr := range addrs {
+		if addr == p.node.cfg.Host.PeerAddress {
+			continue
+		}
+		var data []byte
+		if data, err = p.stateFrom(ctx, addr); err == nil {
+			return data, nil
+		}
+	}
+	return nil, err
+}
+
+func (p *platform) stateFrom(ctx context.Context, addr string) ([]byte, error) {
+	c, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	client, err := p.node.pool.Client(addr)
+	if err != nil {
+		return nil, err
+	}
+	r, err := client.State(c, &peerv1.StateRequest{})
+	if err != nil {
+		return nil, err
+	}
+	return r.State, nil
+}
+
+// links are the calls of one incarnation to other hosts.
+type links struct {
+	inc  string
+	node *Node
+}
+
+func (n *Node) links(inc string) *links { return &links{inc: inc, node: n} }
+
+// ClaimAt asks one replica, which may be this host.
+func (l *links) ClaimAt(ctx context.Context, m view.Member, r *peerv1.ClaimRequest) (claim.Answer, error) {
+	if m.Incarnation == l.inc {
+		reg := l.node.current.Load().Register
+		if r.Release {
+			reg.Release(r.Id, r.Claimant)
+			return claim.Answer{}, nil
+		}
+		return reg.Claim(r.Id, r.Claimant, r.Epoch), nil
+	}
+	c, cancel := context.WithTimeout(ctx, l.node.cfg.Peers.Timeout)
+	defer cancel()
+	client, err := l.node.pool.Client(m.Address)
+	if err != nil {
+		return claim.Answer{}, err
+	}
+	res, err := client.Claim(c, r)
+	if err != nil {
+		return claim.Answer{}, err
+	}
+	return claim.Answer{Granted: res.Granted, Epoch: res.Epoch, Claimant: res.Claimant}, nil
+}
+
+// Hold asks other hosts in turn, those of other failure domains first, to hold
+// a bill.
+func (l *links) Hold(ctx context.Context, b *peerv1.Bill) error {
+	err := fmt.Errorf("there is no other host")
+	for _, m := range l.node.farFirst() {
+		if l.node.detector().Silent(m.Incarnation) {
+			continue
+		}
+		if err = l.holdAt(ctx, m, b); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func (l *links) holdAt(ctx context.Context, m view.Member, b *peerv1.Bill) error {
+	c, cancel := context.WithTimeout(ctx, l.node.cfg.Peers.Timeout)
+	defer cancel()
+	client, err := l.node.pool.Client(m.Address)
+	if err != nil {
+		return err
+	}
+	_, err = client.Hold(c, &peerv1.HoldRequest{Incarnation: l.inc, Bills: []*peerv1.Bill{b}})
+	return err
+}
+
+// Borrow asks other hosts for tokens until it has enough.
+func (l *links) Borrow(ctx context.Context, budget string, tokens uint64) uint64 {
+	var got uint64
+	for i, m := range l.node.others() {
+		if i >= borrowPeers || got >= tokens {
+			break
+		}
+		if l.node.detector().Silent(m.Incarnation) {
+			continue
+		}
+		got += l.borrowAt(ctx, m, budget, tokens-got)
+	}
+	return got
+}
+
+func (l *links) borrowAt(ctx context.Context, m view.Member, budget string, tokens uint64) uint64 {
+	c, cancel := context.WithTimeout(ctx, l.node.cfg.Peers.Timeout)
+	defer cancel()
+	client, err := l.node.pool.Client(m.Address)
+	if err != nil {
+		return 0
+	}
+	id := fmt.Sprintf("%s/%d", l.inc, l.node.loans.Add(1))
+	r, err := client.Borrow(c, &peerv1.BorrowRequest{Id: id, Incarnation: l.inc, Budget: budget, Tokens: tokens})
+	if err != nil || r.Tokens == 0 {
+		return 0
+	}
+	l.node.current.Load().Ledger.Credit(id, budget, r.Tokens)
+	return r.Tokens
+}
+
+// others lists the other members of this host's region, in random order.
+func (n *Node) others() []view.Member {
+	self := n.current.Load()
+	var out []view.Member
+	for _, m := range n.store.Members() {
+		if m.Region == n.cfg.Host.Region && (self == nil || m.Incarnation != self.Incarnation) {
+			out = append(out, m)
+		}
+	}
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+// farFirst is others with those of other failure domains in front.
+func (n *Node) farFirst() []view.Member {
+	var far, near []view.Member
+	for _, m := range n.others() {
+		if m.Domain == n.cfg.Host.Domain {
+			near = append(near, m)
+			continue
+		}
+		far = append(far, m)
+	}
+	return append(far, near...)
+}
--- /dev/null
+++ b/daemon/node/node.go
@@ -0,0 +1,307 @@
+// Package node puts the duties of a host together and runs them.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	log "github.com/sirupsen/logrus"
+	"google.golang.org/grpc"
+
+	peerv1 "maststage.dev/api/peer/v1"
+	"maststage.dev/api/platform/v1/platformv1connect"
+	"maststage.dev/daemon/logio"
+	"maststage.dev/daemon/metric"
+	"maststage.dev/daemon/peer"
+	"maststage.dev/daemon/run"
+	"maststage.dev/daemon/settings"
+	"maststage.dev/daemon/store"
+	"maststage.dev/daemon/target"
+	"maststage.dev/fold"
+	"maststage.dev/lib/guard"
+	"maststage.dev/lib/rendezvous"
+)
+
+const (
+	maxConns      = 4096 // idle connections to one target
+	snapshotCheck = 2 * time.Second
+)
+
+// Node is one host.
+type Node struct {
+	cfg      *settings.Settings
+	store    *store.Store
+	platform *platform
+	tailer   *logio.Tailer
+	registry *target.Registry
+	pool     *peer.Pool
+	engine   *run.Engine
+	metrics  *metric.Set
+	grpc     *grpc.Server
+	http     *http.Server
+	loans    atomic.Uint64
+
+	current   atomic.Pointer[identity]
+	heart     atomic.Pointer[peer.Detector]
+	startMu   sync.Mutex         // one new identity at a time
+	stopHeart context.CancelFunc // ends the heartbeats of the present identity
+	ended     chan string        // incarnations of this host that the log says have ended
+	stopping  chan struct{}
+	stopOnce  sync.Once
+	leaving   chan struct{} // closed when callers' streams are to move
+
+	mu        sync.Mutex
+	published map[string]chan fold.Published
+}
+
+// New puts a host together from its settings; Run starts it.
+func New(cfg *settings.Settings) *Node {
+	n := &Node{
+		cfg:       cfg,
+		store:     store.New(),
+		pool:      peer.NewPool(cfg.Peers.Secret, cfg.Peers.Via()),
+		metrics:   metric.New(),
+		ended:     make(chan string, 16),
+		stopping:  make(chan struct{}),
+		leaving:   make(chan struct{}),
+		published: map[string]chan fold.Published{},
+	}
+	web := &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: maxConns,
+		IdleConnTimeout:     time.Minute,
+		DialContext:         (&net.Dialer{Timeout: cfg.Platform.Timeout}).DialContext,
+	}}
+	n.platform = &platform{log: platformv1connect.NewLogClient(web, "http://"+cfg.Platform.Log), node: n}
+	n.tailer = logio.NewTailer(n.platform, n.platform, n.store)
+	members := platformv1connect.NewMembersClient(web, "http://"+cfg.Platform.Members)
+	n.registry = target.NewRegistry(cfg.Targets, cfg.Host.Domain, members, cfg.Platform.ListInterval, cfg.Platform.Timeout, web)
+	n.engine = run.New(run.Options{
+		Requests: cfg.Requests, Targets: cfg.Targets, Budgets: cfg.Budgets,
+		Host: n, Store: n.store, Registry: n.registry, Metrics: n.metrics,
+	})
+	n.heart.Store(n.newDetector(""))
+	n.store.Subscribe(n)
+	n.grpc = peer.NewServer(duties{n}, cfg.Peers.Secret)
+	n.http = n.newHTTP()
+	n.gauges()
+	return n
+}
+
+func (n *Node) detector() *peer.Detector { return n.heart.Load() }
+
+func (n *Node) newDetector(inc string) *peer.Detector {
+	p := n.cfg.Peers
+	return peer.NewDetector(peer.Options{
+		Self: inc, Region: n.cfg.Host.Region, View: n.store, Pool: n.pool, Status: n.status,
+		Gone: n.registry.Gone, Evict: n.evict,
+		Interval: p.PingInterval, SuspectAfter: p.SuspectAfter, Timeout: p.Timeout,
+	})
+}
+
+// Run serves until ctx ends or a planned stop is done.
+func (n *Node) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	guard.Go("targets", func() { n.registry.Run(ctx) })
+	// Peers may ask before this host is a member; an identity must be there.
+	if err := n.tailer.Bootstrap(ctx); err != nil {
+		return fmt.Errorf("reading the log: %w", err)
+	}
+	n.start(ctx)
+	if err := n.listen(); err != nil {
+		return err
+	}
+	guard.Go("log tailer", func() { n.tail(ctx) })
+	guard.Go("snapshots", func() { n.snapshots(ctx) })
+	guard.Go("membership", func() { n.lifecycle(ctx) })
+	guard.Go("kept answers", func() { n.expire(ctx) })
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-n.stopping:
+	}
+	n.drain(ctx)
+	return nil
+}
+
+// start makes a new identity and its detector.
+func (n *Node) start(ctx context.Context) {
+	n.startMu.Lock()
+	defer n.startMu.Unlock()
+	id := n.become(ctx)
+	d := n.newDetector(id.Incarnation)
+	n.heart.Store(d)
+	if n.stopHeart != nil {
+		n.stopHeart()
+	}
+	life, cancel := context.WithCancel(ctx)
+	n.stopHeart = cancel
+	guard.Go("heartbeats", func() { d.Run(life) })
+}
+
+func (n *Node) listen() error {
+	pl, err := net.Listen("tcp", n.cfg.Host.PeerListen)
+	if err != nil {
+		return fmt.Errorf("listening for hosts: %w", err)
+	}
+	cl, err := net.Listen("tcp", n.cfg.Host.Listen)
+	if err != nil {
+		return fmt.Errorf("listening for callers: %w", err)
+	}
+	guard.Go("peer server", func() {
+		if err := n.grpc.Serve(pl); err != nil {
+			log.WithError(err).Error("peer server ended")
+		}
+	})
+	guard.Go("caller server", func() {
+		if err := n.http.Serve(cl); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			log.WithError(err).Error("caller server ended")
+		}
+	})
+	log.WithFields(log.Fields{"callers": n.cfg.Host.Listen, "hosts": n.cfg.Host.PeerListen}).Info("listening")
+	return nil
+}
+
+// tail follows the log. A host that the log's retention has passed takes the
+// state from elsewhere and becomes a new incarnation, for it has missed what
+// became of its own records.
+func (n *Node) tail(ctx context.Context) {
+	for {
+		err := n.tailer.Run(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		log.WithError(err).Warn("fell behind the log")
+		if n.tailer.Bootstrap(ctx) != nil {
+			return
+		}
+		old := n.current.Load()
+		n.start(ctx)
+		n.inherit(old, n.current.Load())
+		n.drop(old)
+	}
+}
+
+// lifecycle makes a new identity when the view has ended the present one.
+func (n *Node) lifecycle(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case inc := <-n.ended:
+			old := n.current.Load()
+			if old.Incarnation != inc || n.Draining() {
+				continue
+			}
+			log.WithField("incarnation", inc).Warn("evicted while alive")
+			n.start(ctx)
+			guard.Go("retired identity", func() { n.retire(ctx, old) })
+		}
+	}
+}
+
+// Event hears of publishes and of this host's own end.
+func (n *Node) Event(e fold.Event) {
+	switch k := e.(type) {
+	case fold.Published:
+		n.mu.Lock()
+		ch := n.published[k.ID]
+		n.mu.Unlock()
+		if ch != nil {
+			select {
+			case ch <- k:
+			default:
+			}
+		}
+	case fold.Ended:
+		if id := n.current.Load(); id != nil && id.Incarnation == k.Incarnation {
+			n.ended <- k.Incarnation
+		}
+	}
+}
+
+func (n *Node) awaitPublish(id string) <-chan fold.Published {
+	ch := make(chan fold.Published, 1)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.published[id] = ch
+	return ch
+}
+
+func (n *Node) forgetPublish(id string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.published, id)
+}
+
+// evict asks the log to end a silent member.
+func (n *Node) evict(inc string, epoch uint64) {
+	log.WithField("incarnation", inc).Warn("asking to evict a silent host")
+	rec := &peerv1.Evict{Incarnation: inc, Epoch: epoch}
+	if err := n.current.Load().writer.Put(&peerv1.Record{Kind: &peerv1.Record_Evict{Evict: rec}}); err != nil {
+		log.WithError(err).Error("can't ask to evict")
+	}
+}
+
+// snapshots writes the state into the log before its retention runs out. One
+// member does it, chosen by hash.
+func (n *Node) snapshots(ctx context.Context) {
+	every := time.NewTicker(snapshotCheck)
+	defer every.Stop()
+	var asked uint64
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-every.C:
+		}
+		offset, snap := n.store.Offset()
+		due := uint64(n.cfg.Platform.SnapshotEvery)
+		if offset-snap < due || offset-asked < due || !n.chosen("snapshot") {
+			continue
+		}
+		data, err := n.store.Encode()
+		if err != nil {
+			log.WithError(err).Error("can't write a snapshot")
+			continue
+		}
+		rec := &peerv1.Record{Kind: &peerv1.Record_Snapshot{Snapshot: &peerv1.Snapshot{State: data}}}
+		if n.current.Load().writer.Put(rec) == nil {
+			asked = offset
+		}
+	}
+}
+
+// chosen says whether this host ranks first of all members for a duty.
+func (n *Node) chosen(duty string) bool {
+	self := n.current.Load().Incarnation
+	best, name := uint64(0), ""
+	for _, m := range n.store.Members() {
+		if n.detector().Silent(m.Incarnation) {
+			continue
+		}
+		if s := rendezvous.Score(duty, m.Incarnation); name == "" || s > best {
+			best, name = s, m.Incarnation
+		}
+	}
+	return name == self
+}
+
+func (n *Node) expire(ctx context.Context) {
+	every := time.NewTicker(time.Second)
+	defer every.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-every.C:
+			n.engine.Tick(now)
+		}
+	}
+}
--- /dev/null
+++ b/daemon/run/run.go
@@ -0,0 +1,258 @@
+// Package run carries requests out on the host that answers for their id: it
+// decides by policy, reserves tokens, claims, picks a target, passes the answer
+// on, bills, and keeps the answer for retries.
+package run
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	peerv1 "maststage.dev/api/peer/v1"
+	"maststage.dev/daemon/bill"
+	"maststage.dev/daemon/claim"
+	"maststage.dev/daemon/ledger"
+	"maststage.dev/daemon/metric"
+	"maststage.dev/daemon/settings"
+	"maststage.dev/daemon/store"
+	"maststage.dev/daemon/target"
+	"maststage.dev/fold/fact"
+	"maststage.dev/lib/declare"
+	"maststage.dev/lib/errkind"
+	"maststage.dev/lib/guard"
+	"maststage.dev/lib/policy"
+)
+
+// Identity is one incarnation of this host and what it owns. A host that was
+// evicted while alive gets a new one; what was begun under the old one is
+// finished under it.
+type Identity struct {
+	Incarnation string
+	Ledger      *ledger.Ledger
+	Register    *claim.Register
+	Claims      *claim.Coordinator
+	Bills       *bill.Keeper
+}
+
+// Host is the host that runs the engine.
+type Host interface {
+	Identity() *Identity
+	LogUp() bool
+	Draining() bool
+}
+
+// Engine runs the requests whose ids this host answers for.
+type Engine struct {
+	cfg     settings.Requests
+	watch   settings.Targets
+	budgets settings.Budgets
+	host    Host
+	store   *store.Store
+	targets *target.Registry
+	metrics *metric.Set
+
+	mu    sync.Mutex
+	runs  map[string]*run
+	open  int
+	bytes int    // of kept answers
+	done  []*run // kept, oldest first
+}
+
+// Options are the parts an engine needs.
+type Options struct {
+	Requests settings.Requests
+	Targets  settings.Targets
+	Budgets  settings.Budgets
+	Host     Host
+	Store    *store.Store
+	Registry *target.Registry
+	Metrics  *metric.Set
+}
+
+// New makes an engine.
+func New(o Options) *Engine {
+	return &Engine{
+		cfg: o.Requests, watch: o.Targets, budgets: o.Budgets, host: o.Host, store: o.Store,
+		targets: o.Registry, metrics: o.Metrics, runs: map[string]*run{},
+	}
+}
+
+// Send passes a message on to whoever asked.
+type Send func(*peerv1.ExecuteResponse) error
+
+// Execute runs a request, or joins the run it has already. Failures go out as
+// messages; the error is that of send or of ctx.
+func (e *Engine) Execute(ctx context.Context, req *peerv1.ExecuteRequest, send Send) error {
+	id := Key(req.Organisation, req.RequestId)
+	r, redirect, err := e.find(id, req)
+	if redirect != "" {
+		return send(&peerv1.ExecuteResponse{RequestId: req.RequestId, Redirect: redirect})
+	}
+	if err != nil {
+		return send(failure(req.RequestId, err))
+	}
+	if err := send(&peerv1.ExecuteResponse{RequestId: req.RequestId, Accepted: true}); err != nil {
+		return err
+	}
+	return r.follow(ctx, req, send)
+}
+
+// Key is the id of a request in the fold: the caller's id within its organisation.
+func Key(organisation, requestID string) string { return organisation + "/" + requestID }
+
+func failure(requestID string, err *errkind.Error) *peerv1.ExecuteResponse {
+	return &peerv1.ExecuteResponse{RequestId: requestID, Failure: &peerv1.Failure{
+		Kind: string(err.Kind), Message: err.Error(), RetryAfterMs: uint32(err.RetryAfter().Milliseconds()),
+	}}
+}
+
+// find gives the run of an id, new or old, or the incarnation that has it.
+func (e *Engine) find(id string, req *peerv1.ExecuteRequest) (r *run, redirect string, failed *errkind.Error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r := e.runs[id]; r != nil && !r.replaceable() {
+		if req.ResumeFrom < r.base {
+			return nil, "", errkind.New(errkind.Unknown, "the run's first %d chunks were given to another host", r.base)
+		}
+		return r, "", nil
+	}
+	_, set := e.store.Config()
+	org, decision, err := Decide(set, req, e.host.LogUp())
+	if err != nil {
+		return nil, "", err
+	}
+	self := e.host.Identity()
+	if decision.Single {
+		if redirect, err := e.earlier(self, id); redirect != "" || err != nil {
+			return nil, redirect, err
+		}
+	}
+	if e.host.Draining() {
+		return nil, "", errkind.New(errkind.Draining, "this host is stopping")
+	}
+	if decision.NeedsLog && !e.host.LogUp() {
+		return nil, "", errkind.New(errkind.Unavailable, "the platform's log is down and the policy needs it").Retry(5 * time.Second)
+	}
+	if e.open >= e.cfg.MaxOpen {
+		return nil, "", errkind.New(errkind.Overloaded, "%d requests are open on this host", e.open)
+	}
+	r = newRun(id, req)
+	r.single = decision.Single
+	e.runs[id] = r
+	e.open++
+	j := &job{
+		engine: e, run: r, self: self, decision: decision, pool: set.Pools[decision.Pool],
+		budget: org.Budget, class: req.Class, org: org.Name, start: time.Now(),
+	}
+	guard.Go("request", j.do)
+	return r, "", nil
+}
+
+// earlier says what is known of an earlier run of a request that may not be
+// repeated and is not in the table of runs.
+func (e *Engine) earlier(self *Identity, id string) (redirect string, err *errkind.Error) {
+	f, _ := e.store.Fact(id)
+	if f.Billed {
+		return "", errkind.New(errkind.Done, "run and billed before, the answer is no longer kept")
+	}
+	holder := fact.Incarnation(self.Register.Holder(id))
+	if holder == "" {
+		return "", nil
+	}
+	if holder == self.Incarnation {
+		// Our own claim without a run: a try that was given up, or long ago.
+		if f.Claimant == "" {
+			return "", nil
+		}
+		return "", errkind.New(errkind.Unknown, "claimed here before, its answer is no longer kept")
+	}
+	if _, live := e.store.Member(holder); live {
+		return holder, nil
+	}
+	return "", errkind.New(errkind.Unknown, "claimed by %s, which is gone", holder)
+}
+
+// Decide finds the organisation of a request and runs its policy.
+func Decide(set *declare.Set, req *peerv1.ExecuteRequest, logUp bool) (*declare.Organisation, policy.Decision, *errkind.Error) {
+	org := set.Organisations[req.Organisation]
+	if org == nil {
+		return nil, policy.Decision{}, errkind.New(errkind.Unauthenticated, "organisation %q is not declared", req.Organisation)
+	}
+	p := set.Policies[req.Class]
+	if p == nil {
+		return nil, policy.Decision{}, errkind.New(errkind.NotFound, "no policy for class %q", req.Class)
+	}
+	d, err := p.Program.Decide(policy.Request{
+		Class: req.Class, Organisation: req.Organisation, InputBytes: len(req.Input),
+		MaxTokens: int(req.MaxTokens), Attempt: int(req.Attempt), LogUp: logUp,
+	})
+	if err != nil {
+		return nil, d, errkind.New(errkind.Refused, "policy %q: %w", req.Class, err)
+	}
+	if d.Reason != "" {
+		return nil, d, errkind.New(errkind.Refused, "%s", d.Reason)
+	}
+	if req.MaxTokens > 0 {
+		d.Tokens = min(d.Tokens, int(req.MaxTokens))
+	}
+	if asked := time.Duration(req.DeadlineMs) * time.Millisecond; asked > 0 {
+		d.Within = min(d.Within, asked)
+	}
+	return org, d, nil
+}
+
+// finished is told of a run's end: it keeps the answer for retries, or drops a
+// run that was refused, so that it can be tried again.
+func (e *Engine) finished(r *run, keep bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.open--
+	if !keep {
+		if e.runs[r.id] == r {
+			delete(e.runs, r.id)
+		}
+		return
+	}
+	r.doneAt = time.Now()
+	e.done = append(e.done, r)
+	e.bytes += r.size
+	e.expire(r.doneAt)
+}
+
+// Tick drops kept answers that are old.
+func (e *Engine) Tick(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.expire(now)
+}
+
+func (e *Engine) expire(now time.Time) {
+	for len(e.done) > 0 {
+		r := e.done[0]
+		if now.Sub(r.doneAt) < e.cfg.KeepAnswers && e.bytes <= e.cfg.KeepBytes {
+			return
+		}
+		e.done = e.done[1:]
+		e.bytes -= r.size
+		if e.runs[r.id] == r {
+			delete(e.runs, r.id)
+		}
+	}
+}
+
+// Open is how many requests are in progress.
+func (e *Engine) Open() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.open
+}
+
+// HandOver ends the runs that may go on elsewhere with the word that they
+// moved, for a planned stop that can't wait for them.
+func (e *Engine) HandOver() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, r := range e.runs {
+		r.handOver()
+	}
+}
--- /dev/null
+++ b/daemon/settings/budgets.go
@@ -0,0 +1,15 @@
+package settings
+
+import "time"
+
+// Budgets says how budget slices are sized. Counts are tokens.
+type Budgets struct {
+	SliceSeconds int           `ini:"slice_seconds" default:"5"`    // a slice covers so many seconds of demand
+	MaxSlice     int           `ini:"max_slice" default:"1000000"`  // largest slice
+	LeftDivisor  int           `ini:"left_divisor" default:"16"`    // a slice is at most this part of what is left
+	IdleAfter    time.Duration `ini:"idle_after" default:"10s"`     // unused slices go back after this
+	Wait         time.Duration `ini:"wait" default:"2s"`            // a request waits so long for tokens
+	SettleEvery  time.Duration `ini:"settle_every" default:"500ms"` // between reports of use
+	Borrow       bool          `ini:"borrow" default:"true"`        // borrow from other hosts
+	Overrun      int           `ini:"overrun" default:"32"`         // tokens kept for a target that overruns its maximum
+}
--- /dev/null
+++ b/fold/view/view.go
@@ -0,0 +1,206 @@
+// Package view folds the set of live incarnations out of the log.
+//
+// Ownership of request ids moves when the view changes. A host that gains ids
+// must first know every intent that a survivor holds for them and the log does
+// not have yet. So each change opens a transition, which is settled when every
+// surviving member of the last settled view has logged a Flushed record of the
+// new epoch, behind the intents it held. docs/design/at-most-once.md has the
+// argument.
+package view
+
+import (
+	"slices"
+	"strings"
+
+	"maststage.dev/lib/rendezvous"
+)
+
+const (
+	// Replicas is how many incarnations answer for an id, the owner first.
+	Replicas = 3
+	// keepEvicted bounds how many ended incarnations are remembered.
+	keepEvicted = 4096
+)
+
+// Member is one live incarnation.
+type Member struct {
+	Incarnation string
+	Host        string
+	Address     string // IP:port for peers
+	Domain      string // failure domain
+	Region      string
+	Leaving     bool // finishes what it has, owns no ids
+}
+
+// View is the fold. The zero value is an empty view.
+type View struct {
+	Epoch   uint64 // counts changes
+	Members []Member
+	Stable  []Member          // the last settled view
+	Flushed map[string]uint64 // epoch up to which an incarnation has flushed
+	Evicted []string          // ended incarnations, oldest first
+}
+
+// Join adds a member. An older incarnation of the same host ends; it is returned.
+func (v *View) Join(m Member) (ended string) {
+	if v.Has(m.Incarnation) || v.WasEvicted(m.Incarnation) {
+		return ""
+	}
+	for _, old := range v.Members {
+		if old.Host == m.Host {
+			ended = old.Incarnation
+		}
+	}
+	if ended != "" {
+		v.drop(ended)
+	}
+	v.Members = append(v.Members, m)
+	v.changed()
+	return ended
+}
+
+// Evict ends an incarnation if the writer knew the present epoch, so that two
+// hosts can't evict each other out of the same view.
+func (v *View) Evict(inc string, epoch uint64) bool {
+	if epoch != v.Epoch || !v.Has(inc) {
+		return false
+	}
+	v.drop(inc)
+	v.changed()
+	return true
+}
+
+// Leave marks a member as leaving, or ends it if final.
+func (v *View) Leave(inc string, final bool) bool {
+	i := v.index(inc)
+	if i < 0 {
+		return false
+	}
+	if final {
+		v.drop(inc)
+		v.changed()
+		return true
+	}
+	if v.Members[i].Leaving {
+		return false
+	}
+	v.Members = slices.Clone(v.Members)
+	v.Members[i].Leaving = true
+	v.changed()
+	return true
+}
+
+// Flush records that inc has logged all it held before epoch.
+func (v *View) Flush(inc string, epoch uint64) {
+	if !v.Has(inc) {
+		return
+	}
+	if v.Flushed == nil {
+		v.Flushed = map[string]uint64{}
+	}
+	v.Flushed[inc] = max(v.Flushed[inc], epoch)
+	v.settle()
+}
+
+// Has says whether inc is a member.
+func (v *View) Has(inc string) bool { return v.index(inc) >= 0 }
+
+// WasEvicted says whether inc has ended.
+func (v *View) WasEvicted(inc string) bool { return slices.Contains(v.Evicted, inc) }
+
+// Member finds a member.
+func (v *View) Member(inc string) (Member, bool) {
+	i := v.index(inc)
+	if i < 0 {
+		return Member{}, false
+	}
+	return v.Members[i], true
+}
+
+// Replicas lists who answers for an id in a region: the owner, then those
+// that would take over, in other failure domains as far as there are.
+func (v *View) Replicas(id, region string) []Member {
+	return replicas(v.Members, id, region)
+}
+
+// Settled says whether whoever answers for an id knows all that was held of it.
+func (v *View) Settled(id, region string) bool {
+	if v.settled() {
+		return true
+	}
+	now := replicas(v.Members, id, region)
+	then := replicas(v.Stable, id, region)
+	return slices.EqualFunc(now, then, func(a, b Member) bool { return a.Incarnation == b.Incarnation })
+}
+
+func (v *View) settled() bool { return sameMembers(v.Stable, v.Members) }
+
+func sameMembers(a, b []Member) bool {
+	return slices.EqualFunc(a, b, func(x, y Member) bool {
+		return x.Incarnation == y.Incarnation && x.Leaving == y.Leaving
+	})
+}
+
+func replicas(members []Member, id, region string) []Member {
+	var here []Member
+	for _, m := range members {
+		if m.Region == region && !m.Leaving {
+			here = append(here, m)
+		}
+	}
+	ranked := rendezvous.Rank(id, here, func(m Member) string { return m.Incarnation })
+	picked := make([]Member, 0, Replicas)
+	var rest []Member
+	for _, m := range ranked {
+		if len(picked) < Replicas && !hasDomain(picked, m.Domain) {
+			picked = append(picked, m)
+			continue
+		}
+		rest = append(rest, m)
+	}
+	for _, m := range rest {
+		if len(picked) == Replicas {
+			break
+		}
+		picked = append(picked, m)
+	}
+	return picked
+}
+
+func hasDomain(ms []Member, domain string) bool {
+	return slices.ContainsFunc(ms, func(m Member) bool { return m.Domain == domain })
+}
+
+func (v *View) index(inc string) int {
+	return slices.IndexFunc(v.Members, func(m Member) bool { return m.Incarnation == inc })
+}
+
+func (v *View) drop(inc string) {
+	i := v.index(inc)
+	if i < 0 {
+		return
+	}
+	v.Members = slices.Delete(slices.Clone(v.Members), i, i+1)
+	delete(v.Flushed, inc)
+	v.Evicted = append(slices.Clone(v.Evicted), inc)
+	if n := len(v.Evicted) - keepEvicted; n > 0 {
+		v.Evicted = v.Evicted[n:]
+	}
+}
+
+func (v *View) changed() {
+	v.Epoch++
+	slices.SortFunc(v.Members, func(a, b Member) int { return strings.Compare(a.Incarnation, b.Incarnation) })
+	v.settle()
+}
+
+// settle closes the transition if every survivor of the stable view has
+// flushed up to the present epoch.
+func (v *View) settle() {
+	for _, m := range v.Stable {
+		if v.Has(m.Incarnation) && v.Flushed[m.Incarnation] < v.Epoch {
+			return
+		}
+	}
+	v.Stable = slices.Clone(v.Members)
+}
--- /dev/null
+++ b/lib/rendezvous/rendezvous.go
@@ -0,0 +1,53 @@
+// Package rendezvous ranks names for a key by highest random weight, so that a
+// key moves only when a name it ranks first comes or goes.
+package rendezvous
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
+// Score is the weight of a name for a key.
+func Score(key, name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(key))
+	h.Write([]byte{0})
+	h.Write([]byte(name))
+	return mix(h.Sum64())
+}
+
+// Rank sorts items by descending score for key; ties go by name.
+func Rank[T any](key string, items []T, name func(T) string) []T {
+	type scored struct {
+		score uint64
+		name  string
+		item  T
+	}
+	all := make([]scored, 0, len(items))
+	for _, it := range items {
+		n := name(it)
+		all = append(all, scored{Score(key, n), n, it})
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		if c := cmp.Compare(b.score, a.score); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.name, b.name)
+	})
+	ranked := make([]T, len(all))
+	for i, s := range all {
+		ranked[i] = s.item
+	}
+	return ranked
+}
+
+// mix spreads the bits of an FNV sum (the finaliser of MurmurHash3).
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
--- /dev/null
+++ b/proofs/fleet/caller.go
@@ -0,0 +1,109 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	maststagev1 "maststage.dev/api/maststage/v1"
+	"maststage.dev/api/maststage/v1/maststagev1connect"
+)
+
+// Ask is a request of a caller.
+type Ask struct {
+	Key, ID, Class string
+	Input          []byte
+	MaxTokens      uint32
+	Attempt        uint32
+	ResumeFrom     uint32
+	Timeout        time.Duration // 0: 20 s
+}
+
+// Answer is what came of it.
+type Answer struct {
+	Data   []byte
+	Chunks uint32
+	Whole  bool
+	Moved  bool
+	Billed uint64
+	Kind   string // of the error, empty: none; "lost": no answer came
+	Ran    string // what the error says of the run
+	After  time.Duration
+	Err    error
+}
+
+const askTimeout = 20 * time.Second
+
+// web does not share connections with other tests' fleets.
+func web() *http.Client { return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}} }
+
+var client = web()
+
+// Do sends a request to a host and collects the stream.
+func (f *Fleet) Do(i int, a Ask) Answer {
+	timeout := a.Timeout
+	if timeout == 0 {
+		timeout = askTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return Stream(ctx, client, f.Hosts[i].Listen, a)
+}
+
+// Stream sends a request to an address and collects the stream.
+func Stream(ctx context.Context, c *http.Client, addr string, a Ask) Answer {
+	req := connect.NewRequest(&maststagev1.RunRequest{
+		RequestId: a.ID, Class: a.Class, Input: a.Input, MaxTokens: a.MaxTokens, Attempt: a.Attempt, ResumeFrom: a.ResumeFrom,
+	})
+	req.Header().Set("Authorization", "Bearer "+a.Key)
+	s, err := maststagev1connect.NewCallerClient(c, "http://"+addr).Run(ctx, req)
+	if err != nil {
+		return failed(Answer{}, err)
+	}
+	defer s.Close()
+	ans := Answer{Chunks: a.ResumeFrom}
+	for s.Receive() {
+		m := s.Msg()
+		switch {
+		case m.RequestId != a.ID:
+			ans.Err = errors.New("an answer to another request")
+			return ans
+		case m.Moved:
+			ans.Moved = true
+		case m.End != nil:
+			ans.Whole = m.End.Chunks == ans.Chunks
+			ans.Billed = m.End.BilledTokens
+		default:
+			ans.Data = append(ans.Data, m.Data...)
+			ans.Chunks++
+		}
+	}
+	if err := s.Err(); err != nil {
+		return failed(ans, err)
+	}
+	return ans
+}
+
+func failed(a Answer, err error) Answer {
+	a.Err = err
+	a.Kind = "lost"
+	a.Ran = "unknown"
+	var ce *connect.Error
+	if !errors.As(err, &ce) {
+		return a
+	}
+	for _, d := range ce.Details() {
+		v, derr := d.Value()
+		if derr != nil {
+			continue
+		}
+		if f, ok := v.(*maststagev1.Failure); ok {
+			a.Kind, a.Ran = f.Kind, f.Ran
+			a.After = time.Duration(f.RetryAfterMs) * time.Millisecond
+		}
+	}
+	return a
+}
--- /dev/null
+++ b/standin/cmd/maststandin/main.go
@@ -0,0 +1,84 @@
+// Maststandin runs one small stand-in of the platform or of a target.
+//
+//	maststandin log -listen ADDR [-rate N] [-retain N]
+//	maststandin members -listen ADDR -member NAME,ADDRESS,ROLE,POOL,DOMAIN,SLOTS[,fenced] ...
+//	maststandin engine|service -listen ADDR -name NAME [-slots N] [-each D] [-fenced]
+//
+// Each takes /switch?NAME=NUMBER; targets show their record at /ledger.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+
+	platformv1 "maststage.dev/api/platform/v1"
+	"maststage.dev/api/platform/v1/platformv1connect"
+	"maststage.dev/standin/logd"
+	"maststage.dev/standin/members"
+	"maststage.dev/standin/target"
+)
+
+// memberFlag collects -member flags.
+type memberFlag []*platformv1.Member
+
+func (m *memberFlag) String() string { return fmt.Sprint(len(*m), " members") }
+
+// Set adds one.
+func (m *memberFlag) Set(s string) error {
+	one, err := members.Parse(s)
+	if err != nil {
+		return err
+	}
+	*m = append(*m, one)
+	return nil
+}
+
+func main() {
+	if len(os.Args) < 2 {
+		fail("which stand-in: log, members, engine or service?")
+	}
+	fs := flag.NewFlagSet(os.Args[1], flag.ExitOnError)
+	listen := fs.String("listen", "127.0.0.1:0", "IP:port")
+	name := fs.String("name", "target", "name of a target")
+	slots := fs.Int("slots", 8, "requests a target runs at once")
+	each := fs.Duration("each", 10*time.Millisecond, "time for a token or a call")
+	fenced := fs.Bool("fenced", false, "check the fence of orders")
+	rate := fs.Int("rate", 100, "appends a second")
+	retain := fs.Int("retain", 100000, "entries kept")
+	var list memberFlag
+	fs.Var(&list, "member", "a member of the list")
+	_ = fs.Parse(os.Args[2:])
+
+	mux := http.NewServeMux()
+	switch os.Args[1] {
+	case "log":
+		l := logd.New(*rate, *retain)
+		mux.Handle(platformv1connect.NewLogHandler(l))
+		mux.Handle("/switch", l.Switches)
+	case "members":
+		l := members.New(list)
+		mux.Handle(platformv1connect.NewMembersHandler(l))
+		mux.Handle("/switch", l.Switches)
+		mux.Handle("/change", l)
+	case "engine", "service":
+		t := target.New(*name, *slots, *each, *fenced)
+		mux.Handle(platformv1connect.NewTargetHandler(t))
+		mux.Handle("/switch", t.Switches)
+		mux.Handle("/ledger", t.Book)
+	default:
+		fail("no stand-in " + os.Args[1])
+	}
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	s := &http.Server{Addr: *listen, Handler: mux, Protocols: p}
+	fail(s.ListenAndServe().Error())
+}
+
+func fail(reason string) {
+	fmt.Fprintln(os.Stderr, "maststandin:", reason)
+	os.Exit(1)
+}
--- /dev/null
+++ b/standin/target/target.go
@@ -0,0 +1,282 @@
+// Package target stands in for model engines and plain services.
+package target
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	platformv1 "maststage.dev/api/platform/v1"
+	"maststage.dev/standin/ledger"
+	"maststage.dev/standin/toggle"
+)
+
+const (
+	bytesPerToken = 4
+	prefixBytes   = 256
+	maxPrefixes   = 64
+)
+
+// Target is one back end. Switches: slow (ms more for each token or call),
+// silent (so many answers stop half way), cut (so many break half way), crossed
+// (so many carry another id), overrun (tokens beyond the maximum, no end mark),
+// late (ms before the first byte), losereply (so many calls act and break),
+// busy (refuses), leaving (refuses).
+type Target struct {
+	Switches *toggle.Set
+	Book     *ledger.Book
+	name     string
+	perToken time.Duration
+	fenced   bool
+	slots    chan struct{}
+
+	mu       sync.Mutex
+	waiting  int
+	running  int
+	cancels  map[string]map[int]context.CancelFunc
+	orders   int
+	fences   map[string]uint64
+	prefixes []uint64
+	load     *platformv1.LoadResponse // the last report
+	loadAt   time.Time
+}
+
+// reportLag is how old a load report may be.
+const reportLag = 300 * time.Millisecond
+
+// New makes a target that needs perToken for each token, or for each call.
+func New(name string, slots int, perToken time.Duration, fenced bool) *Target {
+	return &Target{
+		Switches: toggle.New("slow", "silent", "cut", "crossed", "overrun", "late", "losereply", "busy", "leaving"),
+		Book:     ledger.New(name),
+		name:     name, perToken: perToken, fenced: fenced,
+		slots:   make(chan struct{}, slots),
+		cancels: map[string]map[int]context.CancelFunc{},
+		fences:  map[string]uint64{},
+	}
+}
+
+// Token is the text of a request's token; every engine generates the same.
+func Token(id string, index uint32) []byte {
+	h := fnv.New32a()
+	fmt.Fprintf(h, "%s/%d", id, index)
+	return fmt.Appendf(nil, "%08x ", h.Sum32())
+}
+
+// Output is the answer of a plain service to a request.
+func Output(id string, input []byte) []byte { return fmt.Appendf(nil, "ok %s %d", id, len(input)) }
+
+// admit refuses orders that are not to begin.
+func (t *Target) admit(id string, fence uint64) error {
+	if t.Switches.Get("leaving") != 0 {
+		return connect.NewError(connect.CodeUnavailable, errors.New("leaving"))
+	}
+	if t.Switches.Get("busy") != 0 {
+		return connect.NewError(connect.CodeResourceExhausted, errors.New("busy"))
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.fenced && fence < t.fences[id] {
+		return connect.NewError(connect.CodeFailedPrecondition, errors.New("an order with a later fence was seen"))
+	}
+	t.fences[id] = max(t.fences[id], fence)
+	return nil
+}
+
+// enter waits for a slot; leave gives it back.
+func (t *Target) enter(ctx context.Context) error {
+	t.mu.Lock()
+	t.waiting++
+	t.mu.Unlock()
+	defer func() {
+		t.mu.Lock()
+		t.waiting--
+		t.mu.Unlock()
+	}()
+	select {
+	case t.slots <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	t.mu.Lock()
+	t.running++
+	t.mu.Unlock()
+	return nil
+}
+
+func (t *Target) leave() {
+	<-t.slots
+	t.mu.Lock()
+	t.running--
+	t.mu.Unlock()
+}
+
+// register makes an order cancellable by its request id.
+func (t *Target) register(ctx context.Context, id string) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.orders++
+	n := t.orders
+	if t.cancels[id] == nil {
+		t.cancels[id] = map[int]context.CancelFunc{}
+	}
+	t.cancels[id][n] = cancel
+	return ctx, func() {
+		cancel()
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.cancels[id], n)
+		if len(t.cancels[id]) == 0 {
+			delete(t.cancels, id)
+		}
+	}
+}
+
+// Generate streams tokens from resume_from on.
+func (t *Target) Generate(ctx context.Context, req *connect.Request[platformv1.GenerateRequest], out *connect.ServerStream[platformv1.GenerateResponse]) error {
+	r := req.Msg
+	if err := t.admit(r.RequestId, r.Fence); err != nil {
+		return err
+	}
+	ctx, done := t.register(ctx, r.RequestId)
+	defer done()
+	if err := t.enter(ctx); err != nil {
+		return err
+	}
+	defer t.leave()
+	prompt := uint32(len(r.Prompt)+bytesPerToken-1) / bytesPerToken
+	run := t.Book.Begin(r.RequestId, r.Account, prompt)
+	defer t.Book.Done(run)
+	t.remember(r.Prompt)
+	t.pause(ctx, time.Duration(t.Switches.Get("late"))*time.Millisecond)
+	g := generation{target: t, req: r, run: run, out: out, prompt: prompt}
+	return g.stream(ctx)
+}
+
+// generation is one stream.
+type generation struct {
+	target *Target
+	req    *platformv1.GenerateRequest
+	run    *ledger.Run
+	out    *connect.ServerStream[platformv1.GenerateResponse]
+	prompt uint32
+}
+
+func (g *generation) stream(ctx context.Context) error {
+	t, r := g.target, g.req
+	id := r.RequestId
+	if t.Switches.Take("crossed") {
+		id = "somebody/elses"
+	}
+	half := r.ResumeFrom + (r.MaxTokens-min(r.ResumeFrom, r.MaxTokens))/2
+	cut, silent := t.Switches.Take("cut"), t.Switches.Take("silent")
+	over := uint32(t.Switches.Get("overrun"))
+	for i := r.ResumeFrom; i < r.MaxTokens+over; i++ {
+		if i == half && cut {
+			panic(http.ErrAbortHandler)
+		}
+		if i == half && silent {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		t.pause(ctx, t.perToken+time.Duration(t.Switches.Get("slow"))*time.Millisecond)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		t.Book.Use(g.run, 1)
+		if err := g.out.Send(&platformv1.GenerateResponse{RequestId: id, Index: i, Token: Token(r.RequestId, i)}); err != nil {
+			return err
+		}
+	}
+	if over > 0 {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return g.out.Send(&platformv1.GenerateResponse{RequestId: id, Index: max(r.MaxTokens, r.ResumeFrom), End: true, PromptTokens: g.prompt})
+}
+
+func (t *Target) pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// Invoke is a call of a plain service: it acts, uses one token, and answers.
+// What it began it finishes, whether the caller waits or not.
+func (t *Target) Invoke(ctx context.Context, req *connect.Request[platformv1.InvokeRequest]) (*connect.Response[platformv1.InvokeResponse], error) {
+	r := req.Msg
+	if err := t.admit(r.RequestId, r.Fence); err != nil {
+		return nil, err
+	}
+	if err := t.enter(ctx); err != nil {
+		return nil, err
+	}
+	defer t.leave()
+	run := t.Book.Begin(r.RequestId, r.Account, 1)
+	t.pause(context.WithoutCancel(ctx), t.perToken+time.Duration(t.Switches.Get("slow"))*time.Millisecond)
+	t.Book.Done(run)
+	if t.Switches.Take("losereply") {
+		panic(http.ErrAbortHandler)
+	}
+	if t.Switches.Take("silent") {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	t.pause(ctx, time.Duration(t.Switches.Get("late"))*time.Millisecond)
+	id := r.RequestId
+	if t.Switches.Take("crossed") {
+		id = "somebody/elses"
+	}
+	return connect.NewResponse(&platformv1.InvokeResponse{RequestId: id, Output: Output(r.RequestId, r.Input), Tokens: 1}), nil
+}
+
+// Cancel stops a request's streams and says what the request used.
+func (t *Target) Cancel(_ context.Context, req *connect.Request[platformv1.CancelRequest]) (*connect.Response[platformv1.CancelResponse], error) {
+	t.mu.Lock()
+	for _, cancel := range t.cancels[req.Msg.RequestId] {
+		cancel()
+	}
+	t.mu.Unlock()
+	tokens, known := t.Book.Used(req.Msg.RequestId)
+	return connect.NewResponse(&platformv1.CancelResponse{Known: known, Tokens: tokens}), nil
+}
+
+// Load reports the load as of some time ago.
+func (t *Target) Load(context.Context, *connect.Request[platformv1.LoadRequest]) (*connect.Response[platformv1.LoadResponse], error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now := time.Now(); t.load == nil || now.Sub(t.loadAt) > reportLag {
+		t.loadAt = now
+		t.load = &platformv1.LoadResponse{
+			Running: uint32(t.running), Waiting: uint32(t.waiting), Slots: uint32(cap(t.slots)),
+			Leaving: t.Switches.Get("leaving") != 0, Prefixes: append([]uint64(nil), t.prefixes...),
+		}
+	}
+	return connect.NewResponse(t.load), nil
+}
+
+// remember caches a prompt's prefix in a bounded memory.
+func (t *Target) remember(prompt []byte) {
+	if len(prompt) == 0 {
+		return
+	}
+	h := fnv.New64a()
+	h.Write(prompt[:min(len(prompt), prefixBytes)])
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prefixes = append(t.prefixes, h.Sum64())
+	if n := len(t.prefixes) - maxPrefixes; n > 0 {
+		t.prefixes = t.prefixes[n:]
+	}
+}
