proofs: overspend and at-most-once under kills, cuts, freezes and outages

Cause: the thin path had no proof. The first runs of these tests found three faults and one in the harness: - TestOnceOldView: 1 of 1114 saves ran twice. Two hosts cut off from the log and from the rest granted each other a claim (2 of 3 replicas), were both evicted, and nobody left knew of it. - TestOnceOwnerAndSuccessorKilled: 1 bill of 1353 was lost, since only one other host held it and died with its writer. - TestOnceOwnersKilled: one request was refused as 'unauthenticated' by a host that had joined before it had read the configuration. - A fleet did not start: a proxy had been given the port of a host.

Ruled out: marking retries (a caller that forgets would run twice); a limit on evictions of two failure domains (closes half of the ids for as long as two hosts are cut off).

Change: a claim is in the log before it is used or, while the log is down, granted by a majority of the region's members at the same epoch; a bill is held by two other hosts; a host joins the view only after it was level with the log; ports of tests lie below those of clients.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Modules of the workspace; go.work lists them too.
-MODULES = api lib fold daemon standin cmd proofs
+MODULES = api lib fold daemon standin load cmd proofs
 PACKAGES = $(MODULES:%=./%/...)
 STATICCHECK = honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
--- a/daemon/bill/bill.go
+++ b/daemon/bill/bill.go
@@ -1,6 +1,6 @@
 // Package bill keeps bills from being lost: the end of an answer is released
-// only after its bill is in the log or held by a host of another failure
-// domain, which logs it if its writer does not.
+// only after its bill is in the log or held by hosts of two other failure
+// domains, which log it if its writer does not.
 package bill
 
 import (
@@ -22,7 +22,7 @@
 	Put(...*peerv1.Record) error
 }
 
-// Peers asks other hosts to hold a bill; it returns once one does.
+// Peers asks other hosts to hold a bill; it returns once enough do.
 type Peers interface {
 	Hold(ctx context.Context, b *peerv1.Bill) error
 }
--- a/daemon/claim/claim.go
+++ b/daemon/claim/claim.go
@@ -4,10 +4,13 @@
 // Each id has three replicas in the view. An incarnation may dispatch the
 // request only after two of them, at its own epoch, have accepted its claim; a
 // replica accepts one claimant for an id, ever. Any two claimants need a common
-// replica, so at most one gets through. When the view changes, each member first
-// logs the claims it holds and then a Flushed record; replicas act for ids that
-// moved only when the view has settled, so they know all claims of before.
-// docs/design/at-most-once.md has the whole argument.
+// replica, so at most one gets through in an epoch.
+//
+// The claim must outlive its holders. So it is in the log before it is used, or,
+// while the log is down, granted by a majority of the region's members. When the
+// view changes, each member first logs the claims it holds and then a Flushed
+// record; replicas act for ids that moved only when the view has settled, so they
+// know all claims of before. docs/design/at-most-once.md has the whole argument.
 package claim
 
 import (
--- a/daemon/claim/coordinator.go
+++ b/daemon/claim/coordinator.go
@@ -20,26 +20,26 @@
 	pauseMax = 40 * time.Millisecond
 )
 
-// Replicas asks the replicas of an id; this host's own register among them.
-type Replicas interface {
+// Hosts asks members of the view; this host's own register among them.
+type Hosts interface {
 	ClaimAt(ctx context.Context, m view.Member, r *peerv1.ClaimRequest) (Answer, error)
 }
 
 // Coordinator gets claims for one incarnation.
 type Coordinator struct {
-	inc      string
-	region   string
-	store    *store.Store
-	replicas Replicas
-	reg      *Register
-	out      Outbox
-	logUp    func() bool
-	tries    atomic.Uint64
+	inc    string
+	region string
+	store  *store.Store
+	hosts  Hosts
+	reg    *Register
+	out    Outbox
+	logUp  func() bool
+	tries  atomic.Uint64
 }
 
 // NewCoordinator makes the coordinator of incarnation inc.
-func NewCoordinator(inc, region string, s *store.Store, reps Replicas, reg *Register, out Outbox, logUp func() bool) *Coordinator {
-	return &Coordinator{inc: inc, region: region, store: s, replicas: reps, reg: reg, out: out, logUp: logUp}
+func NewCoordinator(inc, region string, s *store.Store, h Hosts, reg *Register, out Outbox, logUp func() bool) *Coordinator {
+	return &Coordinator{inc: inc, region: region, store: s, hosts: h, reg: reg, out: out, logUp: logUp}
 }
 
 // Taken says that another incarnation has the request.
@@ -52,7 +52,9 @@
 	c      *Coordinator
 	id     string
 	token  string
+	epoch  uint64
 	logged bool
+	wide   bool // members other than the replicas were asked
 }
 
 // tally is what the replicas said to one try.
@@ -92,8 +94,8 @@
 	if f, ok := c.store.Fact(id); ok && f.Claimant != "" && fact.Incarnation(f.Claimant) != c.inc {
 		return nil, &Taken{Incarnation: fact.Incarnation(f.Claimant)}
 	}
-	g := &Grant{c: c, id: id, token: fact.Token(c.inc, c.tries.Add(1))}
-	t := c.ask(ctx, members, &peerv1.ClaimRequest{Id: id, Claimant: g.token, Epoch: epoch})
+	g := &Grant{c: c, id: id, token: fact.Token(c.inc, c.tries.Add(1)), epoch: epoch}
+	t := c.ask(ctx, members, g.request(), len(members)/2+1)
 	if t.granted >= t.need {
 		return g, nil
 	}
@@ -111,19 +113,23 @@
 	return ok && f.Claimant == token
 }
 
-// ask sends a claim to all replicas and counts until the outcome is certain.
-func (c *Coordinator) ask(ctx context.Context, members []view.Member, r *peerv1.ClaimRequest) tally {
+func (g *Grant) request() *peerv1.ClaimRequest {
+	return &peerv1.ClaimRequest{Id: g.id, Claimant: g.token, Epoch: g.epoch}
+}
+
+// ask sends a claim to members and counts until need of them have granted it.
+func (c *Coordinator) ask(ctx context.Context, members []view.Member, r *peerv1.ClaimRequest, need int) tally {
 	answers := make(chan Answer, len(members))
 	for _, m := range members {
 		guard.Go("claim", func() {
-			a, err := c.replicas.ClaimAt(ctx, m, r)
+			a, err := c.hosts.ClaimAt(ctx, m, r)
 			if err != nil {
 				a = Answer{}
 			}
 			answers <- a
 		})
 	}
-	t := tally{others: map[string]int{}, need: len(members)/2 + 1}
+	t := tally{others: map[string]int{}, need: need}
 	for range members {
 		a := <-answers
 		switch {
@@ -139,53 +145,89 @@
 	return t
 }
 
+// members lists those of this region.
+func (c *Coordinator) members() []view.Member {
+	var here []view.Member
+	for _, m := range c.store.Members() {
+		if m.Region == c.region {
+			here = append(here, m)
+		}
+	}
+	return here
+}
+
 // release takes back a claim that was not won. It is safe if it is lost: the
 // token then only blocks a place that others don't need.
 func (c *Coordinator) release(members []view.Member, id, token string) {
 	r := &peerv1.ClaimRequest{Id: id, Claimant: token, Release: true}
 	for _, m := range members {
 		guard.Go("release", func() {
-			_, _ = c.replicas.ClaimAt(context.Background(), m, r)
+			_, _ = c.hosts.ClaimAt(context.Background(), m, r)
 		})
 	}
 }
 
-// Log waits until the claim is in the log, so that it outlives all hosts. It
-// gives up after wait, or at once while the log is down: the claim is then only
-// held by two hosts in two failure domains. The error is a *Taken, or of kind
-// Overloaded if the outbox is full; the claim must be released then.
-func (g *Grant) Log(ctx context.Context, wait time.Duration) error {
+// Secure makes the claim outlive hosts before it is used: it waits until the
+// claim is in the log. While the log is down, or does not show it within wait,
+// a majority of the region's members must grant it too, at the epoch of the
+// claim: those that evict the holders of a claim can then not be without it.
+// The error is a *Taken, or of kind Unavailable or Overloaded (the outbox is
+// full); the claim must be released then.
+func (g *Grant) Secure(ctx context.Context, wait time.Duration) error {
 	if err := g.c.reg.Log(g.id, g.token); err != nil {
 		return err
 	}
 	g.logged = true
-	if !g.c.logUp() {
-		return nil
+	if g.c.logUp() {
+		inLog, err := g.awaitLog(ctx, wait)
+		if inLog || err != nil {
+			return err
+		}
 	}
+	return g.majority(ctx)
+}
+
+// awaitLog waits until the claim is read back from the log.
+func (g *Grant) awaitLog(ctx context.Context, wait time.Duration) (bool, error) {
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
 		changed := g.c.store.Changed()
 		f, ok := g.c.store.Fact(g.id)
 		if ok && f.Claimant == g.token {
-			return nil
+			return true, nil
 		}
 		if ok && f.Claimant != "" && !same(f.Claimant, g.token) {
-			return &Taken{Incarnation: fact.Incarnation(f.Claimant)}
+			return false, &Taken{Incarnation: fact.Incarnation(f.Claimant)}
 		}
 		select {
 		case <-changed:
 		case <-timeout.C:
-			return nil
+			return false, nil
 		case <-ctx.Done():
-			return nil
+			return false, nil
 		}
 	}
 }
 
+// majority gets the claim granted by most members of the region.
+func (g *Grant) majority(ctx context.Context) error {
+	members := g.c.members()
+	need := len(members)/2 + 1
+	g.wide = true
+	t := g.c.ask(ctx, members, g.request(), need)
+	if t.granted >= need && g.c.store.Epoch() == g.epoch {
+		return nil
+	}
+	return errkind.New(errkind.Unavailable, "the log is down, and %d of %d hosts grant the claim where %d must", t.granted, len(members), need)
+}
+
 // Release gives the claim up: the request was not run under it and won't be.
 func (g *Grant) Release() {
 	members, _, _ := g.c.store.Replicas(g.id, g.c.region)
+	if g.wide {
+		members = g.c.members()
+	}
 	g.c.release(members, g.id, g.token)
 	if g.logged {
 		rec := &peerv1.Release{Id: g.id, Claimant: g.token}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -108,7 +108,10 @@
 
 // order checks a request and turns it into what hosts send each other.
 func (c *Caller) order(auth string, r *maststagev1.RunRequest) (*peerv1.ExecuteRequest, error) {
-	_, set := c.store.Config()
+	version, set := c.store.Config()
+	if version == 0 {
+		return nil, errkind.New(errkind.Unavailable, "this host has no configuration yet")
+	}
 	org, err := authenticate(set, auth)
 	if err != nil {
 		return nil, err
--- a/daemon/logio/tailer.go
+++ b/daemon/logio/tailer.go
@@ -51,11 +51,13 @@
 	mu     sync.Mutex
 	recent []*peerv1.TailEntry
 	lastUp time.Time
+	caught bool // the end of the log was reached once
+	level  chan struct{}
 }
 
 // NewTailer makes a tailer; Run starts it.
 func NewTailer(r Reader, relay Relay, s *store.Store) *Tailer {
-	return &Tailer{reader: r, relay: relay, store: s}
+	return &Tailer{reader: r, relay: relay, store: s, level: make(chan struct{})}
 }
 
 // Up says whether the log was read within the last two seconds.
@@ -110,6 +112,7 @@
 		return errNothingNew
 	}
 	t.forgetRecent()
+	t.reached()
 	return nil
 }
 
@@ -147,6 +150,18 @@
 	return nil
 }
 
+// Level is closed once the store has been as far as the log or a peer.
+func (t *Tailer) Level() <-chan struct{} { return t.level }
+
+func (t *Tailer) reached() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.caught {
+		t.caught = true
+		close(t.level)
+	}
+}
+
 // forgetRecent drops entries that no longer join up with the state.
 func (t *Tailer) forgetRecent() {
 	t.mu.Lock()
@@ -205,6 +220,9 @@
 	for _, e := range r.Entries {
 		t.take(e.Offset, e.Data)
 	}
+	if have, _ := t.store.Offset(); have+1 >= r.Next {
+		t.reached()
+	}
 	return nil
 }
 
--- a/daemon/node/links.go
+++ b/daemon/node/links.go
@@ -13,6 +13,7 @@
 	"maststage.dev/api/platform/v1/platformv1connect"
 	"maststage.dev/daemon/claim"
 	"maststage.dev/fold/view"
+	"maststage.dev/lib/guard"
 )
 
 const (
@@ -156,19 +157,38 @@
 	return claim.Answer{Granted: res.Granted, Epoch: res.Epoch, Claimant: res.Claimant}, nil
 }
 
-// Hold asks other hosts in turn, those of other failure domains first, to hold
-// a bill.
+// holders is how many other hosts hold a bill that is not in the log yet.
+const holders = 2
+
+// Hold asks other hosts to hold a bill, those of other failure domains first,
+// until two do; fewer are enough if no more can be reached.
 func (l *links) Hold(ctx context.Context, b *peerv1.Bill) error {
-	err := fmt.Errorf("there is no other host")
-	for _, m := range l.node.farFirst() {
-		if l.node.detector().Silent(m.Incarnation) {
-			continue
-		}
-		if err = l.holdAt(ctx, m, b); err == nil {
-			return nil
+	candidates := l.node.farFirst()
+	held := 0
+	for held < holders && len(candidates) > 0 {
+		n := min(holders-held, len(candidates))
+		held += l.holdAll(ctx, candidates[:n], b)
+		candidates = candidates[n:]
+	}
+	if held == 0 {
+		return fmt.Errorf("no other host can be reached")
+	}
+	return nil
+}
+
+// holdAll asks hosts at the same time and counts those that hold.
+func (l *links) holdAll(ctx context.Context, members []view.Member, b *peerv1.Bill) int {
+	results := make(chan error, len(members))
+	for _, m := range members {
+		guard.Go("bill holder", func() { results <- l.holdAt(ctx, m, b) })
+	}
+	held := 0
+	for range members {
+		if <-results == nil {
+			held++
 		}
 	}
-	return err
+	return held
 }
 
 func (l *links) holdAt(ctx context.Context, m view.Member, b *peerv1.Bill) error {
@@ -226,14 +246,20 @@
 	return out
 }
 
-// farFirst is others with those of other failure domains in front.
+// farFirst is others, not counting silent ones, with one of each other failure
+// domain in front.
 func (n *Node) farFirst() []view.Member {
 	var far, near []view.Member
+	seen := map[string]bool{n.cfg.Host.Domain: true}
 	for _, m := range n.others() {
-		if m.Domain == n.cfg.Host.Domain {
+		if n.detector().Silent(m.Incarnation) {
+			continue
+		}
+		if seen[m.Domain] {
 			near = append(near, m)
 			continue
 		}
+		seen[m.Domain] = true
 		far = append(far, m)
 	}
 	return append(far, near...)
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -109,15 +109,19 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	guard.Go("targets", func() { n.registry.Run(ctx) })
-	// Peers may ask before this host is a member; an identity must be there.
 	if err := n.tailer.Bootstrap(ctx); err != nil {
 		return fmt.Errorf("reading the log: %w", err)
 	}
+	guard.Go("log tailer", func() { n.tail(ctx) })
+	select {
+	case <-n.tailer.Level():
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	n.start(ctx)
 	if err := n.listen(); err != nil {
 		return err
 	}
-	guard.Go("log tailer", func() { n.tail(ctx) })
 	guard.Go("snapshots", func() { n.snapshots(ctx) })
 	guard.Go("membership", func() { n.lifecycle(ctx) })
 	guard.Go("kept answers", func() { n.expire(ctx) })
@@ -181,10 +185,11 @@
 		if n.tailer.Bootstrap(ctx) != nil {
 			return
 		}
-		old := n.current.Load()
-		n.start(ctx)
-		n.inherit(old, n.current.Load())
-		n.drop(old)
+		if old := n.current.Load(); old != nil {
+			n.start(ctx)
+			n.inherit(old, n.current.Load())
+			n.drop(old)
+		}
 	}
 }
 
--- a/daemon/run/job.go
+++ b/daemon/run/job.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	return j.grant.Log(ctx, e.cfg.LogWait)
+	return j.grant.Secure(ctx, e.cfg.LogWait)
 }
 
 func (j *job) deadline() time.Time { return j.start.Add(j.decision.Within) }
--- a/daemon/run/run.go
+++ b/daemon/run/run.go
@@ -116,7 +116,10 @@
 		}
 		return r, "", nil
 	}
-	_, set := e.store.Config()
+	version, set := e.store.Config()
+	if version == 0 {
+		return nil, "", errkind.New(errkind.Unavailable, "this host has no configuration yet")
+	}
 	org, decision, err := Decide(set, req, e.host.LogUp())
 	if err != nil {
 		return nil, "", err
--- /dev/null
+++ b/load/caller/caller.go
@@ -0,0 +1,196 @@
+// Package caller is a caller that behaves as the users' callers do: it sends a
+// request through one host, and tries again with the same id through another
+// when it is told to come back or hears nothing.
+package caller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	maststagev1 "maststage.dev/api/maststage/v1"
+	"maststage.dev/api/maststage/v1/maststagev1connect"
+)
+
+// Request is what a caller wants.
+type Request struct {
+	Key, ID, Class string
+	Input          []byte
+	MaxTokens      uint32
+	Silence        time.Duration // without a message, after which it asks elsewhere
+	Patience       time.Duration // in all
+	Once           bool          // sends it once only
+	First          int           // number of the first host to ask
+}
+
+// Outcome is what a caller ends up with.
+type Outcome struct {
+	Request    Request
+	Data       []byte
+	Chunks     uint32
+	Whole      bool
+	Billed     uint64
+	Kind       string // of the last error
+	Ran        string // "yes", "no" or "unknown", as far as the caller was told
+	Tries      int
+	Start      time.Time
+	FirstToken time.Duration
+	Gaps       []time.Duration
+	Took       time.Duration
+	Broken     string // what is wrong with the answer itself, empty: nothing
+}
+
+// Kinds of outcome that are not the fleet's.
+const (
+	Lost = "lost" // the connection broke, or nothing came in time
+)
+
+// Caller sends requests to a fleet.
+type Caller struct {
+	clients []maststagev1connect.CallerClient
+}
+
+// New makes a caller of hosts, given by IP:port.
+func New(hosts []string) *Caller {
+	web := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}}
+	c := &Caller{}
+	for _, h := range hosts {
+		c.clients = append(c.clients, maststagev1connect.NewCallerClient(web, "http://"+h))
+	}
+	return c
+}
+
+const (
+	againMin = 20 * time.Millisecond
+	againMax = 2 * time.Second
+)
+
+// Send gets a request answered.
+func (c *Caller) Send(ctx context.Context, r Request) Outcome {
+	ctx, cancel := context.WithTimeout(ctx, r.Patience)
+	defer cancel()
+	o := &Outcome{Request: r, Ran: "no", Start: time.Now()}
+	defer func() { o.Took = time.Since(o.Start) }()
+	for i := r.First; ; i++ {
+		o.Tries++
+		err := c.try(ctx, c.clients[i%len(c.clients)], o)
+		if o.Whole || o.Broken != "" {
+			return *o
+		}
+		after, again := o.take(err)
+		if !again || r.Once {
+			return *o
+		}
+		t := time.NewTimer(after)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return *o
+		}
+	}
+}
+
+// take learns from a failure and says whether and when to try again.
+func (o *Outcome) take(err error) (after time.Duration, again bool) {
+	kind, ran, after := failure(err)
+	o.Kind = kind
+	if ran != "no" {
+		o.Ran = "unknown"
+	}
+	if kind == Lost {
+		return againMin, true
+	}
+	if ran == "yes" {
+		o.Ran = "yes"
+	}
+	if after == 0 {
+		return 0, false
+	}
+	return min(max(after, againMin), againMax), true
+}
+
+func failure(err error) (kind, ran string, after time.Duration) {
+	var ce *connect.Error
+	if errors.As(err, &ce) {
+		for _, d := range ce.Details() {
+			v, derr := d.Value()
+			if f, ok := v.(*maststagev1.Failure); derr == nil && ok {
+				return f.Kind, f.Ran, time.Duration(f.RetryAfterMs) * time.Millisecond
+			}
+		}
+	}
+	if dialFailed(err) {
+		return Lost, "no", 0
+	}
+	return Lost, "unknown", 0
+}
+
+// try asks one host; what came before the stream broke is kept.
+func (c *Caller) try(ctx context.Context, client maststagev1connect.CallerClient, o *Outcome) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(o.Request.Silence, cancel)
+	defer silence.Stop()
+	attempt := uint32(1)
+	if o.Ran != "no" {
+		attempt = 2
+	}
+	r := o.Request
+	req := connect.NewRequest(&maststagev1.RunRequest{
+		RequestId: r.ID, Class: r.Class, Input: r.Input, MaxTokens: r.MaxTokens,
+		Attempt: attempt, ResumeFrom: o.Chunks,
+	})
+	req.Header().Set("Authorization", "Bearer "+r.Key)
+	s, err := client.Run(ctx, req)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	last := time.Now()
+	for s.Receive() {
+		silence.Reset(r.Silence)
+		if done := o.message(s.Msg(), &last); done {
+			return nil
+		}
+	}
+	if err := s.Err(); err != nil {
+		return err
+	}
+	return errors.New("the stream ended without its end")
+}
+
+func (o *Outcome) message(m *maststagev1.RunResponse, last *time.Time) (done bool) {
+	switch {
+	case m.RequestId != o.Request.ID:
+		o.Broken = "answer to another request"
+		return true
+	case m.Moved:
+		o.Ran = "unknown"
+	case m.End != nil:
+		o.Whole = m.End.Chunks == o.Chunks
+		o.Billed = m.End.BilledTokens
+		o.Ran = "yes"
+		if !o.Whole {
+			o.Broken = "end mark that counts other chunks"
+		}
+		return true
+	case m.Index != o.Chunks:
+		o.Broken = "chunk out of order"
+		return true
+	default:
+		now := time.Now()
+		if o.Chunks == 0 {
+			o.FirstToken = now.Sub(o.Start)
+		} else {
+			o.Gaps = append(o.Gaps, now.Sub(*last))
+		}
+		*last = now
+		o.Chunks++
+		o.Data = append(o.Data, m.Data...)
+	}
+	return false
+}
--- /dev/null
+++ b/load/verdict/verdict.go
@@ -0,0 +1,182 @@
+// Package verdict holds what callers were told against what the targets and
+// the log say. It shares no code with the fleet's accounting.
+package verdict
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "maststage.dev/api/peer/v1"
+	platformv1 "maststage.dev/api/platform/v1"
+	"maststage.dev/api/platform/v1/platformv1connect"
+	"maststage.dev/load/caller"
+)
+
+// Run is an order in a target's own record.
+type Run struct {
+	RequestID string // ORGANISATION/ID
+	Account   string // the budget
+	Tokens    uint64
+}
+
+// Runs reads the records of targets, given by IP:port.
+func Runs(targets []string) ([]Run, error) {
+	var all []Run
+	for _, addr := range targets {
+		res, err := http.Get("http://" + addr + "/ledger")
+		if err != nil {
+			return nil, fmt.Errorf("reading the record of %s: %w", addr, err)
+		}
+		var runs []Run
+		err = json.NewDecoder(res.Body).Decode(&runs)
+		_ = res.Body.Close()
+		if err != nil {
+			return nil, fmt.Errorf("reading the record of %s: %w", addr, err)
+		}
+		all = append(all, runs...)
+	}
+	return all, nil
+}
+
+// Bill is the first bill of a request in the log.
+type Bill struct {
+	Budget string
+	Tokens uint64
+}
+
+const readMax = 1000
+
+// Bills reads the first bill of each request out of the platform's log.
+func Bills(ctx context.Context, log string) (map[string]Bill, error) {
+	c := platformv1connect.NewLogClient(http.DefaultClient, "http://"+log)
+	bills := map[string]Bill{}
+	for from := uint64(1); ; {
+		r, err := c.Read(ctx, connect.NewRequest(&platformv1.ReadRequest{From: from, Max: readMax}))
+		if err != nil {
+			return nil, fmt.Errorf("reading the log: %w", err)
+		}
+		if len(r.Msg.Entries) == 0 {
+			return bills, nil
+		}
+		for _, e := range r.Msg.Entries {
+			from = e.Offset + 1
+			b := &peerv1.Batch{}
+			if err := proto.Unmarshal(e.Data, b); err != nil {
+				return nil, fmt.Errorf("entry %d of the log: %w", e.Offset, err)
+			}
+			collect(bills, b)
+		}
+	}
+}
+
+func collect(bills map[string]Bill, b *peerv1.Batch) {
+	for _, r := range b.Records {
+		x := r.GetBill()
+		if x == nil {
+			continue
+		}
+		if _, ok := bills[x.Id]; !ok {
+			bills[x.Id] = Bill{Budget: x.Budget, Tokens: x.Tokens}
+		}
+	}
+}
+
+// Case is one request with what an oracle knows of it.
+type Case struct {
+	Outcome caller.Outcome
+	FullID  string // ORGANISATION/ID
+	Single  bool   // may not be repeated
+	Want    []byte // the right answer
+}
+
+// Count is the verdict.
+type Count struct {
+	Requests, Whole, Refused, Unknown int
+	Doubled                           int    // requests that may not be repeated and ran twice
+	Overspend                         uint64 // tokens used beyond a budget
+	LostBills                         int    // whole answers without a bill
+	WrongBills                        int    // whole answers with another bill than the caller was told
+	Partial                           int    // answers called whole that are cut, crossed or wrong
+	FalseNotRun                       int    // "not run" of a request that was run
+	FalseRefusals                     int    // refused for the budget though it had enough left
+	Examples                          []string
+}
+
+// Violations is what must be 0. False refusals are measured, not forbidden.
+func (c *Count) Violations() int {
+	return c.Doubled + int(min(c.Overspend, 1<<30)) + c.LostBills + c.WrongBills + c.Partial + c.FalseNotRun
+}
+
+const maxExamples = 10
+
+func (c *Count) example(format string, args ...any) {
+	if len(c.Examples) < maxExamples {
+		c.Examples = append(c.Examples, fmt.Sprintf(format, args...))
+	}
+}
+
+// Judge counts. totals are the tokens of each budget.
+func Judge(cases []Case, runs []Run, bills map[string]Bill, totals map[string]uint64) *Count {
+	c := &Count{Requests: len(cases)}
+	ran := map[string]int{}
+	used := map[string]uint64{}
+	for _, r := range runs {
+		ran[r.RequestID]++
+		used[r.Account] += r.Tokens
+	}
+	for account, n := range used {
+		if n > totals[account] {
+			c.Overspend += n - totals[account]
+			c.example("budget %s: %d used of %d", account, n, totals[account])
+		}
+	}
+	for _, k := range cases {
+		c.one(k, ran[k.FullID], bills)
+	}
+	return c
+}
+
+func (c *Count) one(k Case, ran int, bills map[string]Bill) {
+	o := k.Outcome
+	if k.Single && ran > 1 {
+		c.Doubled++
+		c.example("%s ran %d times", k.FullID, ran)
+	}
+	switch {
+	case o.Broken != "":
+		c.Partial++
+		c.example("%s: %s", k.FullID, o.Broken)
+	case o.Whole:
+		c.whole(k, bills)
+	case o.Ran == "no":
+		c.Refused++
+		if ran > 0 {
+			c.FalseNotRun++
+			c.example("%s: called not run (%s), ran %d times", k.FullID, o.Kind, ran)
+		}
+	default:
+		c.Unknown++
+	}
+}
+
+func (c *Count) whole(k Case, bills map[string]Bill) {
+	c.Whole++
+	if string(k.Outcome.Data) != string(k.Want) {
+		c.Partial++
+		c.example("%s: %d bytes, not the %d right ones", k.FullID, len(k.Outcome.Data), len(k.Want))
+	}
+	b, ok := bills[k.FullID]
+	switch {
+	case !ok:
+		c.LostBills++
+		c.example("%s: no bill", k.FullID)
+	case b.Tokens != k.Outcome.Billed:
+		c.WrongBills++
+		c.example("%s: billed %d, the caller was told %d", k.FullID, b.Tokens, k.Outcome.Billed)
+	}
+}
--- a/proofs/fleet/fleet.go
+++ b/proofs/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -70,7 +71,6 @@
 	dir     string
 	links   map[[2]int]*toxiproxy.Proxy
 	opts    Options
-	mu      sync.Mutex
 	version uint64
 }
 
@@ -115,13 +115,28 @@
 	return f
 }
 
+// Ports below those that the system hands out to clients, so that none is taken
+// between the choice and the use.
+const (
+	firstPort = 12000
+	lastPort  = 30000
+)
+
+var nextPort atomic.Int64
+
+// address gives a free one.
 func address(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range lastPort - firstPort {
+		n := nextPort.Add(1) + int64(os.Getpid())*97
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+n%(lastPort-firstPort))
+		l, err := net.Listen("tcp", addr)
+		if err == nil {
+			_ = l.Close()
+			return addr
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func (f *Fleet) startPlatform() {
@@ -188,7 +203,7 @@
 	quiet := zerolog.Nop()
 	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), quiet)
 	open := func(upstream string) *toxiproxy.Proxy {
-		p := toxiproxy.NewProxy(server, upstream, "127.0.0.1:0", upstream)
+		p := toxiproxy.NewProxy(server, upstream, address(f.T), upstream)
 		if err := p.Start(); err != nil {
 			f.T.Fatal(err)
 		}
