load, cmd: the command-line tool, mastload and make run

Cause: the fleet could only be driven from tests, and the proofs had no measure under both users' work at once.

Change: maststage (check, diff, apply, get, budgets, hosts, drain, run, hash), mastload with both mixes and a verdict against the stand-ins' records, examples for both users, and make run: six hosts, one killed, the log down for 4 s.

Ruled out: curl in the script, since a fresh machine may lack it.

--- /dev/null
+++ b/bench/capacity/model.go
@@ -0,0 +1,181 @@
+// Package capacity is the arithmetic of docs/CAPACITY.md: measured slopes in,
+// what each host does, holds and sends at a given size out.
+package capacity
+
+import "maststage.dev/bench/measure"
+
+// Size is a fleet and its load.
+type Size struct {
+	Name         string
+	Hosts        int
+	Regions      int
+	Domains      int
+	Targets      int
+	Budgets      int
+	Orgs         int
+	Requests     float64 // a second, at the peak
+	Tokens       float64 // a second, at the peak
+	OnceShare    float64 // of the requests may not be repeated
+	Changes      float64 // of configuration a day
+	Deaths       float64 // of hosts a day
+	Replacements float64 // of hosts a day
+}
+
+// Today's sizes are the brief's; it gives no rates, those are assumed. Target is
+// the letter's.
+var (
+	PetFood = Size{Name: "pet food today", Hosts: 8, Regions: 1, Domains: 3, Targets: 23, Budgets: 10, Orgs: 10, Requests: 40, Tokens: 4000, OnceShare: 0.3, Changes: 20, Deaths: 0.1, Replacements: 8}
+	Examora = Size{Name: "Examora today", Hosts: 8, Regions: 1, Domains: 4, Targets: 16, Budgets: 10, Orgs: 10, Requests: 60, Tokens: 3000, OnceShare: 0.4, Changes: 20, Deaths: 0.1, Replacements: 8}
+	Target  = Size{Name: "target", Hosts: 400, Regions: 7, Domains: 18, Targets: 12000, Budgets: 12000, Orgs: 670, Requests: 8400, Tokens: 3e6, OnceShare: 0.3, Changes: 9700, Deaths: 74, Replacements: 1000}
+)
+
+// Limits of the letter, for control at each host.
+const (
+	LimitCPU     = 1.2    // % of a core
+	LimitMemory  = 256e6  // bytes
+	LimitBytes   = 5000.0 // a second
+	LimitAppends = 100.0  // a second, all hosts
+	LimitConfig  = 12.0   // seconds
+)
+
+// Settings that the arithmetic uses; those of the default file.
+const (
+	pingsPerSecond   = 4.0
+	settlesPerSecond = 2.0
+	appendInterval   = 0.08
+	horizon          = 200_000 // facts kept
+	loadsPerSecond   = 4.0     // load reports of a target
+	day              = 86400.0
+	groupHosts       = 8.0  // hosts of an ownership group, in the plan
+	sliceSeconds     = 60.0 // of a slice, in the plan
+	packedBill       = 12.0 // bytes: 8 of a hashed id, 2 of tokens, 2 of frame
+)
+
+// Slopes are the measured inputs.
+type Slopes struct {
+	Record      map[string]float64 // bytes by kind
+	FoldBill    measure.Slope
+	FoldTake    measure.Slope
+	FactBytes   measure.Slope
+	BudgetBytes measure.Slope
+	HoldBytes   measure.Slope
+	MemberBytes measure.Slope
+	Replicas    measure.Slope
+	SnapCost    measure.Slope
+	SnapBytes   measure.Slope
+	PublishCost measure.Slope
+	PublishSize measure.Slope
+	Calls       []measure.Call
+	Idle        measure.Slope
+	IdleRSS     measure.Slope
+	Stream      measure.Slope
+	Save        measure.Slope
+	Throughput  []measure.Throughput
+}
+
+func (s Slopes) call(name string) (bytes, cpu float64) {
+	for _, c := range s.Calls {
+		if c.Name == name {
+			n := len(c.Bytes) - 1
+			return c.Bytes[n], c.CPU[n]
+		}
+	}
+	return 0, 0
+}
+
+// Role is one thing that a host does, at one size: rates are a second.
+type Role struct {
+	Name      string
+	Mechanism string // package, or what will carry it
+	State     float64
+	Messages  float64
+	Bytes     float64
+	CPU       float64 // % of a core
+}
+
+func percent(ns float64) float64 { return ns / 1e9 * 100 }
+
+// Present is what a host of the present version does for control: every host
+// reads the whole log, and heartbeats go round its region.
+func Present(z Size, s Slopes) []Role {
+	perHost := z.Requests / float64(z.Hosts)
+	once := z.Requests * z.OnceShare
+	pairs := min(float64(z.Budgets), perHost*4) // budgets a host draws on at a time
+	inRegion := float64(z.Hosts)/float64(z.Regions) - 1
+	pingBytes, pingCPU := s.call("heartbeat")
+	claimBytes, claimCPU := s.call("claim")
+	holdBytes, holdCPU := s.call("bill held")
+	views := (2*z.Deaths + 3*z.Replacements) / day // a death is an evict and a join, a replacement leaves, ends and joins
+	settles := settlesPerSecond * pairs * float64(z.Hosts)
+	records := z.Requests + once + settles*1.2 + views*float64(z.Hosts)
+	logBytes := z.Requests*s.Record["bill"] + once*s.Record["intent"] + settles*(s.Record["settle"]+0.2*s.Record["take"]) + views*float64(z.Hosts)*s.Record["flushed"]
+	config := z.Changes / day
+	configSize := s.PublishSize.Last() * float64(max(z.Orgs, z.Budgets))
+	return []Role{
+		{"entry", "daemon/entry", 0, perHost, 0, percent(perHost * s.Replicas.Last())},
+		{"owner of request ids", "daemon/claim", min(once*horizonSeconds(z), horizon) * 100 / float64(z.Hosts), perHost * z.OnceShare * 3, perHost * z.OnceShare * 3 * claimBytes * 2, percent(perHost * z.OnceShare * 3 * claimCPU)},
+		{"holder of unlogged facts", "daemon/bill", perHost * 2 * 2 * 150, perHost * 2, perHost * 2 * holdBytes * 2, percent(perHost * 2 * holdCPU)},
+		{"holder of budget slices", "daemon/ledger", pairs * 200, settlesPerSecond * pairs * 1.2, settlesPerSecond * pairs * (s.Record["settle"] + 0.2*s.Record["take"]), 0},
+		{"budgets in the fold", "fold/budget", float64(z.Budgets) * (s.BudgetBytes.Last() + float64(z.Hosts)*min(1, pairs/float64(z.Budgets))*s.HoldBytes.Last()), settles * 1.2, 0, percent(settles * 1.2 * s.FoldTake.Last())},
+		{"facts in the fold", "fold/fact", min(z.Requests*3600, horizon) * s.FactBytes.Last(), z.Requests + once, 0, percent((z.Requests + once) * s.FoldBill.Last())},
+		{"reader of the log", "daemon/logio", 4096 * 2000, records, logBytes, 0},
+		{"relay of the log", "daemon/logio", 4096 * 2000, 0, 0, 0},
+		{"publisher of snapshots", "daemon/node", 0, 0, min(z.Requests*3600, horizon) * s.SnapBytes.Last() / snapSeconds(z), percent(min(z.Requests*3600, horizon) * s.SnapCost.Last() / snapSeconds(z))},
+		{"view and heartbeats", "daemon/peer, fold/view", float64(z.Hosts) * s.MemberBytes.Last(), pingsPerSecond * inRegion * 2, pingsPerSecond * inRegion * 2 * pingBytes, percent(pingsPerSecond * inRegion * pingCPU)},
+		{"configuration", "fold/config", configSize * 4, config, config * configSize, percent(config * s.PublishCost.Last() * float64(z.Orgs))},
+		{"watcher of targets", "daemon/target", float64(z.Targets) * 600, loadsPerSecond * float64(z.Targets), loadsPerSecond * float64(z.Targets) * 300, percent(loadsPerSecond * float64(z.Targets) * 60e3)},
+	}
+}
+
+// appendsBySize is how many batches a second all hosts make.
+func appends(z Size) float64 {
+	return min(float64(z.Hosts)/appendInterval, float64(z.Hosts)*(z.Requests/float64(z.Hosts)+settlesPerSecond))
+}
+
+func snapSeconds(z Size) float64 { return 20000 / min(appends(z), LimitAppends) }
+
+func horizonSeconds(z Size) float64 { return horizon / max(z.Requests, 1) }
+
+// Planned is the same with the mechanisms that are not built: ownership groups of
+// eight hosts over the domains of a region with a stream of facts each, budgets
+// in streams that only the hosts drawing on them read, packed bills, changes of
+// configuration as differences, and targets shared out in the group.
+func Planned(z Size, s Slopes) []Role {
+	groups := float64(z.Hosts) / groupHosts
+	perHost := z.Requests / float64(z.Hosts)
+	perGroup := z.Requests / groups
+	once := perGroup * z.OnceShare
+	pingBytes, pingCPU := s.call("heartbeat")
+	claimBytes, claimCPU := s.call("claim")
+	pairs := float64(z.Budgets) * float64(z.Regions) / groups // budget and group
+	takes := pairs / sliceSeconds
+	views := (2*z.Deaths + 3*z.Replacements) / day / groups
+	config := z.Changes / day
+	const change = 400.0 // bytes of one changed section with its envelope
+	factBytes := perGroup*packedBill + once*packedBill
+	return []Role{
+		{"entry", "daemon/entry", 0, perHost, 0, percent(perHost * s.Replicas.Costs[0])},
+		{"owner of request ids", "daemon/claim, by group", once * 600 * 100, perHost * z.OnceShare * 3, perHost * z.OnceShare * 3 * claimBytes * 2, percent(perHost * z.OnceShare * 3 * claimCPU)},
+		{"holder of unlogged facts", "not built: bills go in one batch of the group each 0.5 s", perHost * 2 * 2 * 50, 4, perHost * 2 * packedBill, percent(4 * claimCPU)},
+		{"budget slices of the group", "not built: slices for a group, shared by borrowing (daemon/ledger)", pairs * s.HoldBytes.Last(), takes * 2, takes * 2 * (s.Record["take"] + s.Record["settle"]) * 7, percent(takes * 14 * s.FoldTake.Last())},
+		{"facts in the fold", "not built: a stream of facts for each group", min(perGroup*3600, horizon) * s.FactBytes.Last(), perGroup + once, factBytes, percent((perGroup + once) * s.FoldBill.Last())},
+		{"relay of the log", "daemon/logio; not built: one reader in each group", 4096 * 2000, 2, 0, 0},
+		{"publisher of snapshots", "daemon/node, by group", 0, 0, min(perGroup*3600, horizon) * s.SnapBytes.Last() / 3600 / groupHosts, percent(min(perGroup*3600, horizon) * s.SnapCost.Last() / 3600 / groupHosts)},
+		{"view and heartbeats", "daemon/peer, by group", float64(z.Hosts) * s.MemberBytes.Last(), 2 * (groupHosts - 1), 2 * (groupHosts - 1) * pingBytes / 2, percent((groupHosts - 1) * pingCPU / 2)},
+		{"view changes", "fold/view, by group", 0, views * groupHosts, views * groupHosts * s.Record["flushed"], 0},
+		{"configuration", "not built: publish of differences", s.PublishSize.Last() * float64(z.Budgets) * 2, config, config * change, percent(config * 50e3)},
+		{"watcher of targets", "not built: each target asked by one host of a group", float64(z.Targets) / float64(z.Regions) * 600, float64(z.Targets) / float64(z.Hosts), float64(z.Targets) / float64(z.Hosts) * 40, percent(float64(z.Targets) / float64(z.Hosts) * 60e3)},
+	}
+}
+
+// Sum adds roles up.
+func Sum(roles []Role) Role {
+	t := Role{Name: "sum"}
+	for _, r := range roles {
+		t.State += r.State
+		t.Messages += r.Messages
+		t.Bytes += r.Bytes
+		t.CPU += r.CPU
+	}
+	return t
+}
--- /dev/null
+++ b/cmd/maststage/apply.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/subcommands"
+
+	maststagev1 "maststage.dev/api/maststage/v1"
+	"maststage.dev/api/maststage/v1/maststagev1connect"
+	"maststage.dev/lib/declare"
+)
+
+const ackPoll = 200 * time.Millisecond
+
+// applyCmd puts declarations in force.
+type applyCmd struct {
+	remote
+	base int64
+	wait time.Duration
+}
+
+func (*applyCmd) Name() string     { return "apply" }
+func (*applyCmd) Synopsis() string { return "put declarations in force on the whole fleet" }
+func (*applyCmd) Usage() string {
+	return "maststage apply [flags] FILE\n  Publishes FILE if the version in force is still the one it was made from, and\n  waits until all live hosts have it. Exit status 3 if another operator was\n  first, 4 if it is in force but hosts have not acknowledged it in time (they are\n  listed), 6 if it is not known whether it was accepted.\n"
+}
+
+func (c *applyCmd) SetFlags(fs *flag.FlagSet) {
+	c.flags(fs)
+	fs.Int64Var(&c.base, "base", -1, "version that FILE was made from; -1: the one in force now")
+	fs.DurationVar(&c.wait, "wait", 12*time.Second, "how long to wait for the hosts")
+}
+
+// applied is what apply prints as JSON.
+type applied struct {
+	Version uint64   `json:"version"`
+	Missing []string `json:"missing"` // hosts that have not acknowledged it
+}
+
+func (c *applyCmd) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	text, _, err := readDeclarations(fs)
+	if err != nil {
+		return usage(err)
+	}
+	client, err := c.operator()
+	if err != nil {
+		return usage(err)
+	}
+	base := uint64(c.base)
+	if c.base < 0 {
+		got, err := client.GetConfig(ctx, connect.NewRequest(&maststagev1.GetConfigRequest{}))
+		if err != nil {
+			return fail(err)
+		}
+		base = got.Msg.Version
+	}
+	res, err := client.Publish(ctx, connect.NewRequest(&maststagev1.PublishRequest{BaseVersion: base, Text: text}))
+	if err != nil {
+		status := fail(err)
+		if status == exitConflict {
+			c.explain(ctx, client, text)
+		}
+		return status
+	}
+	return c.acknowledged(ctx, client, res.Msg.Version)
+}
+
+// explain tells an operator who was too late what is in force instead.
+func (c *applyCmd) explain(ctx context.Context, client maststagev1connect.OperatorClient, text string) {
+	got, err := client.GetConfig(ctx, connect.NewRequest(&maststagev1.GetConfigRequest{}))
+	if err != nil {
+		return
+	}
+	changes, err := declare.Diff(got.Msg.Text, text)
+	if err != nil {
+		return
+	}
+	w := tabwriter.NewWriter(os.Stderr, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(w, "version %d is in force; your file would change of it:\n", got.Msg.Version)
+	printChanges(w, changes)
+	_ = w.Flush()
+}
+
+// acknowledged waits until all live hosts have a version.
+func (c *applyCmd) acknowledged(ctx context.Context, client maststagev1connect.OperatorClient, version uint64) subcommands.ExitStatus {
+	end := time.Now().Add(c.wait)
+	for {
+		missing, err := behind(ctx, client, version)
+		if err == nil && (len(missing) == 0 || time.Now().After(end)) {
+			return c.report(applied{version, missing})
+		}
+		if err != nil && time.Now().After(end) {
+			return fail(fmt.Errorf("version %d is in force, but the hosts can't be listed: %w", version, err))
+		}
+		time.Sleep(ackPoll)
+	}
+}
+
+func (c *applyCmd) report(a applied) subcommands.ExitStatus {
+	status := c.print(a, func(w *tabwriter.Writer) {
+		fmt.Fprintf(w, "version %d is in force\n", a.Version)
+		if len(a.Missing) > 0 {
+			fmt.Fprintf(w, "not acknowledged by: %s\n", strings.Join(a.Missing, ", "))
+		}
+	})
+	if status == exitOK && len(a.Missing) > 0 {
+		return exitPartial
+	}
+	return status
+}
+
+// behind lists hosts that are not known to have a version.
+func behind(ctx context.Context, client maststagev1connect.OperatorClient, version uint64) ([]string, error) {
+	hosts, err := client.ListHosts(ctx, connect.NewRequest(&maststagev1.ListHostsRequest{}))
+	if err != nil {
+		return nil, err
+	}
+	missing := []string{}
+	for _, h := range hosts.Msg.Hosts {
+		if h.ConfigVersion < version {
+			missing = append(missing, h.Name)
+		}
+	}
+	return missing, nil
+}
--- /dev/null
+++ b/cmd/maststage/check.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"maststage.dev/lib/declare"
+)
+
+// checkCmd checks declarations and policies without a fleet.
+type checkCmd struct{}
+
+func (*checkCmd) Name() string           { return "check" }
+func (*checkCmd) Synopsis() string       { return "check declarations and policies, offline" }
+func (*checkCmd) SetFlags(*flag.FlagSet) {}
+func (*checkCmd) Usage() string {
+	return "maststage check FILE\n  Exit status 2 and one line with section, key and reason if FILE is not valid.\n"
+}
+
+func (*checkCmd) Execute(_ context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	_, set, err := readDeclarations(fs)
+	if err != nil {
+		return usage(err)
+	}
+	fmt.Printf("%s: ok, %d organisations, %d budgets, %d pools, %d policies\n", fs.Arg(0),
+		len(set.Organisations), len(set.Budgets), len(set.Pools), len(set.Policies))
+	return exitOK
+}
+
+// readDeclarations reads and checks the file that the arguments name.
+func readDeclarations(fs *flag.FlagSet) (string, *declare.Set, error) {
+	if fs.NArg() != 1 {
+		return "", nil, fmt.Errorf("give one file of declarations")
+	}
+	data, err := os.ReadFile(fs.Arg(0))
+	if err != nil {
+		return "", nil, err
+	}
+	set, err := declare.Parse(string(data))
+	if err != nil {
+		return "", nil, fmt.Errorf("%s: %w", fs.Arg(0), err)
+	}
+	return string(data), set, nil
+}
--- a/load/caller/caller.go
+++ b/load/caller/caller.go
@@ -73,23 +73,30 @@
 	ctx, cancel := context.WithTimeout(ctx, r.Patience)
 	defer cancel()
 	o := &Outcome{Request: r, Ran: "no", Start: time.Now()}
-	defer func() { o.Took = time.Since(o.Start) }()
+	c.follow(ctx, o)
+	o.Took = time.Since(o.Start)
+	return *o
+}
+
+// follow asks one host after another until there is an answer or no patience.
+func (c *Caller) follow(ctx context.Context, o *Outcome) {
+	r := o.Request
 	for i := r.First; ; i++ {
 		o.Tries++
 		err := c.try(ctx, c.clients[i%len(c.clients)], o)
 		if o.Whole || o.Broken != "" {
-			return *o
+			return
 		}
 		after, again := o.take(err)
 		if !again || r.Once {
-			return *o
+			return
 		}
 		t := time.NewTimer(after)
 		select {
 		case <-t.C:
 		case <-ctx.Done():
 			t.Stop()
-			return *o
+			return
 		}
 	}
 }
--- a/load/verdict/verdict.go
+++ b/load/verdict/verdict.go
@@ -92,6 +92,8 @@
 	FullID  string // ORGANISATION/ID
 	Single  bool   // may not be repeated
 	Want    []byte // the right answer
+	Account string // its budget
+	Need    uint64 // tokens of it that it may take at most
 }
 
 // Count is the verdict.
@@ -112,6 +114,12 @@
 	return c.Doubled + int(min(c.Overspend, 1<<30)) + c.LostBills + c.WrongBills + c.Partial + c.FalseNotRun
 }
 
+// String is the verdict in one line.
+func (c *Count) String() string {
+	return fmt.Sprintf("requests=%d whole=%d refused=%d unknown=%d doubled=%d overspend=%d lostbills=%d partial=%d falsenotrun=%d falserefusals=%d violations=%d",
+		c.Requests, c.Whole, c.Refused, c.Unknown, c.Doubled, c.Overspend, c.LostBills+c.WrongBills, c.Partial, c.FalseNotRun, c.FalseRefusals, c.Violations())
+}
+
 const maxExamples = 10
 
 func (c *Count) example(format string, args ...any) {
@@ -137,10 +145,17 @@
 	}
 	for _, k := range cases {
 		c.one(k, ran[k.FullID], bills)
+		// What is left at the end was left when the request was refused.
+		if k.Outcome.Kind == budgetKind && !k.Outcome.Whole && used[k.Account]+k.Need <= totals[k.Account] {
+			c.FalseRefusals++
+		}
 	}
 	return c
 }
 
+// budgetKind is what the fleet calls a refusal for the budget.
+const budgetKind = "budget"
+
 func (c *Count) one(k Case, ran int, bills map[string]Bill) {
 	o := k.Outcome
 	if k.Single && ran > 1 {
--- a/proofs/fleet/fleet.go
+++ b/proofs/fleet/fleet.go
@@ -16,7 +16,6 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
-	"testing"
 	"time"
 
 	"connectrpc.com/connect"
@@ -35,6 +34,17 @@
 	startWait   = 20 * time.Second
 )
 
+// TB is what a fleet needs of a test, or of a program that measures one.
+type TB interface {
+	Helper()
+	Cleanup(func())
+	TempDir() string
+	Failed() bool
+	Logf(format string, args ...any)
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // Target is a back end to start.
 type Target struct {
 	Name, Kind, Pool string
@@ -49,7 +59,8 @@
 	Domains  int
 	Retain   int // entries the log keeps, 0: many
 	Targets  []Target
-	Settings string // more lines of each host's settings
+	Settings string   // more lines of each host's settings
+	Env      []string // more environment of each host
 }
 
 // Host is one maststaged.
@@ -62,7 +73,7 @@
 
 // Fleet is what was started.
 type Fleet struct {
-	T       *testing.T
+	T       TB
 	Hosts   []*Host
 	Log     string // stand-in's address
 	Members string
@@ -100,7 +111,7 @@
 func Clean() { _ = os.RemoveAll(build.dir) }
 
 // Start starts a fleet and stops it at the end of the test.
-func Start(t *testing.T, o Options) *Fleet {
+func Start(t TB, o Options) *Fleet {
 	t.Helper()
 	bin, err := binaries()
 	if err != nil {
@@ -125,7 +136,7 @@
 var nextPort atomic.Int64
 
 // address gives a free one.
-func address(t *testing.T) string {
+func address(t TB) string {
 	for range lastPort - firstPort {
 		n := nextPort.Add(1) + int64(os.Getpid())*97
 		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+n%(lastPort-firstPort))
@@ -243,6 +254,7 @@
 	}
 	h.cmd = exec.Command(filepath.Join(f.bin, "maststaged"), "-config", path)
 	h.cmd.Stderr = out
+	h.cmd.Env = append(os.Environ(), f.opts.Env...)
 	f.start(h.cmd)
 	f.T.Cleanup(func() {
 		_ = out.Close()
@@ -263,6 +275,9 @@
 	return string(data[max(len(data)-tailBytes, 0):])
 }
 
+// Pid is the process id of a host.
+func (f *Fleet) Pid(i int) int { return f.Hosts[i].cmd.Process.Pid }
+
 // Kill ends a host at once.
 func (f *Fleet) Kill(i int) {
 	_ = f.Hosts[i].cmd.Process.Kill()
--- a/proofs/storm_test.go
+++ b/proofs/storm_test.go
@@ -84,7 +84,7 @@
 		Key: key, ID: id, Class: s.class, Input: input, MaxTokens: s.tokens,
 		Silence: s.silence, Patience: s.patience, First: n, Once: s.once,
 	})
-	k := verdict.Case{Outcome: o, FullID: "org/" + id, Single: s.class == "save", Want: want(s.class, id, input, s.tokens)}
+	k := verdict.Case{Outcome: o, FullID: "org/" + id, Single: s.class == "save", Want: want(s.class, id, input, s.tokens), Account: account, Need: uint64(s.tokens) + 50}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.cases = append(s.cases, k)
@@ -138,8 +138,7 @@
 			kinds[k.Outcome.Kind+"/"+k.Outcome.Ran]++
 		}
 	}
-	t.Logf("requests=%d whole=%d refused=%d unknown=%d doubled=%d overspend=%d lostbills=%d wrongbills=%d partial=%d falsenotrun=%d kinds=%v",
-		c.Requests, c.Whole, c.Refused, c.Unknown, c.Doubled, c.Overspend, c.LostBills, c.WrongBills, c.Partial, c.FalseNotRun, kinds)
+	t.Logf("%v kinds=%v", c, kinds)
 	for _, e := range c.Examples {
 		t.Error(e)
 	}
--- a/standin/cmd/maststandin/main.go
+++ b/standin/cmd/maststandin/main.go
@@ -3,8 +3,9 @@
 //	maststandin log -listen ADDR [-rate N] [-retain N]
 //	maststandin members -listen ADDR -member NAME,ADDRESS,ROLE,POOL,DOMAIN,SLOTS[,fenced] ...
 //	maststandin engine|service -listen ADDR -name NAME [-slots N] [-each D] [-fenced]
+//	maststandin switch ADDR NAME=NUMBER
 //
-// Each takes /switch?NAME=NUMBER; targets show their record at /ledger.
+// The last sets a switch of one that runs. Each takes /switch?NAME=NUMBER; targets show their record at /ledger.
 package main
 
 import (
@@ -38,7 +39,11 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fail("which stand-in: log, members, engine or service?")
+		fail("which stand-in: log, members, engine, service, or switch?")
+	}
+	if os.Args[1] == "switch" {
+		turn(os.Args[2:])
+		return
 	}
 	fs := flag.NewFlagSet(os.Args[1], flag.ExitOnError)
 	listen := fs.String("listen", "127.0.0.1:0", "IP:port")
@@ -78,6 +83,20 @@
 	fail(s.ListenAndServe().Error())
 }
 
+// turn sets a switch of a stand-in that runs.
+func turn(args []string) {
+	if len(args) != 2 {
+		fail("usage: maststandin switch ADDR NAME=NUMBER")
+	}
+	res, err := http.Get("http://" + args[0] + "/switch?" + args[1])
+	if err != nil {
+		fail(err.Error())
+	}
+	if res.StatusCode != http.StatusOK {
+		fail(res.Status)
+	}
+}
+
 func fail(reason string) {
 	fmt.Fprintln(os.Stderr, "maststandin:", reason)
 	os.Exit(1)
