--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	go build -o bin/ ./cmd/... ./standin/cmd/... ./load/cmd/...
 
 # Packages with stateful fuzzing; CI gives them a fixed seed.
-FUZZED = ./fold ./daemon/claim ./daemon/ledger
+FUZZED = ./fold ./fold/view ./daemon/claim ./daemon/ledger
 PLAIN = $(filter-out $(FUZZED:./%=maststage.dev/%),$(shell go list $(PACKAGES)))
 
 test: build ## all tests, fixed seeds
--- a/daemon/run/generate.go
+++ b/daemon/run/generate.go
@@ -67,7 +67,7 @@
 			return err
 		}
 		queued := time.Now()
-		t, err := j.engine.targets.Acquire(ctx, j.want(tried))
+		t, err := j.acquire(ctx, tried)
 		if err != nil {
 			return j.cause(ctx, err)
 		}
@@ -89,6 +89,16 @@
 	}
 }
 
+// acquire gets a slot at a target that was not tried, or at any if all were.
+func (j *job) acquire(ctx context.Context, tried map[string]bool) (*target.Target, error) {
+	t, err := j.engine.targets.Acquire(ctx, j.want(tried))
+	if err != nil && len(tried) > 0 && errkind.From(err).Kind == errkind.Unavailable {
+		clear(tried)
+		return j.engine.targets.Acquire(ctx, j.want(tried))
+	}
+	return t, err
+}
+
 // again says why no other target is tried, nil if one is.
 func (j *job) again(ctx context.Context, n int, res try) error {
 	if ctx.Err() != nil {
--- a/daemon/target/choose.go
+++ b/daemon/target/choose.go
@@ -94,7 +94,7 @@
 
 func (r *Registry) admit(w Want, within time.Duration) error {
 	p := r.pool(w.Pool)
-	slots := r.slots(w.Pool)
+	slots := r.slots(w)
 	if slots == 0 {
 		return errkind.New(errkind.Unavailable, "pool %q has no target", w.Pool)
 	}
@@ -112,10 +112,11 @@
 	return nil
 }
 
-func (r *Registry) slots(pool string) int {
+// slots counts those of the targets that a request may go to.
+func (r *Registry) slots(w Want) int {
 	n := 0
 	for _, t := range r.targets {
-		if t.Pool == pool && r.usable(t) {
+		if t.Pool == w.Pool && !w.Exclude[t.Name] && r.usable(t) {
 			n += t.Slots
 		}
 	}
--- a/fold/view/view.go
+++ b/fold/view/view.go
@@ -141,34 +141,58 @@
 	})
 }
 
+// candidate is a member with its weight for an id.
+type candidate struct {
+	score uint64
+	index int
+}
+
+// replicas picks the members of most weight: first one of each failure domain,
+// then any. It does not sort them all, since it runs for each request.
 func replicas(members []Member, id, region string) []Member {
-	var here []Member
-	for _, m := range members {
+	left := make([]candidate, 0, len(members))
+	for i, m := range members {
 		if m.Region == region && !m.Leaving {
-			here = append(here, m)
+			left = append(left, candidate{rendezvous.Score(id, m.Incarnation), i})
 		}
 	}
-	ranked := rendezvous.Rank(id, here, func(m Member) string { return m.Incarnation })
 	picked := make([]Member, 0, Replicas)
-	var rest []Member
-	for _, m := range ranked {
-		if len(picked) < Replicas && !hasDomain(picked, m.Domain) {
-			picked = append(picked, m)
-			continue
+	for _, anyDomain := range []bool{false, true} {
+		for len(picked) < Replicas {
+			best := heaviest(members, left, picked, anyDomain)
+			if best < 0 {
+				break
+			}
+			picked = append(picked, members[left[best].index])
+			left = slices.Delete(left, best, best+1)
 		}
-		rest = append(rest, m)
 	}
-	for _, m := range rest {
-		if len(picked) == Replicas {
-			break
+	return picked
+}
+
+// heaviest finds the candidate of most weight whose domain is not picked yet,
+// or of any domain; -1 if there is none.
+func heaviest(members []Member, left []candidate, picked []Member, anyDomain bool) int {
+	best := -1
+	for i, c := range left {
+		if best >= 0 && c.score <= left[best].score {
+			continue
+		}
+		if !anyDomain && hasDomain(picked, members[c.index].Domain) {
+			continue
 		}
-		picked = append(picked, m)
+		best = i
 	}
-	return picked
+	return best
 }
 
 func hasDomain(ms []Member, domain string) bool {
-	return slices.ContainsFunc(ms, func(m Member) bool { return m.Domain == domain })
+	for i := range ms {
+		if ms[i].Domain == domain {
+			return true
+		}
+	}
+	return false
 }
 
 func (v *View) index(inc string) int {
--- /dev/null
+++ b/proofs/answers_test.go
@@ -0,0 +1,85 @@
+package proofs
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"maststage.dev/proofs/fleet"
+)
+
+// Engines cut, stop half way, answer for another request and are late, again
+// and again; every answer that is called whole is the right one, to the byte.
+func TestAnswersOfFaultyEngines(t *testing.T) {
+	is := is.New(t)
+	f := sixHosts(t, engines(2*time.Millisecond), "[targets]\nsilent_after = 300ms\n")
+	f.Apply(declarations(plenty))
+	s := &storm{f: f, class: "chat", name: "a", tokens: 40, every: 20 * time.Millisecond, silence: 4 * time.Second}
+	s.begin()
+	for _, fault := range []string{"cut=2", "silent=2", "crossed=2", "late=150", "late=0", "cut=3", "crossed=3"} {
+		f.Switch("e0", fault)
+		time.Sleep(200 * time.Millisecond)
+		f.Switch("e1", fault)
+		time.Sleep(300 * time.Millisecond)
+	}
+	c := judge(t, f, s.end(), plenty)
+	is.Equal(c.Whole, c.Requests)
+}
+
+// Plain services answer for another request, or act and stay silent; a call
+// that may be repeated is answered whole by another.
+func TestAnswersOfFaultyServices(t *testing.T) {
+	is := is.New(t)
+	f := sixHosts(t, services(2*time.Millisecond), "[targets]\nsilent_after = 300ms\n")
+	f.Apply(declarations(plenty))
+	s := &storm{f: f, class: "ping", name: "p", tokens: 1, every: 20 * time.Millisecond, silence: 6 * time.Second}
+	s.begin()
+	for _, fault := range []string{"crossed=2", "losereply=2", "silent=1", "crossed=3"} {
+		f.Switch("s0", fault)
+		time.Sleep(500 * time.Millisecond)
+		f.Switch("s1", fault)
+		time.Sleep(500 * time.Millisecond)
+	}
+	c := judge(t, f, s.end(), plenty)
+	is.Equal(c.Whole, c.Requests)
+}
+
+// A caller loses its connection half way and takes the answer up again through
+// each other host: it gets the rest, of the same run.
+func TestAnswerTakenUpElsewhere(t *testing.T) {
+	is := is.New(t)
+	f := sixHosts(t, engines(10*time.Millisecond), "")
+	f.Apply(declarations(plenty))
+	for first := range f.Hosts {
+		id := fmt.Sprint("resume-", first)
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		a := fleet.Stream(ctx, http.DefaultClient, f.Hosts[first].Listen, fleet.Ask{Key: key, ID: id, Class: "chat", Input: []byte("q"), MaxTokens: 60})
+		cancel()
+		is.True(!a.Whole)
+		b := f.Do((first+1)%6, fleet.Ask{Key: key, ID: id, Class: "chat", Input: []byte("q"), MaxTokens: 60, Attempt: 2, ResumeFrom: a.Chunks})
+		is.NoErr(b.Err)
+		is.True(b.Whole)
+		is.Equal(string(a.Data)+string(b.Data), string(want("chat", id, nil, 60)))
+		is.Equal(f.Runs(account)["org/"+id], 1)
+	}
+}
+
+// Entry hosts and owners die under open streams; callers take them up again.
+func TestAnswersWhenHostsDie(t *testing.T) {
+	is := is.New(t)
+	f := sixHosts(t, engines(10*time.Millisecond), "")
+	f.Apply(declarations(plenty))
+	s := &storm{f: f, class: "chat", name: "d", tokens: 100, every: 20 * time.Millisecond, patience: 20 * time.Second}
+	s.begin()
+	time.Sleep(1500 * time.Millisecond)
+	f.Kill(0)
+	time.Sleep(1500 * time.Millisecond)
+	f.Kill(4)
+	time.Sleep(1500 * time.Millisecond)
+	c := judge(t, f, s.end(), plenty)
+	is.True(c.Whole > c.Requests*95/100)
+}
