--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES = $(MODULES:%=./%/...)
 STATICCHECK = honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
-.PHONY: build test lint run bench capacity fuzz clean
+.PHONY: build test fuzz lint run bench capacity refusals clean
 
 build: ## the programs, into bin/
 	go build -o bin/ ./cmd/... ./standin/cmd/... ./load/cmd/...
@@ -39,3 +39,6 @@
 
 capacity: ## figures of docs/CAPACITY.md
 	go run ./bench/cmd/mastcapacity -page docs/CAPACITY.md
+
+refusals: ## figures of docs/design/false-refusals.md
+	go run ./bench/cmd/mastrefusals -page docs/design/false-refusals.md
--- a/bench/measure/admission.go
+++ b/bench/measure/admission.go
@@ -28,6 +28,9 @@
 // Left is plenty.
 func (parts) Left(string) (int64, bool) { return plenty, true }
 
+// Total is plenty.
+func (parts) Total(string) (uint64, bool) { return plenty, true }
+
 // Borrow gets nothing.
 func (parts) Borrow(context.Context, string, uint64) uint64 { return 0 }
 
--- a/bench/measure/declarations.go
+++ b/bench/measure/declarations.go
@@ -27,6 +27,11 @@
 	fleetAccount = "org"
 )
 
+// marginDeclarations is fleetDeclarations with a margin for chats.
+func marginDeclarations(tokens uint64, margin int) string {
+	return strings.Replace(fleetDeclarations(tokens), "MaxTokens(2000)", fmt.Sprintf("MaxTokens(2000).Margin(%d)", margin), 1)
+}
+
 // fleetDeclarations has one organisation for measuring a running fleet.
 func fleetDeclarations(tokens uint64) string {
 	return fleet.Operators() + fmt.Sprintf(`[organisation %s]
--- a/bench/measure/tb.go
+++ b/bench/measure/tb.go
@@ -32,7 +32,12 @@
 type failed string
 
 // withFleet starts a fleet, does something with it and stops it.
-func withFleet(o fleet.Options, tokens uint64, do func(*fleet.Fleet) error) (err error) {
+func withFleet(o fleet.Options, tokens uint64, do func(*fleet.Fleet) error) error {
+	return withDeclared(o, fleetDeclarations(tokens), do)
+}
+
+// withDeclared is withFleet with declarations of its own.
+func withDeclared(o fleet.Options, text string, do func(*fleet.Fleet) error) (err error) {
 	dir, err := os.MkdirTemp("", "maststage-bench-")
 	if err != nil {
 		return err
@@ -48,6 +53,6 @@
 		}
 	}()
 	f := fleet.Start(b, o)
-	f.Apply(fleetDeclarations(tokens))
+	f.Apply(text)
 	return do(f)
 }
--- a/daemon/ledger/ledger.go
+++ b/daemon/ledger/ledger.go
@@ -27,6 +27,8 @@
 type Budgets interface {
 	// Left is what a budget can still grant, and whether it is declared.
 	Left(name string) (left int64, ok bool)
+	// Total is the whole budget.
+	Total(name string) (total uint64, ok bool)
 }
 
 // Lender asks other hosts for tokens; it returns how many it got.
@@ -54,6 +56,7 @@
 	avail    uint64        // neither reserved nor used
 	reserved uint64        // for requests in progress
 	used     uint64        // not settled in the log yet
+	granted  uint64        // ever, through the log
 	asking   bool          // a Take is on its way through the log
 	empty    bool          // the last Take was granted nothing
 	rate     float64       // reserved per second, smoothed
@@ -178,6 +181,10 @@
 
 // ask puts a Take into the log unless one is on its way.
 func (l *Ledger) ask(a *account, short uint64, left int64) error {
+	if l.cfg.FixedShare > 0 && a.granted > 0 {
+		a.empty = true
+		return nil
+	}
 	if a.asking || left <= 0 {
 		a.empty = a.empty || left <= 0
 		return nil
@@ -200,6 +207,10 @@
 	if left <= 0 {
 		return 0
 	}
+	if l.cfg.FixedShare > 0 {
+		total, _ := l.budgets.Total(a.name)
+		return total * uint64(l.cfg.FixedShare) / 100
+	}
 	size := uint64(a.rate * float64(l.cfg.SliceSeconds))
 	size = min(size, uint64(l.cfg.MaxSlice), uint64(left)/uint64(max(l.cfg.LeftDivisor, 1)))
 	return max(size, short)
@@ -242,6 +253,7 @@
 	a := l.account(name)
 	a.asking = false
 	a.avail += tokens
+	a.granted += tokens
 	a.empty = tokens == 0
 	a.signal()
 }
@@ -315,6 +327,9 @@
 // surplus is what the account holds beyond its demand: all of it when idle, and
 // near the end of the budget what it won't use soon.
 func (l *Ledger) surplus(a *account, now time.Time) uint64 {
+	if l.cfg.FixedShare > 0 {
+		return 0
+	}
 	if now.Sub(a.last) > l.cfg.IdleAfter {
 		return a.avail
 	}
--- a/daemon/run/generate.go
+++ b/daemon/run/generate.go
@@ -140,22 +140,26 @@
 	if res.verdict == notRun {
 		j.dispatched = before
 	}
-	j.settleTry(t, from, &res)
+	j.settleTry(s, res.verdict)
 	return res
 }
 
-// settleTry adds what a try used. A target that broke off is told to cancel and
-// asked; if it can't say, the worst case counts.
-func (j *job) settleTry(t *target.Target, from uint32, res *try) {
-	switch res.verdict {
-	case whole:
-		j.used += j.promptTokens() + uint64(j.run.next()-from)
-	case broken:
-		j.used += j.cancelAt(t, j.promptTokens()+uint64(max(j.decision.Tokens-int(from), 0))+uint64(j.engine.budgets.Overrun))
+// settleTry adds what a try used. A target that broke off or overran is told to
+// cancel and asked; if it can't say, the worst case counts.
+func (j *job) settleTry(s *stream, v verdict) {
+	if v == notRun {
+		return
+	}
+	if v == whole && !s.overran {
+		j.used += j.promptTokens() + uint64(j.run.next()-s.from)
+		return
 	}
+	left := uint64(max(j.decision.Tokens-int(s.from), 0))
+	j.used += j.cancelAt(s.target, j.promptTokens()+left+j.margin())
 }
 
-// cancelAt stops a run at a target and says what it used, at most worst.
+// cancelAt stops a run at a target and says what it used, or worst if the target
+// can't say.
 func (j *job) cancelAt(t *target.Target, worst uint64) uint64 {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
@@ -163,7 +167,7 @@
 	if err != nil || !res.Msg.Known {
 		return worst
 	}
-	return min(uint64(res.Msg.Tokens), worst)
+	return uint64(res.Msg.Tokens)
 }
 
 // stream is the answer of one target.
@@ -173,6 +177,8 @@
 	from   uint32
 	ring   chan *platformv1.GenerateResponse // when full, the target is not read on
 	failed chan error
+	// overran says that the target went on past the maximum and was cut there.
+	overran bool
 }
 
 // read moves messages from the connection into the ring.
@@ -285,7 +291,7 @@
 	case m.Index > next:
 		return false, errkind.New(errkind.TargetFailed, "token %d came where %d was next", m.Index, next)
 	case int(next) >= j.decision.Tokens:
-		j.cancelAt(s.target, 0)
+		s.overran = true
 		return true, nil
 	}
 	j.run.add(m.Token)
--- a/daemon/run/job.go
+++ b/daemon/run/job.go
@@ -105,7 +105,15 @@
 		return uint64(j.decision.Tokens)
 	}
 	left := uint64(max(j.decision.Tokens-int(j.run.next()), 0))
-	return j.promptTokens() + left + uint64(j.engine.budgets.Overrun)
+	return j.promptTokens() + left + j.margin()
+}
+
+// margin is what is reserved for a target that overruns its maximum.
+func (j *job) margin() uint64 {
+	if j.decision.Spare >= 0 {
+		return uint64(j.decision.Spare)
+	}
+	return uint64(j.engine.budgets.Overrun)
 }
 
 // bytesPerToken is how the targets count a prompt.
--- a/daemon/settings/budgets.go
+++ b/daemon/settings/budgets.go
@@ -11,5 +11,6 @@
 	Wait         time.Duration `ini:"wait" default:"2s"`            // a request waits so long for tokens
 	SettleEvery  time.Duration `ini:"settle_every" default:"500ms"` // between reports of use
 	Borrow       bool          `ini:"borrow" default:"true"`        // borrow from other hosts
+	FixedShare   int           `ini:"fixed_share" default:"0"`      // percent of a budget that a host takes once, and no more; 0: by demand
 	Overrun      int           `ini:"overrun" default:"32"`         // tokens kept for a target that overruns its maximum
 }
--- a/daemon/store/store.go
+++ b/daemon/store/store.go
@@ -161,6 +161,17 @@
 	return a.Left(), true
 }
 
+// Total is a whole budget, and whether there is such a one.
+func (s *Store) Total(name string) (total uint64, ok bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	a := s.state.Budgets[name]
+	if a == nil {
+		return 0, false
+	}
+	return a.Total, true
+}
+
 // Budgets copies the accounts.
 func (s *Store) Budgets() map[string]budget.Account {
 	s.mu.RLock()
--- a/daemon/target/choose.go
+++ b/daemon/target/choose.go
@@ -17,6 +17,8 @@
 	prefixBonus   = 0.5  // taken from the load of a target that has the prefix
 	farWeight     = 0.05 // added to the load of a target in another failure domain
 	queuePerSlot  = 1.0  // own requests per slot before they wait here
+	queueThere    = 0.25 // requests per slot that may wait at a target
+	urgent        = 8    // priority from which a target's own queue does not matter: targets honour priorities
 	serviceWeight = 0.1  // of the newest service time
 )
 
@@ -277,7 +279,7 @@
 		if t.Pool != w.Pool || w.Exclude[t.Name] || !r.usable(t) {
 			continue
 		}
-		if float64(t.outstanding) >= queuePerSlot*float64(t.Slots) {
+		if !t.room(w.Priority) {
 			continue
 		}
 		load := r.load(t, w, median)
@@ -288,6 +290,15 @@
 	return best
 }
 
+// room says whether a target can take one more. A queue at the target is out of
+// our hands, so what is not urgent waits here while there is one.
+func (t *Target) room(priority int) bool {
+	if float64(t.outstanding) >= queuePerSlot*float64(t.Slots) {
+		return false
+	}
+	return priority >= urgent || float64(t.waiting) <= queueThere*float64(t.Slots)
+}
+
 // load weighs own requests, which are known now, against the report, which is
 // late and counts those of all hosts.
 func (r *Registry) load(t *Target, w Want, median float64) float64 {
--- a/lib/policy/policy.go
+++ b/lib/policy/policy.go
@@ -48,6 +48,7 @@
 	Within   time.Duration
 	Tokens   int  // most tokens of the answer
 	NeedsLog bool // refused while the log is down
+	Spare    int  // tokens reserved beyond the maximum, below 0: as in the settings
 }
 
 // Default values of a decision that does not say.
@@ -57,7 +58,7 @@
 )
 
 func to(pool string) Decision {
-	return Decision{Pool: pool, Within: DefaultDeadline, Tokens: DefaultTokens}
+	return Decision{Pool: pool, Within: DefaultDeadline, Tokens: DefaultTokens, Spare: -1}
 }
 
 func refuse(reason string) Decision {
@@ -82,6 +83,11 @@
 // MaxTokens sets the most tokens of an answer.
 func (d Decision) MaxTokens(n int) Decision { d.Tokens = n; return d }
 
+// Margin sets how many tokens are reserved beyond the maximum, for targets that
+// overrun it before they can be stopped. More of it guards the budget better and
+// refuses more near its end.
+func (d Decision) Margin(n int) Decision { d.Spare = max(n, 0); return d }
+
 // LogRequired refuses the request while the platform's log is down.
 func (d Decision) LogRequired() Decision { d.NeedsLog = true; return d }
 
@@ -107,7 +113,8 @@
 		return nil, describe(err)
 	}
 	if check.err != nil {
-		return nil, check.err.Bind(file.NewSource(source))
+		_ = check.err.Bind(file.NewSource(source)) // finds line and column
+		return nil, describe(check.err)
 	}
 	if got := prog.Node().Type(); got != reflect.TypeFor[Decision]() {
 		return nil, fmt.Errorf("line 1: gives %v, not a decision such as to(\"pool\")", got)
--- a/load/verdict/verdict.go
+++ b/load/verdict/verdict.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
+	"time"
 
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
@@ -22,6 +24,7 @@
 	RequestID string // ORGANISATION/ID
 	Account   string // the budget
 	Tokens    uint64
+	Start     time.Time
 }
 
 // Runs reads the records of targets, given by IP:port.
@@ -145,14 +148,37 @@
 	}
 	for _, k := range cases {
 		c.one(k, ran[k.FullID], bills)
-		// What is left at the end was left when the request was refused.
-		if k.Outcome.Kind == budgetKind && !k.Outcome.Whole && used[k.Account]+k.Need <= totals[k.Account] {
-			c.FalseRefusals++
-		}
 	}
+	c.FalseRefusals = falseRefusals(cases, runs, totals)
 	return c
 }
 
+// falseRefusals counts requests refused for the budget at a time when the
+// targets had used, in all runs begun by then, so little that it had enough left.
+func falseRefusals(cases []Case, runs []Run, totals map[string]uint64) int {
+	slices.SortFunc(runs, func(a, b Run) int { return a.Start.Compare(b.Start) })
+	refused := make([]Case, 0, len(cases))
+	for _, k := range cases {
+		if k.Outcome.Kind == budgetKind && !k.Outcome.Whole {
+			refused = append(refused, k)
+		}
+	}
+	at := func(k Case) time.Time { return k.Outcome.Start.Add(k.Outcome.Took) }
+	slices.SortFunc(refused, func(a, b Case) int { return at(a).Compare(at(b)) })
+	used := map[string]uint64{}
+	n, i := 0, 0
+	for _, k := range refused {
+		for i < len(runs) && !runs[i].Start.After(at(k)) {
+			used[runs[i].Account] += runs[i].Tokens
+			i++
+		}
+		if used[k.Account]+k.Need <= totals[k.Account] {
+			n++
+		}
+	}
+	return n
+}
+
 // budgetKind is what the fleet calls a refusal for the budget.
 const budgetKind = "budget"
 
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/fnv"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,10 +35,10 @@
 	name     string
 	perToken time.Duration
 	fenced   bool
-	slots    chan struct{}
+	slots    int
 
 	mu       sync.Mutex
-	waiting  int
+	queue    []*waiter
 	running  int
 	cancels  map[string]map[int]context.CancelFunc
 	orders   int
@@ -56,7 +57,7 @@
 		Switches: toggle.New("slow", "silent", "cut", "crossed", "overrun", "late", "losereply", "busy", "leaving"),
 		Book:     ledger.New(name),
 		name:     name, perToken: perToken, fenced: fenced,
-		slots:   make(chan struct{}, slots),
+		slots:   slots,
 		cancels: map[string]map[int]context.CancelFunc{},
 		fences:  map[string]uint64{},
 	}
@@ -89,32 +90,58 @@
 	return nil
 }
 
-// enter waits for a slot; leave gives it back.
-func (t *Target) enter(ctx context.Context) error {
+// waiter is an order in the queue.
+type waiter struct {
+	priority uint32
+	got      chan struct{}
+}
+
+// enter waits for a slot, larger priorities first; leave gives it back.
+func (t *Target) enter(ctx context.Context, priority uint32) error {
 	t.mu.Lock()
-	t.waiting++
-	t.mu.Unlock()
-	defer func() {
-		t.mu.Lock()
-		t.waiting--
+	if t.running < t.slots {
+		t.running++
 		t.mu.Unlock()
-	}()
+		return nil
+	}
+	w := &waiter{priority: priority, got: make(chan struct{})}
+	t.queue = append(t.queue, w)
+	t.mu.Unlock()
 	select {
-	case t.slots <- struct{}{}:
+	case <-w.got:
+		return nil
 	case <-ctx.Done():
-		return ctx.Err()
 	}
 	t.mu.Lock()
-	t.running++
-	t.mu.Unlock()
-	return nil
+	defer t.mu.Unlock()
+	if i := slices.Index(t.queue, w); i >= 0 {
+		t.queue = slices.Delete(t.queue, i, i+1)
+		return ctx.Err()
+	}
+	t.next() // the slot came too late
+	return ctx.Err()
 }
 
 func (t *Target) leave() {
-	<-t.slots
 	t.mu.Lock()
-	t.running--
-	t.mu.Unlock()
+	defer t.mu.Unlock()
+	t.next()
+}
+
+// next hands a slot to whoever is first in the queue; t.mu is held.
+func (t *Target) next() {
+	if len(t.queue) == 0 {
+		t.running--
+		return
+	}
+	first := 0
+	for i, w := range t.queue {
+		if w.priority > t.queue[first].priority {
+			first = i
+		}
+	}
+	close(t.queue[first].got)
+	t.queue = slices.Delete(t.queue, first, first+1)
 }
 
 // register makes an order cancellable by its request id.
@@ -147,7 +174,7 @@
 	}
 	ctx, done := t.register(ctx, r.RequestId)
 	defer done()
-	if err := t.enter(ctx); err != nil {
+	if err := t.enter(ctx, r.Priority); err != nil {
 		return err
 	}
 	defer t.leave()
@@ -219,7 +246,7 @@
 	if err := t.admit(r.RequestId, r.Fence); err != nil {
 		return nil, err
 	}
-	if err := t.enter(ctx); err != nil {
+	if err := t.enter(ctx, 0); err != nil {
 		return nil, err
 	}
 	defer t.leave()
@@ -259,7 +286,7 @@
 	if now := time.Now(); t.load == nil || now.Sub(t.loadAt) > reportLag {
 		t.loadAt = now
 		t.load = &platformv1.LoadResponse{
-			Running: uint32(t.running), Waiting: uint32(t.waiting), Slots: uint32(cap(t.slots)),
+			Running: uint32(t.running), Waiting: uint32(len(t.queue)), Slots: uint32(t.slots),
 			Leaving: t.Switches.Get("leaving") != 0, Prefixes: append([]uint64(nil), t.prefixes...),
 		}
 	}
