target, ledger: share slots between hosts, hold slices for a minute

Change: a host uses its even share of a pool's slots and of what reports show as free, expects its share when it sheds, and drops what can't be done in time from the queue before it starts. Slices cover a minute of demand, at most half of the host's even share of what is left. Loans are forgotten once both reply and log have told. Connections outlive their host's place in the view by a minute.

--- a/bench/cmd/mastrefusals/main.go
+++ b/bench/cmd/mastrefusals/main.go
@@ -29,7 +29,7 @@
 func report() (string, error) {
 	var b strings.Builder
 	for _, s := range measure.Scenarios {
-		fmt.Fprintf(&b, "\n**%s** (%d tokens)\n\n| budgets given out | requests | whole | false refusals | overspend | budget used |\n| --- | --- | --- | --- | --- | --- |\n", s.Name, s.Budget)
+		fmt.Fprintf(&b, "\n**%s** (%d tokens)\n\n| budgets given out | requests | whole | false refusals | overspend | stranded | budget used |\n| --- | --- | --- | --- | --- | --- | --- |\n", s.Name, s.Budget)
 		for _, by := range measure.Slicings {
 			r, err := measure.Refuse(s, by)
 			if err != nil {
@@ -38,7 +38,7 @@
 			row(&b, by.Name, r)
 		}
 	}
-	b.WriteString("\n**Engines overrun their maximum; the budget ends half way**\n\n| margin reserved | requests | whole | false refusals | overspend | budget used |\n| --- | --- | --- | --- | --- | --- |\n")
+	b.WriteString("\n**Engines overrun their maximum; the budget ends half way**\n\n| margin reserved | requests | whole | false refusals | overspend | stranded | budget used |\n| --- | --- | --- | --- | --- | --- | --- |\n")
 	for _, m := range []int{0, 8, 32, 128} {
 		r, err := measure.Margins(m)
 		if err != nil {
@@ -50,5 +50,5 @@
 }
 
 func row(b *strings.Builder, name string, r measure.Refusals) {
-	fmt.Fprintf(b, "| %s | %d | %d | %d | %d | %.1f%% |\n", name, r.Requests, r.Whole, r.False, r.Overspend, r.Used)
+	fmt.Fprintf(b, "| %s | %d | %d | %d | %d | %d | %.1f%% |\n", name, r.Requests, r.Whole, r.False, r.Overspend, r.Stranded, r.Used)
 }
--- a/bench/measure/admission.go
+++ b/bench/measure/admission.go
@@ -28,6 +28,9 @@
 // Left is plenty.
 func (parts) Left(string) (int64, bool) { return plenty, true }
 
+// Sharers is one.
+func (parts) Sharers() int { return 1 }
+
 // Total is plenty.
 func (parts) Total(string) (uint64, bool) { return plenty, true }
 
--- a/bench/measure/refusals.go
+++ b/bench/measure/refusals.go
@@ -55,6 +55,7 @@
 // Refusals is the outcome of a scenario.
 type Refusals struct {
 	Requests, Whole, False, Overspend int
+	Stranded                          uint64
 	Used                              float64 // % of the budget
 }
 
@@ -125,11 +126,12 @@
 	}
 	c := verdict.Judge(cases, runs, nil, map[string]uint64{"main": budget})
 	var used uint64
+	stranded := f.Budget(2, "main").Stranded // h2 is never cut off or killed
 	for _, r := range runs {
 		used += r.Tokens
 	}
 	return Refusals{
-		Requests: c.Requests, Whole: c.Whole, False: c.FalseRefusals, Overspend: int(c.Overspend),
+		Requests: c.Requests, Whole: c.Whole, False: c.FalseRefusals, Overspend: int(c.Overspend), Stranded: stranded,
 		Used: 100 * float64(used) / float64(budget),
 	}, nil
 }
--- a/daemon/ledger/ledger.go
+++ b/daemon/ledger/ledger.go
@@ -27,6 +27,8 @@
 type Budgets interface {
 	// Left is what a budget can still grant, and whether it is declared.
 	Left(name string) (left int64, ok bool)
+	// Sharers is how many hosts may draw on a budget.
+	Sharers() int
 	// Total is the whole budget.
 	Total(name string) (total uint64, ok bool)
 }
@@ -47,7 +49,7 @@
 
 	mu       sync.Mutex
 	accounts map[string]*account
-	credited map[string]bool // loans taken in, by id
+	credited map[string]bool // loans taken in of which only one of reply and log has told
 }
 
 // account is the slice of one budget.
@@ -201,7 +203,8 @@
 	return nil
 }
 
-// sliceSize is the demand of some seconds, less near the end of the budget, and
+// sliceSize is the demand of some seconds, at most a part of this host's even
+// share of what is left, so that slices shrink near the end of the budget, and
 // never less than what is short now.
 func (l *Ledger) sliceSize(a *account, short uint64, left int64) uint64 {
 	if left <= 0 {
@@ -212,7 +215,8 @@
 		return total * uint64(l.cfg.FixedShare) / 100
 	}
 	size := uint64(a.rate * float64(l.cfg.SliceSeconds))
-	size = min(size, uint64(l.cfg.MaxSlice), uint64(left)/uint64(max(l.cfg.LeftDivisor, 1)))
+	share := uint64(left) / uint64(max(l.cfg.LeftDivisor, 1)*max(l.budgets.Sharers(), 1))
+	size = min(size, uint64(l.cfg.MaxSlice), share)
 	return max(size, short)
 }
 
@@ -274,6 +278,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.credited[id] {
+		delete(l.credited, id) // both have told
 		return
 	}
 	l.credited[id] = true
--- a/daemon/ledger/ledger_test.go
+++ b/daemon/ledger/ledger_test.go
@@ -65,7 +65,7 @@
 
 func newModel() *model {
 	m := &model{}
-	cfg := settings.Budgets{SliceSeconds: 5, MaxSlice: 300, LeftDivisor: 4, IdleAfter: time.Second, Wait: time.Nanosecond, Borrow: true}
+	cfg := settings.Budgets{SliceSeconds: 5, MaxSlice: 300, LeftDivisor: 2, IdleAfter: time.Second, Wait: time.Nanosecond, Borrow: true}
 	for i := range 3 {
 		h := &host{model: m, inc: fmt.Sprint("h", i), store: store.New()}
 		h.ledger = New(h.inc, cfg, h, h.store, h, func() bool { return !h.cut })
--- a/daemon/peer/pool.go
+++ b/daemon/peer/pool.go
@@ -7,6 +7,7 @@
 	"crypto/subtle"
 	"fmt"
 	"sync"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -28,13 +29,23 @@
 	via    map[string]string // addresses reached by way of others
 
 	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
+	conns map[string]*conn
 }
 
+// conn is a connection, and since when its address is not in the view.
+type conn struct {
+	*grpc.ClientConn
+	unwanted time.Time
+}
+
+// keepUnwanted is how long a connection outlives its host's place in the view:
+// streams to a host that was evicted while alive go on.
+const keepUnwanted = time.Minute
+
 // NewPool makes a pool; secret is shared by all hosts, via gives the address to
 // dial for those that are not reached directly.
 func NewPool(secret string, via map[string]string) *Pool {
-	return &Pool{secret: secret, via: via, conns: map[string]*grpc.ClientConn{}}
+	return &Pool{secret: secret, via: via, conns: map[string]*conn{}}
 }
 
 // Client gives a client for an address.
@@ -47,8 +58,7 @@
 		if other, ok := p.via[addr]; ok {
 			dial = other
 		}
-		var err error
-		c, err = grpc.NewClient("passthrough:///"+dial,
+		cc, err := grpc.NewClient("passthrough:///"+dial,
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
 			grpc.WithPerRPCCredentials(secret(p.secret)),
 			grpc.WithConnectParams(connectParams),
@@ -56,17 +66,24 @@
 		if err != nil {
 			return nil, fmt.Errorf("connecting to %s: %w", addr, err)
 		}
+		c = &conn{ClientConn: cc}
 		p.conns[addr] = c
 	}
-	return peerv1.NewPeerClient(c), nil
+	return peerv1.NewPeerClient(c.ClientConn), nil
 }
 
-// Keep closes the connections of addresses that are no longer wanted.
+// Keep closes the connections of addresses that were not wanted for a while.
 func (p *Pool) Keep(wanted map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
 	for addr, c := range p.conns {
-		if !wanted[addr] {
+		switch {
+		case wanted[addr]:
+			c.unwanted = time.Time{}
+		case c.unwanted.IsZero():
+			c.unwanted = now
+		case now.Sub(c.unwanted) > keepUnwanted:
 			_ = c.Close()
 			delete(p.conns, addr)
 		}
--- a/daemon/run/generate.go
+++ b/daemon/run/generate.go
@@ -75,7 +75,8 @@
 		begun := time.Now()
 		res := order(ctx, t)
 		j.engine.targets.Release(t, target.Result{
-			Failed: res.verdict == broken && ctx.Err() == nil, Left: res.left,
+			Priority: j.decision.Rank,
+			Failed:   res.verdict == broken && ctx.Err() == nil, Left: res.left,
 			Held: time.Since(begun), Gap: res.gap,
 		})
 		if res.verdict == whole {
--- a/daemon/settings/budgets.go
+++ b/daemon/settings/budgets.go
@@ -4,9 +4,9 @@
 
 // Budgets says how budget slices are sized. Counts are tokens.
 type Budgets struct {
-	SliceSeconds int           `ini:"slice_seconds" default:"5"`    // a slice covers so many seconds of demand
+	SliceSeconds int           `ini:"slice_seconds" default:"60"`   // a slice covers so many seconds of demand
 	MaxSlice     int           `ini:"max_slice" default:"1000000"`  // largest slice
-	LeftDivisor  int           `ini:"left_divisor" default:"16"`    // a slice is at most this part of what is left
+	LeftDivisor  int           `ini:"left_divisor" default:"2"`     // a slice is at most this part of a host's even share of what is left
 	IdleAfter    time.Duration `ini:"idle_after" default:"10s"`     // unused slices go back after this
 	Wait         time.Duration `ini:"wait" default:"2s"`            // a request waits so long for tokens
 	SettleEvery  time.Duration `ini:"settle_every" default:"500ms"` // between reports of use
--- a/daemon/settings/peers.go
+++ b/daemon/settings/peers.go
@@ -14,7 +14,7 @@
 type Peers struct {
 	Secret       string        `ini:"secret"`
 	Map          string        `ini:"map" default:""` // addresses reached by way of others: FROM>TO,FROM>TO
-	PingInterval time.Duration `ini:"ping_interval" default:"250ms"`
+	PingInterval time.Duration `ini:"ping_interval" default:"500ms"`
 	SuspectAfter time.Duration `ini:"suspect_after" default:"1500ms"` // silence before a host is suspected
 	Timeout      time.Duration `ini:"timeout" default:"500ms"`        // of one short call
 }
--- a/daemon/store/store.go
+++ b/daemon/store/store.go
@@ -161,6 +161,9 @@
 	return a.Left(), true
 }
 
+// Sharers is how many hosts may draw on a budget: the members of the view.
+func (s *Store) Sharers() int { return len(s.Members()) }
+
 // Total is a whole budget, and whether there is such a one.
 func (s *Store) Total(name string) (total uint64, ok bool) {
 	s.mu.RLock()
--- a/daemon/target/choose.go
+++ b/daemon/target/choose.go
@@ -16,10 +16,11 @@
 	slowWeight    = 3.0  // added to the load of a slow target
 	prefixBonus   = 0.5  // taken from the load of a target that has the prefix
 	farWeight     = 0.05 // added to the load of a target in another failure domain
-	queuePerSlot  = 1.0  // own requests per slot before they wait here
+	shareFactor   = 1.5  // times a host's even share of the slots that it may use
 	queueThere    = 0.25 // requests per slot that may wait at a target
 	urgent        = 8    // priority from which a target's own queue does not matter: targets honour priorities
 	serviceWeight = 0.1  // of the newest service time
+	minRetry      = time.Second / 2
 )
 
 // Want is what a request asks of a pool.
@@ -34,7 +35,7 @@
 type pool struct {
 	queue   waiters
 	seq     uint64
-	service float64 // smoothed seconds a request holds its slot
+	service map[int]float64 // smoothed seconds a request holds its slot, by priority
 }
 
 // waiter is a request in the queue.
@@ -80,7 +81,7 @@
 func (r *Registry) pool(name string) *pool {
 	p := r.pools[name]
 	if p == nil {
-		p = &pool{}
+		p = &pool{service: map[int]float64{}}
 		r.pools[name] = p
 	}
 	return p
@@ -106,14 +107,22 @@
 			ahead++
 		}
 	}
-	wait := time.Duration(p.service * float64(ahead) / float64(slots) * float64(time.Second))
+	// The other hosts have requests waiting too: count on an even share.
+	share := float64(slots) / float64(r.sharers())
+	service := p.service[w.Priority]
+	wait := seconds(service * (float64(ahead)/share + 1))
 	if len(p.queue) >= r.cfg.Queue || wait > within {
-		return errkind.New(errkind.Overloaded, "pool %q: %d requests wait for %d slots", w.Pool, ahead, slots).
-			Retry(max(wait-within, time.Second/2))
+		return errkind.New(errkind.Overloaded, "pool %q: %d requests wait for this host's share of %d slots", w.Pool, ahead, slots).
+			Retry(max(wait-within, minRetry))
 	}
 	return nil
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// sharers is how many hosts send to the targets.
+func (r *Registry) sharers() int { return max(len(r.hosts), 1) }
+
 // slots counts those of the targets that a request may go to.
 func (r *Registry) slots(w Want) int {
 	n := 0
@@ -158,21 +167,36 @@
 		case t := <-e.got:
 			return t, nil
 		case <-again.C:
-			r.mu.Lock()
-			r.serve(p)
-			r.mu.Unlock()
-		case <-ctx.Done():
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			if e.index >= 0 {
-				heap.Remove(&p.queue, e.index)
-				return nil, errkind.New(errkind.Overloaded, "pool %q: no slot in time", e.want.Pool)
+			if r.tooLate(ctx, p, e) {
+				return r.giveUp(p, e)
 			}
-			return <-e.got, nil
+		case <-ctx.Done():
+			return r.giveUp(p, e)
 		}
 	}
 }
 
+// tooLate serves the queue once more and says whether a request that still waits
+// could not be done in time any longer.
+func (r *Registry) tooLate(ctx context.Context, p *pool, e *waiter) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.serve(p)
+	deadline, ok := ctx.Deadline()
+	return ok && e.index >= 0 && time.Until(deadline) < seconds(p.service[e.want.Priority])
+}
+
+// giveUp takes a request out of the queue, unless it has just got a slot.
+func (r *Registry) giveUp(p *pool, e *waiter) (*Target, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e.index < 0 {
+		return <-e.got, nil
+	}
+	heap.Remove(&p.queue, e.index)
+	return nil, errkind.New(errkind.Overloaded, "pool %q: no slot in time", e.want.Pool).Retry(seconds(p.service[e.want.Priority]))
+}
+
 // serve hands free slots to those who wait, in order; r.mu is held. A waiter
 // that no free target suits does not hold up those behind it.
 func (r *Registry) serve(p *pool) {
@@ -195,12 +219,23 @@
 	}
 }
 
+// served notes how long a request held its slot.
+func (p *pool) served(priority int, held time.Duration) {
+	before, known := p.service[priority]
+	if !known {
+		p.service[priority] = held.Seconds()
+		return
+	}
+	p.service[priority] = before + serviceWeight*(held.Seconds()-before)
+}
+
 // Result is how a request fared at a target.
 type Result struct {
-	Failed bool          // silent, broken or wrong
-	Left   bool          // it says it is leaving
-	Held   time.Duration // how long it held the slot
-	Gap    time.Duration // mean time between tokens, 0: unknown
+	Priority int
+	Failed   bool          // silent, broken or wrong
+	Left     bool          // it says it is leaving
+	Held     time.Duration // how long it held the slot
+	Gap      time.Duration // mean time between tokens, 0: unknown
 }
 
 // Release gives a slot back.
@@ -217,7 +252,7 @@
 		}
 	} else if !res.Left {
 		t.failures = 0
-		p.service += serviceWeight * (res.Held.Seconds() - p.service)
+		p.served(res.Priority, res.Held)
 	}
 	if res.Gap > 0 {
 		t.gap += serviceWeight * (res.Gap.Seconds() - t.gap)
@@ -279,7 +314,7 @@
 		if t.Pool != w.Pool || w.Exclude[t.Name] || !r.usable(t) {
 			continue
 		}
-		if !t.room(w.Priority) {
+		if !t.room(w.Priority, r.sharers()) {
 			continue
 		}
 		load := r.load(t, w, median)
@@ -290,13 +325,22 @@
 	return best
 }
 
-// room says whether a target can take one more. A queue at the target is out of
-// our hands, so what is not urgent waits here while there is one.
-func (t *Target) room(priority int) bool {
-	if float64(t.outstanding) >= queuePerSlot*float64(t.Slots) {
+// room says whether a target can take one more from this host. A queue at the
+// target is out of our hands, so what is not urgent waits here: while there is one,
+// and beyond this host's share of the slots that the report shows as free.
+func (t *Target) room(priority, sharers int) bool {
+	if t.outstanding >= t.Slots {
+		return false
+	}
+	if priority >= urgent {
+		return true
+	}
+	if float64(t.waiting) > queueThere*float64(t.Slots) {
 		return false
 	}
-	return priority >= urgent || float64(t.waiting) <= queueThere*float64(t.Slots)
+	free := max(t.Slots-t.running-t.waiting, 0)
+	share := (shareFactor*float64(t.Slots) + float64(free)) / float64(sharers)
+	return t.outstanding < max(int(share), 1)
 }
 
 // load weighs own requests, which are known now, against the report, which is
--- a/proofs/fleet/fleet.go
+++ b/proofs/fleet/fleet.go
@@ -57,6 +57,7 @@
 type Options struct {
 	Hosts    int
 	Domains  int
+	Regions  int // 0: one
 	Retain   int // entries the log keeps, 0: many
 	Targets  []Target
 	Settings string   // more lines of each host's settings
@@ -66,6 +67,7 @@
 // Host is one maststaged.
 type Host struct {
 	Name, Domain, Listen, Peer string
+	Region                     string
 	dir                        string
 	cmd                        *exec.Cmd
 	log                        *toxiproxy.Proxy
@@ -99,7 +101,7 @@
 			return
 		}
 		out, err := exec.Command("go", "build", "-o", build.dir+"/",
-			"maststage.dev/cmd/maststaged", "maststage.dev/standin/cmd/maststandin").CombinedOutput()
+			"maststage.dev/cmd/maststaged", "maststage.dev/cmd/maststage", "maststage.dev/standin/cmd/maststandin").CombinedOutput()
 		if err != nil {
 			build.err = fmt.Errorf("building: %w\n%s", err, out)
 		}
@@ -162,6 +164,7 @@
 	for i := range o.Hosts {
 		h := &Host{
 			Name: fmt.Sprintf("h%d", i), Domain: fmt.Sprintf("d%d", i%o.Domains),
+			Region: fmt.Sprintf("r%d", i%max(o.Regions, 1)),
 			Listen: address(f.T), Peer: address(f.T), dir: f.dir,
 		}
 		f.Hosts = append(f.Hosts, h)
@@ -240,9 +243,9 @@
 			via = append(via, to.Peer+">"+f.links[[2]int{i, j}].Listen)
 		}
 	}
-	ini := fmt.Sprintf("[host]\nname = %s\ndomain = %s\nlisten = %s\npeer_listen = %s\npeer_address = %s\nfirst_key_sha256 = %s\n\n"+
+	ini := fmt.Sprintf("[host]\nname = %s\ndomain = %s\nregion = %s\nlisten = %s\npeer_listen = %s\npeer_address = %s\nfirst_key_sha256 = %s\n\n"+
 		"[platform]\nlog = %s\nmembers = %s\n\n[peers]\nsecret = %s\nmap = %s\n\n%s\n",
-		h.Name, h.Domain, h.Listen, h.Peer, h.Peer, declare.HashKey(operatorKey),
+		h.Name, h.Domain, h.Region, h.Listen, h.Peer, h.Peer, declare.HashKey(operatorKey),
 		h.log.Listen, f.Members, secret, strings.Join(via, ","), f.opts.Settings)
 	path := filepath.Join(h.dir, h.Name+".ini")
 	if err := os.WriteFile(path, []byte(ini), 0o600); err != nil {
@@ -278,6 +281,49 @@
 // Pid is the process id of a host.
 func (f *Fleet) Pid(i int) int { return f.Hosts[i].cmd.Process.Pid }
 
+// Tool runs maststage against a host as the operator and gives its output and
+// exit status.
+func (f *Fleet) Tool(host int, stdin string, args ...string) (output string, status int) {
+	cmd := exec.Command(filepath.Join(f.bin, "maststage"), args...)
+	cmd.Env = append(os.Environ(), "MASTSTAGE_HOST="+f.Hosts[host].Listen, "MASTSTAGE_KEY="+operatorKey)
+	cmd.Stdin = strings.NewReader(stdin)
+	out, _ := cmd.CombinedOutput() // the status says more than the error
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// Daemon runs maststaged with other arguments than a host's.
+func (f *Fleet) Daemon(args ...string) (output string, status int) {
+	cmd := exec.Command(filepath.Join(f.bin, "maststaged"), args...)
+	out, _ := cmd.CombinedOutput()
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// Settings is the path of a host's settings.
+func (f *Fleet) Settings(i int) string { return filepath.Join(f.dir, f.Hosts[i].Name+".ini") }
+
+// Logged is all that a host has logged.
+func (f *Fleet) Logged(i int) string {
+	data, err := os.ReadFile(filepath.Join(f.dir, f.Hosts[i].Name+".log"))
+	if err != nil {
+		f.T.Fatal(err)
+	}
+	return string(data)
+}
+
+// Metrics reads a host's metrics.
+func (f *Fleet) Metrics(i int) string {
+	res, err := http.Get("http://" + f.Hosts[i].Listen + "/metrics")
+	if err != nil {
+		f.T.Fatal(err)
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		f.T.Fatal(err)
+	}
+	return string(data)
+}
+
 // Kill ends a host at once.
 func (f *Fleet) Kill(i int) {
 	_ = f.Hosts[i].cmd.Process.Kill()
--- a/proofs/overspend_test.go
+++ b/proofs/overspend_test.go
@@ -177,3 +177,23 @@
 	a := f.Do(0, fleet.Ask{Key: key, ID: "after", Class: "chat", MaxTokens: 100})
 	is.Equal(a.Kind, "budget")
 }
+
+// Two regions lose each other and one of them the log; both spend one budget.
+func TestOverspendRegionsCutOff(t *testing.T) {
+	is := is.New(t)
+	const total = 30_000
+	f := fleet.Start(t, fleet.Options{Hosts: 6, Domains: 6, Regions: 2, Targets: engines(time.Millisecond)})
+	f.Apply(declarations(total))
+	even, odd := []int{0, 2, 4}, []int{1, 3, 5}
+	warm := spend(f, "warm", time.Second, even, odd)
+	f.Cut(even, odd)
+	f.CutLog(odd...)
+	cut := spend(f, "cut", 3*time.Second, even, odd)
+	judgeSpend(t, f, total)
+	f.Heal(even, odd)
+	f.HealLog(odd...)
+	judge(t, f, all(warm), total)
+	c := judge(t, f, all(cut), total)
+	is.True(c.Whole > 0)
+	is.True(c.Refused > 0)
+}
