claim, fact: keep claims that an earlier one in the log hides

A host claimed, could not reach a majority, and released; the log had that claim and its release. It claimed again and ran on the strength of a majority that was cut off from the log. One of that majority came back, read the earlier claim in the log, and dropped the later one that it held. The same happens with the claim of another host: the fold kept one claim only, so releasing it uncovered none.

Ruled out: releasing only after the claim is read back (blocks the id meanwhile); a token without the number of the try.

Change: the fold keeps all claims that were not released, in log order; the first may run on the strength of the log, and any other incarnation's blocks. A register drops a claim it holds only when the log has it or a later try, and does not grant an earlier try that comes late.

--- a/bench/capacity/model.go
+++ b/bench/capacity/model.go
@@ -40,15 +40,16 @@
 
 // Settings that the arithmetic uses; those of the default file.
 const (
-	pingsPerSecond   = 4.0
+	pingsPerSecond   = 2.0
 	settlesPerSecond = 2.0
 	appendInterval   = 0.08
 	horizon          = 200_000 // facts kept
 	loadsPerSecond   = 4.0     // load reports of a target
 	day              = 86400.0
-	groupHosts       = 8.0  // hosts of an ownership group, in the plan
-	sliceSeconds     = 60.0 // of a slice, in the plan
-	packedBill       = 12.0 // bytes: 8 of a hashed id, 2 of tokens, 2 of frame
+	sliceNow         = 60.0  // s of demand in a slice
+	groupHosts       = 8.0   // hosts of an ownership group, in the plan
+	sliceSeconds     = 600.0 // of a slice, in the plan
+	packedBill       = 12.0  // bytes: 8 of a hashed id, 2 of tokens, 2 of frame
 )
 
 // Slopes are the measured inputs.
@@ -91,6 +92,7 @@
 	Messages  float64
 	Bytes     float64
 	CPU       float64 // % of a core
+	Path      bool    // part of serving a request, not of control
 }
 
 func percent(ns float64) float64 { return ns / 1e9 * 100 }
@@ -112,18 +114,18 @@
 	config := z.Changes / day
 	configSize := s.PublishSize.Last() * float64(max(z.Orgs, z.Budgets))
 	return []Role{
-		{"entry", "daemon/entry", 0, perHost, 0, percent(perHost * s.Replicas.Last())},
-		{"owner of request ids", "daemon/claim", min(once*horizonSeconds(z), horizon) * 100 / float64(z.Hosts), perHost * z.OnceShare * 3, perHost * z.OnceShare * 3 * claimBytes * 2, percent(perHost * z.OnceShare * 3 * claimCPU)},
-		{"holder of unlogged facts", "daemon/bill", perHost * 2 * 2 * 150, perHost * 2, perHost * 2 * holdBytes * 2, percent(perHost * 2 * holdCPU)},
-		{"holder of budget slices", "daemon/ledger", pairs * 200, settlesPerSecond * pairs * 1.2, settlesPerSecond * pairs * (s.Record["settle"] + 0.2*s.Record["take"]), 0},
-		{"budgets in the fold", "fold/budget", float64(z.Budgets) * (s.BudgetBytes.Last() + float64(z.Hosts)*min(1, pairs/float64(z.Budgets))*s.HoldBytes.Last()), settles * 1.2, 0, percent(settles * 1.2 * s.FoldTake.Last())},
-		{"facts in the fold", "fold/fact", min(z.Requests*3600, horizon) * s.FactBytes.Last(), z.Requests + once, 0, percent((z.Requests + once) * s.FoldBill.Last())},
-		{"reader of the log", "daemon/logio", 4096 * 2000, records, logBytes, 0},
-		{"relay of the log", "daemon/logio", 4096 * 2000, 0, 0, 0},
-		{"publisher of snapshots", "daemon/node", 0, 0, min(z.Requests*3600, horizon) * s.SnapBytes.Last() / snapSeconds(z), percent(min(z.Requests*3600, horizon) * s.SnapCost.Last() / snapSeconds(z))},
-		{"view and heartbeats", "daemon/peer, fold/view", float64(z.Hosts) * s.MemberBytes.Last(), pingsPerSecond * inRegion * 2, pingsPerSecond * inRegion * 2 * pingBytes, percent(pingsPerSecond * inRegion * pingCPU)},
-		{"configuration", "fold/config", configSize * 4, config, config * configSize, percent(config * s.PublishCost.Last() * float64(z.Orgs))},
-		{"watcher of targets", "daemon/target", float64(z.Targets) * 600, loadsPerSecond * float64(z.Targets), loadsPerSecond * float64(z.Targets) * 300, percent(loadsPerSecond * float64(z.Targets) * 60e3)},
+		{"entry", "daemon/entry", 0, perHost, 0, percent(perHost * s.Replicas.Last()), true},
+		{"owner of request ids", "daemon/claim", min(once*horizonSeconds(z), horizon) * 100 / float64(z.Hosts), perHost * z.OnceShare * 3, perHost * z.OnceShare * 3 * claimBytes * 2, percent(perHost * z.OnceShare * 3 * claimCPU), true},
+		{"holder of unlogged facts", "daemon/bill", perHost * 2 * 2 * 150, perHost * 2, perHost * 2 * holdBytes * 2, percent(perHost * 2 * holdCPU), true},
+		{"holder of budget slices", "daemon/ledger", pairs * 200, settlesPerSecond * pairs * 1.2, settlesPerSecond * pairs * (s.Record["settle"] + 0.2*s.Record["take"]), 0, false},
+		{"budgets in the fold", "fold/budget", float64(z.Budgets) * (s.BudgetBytes.Last() + float64(z.Hosts)*min(1, pairs/float64(z.Budgets))*s.HoldBytes.Last()), settles * 1.2, 0, percent(settles * 1.2 * s.FoldTake.Last()), false},
+		{"facts in the fold", "fold/fact", min(z.Requests*3600, horizon) * s.FactBytes.Last(), z.Requests + once, 0, percent((z.Requests + once) * s.FoldBill.Last()), false},
+		{"reader of the log", "daemon/logio", 4096 * 2000, records, logBytes, 0, false},
+		{"relay of the log", "daemon/logio", 4096 * 2000, 0, 0, 0, false},
+		{"publisher of snapshots", "daemon/node", 0, 0, min(z.Requests*3600, horizon) * s.SnapBytes.Last() / snapSeconds(z), percent(min(z.Requests*3600, horizon) * s.SnapCost.Last() / snapSeconds(z)), false},
+		{"view and heartbeats", "daemon/peer, fold/view", float64(z.Hosts) * s.MemberBytes.Last(), pingsPerSecond * inRegion, pingsPerSecond * inRegion * pingBytes, percent(pingsPerSecond * inRegion * pingCPU / 2), false},
+		{"configuration", "fold/config", configSize * 4, config, config * configSize, percent(config * s.PublishCost.Last() * float64(z.Orgs)), false},
+		{"watcher of targets", "daemon/target", float64(z.Targets) * 600, loadsPerSecond * float64(z.Targets), loadsPerSecond * float64(z.Targets) * 300, percent(loadsPerSecond * float64(z.Targets) * 60e3), false},
 	}
 }
 
@@ -154,24 +156,30 @@
 	const change = 400.0 // bytes of one changed section with its envelope
 	factBytes := perGroup*packedBill + once*packedBill
 	return []Role{
-		{"entry", "daemon/entry", 0, perHost, 0, percent(perHost * s.Replicas.Costs[0])},
-		{"owner of request ids", "daemon/claim, by group", once * 600 * 100, perHost * z.OnceShare * 3, perHost * z.OnceShare * 3 * claimBytes * 2, percent(perHost * z.OnceShare * 3 * claimCPU)},
-		{"holder of unlogged facts", "not built: bills go in one batch of the group each 0.5 s", perHost * 2 * 2 * 50, 4, perHost * 2 * packedBill, percent(4 * claimCPU)},
-		{"budget slices of the group", "not built: slices for a group, shared by borrowing (daemon/ledger)", pairs * s.HoldBytes.Last(), takes * 2, takes * 2 * (s.Record["take"] + s.Record["settle"]) * 7, percent(takes * 14 * s.FoldTake.Last())},
-		{"facts in the fold", "not built: a stream of facts for each group", min(perGroup*3600, horizon) * s.FactBytes.Last(), perGroup + once, factBytes, percent((perGroup + once) * s.FoldBill.Last())},
-		{"relay of the log", "daemon/logio; not built: one reader in each group", 4096 * 2000, 2, 0, 0},
-		{"publisher of snapshots", "daemon/node, by group", 0, 0, min(perGroup*3600, horizon) * s.SnapBytes.Last() / 3600 / groupHosts, percent(min(perGroup*3600, horizon) * s.SnapCost.Last() / 3600 / groupHosts)},
-		{"view and heartbeats", "daemon/peer, by group", float64(z.Hosts) * s.MemberBytes.Last(), 2 * (groupHosts - 1), 2 * (groupHosts - 1) * pingBytes / 2, percent((groupHosts - 1) * pingCPU / 2)},
-		{"view changes", "fold/view, by group", 0, views * groupHosts, views * groupHosts * s.Record["flushed"], 0},
-		{"configuration", "not built: publish of differences", s.PublishSize.Last() * float64(z.Budgets) * 2, config, config * change, percent(config * 50e3)},
-		{"watcher of targets", "not built: each target asked by one host of a group", float64(z.Targets) / float64(z.Regions) * 600, float64(z.Targets) / float64(z.Hosts), float64(z.Targets) / float64(z.Hosts) * 40, percent(float64(z.Targets) / float64(z.Hosts) * 60e3)},
+		{"entry", "daemon/entry", 0, perHost, 0, percent(perHost * s.Replicas.Costs[0]), true},
+		{"owner of request ids", "daemon/claim, by group", once * 600 * 100, perHost * z.OnceShare * 3, perHost * z.OnceShare * 3 * claimBytes * 2, percent(perHost * z.OnceShare * 3 * claimCPU), true},
+		{"holder of unlogged facts", "not built: bills go in one batch of the group each 0.5 s", perHost * 2 * 2 * 50, 4, perHost * 2 * packedBill, percent(4 * claimCPU), true},
+		{"budget slices of the group", "not built: slices for a group, shared by borrowing (daemon/ledger)", pairs * s.HoldBytes.Last(), takes * 2, takes * 2 * (s.Record["take"] + s.Record["settle"]) * float64(z.Regions), percent(takes * 14 * s.FoldTake.Last()), false},
+		{"facts in the fold", "not built: a stream of facts for each group", min(perGroup*3600, horizon) * s.FactBytes.Last(), perGroup + once, factBytes, percent((perGroup + once) * s.FoldBill.Last()), false},
+		{"relay of the log", "daemon/logio; not built: one reader in each group", 4096 * 2000, 2, 0, 0, false},
+		{"publisher of snapshots", "daemon/node, by group", 0, 0, min(perGroup*3600, horizon) * s.SnapBytes.Last() / 3600 / groupHosts, percent(min(perGroup*3600, horizon) * s.SnapCost.Last() / 3600 / groupHosts), false},
+		{"view and heartbeats", "daemon/peer, by group", float64(z.Hosts) * s.MemberBytes.Last(), groupHosts - 1, (groupHosts - 1) * pingBytes / 2, percent((groupHosts - 1) * pingCPU / 4), false},
+		{"view changes", "fold/view, by group", 0, views * groupHosts, views * groupHosts * s.Record["flushed"], 0, false},
+		{"configuration", "not built: publish of differences", s.PublishSize.Last() * float64(z.Budgets) * 2, config, config * change, percent(config * 50e3), false},
+		{"watcher of targets", "not built: each target asked by one host of a group", float64(z.Targets) / float64(z.Regions) * 600, float64(z.Targets) / float64(z.Hosts), float64(z.Targets) / float64(z.Hosts) * 40, percent(float64(z.Targets) / float64(z.Hosts) * 60e3), false},
 	}
 }
 
-// Sum adds roles up.
-func Sum(roles []Role) Role {
-	t := Role{Name: "sum"}
+// Sum adds up the roles of control, or those of serving requests.
+func Sum(roles []Role, path bool) Role {
+	t := Role{Name: "sum of control"}
+	if path {
+		t.Name = "sum of what requests cost"
+	}
 	for _, r := range roles {
+		if r.Path != path {
+			continue
+		}
 		t.State += r.State
 		t.Messages += r.Messages
 		t.Bytes += r.Bytes
--- a/cmd/maststage/connect.go
+++ b/cmd/maststage/connect.go
@@ -15,8 +15,8 @@
 	"connectrpc.com/connect"
 	"github.com/google/subcommands"
 
-	maststagev1 "maststage.dev/api/maststage/v1"
 	"maststage.dev/api/maststage/v1/maststagev1connect"
+	"maststage.dev/lib/failure"
 )
 
 // Environment variables that stand for flags.
@@ -104,7 +104,7 @@
 // fail prints one line and gives the exit status of an error.
 func fail(err error) subcommands.ExitStatus {
 	fmt.Fprintln(os.Stderr, "maststage:", oneLine(err))
-	f := failure(err)
+	f := failure.Of(err)
 	switch {
 	case f == nil:
 		return exitFailed
@@ -126,24 +126,9 @@
 func oneLine(err error) string {
 	var ce *connect.Error
 	if errors.As(err, &ce) {
-		if f := failure(err); f != nil {
+		if f := failure.Of(err); f != nil {
 			return f.Kind + ": " + strings.ReplaceAll(ce.Message(), "\n", " ")
 		}
 	}
 	return strings.ReplaceAll(err.Error(), "\n", " ")
 }
-
-// failure finds the detail that hosts attach to errors, nil if there is none.
-func failure(err error) *maststagev1.Failure {
-	var ce *connect.Error
-	if !errors.As(err, &ce) {
-		return nil
-	}
-	for _, d := range ce.Details() {
-		v, derr := d.Value()
-		if f, ok := v.(*maststagev1.Failure); derr == nil && ok {
-			return f
-		}
-	}
-	return nil
-}
--- a/cmd/maststage/run.go
+++ b/cmd/maststage/run.go
@@ -15,6 +15,7 @@
 
 	maststagev1 "maststage.dev/api/maststage/v1"
 	"maststage.dev/api/maststage/v1/maststagev1connect"
+	"maststage.dev/lib/failure"
 )
 
 // runCmd sends one request as a caller.
@@ -87,7 +88,7 @@
 		err = fmt.Errorf("request %s: the answer was cut off", c.id)
 	}
 	status := fail(err)
-	if f := failure(err); f != nil {
+	if f := failure.Of(err); f != nil {
 		fmt.Fprintf(os.Stderr, "request %s, run: %s, come back in %d ms\n", c.id, f.Ran, f.RetryAfterMs)
 	}
 	return status
--- a/daemon/claim/claim.go
+++ b/daemon/claim/claim.go
@@ -77,12 +77,16 @@
 	if _, member := r.log.Member(fact.Incarnation(claimant)); epoch != r.epoch || !member {
 		return Answer{Epoch: r.epoch}
 	}
-	if f, ok := r.log.Fact(id); ok && f.Claimant != "" && !same(f.Claimant, claimant) {
-		return Answer{Epoch: r.epoch, Claimant: f.Claimant}
+	f, _ := r.log.Fact(id)
+	if other := f.Other(fact.Incarnation(claimant)); other != "" {
+		return Answer{Epoch: r.epoch, Claimant: other}
 	}
 	if e := r.held[id]; e != nil && !same(e.claimant, claimant) {
 		return Answer{Epoch: r.epoch, Claimant: e.claimant}
 	}
+	if e := r.held[id]; e != nil && fact.Try(e.claimant) > fact.Try(claimant) {
+		return Answer{Epoch: r.epoch} // an earlier try that comes late
+	}
 	r.held[id] = &entry{claimant: claimant, at: time.Now()}
 	return Answer{Granted: true, Epoch: r.epoch, Claimant: claimant}
 }
@@ -91,8 +95,9 @@
 func (r *Register) Holder(id string) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if f, ok := r.log.Fact(id); ok && f.Claimant != "" {
-		return f.Claimant
+	f, _ := r.log.Fact(id)
+	if first := f.First(); first != "" {
+		return first
 	}
 	if e := r.held[id]; e != nil {
 		return e.claimant
@@ -142,14 +147,22 @@
 func (r *Register) Event(e fold.Event) {
 	switch k := e.(type) {
 	case fold.Intended:
-		r.mu.Lock()
-		delete(r.held, k.ID)
-		r.mu.Unlock()
+		r.logged(k.ID, k.Claimant)
 	case fold.ViewChanged:
 		r.flush(k.Epoch)
 	}
 }
 
+// logged drops a claim that the log has. One of another incarnation, or of a
+// later try, stays: the one in the log may be released.
+func (r *Register) logged(id, claimant string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.held[id]; e != nil && same(e.claimant, claimant) && fact.Try(claimant) >= fact.Try(e.claimant) {
+		delete(r.held, id)
+	}
+}
+
 // flush logs all claims held, then says so. From here on claims of older
 // epochs are not accepted.
 func (r *Register) flush(epoch uint64) {
--- a/daemon/claim/claim_test.go
+++ b/daemon/claim/claim_test.go
@@ -7,11 +7,13 @@
 	"slices"
 	"testing"
 
+	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	peerv1 "maststage.dev/api/peer/v1"
 	"maststage.dev/daemon/store"
+	"maststage.dev/fold"
 	"maststage.dev/fold/view"
 )
 
@@ -171,9 +173,9 @@
 	h.pending = h.pending[1:]
 	f, _ := h.store.Fact(g.id)
 	switch {
-	case f.Claimant == g.token:
+	case f.First() == g.token:
 		m.ran[g.id]++
-	case f.Claimant != "":
+	case f.First() != "":
 		m.release(h, g)
 	default:
 		m.dispatchOrRelease(h, g)
@@ -282,3 +284,23 @@
 		t.Repeat(rapid.StateMachineActions(newModel()))
 	})
 }
+
+// A register that reads an earlier try, or another's claim, in the log keeps the
+// claim that it holds: the one in the log may be released.
+func TestRegisterKeepsWhatIsNotLogged(t *testing.T) {
+	is := is.New(t)
+	m := newModel()
+	h := m.hosts[0]
+	epoch := h.store.Epoch()
+	is.True(h.reg.Claim("o/1", "h1#2", epoch).Granted)
+	h.reg.Event(fold.Intended{ID: "o/1", Claimant: "h1#1", Valid: true})
+	is.Equal(h.reg.Holder("o/1"), "h1#2")
+	h.reg.Event(fold.Intended{ID: "o/1", Claimant: "h2#9", Valid: true})
+	is.Equal(h.reg.Holder("o/1"), "h1#2")
+	is.True(!h.reg.Claim("o/1", "h1#1", epoch).Granted) // late
+	is.True(!h.reg.Claim("o/1", "h2#1", epoch).Granted)
+	h.reg.Release("o/1", "h1#1")
+	is.Equal(h.reg.Holder("o/1"), "h1#2")
+	h.reg.Event(fold.Intended{ID: "o/1", Claimant: "h1#2", Valid: true})
+	is.Equal(h.reg.Held(), 0)
+}
--- a/daemon/claim/coordinator.go
+++ b/daemon/claim/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -92,8 +93,9 @@
 func (c *Coordinator) try(ctx context.Context, id string, members []view.Member, epoch uint64) (*Grant, error) {
 	// The store is settled, so it has every claim of before that any host knows
 	// of; a replica may not have read as far yet.
-	if f, ok := c.store.Fact(id); ok && f.Claimant != "" && fact.Incarnation(f.Claimant) != c.inc {
-		return nil, &Taken{Incarnation: fact.Incarnation(f.Claimant)}
+	f, _ := c.store.Fact(id)
+	if other := f.Other(c.inc); other != "" {
+		return nil, &Taken{Incarnation: fact.Incarnation(other)}
 	}
 	g := &Grant{c: c, id: id, token: fact.Token(c.inc, c.tries.Add(1)), epoch: epoch}
 	t := c.ask(ctx, members, g.request(), len(members)/2+1)
@@ -110,8 +112,8 @@
 }
 
 func (c *Coordinator) inLog(id, token string) bool {
-	f, ok := c.store.Fact(id)
-	return ok && f.Claimant == token
+	f, _ := c.store.Fact(id)
+	return slices.Contains(f.Claims, token)
 }
 
 func (g *Grant) request() *peerv1.ClaimRequest {
@@ -194,12 +196,13 @@
 	defer timeout.Stop()
 	for {
 		changed := g.c.store.Changed()
-		f, ok := g.c.store.Fact(g.id)
-		if ok && f.Claimant == g.token {
+		f, _ := g.c.store.Fact(g.id)
+		first := f.First()
+		if first == g.token {
 			return true, nil
 		}
-		if ok && f.Claimant != "" && !same(f.Claimant, g.token) {
-			return false, &Taken{Incarnation: fact.Incarnation(f.Claimant)}
+		if first != "" && !same(first, g.token) {
+			return false, &Taken{Incarnation: fact.Incarnation(first)}
 		}
 		select {
 		case <-changed:
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -16,6 +16,7 @@
 	"maststage.dev/fold/view"
 	"maststage.dev/lib/errkind"
 	"maststage.dev/lib/guard"
+	"maststage.dev/lib/wait"
 )
 
 const (
@@ -104,7 +105,7 @@
 			}
 		case o.moved:
 			f.tried = map[string]bool{m.Incarnation: true}
-			pause(ctx, againPause)
+			wait.For(ctx, againPause)
 		case o.refused != nil:
 			if !passOver(o.refused.Kind) {
 				return f.truthful(o.refused)
@@ -285,15 +286,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // isDialError finds the words of gRPC for a connection that was not made.
 func isDialError(message string) bool {
 	return strings.Contains(message, "error while dialing") || strings.Contains(message, "Error while dialing")
--- a/daemon/logio/tailer.go
+++ b/daemon/logio/tailer.go
@@ -15,6 +15,7 @@
 	platformv1 "maststage.dev/api/platform/v1"
 	"maststage.dev/daemon/store"
 	"maststage.dev/fold"
+	"maststage.dev/lib/wait"
 )
 
 const (
@@ -92,7 +93,7 @@
 		if t.fromPeer(ctx) == nil || t.fromLog(ctx) == nil {
 			return nil
 		}
-		pause(ctx, retryRead)
+		wait.For(ctx, retryRead)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -201,7 +202,7 @@
 		if t.fromRelay(ctx, offset+1) {
 			continue
 		}
-		pause(ctx, retryRead)
+		wait.For(ctx, retryRead)
 	}
 	return ctx.Err()
 }
--- a/daemon/logio/writer.go
+++ b/daemon/logio/writer.go
@@ -14,6 +14,7 @@
 	"maststage.dev/fold"
 	"maststage.dev/lib/errkind"
 	"maststage.dev/lib/guard"
+	"maststage.dev/lib/wait"
 )
 
 const (
@@ -142,7 +143,7 @@
 		}
 	}
 	w.finish()
-	pause(ctx, w.interval-time.Since(start))
+	wait.For(ctx, w.interval-time.Since(start))
 	return ctx.Err() == nil
 }
 
@@ -199,15 +200,3 @@
 	w.pending = w.pending[w.sent:]
 	w.sent = 0
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/daemon/run/generate.go
+++ b/daemon/run/generate.go
@@ -73,6 +73,7 @@
 		}
 		j.engine.metrics.Queued(j.org, j.class, time.Since(queued))
 		begun := time.Now()
+		j.target = t.Name
 		res := order(ctx, t)
 		j.engine.targets.Release(t, target.Result{
 			Priority: j.decision.Rank,
--- a/daemon/run/job.go
+++ b/daemon/run/job.go
@@ -36,6 +36,7 @@
 	used       uint64 // at targets so far, the worst case where it isn't known
 	dispatched bool   // a target may have run it
 	first      time.Time
+	target     string // the last one tried
 }
 
 // do runs the request and settles all that hangs on it.
@@ -191,7 +192,7 @@
 	kind := "ok"
 	entry := log.WithFields(log.Fields{
 		"request": j.run.req.RequestId, "organisation": j.org, "class": j.class,
-		"took": took.Round(time.Millisecond), "billed": billed, "used": j.used,
+		"target": j.target, "took": took.Round(time.Millisecond), "billed": billed, "used": j.used,
 	})
 	if err != nil {
 		kind = string(errkind.From(err).Kind)
--- a/daemon/run/run.go
+++ b/daemon/run/run.go
@@ -141,6 +141,7 @@
 	}
 	r = newRun(id, req)
 	r.single = decision.Single
+	r.inc = self.Incarnation
 	e.runs[id] = r
 	e.open++
 	j := &job{
@@ -158,17 +159,15 @@
 	if f.Billed {
 		return "", errkind.New(errkind.Done, "run and billed before, the answer is no longer kept")
 	}
+	if f.By(self.Incarnation) != "" {
+		return "", errkind.New(errkind.Unknown, "claimed here before, its answer is no longer kept")
+	}
 	holder := fact.Incarnation(self.Register.Holder(id))
-	if holder == "" {
+	if holder == "" || holder == self.Incarnation {
+		// Held here for this host itself and not in the log: a try that was given
+		// up, for a run would still be in the table.
 		return "", nil
 	}
-	if holder == self.Incarnation {
-		// Our own claim without a run: a try that was given up, or long ago.
-		if f.Claimant == "" {
-			return "", nil
-		}
-		return "", errkind.New(errkind.Unknown, "claimed here before, its answer is no longer kept")
-	}
 	if _, live := e.store.Member(holder); live {
 		return holder, nil
 	}
@@ -229,7 +228,7 @@
 		return false
 	}
 	f, _ := e.store.Fact(r.id)
-	return f.Claimant == "" && !f.Billed
+	return f.By(r.inc) == "" && !f.Billed
 }
 
 // Tick drops kept answers that are old.
--- a/daemon/run/table.go
+++ b/daemon/run/table.go
@@ -13,6 +13,7 @@
 type run struct {
 	id     string
 	req    *peerv1.ExecuteRequest
+	inc    string // the incarnation that runs it
 	base   uint32 // number of the first chunk kept here
 	doneAt time.Time
 	size   int // bytes of chunks
--- a/fold/fact/fact.go
+++ b/fold/fact/fact.go
@@ -3,6 +3,7 @@
 package fact
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -22,11 +23,52 @@
 	return inc
 }
 
+// Try gives the number of the try in a token, 0 if there is none.
+func Try(token string) uint64 {
+	_, text, _ := strings.Cut(token, "#")
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // Fact is what the log says of a request id.
 type Fact struct {
-	Claimant string `json:",omitempty"` // token of the only one that may run it
-	Billed   bool   `json:",omitempty"`
-	Tokens   uint64 `json:",omitempty"` // billed
+	// Claims are the tokens of incarnations that claimed it and did not release
+	// it, in the order of the log. Only the first may run it on the strength of
+	// the log, but any of them may have run it on that of a majority.
+	Claims []string `json:",omitempty"`
+	Billed bool     `json:",omitempty"`
+	Tokens uint64   `json:",omitempty"` // billed
+}
+
+// First is the token of the first claim, empty if there is none.
+func (f Fact) First() string {
+	if len(f.Claims) == 0 {
+		return ""
+	}
+	return f.Claims[0]
+}
+
+// By is the token of an incarnation's claim, empty if it has none.
+func (f Fact) By(incarnation string) string {
+	for _, t := range f.Claims {
+		if Incarnation(t) == incarnation {
+			return t
+		}
+	}
+	return ""
+}
+
+// Other is the token of the first claim that is not of an incarnation.
+func (f Fact) Other(incarnation string) string {
+	for _, t := range f.Claims {
+		if Incarnation(t) != incarnation {
+			return t
+		}
+	}
+	return ""
 }
 
 // Table is the fold.
@@ -38,25 +80,33 @@
 // New makes an empty table.
 func New() Table { return Table{Facts: map[string]Fact{}} }
 
-// Intent fixes the claimant of an id if it has none; it says whether claimant
-// is the one.
-func (t *Table) Intent(id, claimant string) bool {
+// Intent records a claim; it says whether it is the first one. A later try of an
+// incarnation takes the place of its earlier one; an earlier try that comes late,
+// from a host that held it, changes nothing.
+func (t *Table) Intent(id, token string) bool {
 	f, known := t.Facts[id]
-	if f.Claimant != "" && Incarnation(f.Claimant) != Incarnation(claimant) {
-		return false
+	inc := Incarnation(token)
+	claims := slices.Clone(f.Claims)
+	before := f.By(inc)
+	switch i := slices.Index(claims, before); {
+	case before == "":
+		claims = append(claims, token)
+	case Try(token) > Try(before):
+		claims[i] = token
 	}
-	f.Claimant = claimant
+	f.Claims = claims
 	t.put(id, f, known)
-	return true
+	return f.First() == token
 }
 
-// Release undoes an intent whose claimant has not run the request and won't.
-func (t *Table) Release(id, claimant string) bool {
+// Release takes back a claim whose incarnation has not run the request and won't.
+func (t *Table) Release(id, token string) bool {
 	f := t.Facts[id]
-	if f.Claimant != claimant || f.Billed {
+	i := slices.Index(f.Claims, token)
+	if i < 0 {
 		return false
 	}
-	f.Claimant = ""
+	f.Claims = slices.Delete(slices.Clone(f.Claims), i, i+1)
 	t.Facts[id] = f
 	return true
 }
--- a/load/caller/caller.go
+++ b/load/caller/caller.go
@@ -13,6 +13,7 @@
 
 	maststagev1 "maststage.dev/api/maststage/v1"
 	"maststage.dev/api/maststage/v1/maststagev1connect"
+	"maststage.dev/lib/failure"
 )
 
 // Request is what a caller wants.
@@ -103,7 +104,7 @@
 
 // take learns from a failure and says whether and when to try again.
 func (o *Outcome) take(err error) (after time.Duration, again bool) {
-	kind, ran, after := failure(err)
+	kind, ran, after := told(err)
 	o.Kind = kind
 	if ran != "no" {
 		o.Ran = "unknown"
@@ -120,15 +121,10 @@
 	return min(max(after, againMin), againMax), true
 }
 
-func failure(err error) (kind, ran string, after time.Duration) {
-	var ce *connect.Error
-	if errors.As(err, &ce) {
-		for _, d := range ce.Details() {
-			v, derr := d.Value()
-			if f, ok := v.(*maststagev1.Failure); derr == nil && ok {
-				return f.Kind, f.Ran, time.Duration(f.RetryAfterMs) * time.Millisecond
-			}
-		}
+// told gives what a host's error says, or that none answered.
+func told(err error) (kind, ran string, after time.Duration) {
+	if f := failure.Of(err); f != nil {
+		return f.Kind, f.Ran, time.Duration(f.RetryAfterMs) * time.Millisecond
 	}
 	if dialFailed(err) {
 		return Lost, "no", 0
--- a/proofs/fleet/caller.go
+++ b/proofs/fleet/caller.go
@@ -10,6 +10,7 @@
 
 	maststagev1 "maststage.dev/api/maststage/v1"
 	"maststage.dev/api/maststage/v1/maststagev1connect"
+	"maststage.dev/lib/failure"
 )
 
 // Ask is a request of a caller.
@@ -91,19 +92,9 @@
 	a.Err = err
 	a.Kind = "lost"
 	a.Ran = "unknown"
-	var ce *connect.Error
-	if !errors.As(err, &ce) {
-		return a
-	}
-	for _, d := range ce.Details() {
-		v, derr := d.Value()
-		if derr != nil {
-			continue
-		}
-		if f, ok := v.(*maststagev1.Failure); ok {
-			a.Kind, a.Ran = f.Kind, f.Ran
-			a.After = time.Duration(f.RetryAfterMs) * time.Millisecond
-		}
+	if f := failure.Of(err); f != nil {
+		a.Kind, a.Ran = f.Kind, f.Ran
+		a.After = time.Duration(f.RetryAfterMs) * time.Millisecond
 	}
 	return a
 }
--- a/proofs/leaving_test.go
+++ b/proofs/leaving_test.go
@@ -20,8 +20,8 @@
 	return n
 }
 
-// fewSeconds is how long a leaving target may still get work.
-const fewSeconds = 4 * time.Second
+// leaveWithin is how long a leaving target may still get work.
+const leaveWithin = 4 * time.Second
 
 func leavingTest(t *testing.T, leave func(*fleet.Fleet)) {
 	is := is.New(t)
@@ -32,10 +32,10 @@
 	time.Sleep(time.Second)
 	leave(f)
 	left := time.Now()
-	time.Sleep(fewSeconds + 2*time.Second)
+	time.Sleep(leaveWithin + 2*time.Second)
 	c := judge(t, f, s.end(), plenty)
 	is.True(runsAfter(f, "e0", left.Add(-time.Second)) > 0) // it had work before
-	is.Equal(runsAfter(f, "e0", left.Add(fewSeconds)), 0)
+	is.Equal(runsAfter(f, "e0", left.Add(leaveWithin)), 0)
 	is.Equal(c.Whole, c.Requests)
 }
 
--- a/proofs/once_test.go
+++ b/proofs/once_test.go
@@ -191,3 +191,17 @@
 	is.True(b.Whole)
 	is.Equal(f.Runs(account), map[string]int{"org/busy": 1})
 }
+
+// The log answers, but slowly: saves are run once, and go on.
+func TestOnceLogSlow(t *testing.T) {
+	is := is.New(t)
+	f := sixHosts(t, services(20*time.Millisecond), "")
+	f.Apply(declarations(plenty))
+	f.Switch("log", "slow=700")
+	s := saves(f, "slow", 10*time.Millisecond)
+	time.Sleep(2 * time.Second)
+	f.Kill(3)
+	time.Sleep(4 * time.Second)
+	c := judge(t, f, s.end(), plenty)
+	is.True(c.Whole > c.Requests/2)
+}
--- a/standin/logd/logd.go
+++ b/standin/logd/logd.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 
 	platformv1 "maststage.dev/api/platform/v1"
+	"maststage.dev/lib/wait"
 	"maststage.dev/standin/toggle"
 )
 
@@ -43,7 +44,7 @@
 
 func (l *Log) gate(ctx context.Context) error {
 	if ms := l.Switches.Get("slow"); ms > 0 {
-		sleep(ctx, time.Duration(ms)*time.Millisecond)
+		wait.For(ctx, time.Duration(ms)*time.Millisecond)
 	}
 	if l.Switches.Get("down") != 0 {
 		return errDown
@@ -51,23 +52,16 @@
 	return ctx.Err()
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // Append appends, at most perSec a second.
 func (l *Log) Append(ctx context.Context, r *connect.Request[platformv1.AppendRequest]) (*connect.Response[platformv1.AppendResponse], error) {
 	if err := l.gate(ctx); err != nil {
 		return nil, err
 	}
-	wait, err := l.reserve()
+	turn, err := l.reserve()
 	if err != nil {
 		return nil, err
 	}
-	sleep(ctx, wait)
+	wait.For(ctx, turn)
 	if l.Switches.Get("down") != 0 {
 		return nil, errDown
 	}
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -14,6 +14,7 @@
 	"connectrpc.com/connect"
 
 	platformv1 "maststage.dev/api/platform/v1"
+	"maststage.dev/lib/wait"
 	"maststage.dev/standin/ledger"
 	"maststage.dev/standin/toggle"
 )
@@ -182,7 +183,7 @@
 	run := t.Book.Begin(r.RequestId, r.Account, prompt)
 	defer t.Book.Done(run)
 	t.remember(r.Prompt)
-	t.pause(ctx, time.Duration(t.Switches.Get("late"))*time.Millisecond)
+	wait.For(ctx, time.Duration(t.Switches.Get("late"))*time.Millisecond)
 	g := generation{target: t, req: r, run: run, out: out, prompt: prompt}
 	return g.stream(ctx)
 }
@@ -213,7 +214,7 @@
 			<-ctx.Done()
 			return ctx.Err()
 		}
-		t.pause(ctx, t.perToken+time.Duration(t.Switches.Get("slow"))*time.Millisecond)
+		wait.For(ctx, t.perToken+time.Duration(t.Switches.Get("slow"))*time.Millisecond)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -229,16 +230,6 @@
 	return g.out.Send(&platformv1.GenerateResponse{RequestId: id, Index: max(r.MaxTokens, r.ResumeFrom), End: true, PromptTokens: g.prompt})
 }
 
-func (t *Target) pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // Invoke is a call of a plain service: it acts, uses one token, and answers.
 // What it began it finishes, whether the caller waits or not.
 func (t *Target) Invoke(ctx context.Context, req *connect.Request[platformv1.InvokeRequest]) (*connect.Response[platformv1.InvokeResponse], error) {
@@ -251,7 +242,7 @@
 	}
 	defer t.leave()
 	run := t.Book.Begin(r.RequestId, r.Account, 1)
-	t.pause(context.WithoutCancel(ctx), t.perToken+time.Duration(t.Switches.Get("slow"))*time.Millisecond)
+	wait.For(context.WithoutCancel(ctx), t.perToken+time.Duration(t.Switches.Get("slow"))*time.Millisecond)
 	t.Book.Done(run)
 	if t.Switches.Take("losereply") {
 		panic(http.ErrAbortHandler)
@@ -260,7 +251,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	t.pause(ctx, time.Duration(t.Switches.Get("late"))*time.Millisecond)
+	wait.For(ctx, time.Duration(t.Switches.Get("late"))*time.Millisecond)
 	id := r.RequestId
 	if t.Switches.Take("crossed") {
 		id = "somebody/elses"
