run, docs: split the tries from the streams; measure the load report

Change: try.go and generate.go, begin and closed; load reports are asked for twice a second; the lone host is measured with 512 answers at a time, since its bills wait for the log and 48 left it three quarters idle.

--- a/bench/capacity/model.go
+++ b/bench/capacity/model.go
@@ -44,7 +44,8 @@
 	settlesPerSecond = 2.0
 	appendInterval   = 0.08
 	horizon          = 200_000 // facts kept
-	loadsPerSecond   = 4.0     // load reports of a target
+	loadsPerSecond   = 2.0     // load reports of a target
+	plannedLoads     = 0.1     // the same in the plan, where the answers of targets carry it too
 	day              = 86400.0
 	sliceNow         = 60.0  // s of demand in a slice
 	groupHosts       = 8.0   // hosts of an ownership group, in the plan
@@ -107,6 +108,7 @@
 	pingBytes, pingCPU := s.call("heartbeat")
 	claimBytes, claimCPU := s.call("claim")
 	holdBytes, holdCPU := s.call("bill held")
+	loadBytes, loadCPU := s.call("load report of a target")
 	views := (2*z.Deaths + 3*z.Replacements) / day // a death is an evict and a join, a replacement leaves, ends and joins
 	settles := settlesPerSecond * pairs * float64(z.Hosts)
 	records := z.Requests + once + settles*1.2 + views*float64(z.Hosts)
@@ -125,7 +127,7 @@
 		{"publisher of snapshots", "daemon/node", 0, 0, min(z.Requests*3600, horizon) * s.SnapBytes.Last() / snapSeconds(z), percent(min(z.Requests*3600, horizon) * s.SnapCost.Last() / snapSeconds(z)), false},
 		{"view and heartbeats", "daemon/peer, fold/view", float64(z.Hosts) * s.MemberBytes.Last(), pingsPerSecond * inRegion, pingsPerSecond * inRegion * pingBytes, percent(pingsPerSecond * inRegion * pingCPU / 2), false},
 		{"configuration", "fold/config", configSize * 4, config, config * configSize, percent(config * s.PublishCost.Last() * float64(z.Orgs)), false},
-		{"watcher of targets", "daemon/target", float64(z.Targets) * 600, loadsPerSecond * float64(z.Targets), loadsPerSecond * float64(z.Targets) * 300, percent(loadsPerSecond * float64(z.Targets) * 60e3), false},
+		{"watcher of targets", "daemon/target", float64(z.Targets) * 600, loadsPerSecond * float64(z.Targets), loadsPerSecond * float64(z.Targets) * loadBytes, percent(loadsPerSecond * float64(z.Targets) * loadCPU / 2), false},
 	}
 }
 
@@ -149,6 +151,7 @@
 	once := perGroup * z.OnceShare
 	pingBytes, pingCPU := s.call("heartbeat")
 	claimBytes, claimCPU := s.call("claim")
+	loadBytes, loadCPU := s.call("load report of a target")
 	pairs := float64(z.Budgets) * float64(z.Regions) / groups // budget and group
 	takes := pairs / sliceSeconds
 	views := (2*z.Deaths + 3*z.Replacements) / day / groups
@@ -166,7 +169,7 @@
 		{"view and heartbeats", "daemon/peer, by group", float64(z.Hosts) * s.MemberBytes.Last(), groupHosts - 1, (groupHosts - 1) * pingBytes / 2, percent((groupHosts - 1) * pingCPU / 4), false},
 		{"view changes", "fold/view, by group", 0, views * groupHosts, views * groupHosts * s.Record["flushed"], 0, false},
 		{"configuration", "not built: publish of differences", s.PublishSize.Last() * float64(z.Budgets) * 2, config, config * change, percent(config * 50e3), false},
-		{"watcher of targets", "not built: each target asked by one host of a group", float64(z.Targets) / float64(z.Regions) * 600, float64(z.Targets) / float64(z.Hosts), float64(z.Targets) / float64(z.Hosts) * 40, percent(float64(z.Targets) / float64(z.Hosts) * 60e3), false},
+		{"watcher of targets", "not built: each target asked by one host of a group", float64(z.Targets) / float64(z.Regions) * 600, float64(z.Targets) / float64(z.Hosts) * plannedLoads, float64(z.Targets) / float64(z.Hosts) * plannedLoads * loadBytes, percent(float64(z.Targets) / float64(z.Hosts) * plannedLoads * loadCPU / 2), false},
 	}
 }
 
--- a/bench/measure/running.go
+++ b/bench/measure/running.go
@@ -17,9 +17,12 @@
 )
 
 const (
-	plenty     = 1 << 40 // tokens
-	manySlots  = 4096
-	settleTime = 500 * time.Millisecond
+	plenty    = 1 << 40 // tokens
+	manySlots = 4096
+	// manyWorkers are enough that a lone host, whose bills wait for the log, is
+	// bound by its processor.
+	manyWorkers = 512
+	settleTime  = 500 * time.Millisecond
 )
 
 func targets(each time.Duration) []fleet.Target {
@@ -77,7 +80,7 @@
 			return err
 		}
 		for _, n := range sizes {
-			class, workers := "chat", 48
+			class := "chat"
 			if n == 0 {
 				class = "ping"
 			}
@@ -86,7 +89,7 @@
 				return err
 			}
 			begun := time.Now()
-			done, err := closedLoop(f, class, fmt.Sprint("t", n), uint32(n), workers, 3*time.Second)
+			done, err := closedLoop(f, class, fmt.Sprint("t", n), uint32(n), manyWorkers, 3*time.Second)
 			if err != nil {
 				return err
 			}
--- a/bench/measure/wire.go
+++ b/bench/measure/wire.go
@@ -4,12 +4,18 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
+
 	peerv1 "maststage.dev/api/peer/v1"
+	platformv1 "maststage.dev/api/platform/v1"
+	"maststage.dev/api/platform/v1/platformv1connect"
 	"maststage.dev/daemon/claim"
 	"maststage.dev/daemon/peer"
+	"maststage.dev/standin/target"
 )
 
 // counted counts the bytes of a listener's connections, both ways.
@@ -87,10 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	kinds := []struct {
-		name string
-		call func(context.Context) error
-	}{
+	kinds := []kind{
 		{"heartbeat", func(ctx context.Context) error {
 			_, err := client.Ping(ctx, &peerv1.PingRequest{Status: exampleStatus()})
 			return err
@@ -104,6 +107,40 @@
 			return err
 		}},
 	}
+	out, err := measureCalls(l, kinds, sizes)
+	if err != nil {
+		return nil, err
+	}
+	load, err := loadCalls(sizes)
+	return append(out, load...), err
+}
+
+// kind is a call to measure.
+type kind struct {
+	name string
+	call func(context.Context) error
+}
+
+// loadCalls measures the load report of a target.
+func loadCalls(sizes []int) ([]Call, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listening: %w", err)
+	}
+	l := &counted{Listener: ln}
+	mux := http.NewServeMux()
+	mux.Handle(platformv1connect.NewTargetHandler(target.New("e", manySlots, 0, false)))
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = s.Serve(l) }()
+	defer s.Close()
+	client := platformv1connect.NewTargetClient(http.DefaultClient, "http://"+ln.Addr().String())
+	return measureCalls(l, []kind{{"load report of a target", func(ctx context.Context) error {
+		_, err := client.Load(ctx, connect.NewRequest(&platformv1.LoadRequest{}))
+		return err
+	}}}, sizes)
+}
+
+func measureCalls(l *counted, kinds []kind, sizes []int) ([]Call, error) {
 	var out []Call
 	for _, k := range kinds {
 		c := Call{Name: k.name, At: sizes}
--- a/daemon/logio/writer.go
+++ b/daemon/logio/writer.go
@@ -21,7 +21,6 @@
 	maxBatchRecords = 2000
 	maxBatchBytes   = 512 << 10
 	resendAfter     = 1500 * time.Millisecond // a batch not seen in the log by then is sent again
-	flushNow        = "log writer"
 )
 
 // Appender appends to the log; an error says nothing of whether it did.
@@ -167,7 +166,7 @@
 // try appends the batch once and waits until it is seen in the log.
 func (w *Writer) try(ctx context.Context, data []byte, seq uint64) bool {
 	appended := make(chan error, 1)
-	guard.Go(flushNow, func() {
+	guard.Go("log append", func() {
 		c, cancel := context.WithTimeout(ctx, w.timeout)
 		defer cancel()
 		appended <- w.app.Append(c, data)
--- a/daemon/run/generate.go
+++ b/daemon/run/generate.go
@@ -4,12 +4,9 @@
 	"context"
 	"errors"
 	"hash/fnv"
-	"net"
 	"time"
 
 	"connectrpc.com/connect"
-	log "github.com/sirupsen/logrus"
-
 	platformv1 "maststage.dev/api/platform/v1"
 	"maststage.dev/daemon/target"
 	"maststage.dev/lib/errkind"
@@ -17,29 +14,11 @@
 )
 
 const (
-	prefixBytes   = 256 // of a prompt, hashed to find a target that has it cached
-	cancelTimeout = 300 * time.Millisecond
-	gapFactor     = 8 // times the mean gap between tokens is silence
-	tokenRing     = 64
-)
-
-// verdict is how a try at a target ended.
-type verdict int
-
-const (
-	whole  verdict = iota // the answer is complete
-	notRun                // the target surely did not begin
-	broken                // it began, or may have
+	prefixBytes = 256 // of a prompt, hashed to find a target that has it cached
+	gapFactor   = 8   // times the mean gap between tokens is silence
+	tokenRing   = 64
 )
 
-// try is one order to one target.
-type try struct {
-	verdict verdict
-	left    bool // the target says it is leaving
-	err     error
-	gap     time.Duration
-}
-
 func prefixHash(input []byte) uint64 {
 	if len(input) == 0 {
 		return 0
@@ -59,77 +38,6 @@
 	return j.promptTokens() + uint64(j.run.next()), nil
 }
 
-// tryTargets sends the order to one target after another until one answers.
-func (j *job) tryTargets(ctx context.Context, order func(context.Context, *target.Target) try) error {
-	tried := map[string]bool{}
-	for n := 0; ; n++ {
-		if err := j.cover(ctx); err != nil {
-			return err
-		}
-		queued := time.Now()
-		t, err := j.acquire(ctx, tried)
-		if err != nil {
-			return j.cause(ctx, err)
-		}
-		j.engine.metrics.Queued(j.org, j.class, time.Since(queued))
-		begun := time.Now()
-		j.target = t.Name
-		res := order(ctx, t)
-		j.engine.targets.Release(t, target.Result{
-			Priority: j.decision.Rank,
-			Failed:   res.verdict == broken && ctx.Err() == nil, Left: res.left,
-			Held: time.Since(begun), Gap: res.gap,
-		})
-		if res.verdict == whole {
-			return nil
-		}
-		log.WithFields(log.Fields{"request": j.run.req.RequestId, "target": t.Name}).WithError(res.err).Debug("a target failed")
-		tried[t.Name] = true
-		if err := j.again(ctx, n, res); err != nil {
-			return err
-		}
-	}
-}
-
-// acquire gets a slot at a target that was not tried, or at any if all were.
-func (j *job) acquire(ctx context.Context, tried map[string]bool) (*target.Target, error) {
-	t, err := j.engine.targets.Acquire(ctx, j.want(tried))
-	if err != nil && len(tried) > 0 && errkind.From(err).Kind == errkind.Unavailable {
-		clear(tried)
-		return j.engine.targets.Acquire(ctx, j.want(tried))
-	}
-	return t, err
-}
-
-// again says why no other target is tried, nil if one is.
-func (j *job) again(ctx context.Context, n int, res try) error {
-	if ctx.Err() != nil {
-		return j.cause(ctx, res.err)
-	}
-	if res.verdict == broken && j.decision.Single {
-		return errkind.New(errkind.Unknown, "the target's answer was lost: %w", res.err)
-	}
-	if n >= j.engine.watch.Retries || !j.engine.targets.Retry() {
-		if j.dispatched {
-			return errkind.New(errkind.TargetFailed, "no more tries: %w", res.err)
-		}
-		// Overloaded rather than Unavailable: another host would find the same.
-		return errkind.New(errkind.Overloaded, "no target takes it: %w", res.err)
-	}
-	return nil
-}
-
-// cause prefers the reason for which ctx ended to err.
-func (j *job) cause(ctx context.Context, err error) error {
-	if ctx.Err() == nil {
-		return err
-	}
-	if c := context.Cause(ctx); c != nil {
-		return c
-	}
-	return err
-}
-
 // generateAt streams from one target.
 func (j *job) generateAt(ctx context.Context, t *target.Target) try {
 	ctx, cancel := context.WithCancel(ctx)
@@ -161,18 +69,6 @@
 	j.used += j.cancelAt(s.target, j.promptTokens()+left+j.margin())
 }
 
-// cancelAt stops a run at a target and says what it used, or worst if the target
-// can't say.
-func (j *job) cancelAt(t *target.Target, worst uint64) uint64 {
-	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-	defer cancel()
-	res, err := t.Client.Cancel(ctx, connect.NewRequest(&platformv1.CancelRequest{RequestId: j.run.id}))
-	if err != nil || !res.Msg.Known {
-		return worst
-	}
-	return uint64(res.Msg.Tokens)
-}
-
 // stream is the answer of one target.
 type stream struct {
 	job    *job
@@ -310,27 +206,3 @@
 	}
 	j.engine.metrics.Gap(j.org, j.class, now.Sub(last))
 }
-
-// classify says from a target's error whether it began with the order. Only a
-// refused connection and the target's own word count as "did not".
-func classify(err error) try {
-	t := try{verdict: broken, err: err}
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		t.verdict = notRun
-		return t
-	}
-	var ce *connect.Error
-	if !errors.As(err, &ce) || !connect.IsWireError(err) {
-		return t
-	}
-	switch ce.Code() {
-	case connect.CodeResourceExhausted, connect.CodeFailedPrecondition, connect.CodePermissionDenied:
-		t.verdict = notRun
-	case connect.CodeUnavailable:
-		// A target that leaves says so before it begins.
-		t.verdict = notRun
-		t.left = true
-	}
-	return t
-}
--- a/daemon/run/run.go
+++ b/daemon/run/run.go
@@ -23,6 +23,9 @@
 	"maststage.dev/lib/policy"
 )
 
+// logDownRetry is when to come back if a policy needs the log and it is down.
+const logDownRetry = 5 * time.Second
+
 // Identity is one incarnation of this host and what it owns. A host that was
 // evicted while alive gets a new one; what was begun under the old one is
 // finished under it.
@@ -116,6 +119,11 @@
 		}
 		return r, "", nil
 	}
+	return e.begin(id, req)
+}
+
+// begin starts a run; e.mu is held.
+func (e *Engine) begin(id string, req *peerv1.ExecuteRequest) (r *run, redirect string, failed *errkind.Error) {
 	version, set := e.store.Config()
 	if version == 0 {
 		return nil, "", errkind.New(errkind.Unavailable, "this host has no configuration yet")
@@ -130,14 +138,8 @@
 			return nil, redirect, err
 		}
 	}
-	if e.host.Draining() {
-		return nil, "", errkind.New(errkind.Draining, "this host is stopping")
-	}
-	if decision.NeedsLog && !e.host.LogUp() {
-		return nil, "", errkind.New(errkind.Unavailable, "the platform's log is down and the policy needs it").Retry(5 * time.Second)
-	}
-	if e.open >= e.cfg.MaxOpen {
-		return nil, "", errkind.New(errkind.Overloaded, "%d requests are open on this host", e.open)
+	if err := e.closed(decision); err != nil {
+		return nil, "", err
 	}
 	r = newRun(id, req)
 	r.single = decision.Single
@@ -152,6 +154,19 @@
 	return r, "", nil
 }
 
+// closed says why this host begins no new run, nil if it does.
+func (e *Engine) closed(d policy.Decision) *errkind.Error {
+	switch {
+	case e.host.Draining():
+		return errkind.New(errkind.Draining, "this host is stopping")
+	case d.NeedsLog && !e.host.LogUp():
+		return errkind.New(errkind.Unavailable, "the platform's log is down and the policy needs it").Retry(logDownRetry)
+	case e.open >= e.cfg.MaxOpen:
+		return errkind.New(errkind.Overloaded, "%d requests are open on this host", e.open)
+	}
+	return nil
+}
+
 // earlier says what is known of an earlier run of a request that may not be
 // repeated and is not in the table of runs.
 func (e *Engine) earlier(self *Identity, id string) (redirect string, err *errkind.Error) {
--- a/daemon/settings/targets.go
+++ b/daemon/settings/targets.go
@@ -4,7 +4,7 @@
 
 // Targets says how targets are watched.
 type Targets struct {
-	LoadInterval time.Duration `ini:"load_interval" default:"250ms"`
+	LoadInterval time.Duration `ini:"load_interval" default:"500ms"`
 	SilentAfter  time.Duration `ini:"silent_after" default:"2s"` // least time between tokens taken for silence
 	FirstToken   time.Duration `ini:"first_token" default:"10s"` // longest wait for a first token
 	Queue        int           `ini:"queue" default:"1000"`      // requests waiting for a pool
