--- a/proofs/fleet/fleet.go
+++ b/proofs/fleet/fleet.go
@@ -3,28 +3,20 @@
 package fleet
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"connectrpc.com/connect"
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
-	maststagev1 "maststage.dev/api/maststage/v1"
-	"maststage.dev/api/maststage/v1/maststagev1connect"
 	"maststage.dev/lib/declare"
 )
 
@@ -278,189 +270,6 @@
 	return string(data[max(len(data)-tailBytes, 0):])
 }
 
-// Pid is the process id of a host.
-func (f *Fleet) Pid(i int) int { return f.Hosts[i].cmd.Process.Pid }
-
-// Tool runs maststage against a host as the operator and gives its output and
-// exit status.
-func (f *Fleet) Tool(host int, stdin string, args ...string) (output string, status int) {
-	cmd := exec.Command(filepath.Join(f.bin, "maststage"), args...)
-	cmd.Env = append(os.Environ(), "MASTSTAGE_HOST="+f.Hosts[host].Listen, "MASTSTAGE_KEY="+operatorKey)
-	cmd.Stdin = strings.NewReader(stdin)
-	out, _ := cmd.CombinedOutput() // the status says more than the error
-	return string(out), cmd.ProcessState.ExitCode()
-}
-
-// Daemon runs maststaged with other arguments than a host's.
-func (f *Fleet) Daemon(args ...string) (output string, status int) {
-	cmd := exec.Command(filepath.Join(f.bin, "maststaged"), args...)
-	out, _ := cmd.CombinedOutput()
-	return string(out), cmd.ProcessState.ExitCode()
-}
-
-// Settings is the path of a host's settings.
-func (f *Fleet) Settings(i int) string { return filepath.Join(f.dir, f.Hosts[i].Name+".ini") }
-
-// Logged is all that a host has logged.
-func (f *Fleet) Logged(i int) string {
-	data, err := os.ReadFile(filepath.Join(f.dir, f.Hosts[i].Name+".log"))
-	if err != nil {
-		f.T.Fatal(err)
-	}
-	return string(data)
-}
-
-// Metrics reads a host's metrics.
-func (f *Fleet) Metrics(i int) string {
-	res, err := http.Get("http://" + f.Hosts[i].Listen + "/metrics")
-	if err != nil {
-		f.T.Fatal(err)
-	}
-	defer res.Body.Close()
-	data, err := io.ReadAll(res.Body)
-	if err != nil {
-		f.T.Fatal(err)
-	}
-	return string(data)
-}
-
-// Kill ends a host at once.
-func (f *Fleet) Kill(i int) {
-	_ = f.Hosts[i].cmd.Process.Kill()
-	_ = f.Hosts[i].cmd.Wait()
-}
-
-// Freeze stops a host's process without ending it; Thaw lets it go on.
-func (f *Fleet) Freeze(i int) { f.signal(i, syscall.SIGSTOP) }
-
-// Thaw lets a frozen host go on.
-func (f *Fleet) Thaw(i int) { f.signal(i, syscall.SIGCONT) }
-
-// Term asks a host for a planned stop.
-func (f *Fleet) Term(i int) { f.signal(i, syscall.SIGTERM) }
-
-// Ended waits until a host's process has ended and gives its error.
-func (f *Fleet) Ended(i int) error { return f.Hosts[i].cmd.Wait() }
-
-func (f *Fleet) signal(i int, s syscall.Signal) {
-	if err := f.Hosts[i].cmd.Process.Signal(s); err != nil {
-		f.T.Fatal(err)
-	}
-}
-
-// CutLog cuts hosts off from the log, HealLog undoes it.
-func (f *Fleet) CutLog(hosts ...int) {
-	for _, i := range hosts {
-		f.Hosts[i].log.Stop()
-	}
-}
-
-// HealLog undoes CutLog.
-func (f *Fleet) HealLog(hosts ...int) {
-	for _, i := range hosts {
-		f.restart(f.Hosts[i].log)
-	}
-}
-
-// Cut cuts the hosts on one side off from those on the other, both ways.
-func (f *Fleet) Cut(a, b []int) { f.each(a, b, func(p *toxiproxy.Proxy) { p.Stop() }) }
-
-// Heal undoes Cut.
-func (f *Fleet) Heal(a, b []int) { f.each(a, b, f.restart) }
-
-func (f *Fleet) restart(p *toxiproxy.Proxy) {
-	if err := p.Start(); err != nil {
-		f.T.Fatal(err)
-	}
-}
-
-func (f *Fleet) each(a, b []int, do func(*toxiproxy.Proxy)) {
-	for _, i := range a {
-		for _, j := range b {
-			do(f.links[[2]int{i, j}])
-			do(f.links[[2]int{j, i}])
-		}
-	}
-}
-
-// Switch sets switches of a stand-in: "log", "members" or a target.
-func (f *Fleet) Switch(name, query string) {
-	f.T.Helper()
-	f.get(name, "/switch?"+query)
-}
-
-// Change changes the membership list.
-func (f *Fleet) Change(member, do string) {
-	f.T.Helper()
-	f.get("members", "/change?name="+member+"&do="+do)
-}
-
-func (f *Fleet) get(name, path string) []byte {
-	f.T.Helper()
-	addr := f.Targets[name]
-	switch name {
-	case "log":
-		addr = f.Log
-	case "members":
-		addr = f.Members
-	}
-	res, err := http.Get("http://" + addr + path)
-	if err != nil {
-		f.T.Fatal(err)
-	}
-	defer res.Body.Close()
-	body, err := io.ReadAll(res.Body)
-	if err != nil || res.StatusCode != http.StatusOK {
-		f.T.Fatalf("%s%s: %s %s %v", name, path, res.Status, body, err)
-	}
-	return body
-}
-
-// Run is what a target's own record says of an order.
-type Run struct {
-	RequestID, Account, Target string
-	Tokens                     uint64
-	Start, End                 time.Time
-}
-
-// Ledger reads the records of all targets.
-func (f *Fleet) Ledger() []Run {
-	f.T.Helper()
-	var all []Run
-	for name := range f.Targets {
-		var runs []Run
-		if err := json.Unmarshal(f.get(name, "/ledger"), &runs); err != nil {
-			f.T.Fatal(err)
-		}
-		all = append(all, runs...)
-	}
-	return all
-}
-
-// Used is what the targets say an account has used.
-func (f *Fleet) Used(account string) uint64 {
-	f.T.Helper()
-	var n uint64
-	for _, r := range f.Ledger() {
-		if r.Account == account {
-			n += r.Tokens
-		}
-	}
-	return n
-}
-
-// Runs counts the runs of each request of an account.
-func (f *Fleet) Runs(account string) map[string]int {
-	f.T.Helper()
-	runs := map[string]int{}
-	for _, r := range f.Ledger() {
-		if r.Account == account {
-			runs[r.RequestID]++
-		}
-	}
-	return runs
-}
-
 // Eventually waits until a condition holds.
 func (f *Fleet) Eventually(what string, cond func() bool) {
 	f.T.Helper()
@@ -474,92 +283,3 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
-
-// Operator gives a client of a host for operators.
-func (f *Fleet) Operator(i int) maststagev1connect.OperatorClient {
-	return maststagev1connect.NewOperatorClient(http.DefaultClient, "http://"+f.Hosts[i].Listen, withKey(operatorKey))
-}
-
-func withKey(key string) connect.ClientOption {
-	return connect.WithInterceptors(connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
-		return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
-			r.Header().Set("Authorization", "Bearer "+key)
-			return next(ctx, r)
-		}
-	}))
-}
-
-// Operators is the section that declares the operator.
-func Operators() string {
-	return "[operator ops]\nkey_sha256 = " + declare.HashKey(operatorKey) + "\n"
-}
-
-// Apply publishes declarations through a host and waits until all the given
-// hosts have them in force.
-func (f *Fleet) Apply(text string, hosts ...int) {
-	f.T.Helper()
-	got, err := f.Operator(0).Publish(context.Background(), connect.NewRequest(&maststagev1.PublishRequest{BaseVersion: f.version, Text: text}))
-	if err != nil {
-		f.T.Fatal(err)
-	}
-	f.version = got.Msg.Version
-	if len(hosts) == 0 {
-		for i := range f.Hosts {
-			hosts = append(hosts, i)
-		}
-	}
-	for _, i := range hosts {
-		f.Eventually(fmt.Sprintf("version %d on h%d", f.version, i), func() bool { return f.VersionAt(i) >= f.version })
-	}
-}
-
-// VersionAt is the version in force on a host, 0 if it does not answer.
-func (f *Fleet) VersionAt(i int) uint64 {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	got, err := f.Operator(i).GetConfig(ctx, connect.NewRequest(&maststagev1.GetConfigRequest{}))
-	if err != nil {
-		return 0
-	}
-	return got.Msg.Version
-}
-
-// Members is the view of a host, nil if it does not answer.
-func (f *Fleet) View(i int) []*maststagev1.Host {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	got, err := f.Operator(i).ListHosts(ctx, connect.NewRequest(&maststagev1.ListHostsRequest{}))
-	if err != nil {
-		return nil
-	}
-	return got.Msg.Hosts
-}
-
-// WaitMembers waits until the first host that answers sees n members.
-func (f *Fleet) WaitMembers(n int) {
-	f.T.Helper()
-	f.Eventually(fmt.Sprintf("%d members", n), func() bool {
-		for i := range f.Hosts {
-			if v := f.View(i); v != nil {
-				return len(v) == n
-			}
-		}
-		return false
-	})
-}
-
-// Budget is an account as a host sees it.
-func (f *Fleet) Budget(i int, name string) *maststagev1.Budget {
-	f.T.Helper()
-	got, err := f.Operator(i).ListBudgets(context.Background(), connect.NewRequest(&maststagev1.ListBudgetsRequest{}))
-	if err != nil {
-		f.T.Fatal(err)
-	}
-	for _, b := range got.Msg.Budgets {
-		if b.Name == name {
-			return b
-		}
-	}
-	f.T.Fatalf("no budget %s", name)
-	return nil
-}
--- /dev/null
+++ b/proofs/fleet/observe.go
@@ -0,0 +1,200 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+
+	maststagev1 "maststage.dev/api/maststage/v1"
+	"maststage.dev/api/maststage/v1/maststagev1connect"
+	"maststage.dev/lib/declare"
+)
+
+// Run is what a target's own record says of an order.
+type Run struct {
+	RequestID, Account, Target string
+	Tokens                     uint64
+	Start, End                 time.Time
+}
+
+// Ledger reads the records of all targets.
+func (f *Fleet) Ledger() []Run {
+	f.T.Helper()
+	var all []Run
+	for name := range f.Targets {
+		var runs []Run
+		if err := json.Unmarshal(f.get(name, "/ledger"), &runs); err != nil {
+			f.T.Fatal(err)
+		}
+		all = append(all, runs...)
+	}
+	return all
+}
+
+// Used is what the targets say an account has used.
+func (f *Fleet) Used(account string) uint64 {
+	f.T.Helper()
+	var n uint64
+	for _, r := range f.Ledger() {
+		if r.Account == account {
+			n += r.Tokens
+		}
+	}
+	return n
+}
+
+// Runs counts the runs of each request of an account.
+func (f *Fleet) Runs(account string) map[string]int {
+	f.T.Helper()
+	runs := map[string]int{}
+	for _, r := range f.Ledger() {
+		if r.Account == account {
+			runs[r.RequestID]++
+		}
+	}
+	return runs
+}
+
+// Pid is the process id of a host.
+func (f *Fleet) Pid(i int) int { return f.Hosts[i].cmd.Process.Pid }
+
+// Tool runs maststage against a host as the operator and gives its output and
+// exit status.
+func (f *Fleet) Tool(host int, stdin string, args ...string) (output string, status int) {
+	cmd := exec.Command(filepath.Join(f.bin, "maststage"), args...)
+	cmd.Env = append(os.Environ(), "MASTSTAGE_HOST="+f.Hosts[host].Listen, "MASTSTAGE_KEY="+operatorKey)
+	cmd.Stdin = strings.NewReader(stdin)
+	out, _ := cmd.CombinedOutput() // the status says more than the error
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// Daemon runs maststaged with other arguments than a host's.
+func (f *Fleet) Daemon(args ...string) (output string, status int) {
+	cmd := exec.Command(filepath.Join(f.bin, "maststaged"), args...)
+	out, _ := cmd.CombinedOutput()
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// Settings is the path of a host's settings.
+func (f *Fleet) Settings(i int) string { return filepath.Join(f.dir, f.Hosts[i].Name+".ini") }
+
+// Logged is all that a host has logged.
+func (f *Fleet) Logged(i int) string {
+	data, err := os.ReadFile(filepath.Join(f.dir, f.Hosts[i].Name+".log"))
+	if err != nil {
+		f.T.Fatal(err)
+	}
+	return string(data)
+}
+
+// Metrics reads a host's metrics.
+func (f *Fleet) Metrics(i int) string {
+	res, err := http.Get("http://" + f.Hosts[i].Listen + "/metrics")
+	if err != nil {
+		f.T.Fatal(err)
+	}
+	defer res.Body.Close()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		f.T.Fatal(err)
+	}
+	return string(data)
+}
+
+// Operator gives a client of a host for operators.
+func (f *Fleet) Operator(i int) maststagev1connect.OperatorClient {
+	return maststagev1connect.NewOperatorClient(http.DefaultClient, "http://"+f.Hosts[i].Listen, withKey(operatorKey))
+}
+
+func withKey(key string) connect.ClientOption {
+	return connect.WithInterceptors(connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
+			r.Header().Set("Authorization", "Bearer "+key)
+			return next(ctx, r)
+		}
+	}))
+}
+
+// Operators is the section that declares the operator.
+func Operators() string {
+	return "[operator ops]\nkey_sha256 = " + declare.HashKey(operatorKey) + "\n"
+}
+
+// Apply publishes declarations through a host and waits until all the given
+// hosts have them in force.
+func (f *Fleet) Apply(text string, hosts ...int) {
+	f.T.Helper()
+	got, err := f.Operator(0).Publish(context.Background(), connect.NewRequest(&maststagev1.PublishRequest{BaseVersion: f.version, Text: text}))
+	if err != nil {
+		f.T.Fatal(err)
+	}
+	f.version = got.Msg.Version
+	if len(hosts) == 0 {
+		for i := range f.Hosts {
+			hosts = append(hosts, i)
+		}
+	}
+	for _, i := range hosts {
+		f.Eventually(fmt.Sprintf("version %d on h%d", f.version, i), func() bool { return f.VersionAt(i) >= f.version })
+	}
+}
+
+// VersionAt is the version in force on a host, 0 if it does not answer.
+func (f *Fleet) VersionAt(i int) uint64 {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	got, err := f.Operator(i).GetConfig(ctx, connect.NewRequest(&maststagev1.GetConfigRequest{}))
+	if err != nil {
+		return 0
+	}
+	return got.Msg.Version
+}
+
+// View is the members that a host sees, nil if it does not answer.
+func (f *Fleet) View(i int) []*maststagev1.Host {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	got, err := f.Operator(i).ListHosts(ctx, connect.NewRequest(&maststagev1.ListHostsRequest{}))
+	if err != nil {
+		return nil
+	}
+	return got.Msg.Hosts
+}
+
+// WaitMembers waits until the first host that answers sees n members.
+func (f *Fleet) WaitMembers(n int) {
+	f.T.Helper()
+	f.Eventually(fmt.Sprintf("%d members", n), func() bool {
+		for i := range f.Hosts {
+			if v := f.View(i); v != nil {
+				return len(v) == n
+			}
+		}
+		return false
+	})
+}
+
+// Budget is an account as a host sees it.
+func (f *Fleet) Budget(i int, name string) *maststagev1.Budget {
+	f.T.Helper()
+	got, err := f.Operator(i).ListBudgets(context.Background(), connect.NewRequest(&maststagev1.ListBudgetsRequest{}))
+	if err != nil {
+		f.T.Fatal(err)
+	}
+	for _, b := range got.Msg.Budgets {
+		if b.Name == name {
+			return b
+		}
+	}
+	f.T.Fatalf("no budget %s", name)
+	return nil
+}
