node: refuse what a planned stop can't finish; SIGHUP reloads settings

Ruled out: a shorter notice time (callers keep coming because no other host of the zone is ready, not because the balancer has not noticed).

Change: three seconds after SIGTERM new streams are refused as not run, after 4.5 s all else; SIGHUP, or a changed file, reloads the settings.

--- a/cmd/maststage-router/main.go
+++ b/cmd/maststage-router/main.go
@@ -46,7 +46,7 @@
 		fmt.Fprintln(os.Stderr, "maststage-router:", err)
 		os.Exit(exitSettings)
 	}
-	err = serve(cfg)
+	err = serve(cfg, *path)
 	if err != nil {
 		log.WithError(err).Error("ended")
 	}
@@ -69,9 +69,10 @@
 	return settings.Load(*path)
 }
 
-// serve runs the node. The first SIGTERM or SIGINT is a planned stop, the second
-// ends the process at once.
-func serve(cfg *settings.Settings) error {
+// serve runs the node. SIGHUP reloads the settings, as does a change of their
+// file. The first SIGTERM or SIGINT is a planned stop, the second ends the process
+// at once.
+func serve(cfg *settings.Settings, path string) error {
 	incarnation := strconv.FormatInt(time.Now().UnixNano(), 36)
 	n := node.New(cfg, platform.Outside(cfg.Log.Address), incarnation)
 	log.WithFields(log.Fields{"incarnation": incarnation, "zone": cfg.Host.Zone}).Info("start")
@@ -79,6 +80,9 @@
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	guard.Go("settings", func() { watchSettings(ctx, n, path, hangups) })
 	guard.Go("signals", func() {
 		<-signals
 		n.Stop()
@@ -87,3 +91,36 @@
 	})
 	return n.Run(ctx)
 }
+
+// watchEvery is the pause between looks at the settings file.
+const watchEvery = time.Second
+
+// watchSettings reloads the settings on a signal and when their file has changed.
+func watchSettings(ctx context.Context, n *node.Node, path string, hangups <-chan os.Signal) {
+	tick := time.NewTicker(watchEvery)
+	defer tick.Stop()
+	last := modified(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+			n.Reload(path)
+			last = modified(path)
+		case <-tick.C:
+			if now := modified(path); !now.Equal(last) {
+				last = now
+				n.Reload(path)
+			}
+		}
+	}
+}
+
+// modified is when the file last changed, the zero time if it can't be told.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -53,6 +53,7 @@
 	calls *client
 
 	mu    sync.Mutex
+	seeds []string
 	hosts map[string]known
 }
 
@@ -62,7 +63,7 @@
 
 // New makes a fleet of this host alone; Run fills it.
 func New(opts Options) *Fleet {
-	return &Fleet{opts: opts, calls: newClient(opts.Timeout), hosts: map[string]known{}}
+	return &Fleet{opts: opts, calls: newClient(opts.Timeout), seeds: opts.Seeds, hosts: map[string]known{}}
 }
 
 // Changed takes in announcements from the log's copy.
@@ -104,6 +105,13 @@
 	return n
 }
 
+// SetSeeds changes the addresses that are known beside the announcements.
+func (f *Fleet) SetSeeds(seeds []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seeds = seeds
+}
+
 // Alone says whether no other host is known, by the log or otherwise.
 func (f *Fleet) Alone() bool { return f.Size() == 1 }
 
@@ -165,7 +173,7 @@
 			list = append(list, k.host.Address)
 		}
 	}
-	for _, seed := range f.opts.Seeds {
+	for _, seed := range f.seeds {
 		if !seen[seed] {
 			seen[seed] = true
 			list = append(list, seed)
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -76,6 +76,8 @@
 	Observer Observer
 	// Draining says that the host is stopping: connections are to be closed.
 	Draining func() bool
+	// Takes says whether a new request may begin.
+	Takes func(streaming bool) bool
 }
 
 // Handler serves callers.
@@ -212,6 +214,9 @@
 	if kind := q.authenticate(); kind != OK {
 		return kind, nil
 	}
+	if !h.opts.Takes(q.route.Kind == routing.Streaming) {
+		return Stopping, nil
+	}
 	q.service = q.route.Pick(rand.Float64())
 	if s := q.config.Service(q.service); s != nil {
 		q.engine = s.Engine
--- a/router/forward/outcome.go
+++ b/router/forward/outcome.go
@@ -18,6 +18,7 @@
 	TooLarge     Kind = "too_large"
 	OverBudget   Kind = "over_budget"   // larger than the whole budget
 	BudgetWait   Kind = "budget_wait"   // no tokens within reach now
+	Stopping     Kind = "stopping"      // this host ends too soon to take it
 	NoTarget     Kind = "no_target"     // no target could be tried
 	Overloaded   Kind = "overloaded"    // the targets tried said that they did not run it
 	TargetFailed Kind = "target_failed" // it may have run, and no whole answer came
@@ -41,6 +42,7 @@
 	TooLarge:     {http.StatusRequestEntityTooLarge, 0},
 	OverBudget:   {http.StatusPaymentRequired, 0},
 	BudgetWait:   {http.StatusServiceUnavailable, time.Second},
+	Stopping:     {http.StatusServiceUnavailable, 50 * time.Millisecond},
 	NoTarget:     {http.StatusServiceUnavailable, 200 * time.Millisecond},
 	Overloaded:   {http.StatusServiceUnavailable, 100 * time.Millisecond},
 	TargetFailed: {http.StatusBadGateway, 0},
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -43,7 +43,9 @@
 
 // Node is one router host.
 type Node struct {
-	cfg      *settings.Settings
+	cfg      *settings.Settings // of the start
+	reload   sync.Mutex
+	latest   *settings.Settings // last reloaded, guarded by reload
 	outside  Outside
 	observer *observe.Observer
 	handler  *forward.Handler
@@ -54,20 +56,19 @@
 
 	configCopy, targetsCopy, hostsCopy *replica.Replica
 
-	server   *http.Server
-	aux      []*http.Server // ready, peers, metrics
-	config   sync.Mutex     // one configuration at a time
-	pending  atomic.Pointer[configChange]
-	changed  chan struct{} // a configuration is pending
-	draining atomic.Bool
-	stopping chan struct{}
-	stopOnce sync.Once
+	server    *http.Server
+	aux       []*http.Server // ready, peers, metrics
+	pending   atomic.Pointer[configChange]
+	changed   chan struct{}             // a configuration is pending
+	stopBegan atomic.Pointer[time.Time] // set by a planned stop
+	stopping  chan struct{}
+	stopOnce  sync.Once
 }
 
 // New puts a node together; Run starts it.
 func New(cfg *settings.Settings, outside Outside, incarnation string) *Node {
 	n := &Node{
-		cfg: cfg, outside: outside,
+		cfg: cfg, latest: cfg, outside: outside,
 		observer: observe.New(cfg.Output.LinesPerSecond),
 		stopping: make(chan struct{}),
 		changed:  make(chan struct{}, 1),
@@ -83,13 +84,11 @@
 	})
 	n.copies()
 	n.newFleet(incarnation)
-	n.retries = retrybudget.NewSet(retrybudget.Limits{
-		Ratio: cfg.Bounds.RetryRatio, Slack: cfg.Bounds.RetrySlack, Window: settings.Seconds(cfg.Bounds.RetryWindowS),
-	}, n.fleet.Size)
+	n.retries = retrybudget.NewSet(retryLimits(cfg), n.fleet.Size)
 	n.newTreasury(incarnation)
 	n.handler = forward.New(forward.Options{
 		Names: outside.Headers, Targets: n.targets, Budgets: n.treasury, Retries: n.retries,
-		Observer: n.observer, Draining: n.draining.Load,
+		Observer: n.observer, Draining: n.Draining, Takes: n.Takes,
 	})
 	n.gauges()
 	return n
@@ -148,7 +147,7 @@
 	n.treasury = prepaid.New(prepaid.Options{
 		Log: n.outside.Log, Topic: n.outside.BudgetsTopic, Partitions: n.cfg.Log.Partitions,
 		Host:     n.cfg.Host.Name + "/" + incarnation,
-		Plan:     prepaid.Plan{Horizon: b.HorizonS, EvenPart: b.EvenPart, MostParts: b.MostParts},
+		Plan:     plan(n.cfg),
 		Timeout:  settings.Milliseconds(n.cfg.Log.TimeoutMs),
 		Interval: settings.Milliseconds(b.IntervalMs),
 		Wait:     settings.Milliseconds(b.WaitMs),
@@ -235,9 +234,12 @@
 	return nil
 }
 
+// Draining says whether a planned stop has begun.
+func (n *Node) Draining() bool { return n.stopBegan.Load() != nil }
+
 // Ready says whether the host takes new connections.
 func (n *Node) Ready() bool {
-	return !n.draining.Load() && n.handler.Config() != nil && n.targetsCopy.End() > 0
+	return !n.Draining() && n.handler.Config() != nil && n.targetsCopy.End() > 0
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
--- /dev/null
+++ b/router/node/reload.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"reflect"
+
+	log "github.com/sirupsen/logrus"
+
+	"maststage.dev/router/prepaid"
+	"maststage.dev/router/retrybudget"
+	"maststage.dev/router/settings"
+)
+
+// Reload takes over changed settings. Those of addresses count from the next start
+// on; a file that can't be used changes nothing.
+func (n *Node) Reload(path string) {
+	fresh, err := settings.Load(path)
+	if err != nil {
+		log.WithError(err).Error("settings not reloaded; the present ones stay in force")
+		return
+	}
+	n.reload.Lock()
+	defer n.reload.Unlock()
+	if reflect.DeepEqual(fresh, n.latest) {
+		log.Info("settings reloaded, nothing changed")
+		return
+	}
+	if fresh.Host.Listen != n.cfg.Host.Listen || fresh.Host.ReadyListen != n.cfg.Host.ReadyListen || fresh.Host.PeerListen != n.cfg.Host.PeerListen || fresh.Log != n.cfg.Log {
+		log.Warn("settings of addresses or of the log changed; they count from the next start on")
+	}
+	n.latest = fresh
+	n.retries.SetLimits(retryLimits(fresh))
+	n.treasury.SetPlan(plan(fresh))
+	n.fleet.SetSeeds(fresh.Host.Seeds)
+	n.targets.SetDrainWithin(drainPart(settings.Milliseconds(fresh.Bounds.DrainMs)))
+	if level, err := log.ParseLevel(fresh.Output.Level); err == nil {
+		log.SetLevel(level)
+	}
+	log.Info("settings reloaded")
+}
+
+func retryLimits(s *settings.Settings) retrybudget.Limits {
+	return retrybudget.Limits{
+		Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: settings.Seconds(s.Bounds.RetryWindowS),
+	}
+}
+
+func plan(s *settings.Settings) prepaid.Plan {
+	return prepaid.Plan{Horizon: s.Budgets.HorizonS, EvenPart: s.Budgets.EvenPart, MostParts: s.Budgets.MostParts}
+}
--- a/router/node/stop.go
+++ b/router/node/stop.go
@@ -35,6 +35,10 @@
 	// noticeTime is how long callers' new connections are still taken, until
 	// whoever balances them has noticed.
 	noticeTime = 2500 * time.Millisecond
+	// streamTime and answerTime are how long new streams and other requests are
+	// still taken: callers may go on coming when few hosts are left.
+	streamTime = 3 * time.Second
+	answerTime = 4500 * time.Millisecond
 	// stopMargin of the grace time is kept free for the process's end.
 	stopMargin  = 400 * time.Millisecond
 	returnTime  = time.Second
@@ -42,11 +46,32 @@
 	quietBefore = 300 * time.Millisecond // without a request before idle connections are closed
 )
 
+// stopPart scales the times above to a grace time that is shorter than they expect.
+func (n *Node) stopPart(d time.Duration) time.Duration {
+	return min(d, time.Duration(float64(d)/float64(usualGrace)*float64(settings.Seconds(n.cfg.Bounds.GraceS))))
+}
+
+const usualGrace = 8 * time.Second
+
+// Takes says whether a new request may begin here: a host that is stopping takes
+// none that it might not finish.
+func (n *Node) Takes(streaming bool) bool {
+	began := n.stopBegan.Load()
+	if began == nil {
+		return true
+	}
+	if streaming {
+		return time.Since(*began) < n.stopPart(streamTime)
+	}
+	return time.Since(*began) < n.stopPart(answerTime)
+}
+
 // Stop begins a planned stop: the host is no longer ready, finishes what it has
 // and ends within the grace time.
 func (n *Node) Stop() {
 	n.stopOnce.Do(func() {
-		n.draining.Store(true)
+		now := time.Now()
+		n.stopBegan.Store(&now)
 		log.WithFields(log.Fields{"open": n.handler.Open()}).Info("planned stop begins")
 		close(n.stopping)
 	})
@@ -63,7 +88,9 @@
 		if n.handler.Open() > 0 {
 			quietSince = now
 		}
-		if now.Sub(started) > noticeTime && now.Sub(quietSince) > quietBefore {
+		noticed := now.Sub(started) > n.stopPart(noticeTime) && now.Sub(quietSince) > quietBefore
+		refusing := !n.Takes(false) && n.handler.Open() == 0
+		if noticed || refusing {
 			break
 		}
 		wait.For(ctx, drainLook)
--- a/router/prepaid/treasury.go
+++ b/router/prepaid/treasury.go
@@ -67,6 +67,13 @@
 	all.Wait()
 }
 
+// SetPlan changes how slices are sized.
+func (t *Treasury) SetPlan(p Plan) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.opts.Plan = p
+}
+
 // Budget is the prepaid amount of an organisation by a configuration.
 type Budget struct {
 	Tenant string
--- a/router/retrybudget/retrybudget.go
+++ b/router/retrybudget/retrybudget.go
@@ -26,10 +26,10 @@
 
 // Budget counts one service. Its zero value is not ready; use New.
 type Budget struct {
-	limits Limits
-	hosts  func() int
+	hosts func() int
 
 	mu       sync.Mutex
+	limits   Limits
 	requests ring
 	repeats  ring
 }
@@ -71,6 +71,16 @@
 	return total
 }
 
+// setLimits changes the bounds. Counts of a window of another length start anew.
+func (b *Budget) setLimits(l Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l.Window != b.limits.Window {
+		b.requests, b.repeats = ring{}, ring{}
+	}
+	b.limits = l
+}
+
 func (b *Budget) slot(now time.Time) int64 {
 	return now.UnixNano() / (int64(b.limits.Window) / slots)
 }
@@ -99,10 +109,10 @@
 
 // Set holds a budget for each service.
 type Set struct {
-	limits Limits
-	hosts  func() int
+	hosts func() int
 
 	mu      sync.Mutex
+	limits  Limits
 	budgets map[string]*Budget
 }
 
@@ -122,3 +132,13 @@
 	}
 	return b
 }
+
+// SetLimits changes the bounds of all services.
+func (s *Set) SetLimits(l Limits) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = l
+	for _, b := range s.budgets {
+		b.setLimits(l)
+	}
+}
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -167,6 +167,13 @@
 	}
 }
 
+// SetDrainWithin changes how long a leaving target may still be chosen.
+func (r *Registry) SetDrainWithin(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.opts.DrainWithin = d
+}
+
 // forgetAfter is how long a target that left is remembered.
 const forgetAfter = 30 * time.Second
 
