prepaid: smaller slices, loans in parts

During cuts single hosts ran dry beside others that had tokens, since a loan needed 2.5 times the amount at one host.

Ruled out: reclaiming from a dead host (whatever it could spend without telling anybody can't be told from what it did not spend); clocks.

Change: a host lends what it can spare, several hosts in turn until it is enough; a host holds at most 0.6 even shares of what is unspent, and 0.3 whatever its demand.

--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -243,29 +243,34 @@
 	return nil
 }
 
-// Borrow asks other hosts for tokens until one lends enough.
+// Borrow asks other hosts for tokens, one after the other, until they lent
+// enough. A lost answer strands what was lent; it counts as spent.
 func (f *Fleet) Borrow(ctx context.Context, tenant string, tokens int64) int64 {
 	list := f.addresses()
-	ask := lendRequest{Tenant: tenant, Tokens: tokens}
-	answers := make(chan int64, borrowFrom)
-	asked := min(len(list), borrowFrom)
-	for _, address := range list[:asked] {
-		go func() {
-			var got lendResponse
-			// A lost answer strands what was lent; it counts as spent.
-			_ = f.calls.do(ctx, address, pathLend, ask, &got)
-			answers <- got.Tokens
-		}()
-	}
 	total := int64(0)
-	for range asked {
-		total += <-answers
+	for _, address := range list[:min(len(list), borrowFrom)] {
+		if total >= tokens || ctx.Err() != nil {
+			break
+		}
+		var got lendResponse
+		call, cancel := context.WithTimeout(ctx, borrowTimeout)
+		err := f.calls.do(call, address, pathLend, lendRequest{Tenant: tenant, Tokens: tokens - total}, &got)
+		cancel()
+		if err == nil {
+			total += got.Tokens
+		}
+	}
+	if tokens > 0 {
+		log.WithFields(log.Fields{"organisation": tenant, "wanted": tokens, "got": total}).Info("borrowed from other hosts")
 	}
 	return total
 }
 
-// borrowFrom is how many hosts are asked for a loan at a time.
-const borrowFrom = 2
+// Bounds of a loan.
+const (
+	borrowFrom    = 5 // hosts asked
+	borrowTimeout = 30 * time.Millisecond
+)
 
 // Leave takes this host's announcement back.
 func (f *Fleet) Leave(ctx context.Context) error {
--- a/router/forward/outcome.go
+++ b/router/forward/outcome.go
@@ -41,7 +41,7 @@
 	BadRequest:   {http.StatusBadRequest, 0},
 	TooLarge:     {http.StatusRequestEntityTooLarge, 0},
 	OverBudget:   {http.StatusPaymentRequired, 0},
-	BudgetWait:   {http.StatusServiceUnavailable, time.Second},
+	BudgetWait:   {http.StatusServiceUnavailable, 5 * time.Second},
 	Stopping:     {http.StatusServiceUnavailable, 50 * time.Millisecond},
 	NoTarget:     {http.StatusServiceUnavailable, 200 * time.Millisecond},
 	Overloaded:   {http.StatusServiceUnavailable, 100 * time.Millisecond},
--- a/router/prepaid/treasury.go
+++ b/router/prepaid/treasury.go
@@ -162,7 +162,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), borrowWait)
 	defer cancel()
-	if got := t.opts.Borrow(ctx, tenant, tokens); got > 0 {
+	if got := t.opts.Borrow(ctx, tenant, t.missing(tenant, tokens)); got > 0 {
 		t.credit(tenant, got)
 	}
 	got, _, err := t.try(tenant, tokens, true)
@@ -173,6 +173,17 @@
 	return got, err
 }
 
+// missing is what the wallet lacks for a request.
+func (t *Treasury) missing(tenant string, tokens int64) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.wallets[tenant]
+	if w == nil || !w.spendable() {
+		return 0
+	}
+	return max(tokens-w.free, 0)
+}
+
 // try reserves if the wallet has enough; else it notes that the request waits
 // and gives the channel that tells of more.
 func (t *Treasury) try(tenant string, tokens int64, waited bool) (*Reservation, <-chan struct{}, error) {
@@ -262,22 +273,19 @@
 }
 
 // lendPart is the part of a host's free tokens that it lends at most at once.
-const lendPart = 0.4
+const lendPart = 0.9
 
-// Lend takes tokens out of this host's slice for another host. They are gone
-// from here whether or not the other host gets them.
+// Lend takes tokens out of this host's slice for another host, as many as it can
+// spare up to those asked for. They are gone from here whether or not the other
+// host gets them.
 func (t *Treasury) Lend(tenant string, tokens int64) int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w := t.wallets[tenant]
-	if w == nil || tokens <= 0 || !w.spendable() {
-		return 0
-	}
-	most := int64(lendPart * float64(w.free))
-	if most < tokens {
+	if w == nil || tokens <= 0 || w.waiting > 0 || !w.spendable() {
 		return 0
 	}
-	lent := min(2*tokens, most)
+	lent := min(tokens, int64(lendPart*float64(w.free)))
 	w.free -= lent
 	return lent
 }
--- a/router/prepaid/wallet.go
+++ b/router/prepaid/wallet.go
@@ -17,7 +17,7 @@
 }
 
 // DefaultPlan is what the measurements in docs/MEASUREMENTS.md chose.
-var DefaultPlan = Plan{Horizon: 11, EvenPart: 0.25, MostParts: 1.6}
+var DefaultPlan = Plan{Horizon: 11, EvenPart: 0.3, MostParts: 0.6}
 
 // Figures of demand and of the changes worth an append.
 const (
