--- /dev/null
+++ b/router/logging/logging_test.go
@@ -0,0 +1,60 @@
+package logging
+
+import (
+	"bytes"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// stuck is a writer that blocks until it is let go.
+type stuck struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+	free chan struct{}
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.free
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.text.Write(p)
+}
+
+func TestWriterNeverBlocks(t *testing.T) {
+	is := is.New(t)
+	out := &stuck{free: make(chan struct{})}
+	w := NewWriter(out, 10)
+	for range 100 {
+		_, err := w.Write([]byte("line\n"))
+		is.NoErr(err)
+	}
+	is.True(w.Dropped() >= 89) // ten wait, one is being written
+	is.True(w.Dropped() <= 90)
+	close(out.free)
+	w.Flush()
+	time.Sleep(10 * time.Millisecond)
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	is.Equal(out.text.Len(), int(100-w.Dropped())*len("line\n"))
+}
+
+func TestLimiter(t *testing.T) {
+	is := is.New(t)
+	l := NewLimiter(10)
+	now := time.Unix(1, 0)
+	allowed := 0
+	for range 100 {
+		if ok, _ := l.Allow(now); ok {
+			allowed++
+		}
+	}
+	is.Equal(allowed, 10)
+	ok, skipped := l.Allow(now.Add(time.Second))
+	is.True(ok)
+	is.Equal(skipped, uint64(90))
+	_, skipped = l.Allow(now.Add(2 * time.Second))
+	is.Equal(skipped, uint64(0))
+}
--- /dev/null
+++ b/router/settings/settings_test.go
@@ -0,0 +1,69 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const good = `[host]
+name = h1
+zone = z1
+listen = 10.0.0.1:80
+ready_listen = 10.0.0.1:81
+peer_listen = 10.0.0.1:82
+seeds = 10.0.0.1:82, 10.0.0.2:82
+[log]
+address = 10.0.0.9:90
+partitions =
+`
+
+func load(t *testing.T, text string) (*Settings, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "s.ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(path)
+}
+
+func TestGoodSettings(t *testing.T) {
+	is := is.New(t)
+	s, err := load(t, good)
+	is.NoErr(err)
+	is.Equal(s.Host.Seeds, []string{"10.0.0.1:82", "10.0.0.2:82"})
+	is.Equal(s.Log.Partitions, 12) // a key without a value counts as not set
+	is.Equal(s.Bounds.RetryRatio, 0.2)
+	is.Equal(s.Host.MetricsListen, "")
+}
+
+// A bad value names section, key and reason.
+func TestBadSettings(t *testing.T) {
+	cases := []struct{ name, from, to, want string }{
+		{"missing key", "name = h1\n", "", `section [host]: key "name" is missing`},
+		{"unknown key", "zone = z1", "zone = z1\nzoo = 1", `section [host]: key "zoo" is not known`},
+		{"unknown section", "[log]", "[lag]\nx=1\n[log]", "section [lag]: not known"},
+		{"bad address", "10.0.0.1:81", "localhost:81", `section [host]: key "ready_listen": "localhost:81" is not an address`},
+		{"bad number", "partitions =", "partitions = many", `section [log]: key "partitions": "many" is not a whole number`},
+		{"too few partitions", "partitions =", "partitions = 0", `section [log]: key "partitions"`},
+		{"negative", "partitions =", "[bounds]\nretry_ratio = -1", `section [bounds]: key "retry_ratio": "-1" is not a number from 0`},
+		{"no window", "partitions =", "[bounds]\nretry_window_s = 0", `section [bounds]: key "retry_window_s"`},
+		{"bad level", "partitions =", "[output]\nlevel = loud", `section [output]: key "level": "loud" is not a level`},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := load(t, strings.Replace(good, c.from, c.to, 1))
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), c.want))
+		})
+	}
+}
+
+func TestMissingFile(t *testing.T) {
+	_, err := Load(filepath.Join(t.TempDir(), "none.ini"))
+	is.New(t).True(err != nil)
+}
--- a/router/target/health.go
+++ b/router/target/health.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"slices"
 	"time"
 
 	log "github.com/sirupsen/logrus"
@@ -50,12 +51,16 @@
 	shedUntil time.Time // it said it was full
 }
 
-// serviceStats are the smoothed figures of all targets of a service.
+// serviceStats are the figures of all targets of a service.
 type serviceStats struct {
-	failures float64
-	latency  float64
+	failures  float64 // smoothed
+	latency   float64 // median of the targets' smoothed latencies, in seconds
+	latencyAt time.Time
 }
 
+// medianEvery is the least time between two looks at the median latency.
+const medianEvery = 200 * time.Millisecond
+
 func smooth(old, sample, weight float64) float64 { return old + weight*(sample-old) }
 
 func (r *Registry) statsOf(service string) *serviceStats {
@@ -80,16 +85,26 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t.work -= work
-	stats := r.statsOf(t.Service)
-	seconds := latency.Seconds()
-	if stats.latency == 0 {
-		stats.latency = seconds
-	}
 	if t.health.latency == 0 {
-		t.health.latency = stats.latency
+		t.health.latency = latency.Seconds()
+	}
+	t.health.latency = smooth(t.health.latency, latency.Seconds(), latencyWeight)
+	r.updateMedian(t.Service, time.Now())
+}
+
+func (r *Registry) updateMedian(service string, now time.Time) {
+	stats := r.statsOf(service)
+	if now.Sub(stats.latencyAt) < medianEvery {
+		return
+	}
+	var all []float64
+	for _, t := range r.services[service] {
+		if t.health.latency > 0 {
+			all = append(all, t.health.latency)
+		}
 	}
-	t.health.latency = smooth(t.health.latency, seconds, latencyWeight)
-	stats.latency = smooth(stats.latency, seconds, latencyWeight/float64(max(len(r.services[t.Service]), 1)))
+	slices.Sort(all)
+	stats.latency, stats.latencyAt = all[(len(all)-1)/2], now
 }
 
 // End counts a request off again and takes in its result; work is that of Begin
--- /dev/null
+++ b/router/target/target_test.go
@@ -0,0 +1,219 @@
+package target
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	log "github.com/sirupsen/logrus"
+)
+
+func TestMain(m *testing.M) {
+	log.SetOutput(io.Discard)
+	m.Run()
+}
+
+func newRegistry(entries ...Entry) *Registry {
+	r := NewRegistry(Options{Zone: "z1", DrainWithin: 50 * time.Millisecond, MaxIdle: 1})
+	for _, e := range entries {
+		r.Put(e)
+	}
+	return r
+}
+
+func entry(id, zone string) Entry {
+	return Entry{ID: id, Service: "s", Address: "127.0.0.1:1", Zone: zone, Slots: 4}
+}
+
+// chosen counts the choices of n requests that all stay under way.
+func chosen(r *Registry, w Want, n int) map[string]int {
+	counts := map[string]int{}
+	for range n {
+		t := r.Choose(w)
+		if t == nil {
+			counts["none"]++
+			continue
+		}
+		r.Begin(t, w.Work)
+		counts[t.ID]++
+	}
+	return counts
+}
+
+func TestOwnWorkCountsAtOnce(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry(entry("a", "z1"), entry("b", "z1"), entry("c", "z1"))
+	got := chosen(r, Want{Service: "s"}, 9)
+	is.Equal(got, map[string]int{"a": 3, "b": 3, "c": 3})
+}
+
+func TestOwnFailureDomainFirst(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry(entry("near", "z1"), entry("far", "z2"))
+	is.Equal(chosen(r, Want{Service: "s"}, 1), map[string]int{"near": 1})
+	is.Equal(chosen(r, Want{Service: "s"}, 5)["far"], 3) // but not at any price
+}
+
+func TestUnknownService(t *testing.T) {
+	is := is.New(t)
+	is.Equal(newRegistry(entry("a", "z1")).Choose(Want{Service: "other"}), nil)
+}
+
+func TestLeavingTargetGetsNothingNew(t *testing.T) {
+	for name, leave := range map[string]func(*Registry){
+		"draining": func(r *Registry) { e := entry("a", "z1"); e.State = Draining; r.Put(e) },
+		"gone":     func(r *Registry) { r.Remove("a") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRegistry(entry("a", "z1"), entry("b", "z2"))
+			leave(r)
+			is.Equal(chosen(r, Want{Service: "s"}, 4), map[string]int{"b": 4})
+			is.Equal(r.Count("s"), 1)
+		})
+	}
+}
+
+// While no other target is left, one that left a moment ago may still be asked,
+// but not for longer than the operator allows.
+func TestLastTargetLeaving(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry(entry("a", "z1"))
+	r.Remove("a")
+	is.True(r.Choose(Want{Service: "s"}) != nil)
+	time.Sleep(60 * time.Millisecond)
+	is.Equal(r.Choose(Want{Service: "s"}), nil)
+	// Being told again that it leaves gives it no new time.
+	e := entry("a", "z1")
+	e.State = Draining
+	r.Put(e)
+	is.Equal(r.Choose(Want{Service: "s"}), nil)
+	r.Put(entry("a", "z1")) // listed as ready again
+	is.True(r.Choose(Want{Service: "s"}) != nil)
+}
+
+func TestAddressOfAnotherIncarnation(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry(entry("a", "z1"))
+	e := entry("a", "z1")
+	e.Address = "127.0.0.1:2"
+	r.Put(e)
+	is.Equal(r.Choose(Want{Service: "s"}).Address, "127.0.0.1:2")
+	is.Equal(r.Total(), 1)
+}
+
+func fail(r *Registry, id string, result Result, n int) {
+	for range n {
+		for _, t := range r.services["s"] {
+			if t.ID == id {
+				r.Begin(t, 0)
+				r.End(t, 0, result)
+			}
+		}
+	}
+}
+
+func TestBrokenTargetIsEjected(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry(entry("a", "z1"), entry("b", "z1"), entry("c", "z1"))
+	fail(r, "a", Broken, 2)
+	is.Equal(chosen(r, Want{Service: "s"}, 4)["a"], 0)
+}
+
+func TestGreyTargetIsEjected(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry(entry("a", "z1"), entry("b", "z1"), entry("c", "z1"))
+	for range 10 {
+		fail(r, "a", Errored, 1)
+		fail(r, "b", Succeeded, 1)
+		fail(r, "c", Succeeded, 1)
+	}
+	is.Equal(chosen(r, Want{Service: "s"}, 4)["a"], 0)
+}
+
+// When all targets fail alike, it is the requests and not the targets.
+func TestCommonFailuresEjectNobody(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry(entry("a", "z1"), entry("b", "z1"), entry("c", "z1"))
+	for range 30 {
+		for _, id := range []string{"a", "b", "c"} {
+			fail(r, id, Errored, 1)
+		}
+	}
+	is.Equal(len(chosen(r, Want{Service: "s"}, 9)), 3)
+}
+
+func TestMostTargetsStay(t *testing.T) {
+	is := is.New(t)
+	var entries []Entry
+	for i := range 10 {
+		entries = append(entries, entry(fmt.Sprint(i), "z1"))
+	}
+	r := newRegistry(entries...)
+	for i := range 10 {
+		fail(r, fmt.Sprint(i), Broken, 2)
+	}
+	is.Equal(len(r.usable(Want{Service: "s"}, time.Now())), 5)
+}
+
+func TestEjectedTargetIsBetterThanNone(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry(entry("a", "z1"), entry("b", "z1"))
+	fail(r, "a", Broken, 2)
+	is.Equal(r.Choose(Want{Service: "s", Exclude: map[string]bool{"b": true}}).ID, "a")
+	is.Equal(r.Choose(Want{Service: "s", Exclude: map[string]bool{"a": true, "b": true}}), nil)
+}
+
+func TestFullTargetIsLeftAloneForAMoment(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry(entry("a", "z1"), entry("b", "z2"))
+	fail(r, "a", Refused, 1)
+	is.Equal(r.Choose(Want{Service: "s"}).ID, "b")
+}
+
+func TestSharedPartsGoToOneTarget(t *testing.T) {
+	is := is.New(t)
+	var entries []Entry
+	for i := range 6 {
+		entries = append(entries, entry(fmt.Sprint(i), "z1"))
+	}
+	r := newRegistry(entries...)
+	first := r.Choose(Want{Service: "s", Affinity: "x:1"}).ID
+	for range 20 {
+		is.Equal(r.Choose(Want{Service: "s", Affinity: "x:1"}).ID, first)
+	}
+	// But not when it is much busier than the rest.
+	got := chosen(r, Want{Service: "s", Affinity: "x:1"}, 60)
+	is.True(got[first] < 40)
+	is.True(got[first] > 60/6)
+}
+
+func TestSlowTargetGetsLess(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry(entry("slow", "z1"), entry("b", "z1"), entry("c", "z1"))
+	for range 40 {
+		for _, x := range r.services["s"] {
+			latency := 50 * time.Millisecond
+			if x.ID == "slow" {
+				latency = time.Second
+			}
+			r.Begin(x, 0)
+			r.Answered(x, 0, latency)
+			r.End(x, 0, Succeeded)
+		}
+	}
+	r.updateMedian("s", time.Now().Add(time.Second))
+	got := chosen(r, Want{Service: "s"}, 12)
+	is.True(got["slow"] <= 2)
+}
+
+func TestForgetsTargetsThatLeft(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry(entry("a", "z1"), entry("b", "z1"))
+	r.Remove("a")
+	r.Sweep(time.Now().Add(forgetAfter + time.Second))
+	is.Equal(len(r.targets), 1)
+	is.Equal(len(r.services["s"]), 1)
+}
