prepaid: demand counts when a run begins; slices of 0.3 shares

Change: a reservation counts as demand at once and is corrected at its end; a host holds at most 0.3 even shares of what is unspent, and 0.2 whatever its demand.

--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -37,11 +37,6 @@
 // mayHaveRun says whether the target may have run the request.
 func (r result) mayHaveRun() bool { return r != notSent && r != refused }
 
-// ended says whether nothing more is to be done after such a try.
-func (r result) ended() bool {
-	return r == delivered || r == callerGone || r == outOfTime || r == cutOff
-}
-
 // Bounds of the tries of one request.
 const (
 	maxUnsent  = 4 // targets that can't be reached
--- a/router/prepaid/treasury.go
+++ b/router/prepaid/treasury.go
@@ -208,6 +208,7 @@
 	if w.free >= tokens && w.spendable() {
 		w.free -= tokens
 		w.reserved += tokens
+		w.note(tokens, time.Now())
 		return &Reservation{treasury: t, tenant: tenant, tokens: tokens}, nil, nil
 	}
 	w.waiting += tokens
@@ -256,9 +257,7 @@
 	used = min(used, r.tokens)
 	w.reserved -= r.tokens
 	w.free += r.tokens - used
-	if used > 0 {
-		w.note(used, time.Now())
-	}
+	w.correct(used-r.tokens, time.Now())
 	if used < r.tokens && w.waiting > 0 {
 		t.wake()
 	}
--- a/router/prepaid/wallet.go
+++ b/router/prepaid/wallet.go
@@ -17,7 +17,7 @@
 }
 
 // DefaultPlan is what the measurements in docs/MEASUREMENTS.md chose.
-var DefaultPlan = Plan{Horizon: 11, EvenPart: 0.3, MostParts: 0.6}
+var DefaultPlan = Plan{Horizon: 11, EvenPart: 0.2, MostParts: 0.3}
 
 // Figures of demand and of the changes worth an append.
 const (
@@ -57,13 +57,20 @@
 	return w.current().Left() >= 0
 }
 
-// note adds to the demand.
+// note adds a reservation to the demand: a run may take long, and what it needs is
+// known when it begins.
 func (w *wallet) note(tokens int64, now time.Time) {
 	w.decay(now)
 	w.demand += float64(tokens) / demandTime
 	w.largest = max(w.largest*0.98, float64(tokens))
 }
 
+// correct takes what a run did not use out of the demand again.
+func (w *wallet) correct(tokens int64, now time.Time) {
+	w.decay(now)
+	w.demand = max(w.demand+float64(tokens)/demandTime, 0)
+}
+
 func (w *wallet) decay(now time.Time) {
 	if !w.demandAt.IsZero() {
 		w.demand *= math.Exp(-now.Sub(w.demandAt).Seconds() / demandTime)
--- a/router/settings/sections.go
+++ b/router/settings/sections.go
@@ -69,8 +69,8 @@
 // Budgets says how slices of prepaid budgets are held.
 type Budgets struct {
 	HorizonS   float64 `ini:"horizon_s" default:"11"`    // a slice lasts so long at the present demand
-	EvenPart   float64 `ini:"even_part" default:"0.3"`   // of what is unspent is held whatever the demand
-	MostParts  float64 `ini:"most_parts" default:"0.6"`  // even shares that a host holds at most
+	EvenPart   float64 `ini:"even_part" default:"0.2"`   // of what is unspent is held whatever the demand
+	MostParts  float64 `ini:"most_parts" default:"0.3"`  // even shares that a host holds at most
 	IntervalMs float64 `ini:"interval_ms" default:"400"` // between looks at the accounts
 	WaitMs     float64 `ini:"wait_ms" default:"150"`     // a request waits so long for tokens
 }
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -54,13 +54,13 @@
 	ID    string
 	names Names
 
-	mu        sync.Mutex
-	behave    func(Run) Behaviour
-	runs      []*Run
-	arrivals  int
-	listener  net.Listener
-	conns     map[net.Conn]bool
-	listening bool
+	listener net.Listener
+
+	mu       sync.Mutex
+	behave   func(Run) Behaviour
+	runs     []*Run
+	arrivals int
+	conns    map[net.Conn]bool
 }
 
 // Start starts a backend on a free port of 127.0.0.1.
