prepaid: hold less of a budget that nears its end, hand over at a stop

Right after a cut hosts took much, since nothing had been granted during it and the budget seemed to last. Requests that waited took the last crumbs, too small for any of them.

Cuts of a budget near its end refuse more, which is spent later.

--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -4,16 +4,20 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"time"
+
+	log "github.com/sirupsen/logrus"
 )
 
 // Paths of the calls between hosts.
 const (
 	pathPull = "/fleet/pull"
 	pathLend = "/fleet/lend"
+	pathGive = "/fleet/give"
 )
 
 // maxCallBytes bounds a call's body.
@@ -49,6 +53,21 @@
 	Tokens int64 `json:"tokens"`
 }
 
+type giveRequest struct {
+	Tenant string `json:"tenant"`
+	Tokens int64  `json:"tokens"`
+}
+
+type giveResponse struct {
+	Took bool `json:"took"`
+}
+
+// notSent says whether a failed call surely did not reach the other host.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // client calls other hosts.
 type client struct {
 	http    *http.Client
@@ -94,6 +113,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+pathPull, f.servePull)
 	mux.HandleFunc("POST "+pathLend, f.serveLend)
+	mux.HandleFunc("POST "+pathGive, f.serveGive)
 	return mux
 }
 
@@ -126,6 +146,16 @@
 	write(w, lendResponse{Tokens: f.opts.Lend(ask.Tenant, ask.Tokens)})
 }
 
+func (f *Fleet) serveGive(w http.ResponseWriter, r *http.Request) {
+	var ask giveRequest
+	if !read(w, r, &ask) {
+		return
+	}
+	took := f.opts.Credit(ask.Tenant, ask.Tokens)
+	log.WithFields(log.Fields{"organisation": ask.Tenant, "tokens": ask.Tokens, "took": took}).Info("tokens of a stopping host")
+	write(w, giveResponse{Took: took})
+}
+
 func read(w http.ResponseWriter, r *http.Request, into any) bool {
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxCallBytes)).Decode(into); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -39,6 +39,8 @@
 	// by topic.
 	Copies map[string]*replica.Replica
 	Lend   func(tenant string, tokens int64) int64
+	// Credit takes in tokens that a stopping host hands over.
+	Credit func(tenant string, tokens int64) bool
 }
 
 // known is what this host knows of another.
@@ -272,6 +274,26 @@
 	borrowTimeout = 30 * time.Millisecond
 )
 
+// Give hands tokens over to another host. Only one is tried, unless it surely did
+// not take them.
+func (f *Fleet) Give(ctx context.Context, tenant string, tokens int64) bool {
+	for _, address := range f.addresses() {
+		var got giveResponse
+		call, cancel := context.WithTimeout(ctx, giveTimeout)
+		err := f.calls.do(call, address, pathGive, giveRequest{Tenant: tenant, Tokens: tokens}, &got)
+		cancel()
+		if err == nil && got.Took {
+			return true
+		}
+		if err != nil && !notSent(err) || ctx.Err() != nil {
+			return false
+		}
+	}
+	return false
+}
+
+const giveTimeout = 200 * time.Millisecond
+
 // Leave takes this host's announcement back.
 func (f *Fleet) Leave(ctx context.Context) error {
 	_, err := f.opts.Log.Append(ctx, f.partition(), []eventlog.Record{{Key: f.opts.Self.Name}})
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -134,7 +134,8 @@
 			n.outside.TargetsTopic: n.targetsCopy,
 			n.outside.HostsTopic:   n.hostsCopy,
 		},
-		Lend: func(tenant string, tokens int64) int64 { return n.treasury.Lend(tenant, tokens) },
+		Lend:   func(tenant string, tokens int64) int64 { return n.treasury.Lend(tenant, tokens) },
+		Credit: func(tenant string, tokens int64) bool { return n.treasury.Credit(tenant, tokens) },
 	})
 }
 
@@ -239,7 +240,7 @@
 
 // Ready says whether the host takes new connections.
 func (n *Node) Ready() bool {
-	return !n.Draining() && n.handler.Config() != nil && n.targetsCopy.End() > 0
+	return !n.Draining() && n.handler.Config() != nil && n.targetsCopy.Loaded()
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/router/node/node_test.go
+++ b/router/node/node_test.go
@@ -290,6 +290,7 @@
 	f.publish(config(1, plainRoute, ""))
 	f.backend("t1", backend.Behaviour{Body: "one"})
 	f.ready(h)
+	f.eventually("it serves", func() bool { return f.call(h, "/r/x", "").body == "one" })
 	f.log.SetFault("", memlog.Fault{Silent: true})
 	time.Sleep(500 * time.Millisecond)
 	for range 5 {
@@ -393,6 +394,29 @@
 	f.is.Equal(granted, int64(10*(60+10))) // what the streams used
 }
 
+// A host that stops while the log is out of reach hands its tokens to another.
+func TestPlannedStopWithoutTheLogHandsOver(t *testing.T) {
+	f := newFleet(t)
+	f.publish(config(1, engineRoute, `,"tenants":[{"name":"o","keys":["k"],"prepaid":100000}]`))
+	a, b := f.start(f.settings("a")), f.start(f.settings("b"))
+	f.ready(a)
+	f.ready(b)
+	free := func(h *host) int64 {
+		held, _ := h.treasury.Holding("o")
+		return held.Free
+	}
+	f.eventually("both hold a slice and know each other", func() bool {
+		return free(a) > 0 && free(b) > 0 && a.fleet.Size() == 2 && b.fleet.Size() == 2
+	})
+	f.log.SetFault("", memlog.Fault{Silent: true})
+	f.eventually("the loss is noticed", func() bool { up, _ := a.configCopy.Up(); return !up })
+	sum := free(a) + free(b)
+	a.Stop()
+	<-a.done
+	f.is.Equal(free(b), sum)
+	f.is.Equal(free(a), int64(0))
+}
+
 // A stopping host refuses what it could not finish, as not run.
 func TestStopRefusesLateRequests(t *testing.T) {
 	f := newFleet(t)
--- a/router/node/reload.go
+++ b/router/node/reload.go
@@ -45,5 +45,8 @@
 }
 
 func plan(s *settings.Settings) prepaid.Plan {
-	return prepaid.Plan{Horizon: s.Budgets.HorizonS, EvenPart: s.Budgets.EvenPart, MostParts: s.Budgets.MostParts}
+	b := s.Budgets
+	return prepaid.Plan{
+		Horizon: b.HorizonS, FullSpan: b.FullSpanS, MostPart: b.MostPart, LeastPart: b.LeastPart, EvenPart: b.EvenPart,
+	}
 }
--- a/router/node/stop.go
+++ b/router/node/stop.go
@@ -100,12 +100,20 @@
 	log.WithFields(log.Fields{"open": n.handler.Open(), "took": time.Since(started).Round(time.Millisecond)}).Info("planned stop done")
 }
 
-// giveBack returns free tokens and takes the announcement back.
+// giveBack returns free tokens, to the log or, while that is out of reach, to
+// another host, and takes the announcement back.
 func (n *Node) giveBack(ctx context.Context) {
 	c, cancel := context.WithTimeout(ctx, returnTime)
 	defer cancel()
-	if err := n.treasury.Close(c); err != nil {
-		log.WithError(err).Warn("free tokens are lost")
+	up, _ := n.configCopy.Up()
+	if up {
+		if err := n.treasury.Close(c); err != nil {
+			log.WithError(err).Warn("free tokens not given back to the log")
+		}
+	}
+	n.treasury.HandOver(c, n.fleet.Give)
+	if !up {
+		return
 	}
 	if err := n.fleet.Leave(c); err != nil {
 		log.WithError(err).Warn("announcement not taken back")
--- a/router/prepaid/clerk.go
+++ b/router/prepaid/clerk.go
@@ -149,7 +149,7 @@
 }
 
 // refreshEvery is the least time between two reads for want of tokens.
-const refreshEvery = 250 * time.Millisecond
+const refreshEvery = 400 * time.Millisecond
 
 // refreshDue says whether requests wait for tokens of an account that has none
 // left as far as this host knows: others may have given some back.
@@ -167,7 +167,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for tenant, w := range t.wallets {
-		if t.clerkOf(tenant) == c && (w.waiting > 0 || w.hungry) {
+		if t.clerkOf(tenant) == c && (len(w.waiting) > 0 || w.hungry) {
 			return true
 		}
 	}
@@ -396,6 +396,7 @@
 		return
 	}
 	w.account, w.known, w.offset = a, true, offset
+	w.flow.add(a.Granted, time.Now())
 	t.wake()
 }
 
@@ -409,6 +410,7 @@
 		w.free += o.taken
 		if offset := at + int64(i); !w.known || offset > w.offset {
 			w.account, w.known, w.offset = o.next, true, offset
+			w.flow.add(o.next.Granted, time.Now())
 		}
 		log.WithFields(log.Fields{
 			"organisation": o.tenant, "taken": o.taken, "returned": o.given, "granted": o.next.Granted,
--- a/router/prepaid/treasury.go
+++ b/router/prepaid/treasury.go
@@ -200,7 +200,7 @@
 		return &Reservation{treasury: t, tenant: tenant}, nil, nil
 	}
 	if waited {
-		w.waiting -= min(tokens, w.waiting)
+		w.stopWaiting(tokens)
 	}
 	if tokens > w.limit {
 		return nil, nil, ErrNever
@@ -211,7 +211,7 @@
 		w.note(tokens, time.Now())
 		return &Reservation{treasury: t, tenant: tenant, tokens: tokens}, nil, nil
 	}
-	w.waiting += tokens
+	w.wait(tokens)
 	return nil, t.changed, nil
 }
 
@@ -219,7 +219,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if w := t.wallets[tenant]; w != nil {
-		w.waiting -= min(tokens, w.waiting)
+		w.stopWaiting(tokens)
 	}
 }
 
@@ -258,7 +258,7 @@
 	w.reserved -= r.tokens
 	w.free += r.tokens - used
 	w.correct(used-r.tokens, time.Now())
-	if used < r.tokens && w.waiting > 0 {
+	if used < r.tokens && len(w.waiting) > 0 {
 		t.wake()
 	}
 }
@@ -268,6 +268,38 @@
 	t.changed = make(chan struct{})
 }
 
+// HandOver gives all free tokens to other hosts and takes no more; give says
+// whether one took them. Without an answer they count as spent.
+func (t *Treasury) HandOver(ctx context.Context, give func(ctx context.Context, tenant string, tokens int64) bool) {
+	t.mu.Lock()
+	t.closing = true
+	free := map[string]int64{}
+	for tenant, w := range t.wallets {
+		if w.free > 0 && w.spendable() {
+			free[tenant] = w.free
+			w.free = 0
+		}
+	}
+	t.mu.Unlock()
+	for tenant, tokens := range free {
+		took := give(ctx, tenant, tokens)
+		log.WithFields(log.Fields{"organisation": tenant, "tokens": tokens, "took": took}).Info("free tokens handed over")
+	}
+}
+
+// Credit takes in tokens that another host handed over. A host that is stopping
+// or does not know the budget refuses them.
+func (t *Treasury) Credit(tenant string, tokens int64) bool {
+	t.mu.Lock()
+	refuse := t.closing || t.wallets[tenant] == nil || tokens <= 0
+	t.mu.Unlock()
+	if refuse {
+		return false
+	}
+	t.credit(tenant, tokens)
+	return true
+}
+
 func (t *Treasury) credit(tenant string, tokens int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -287,7 +319,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w := t.wallets[tenant]
-	if w == nil || tokens <= 0 || w.waiting > 0 || !w.spendable() {
+	if w == nil || tokens <= 0 || len(w.waiting) > 0 || !w.spendable() {
 		return 0
 	}
 	lent := min(tokens, int64(lendPart*float64(w.free)))
--- a/router/prepaid/wallet.go
+++ b/router/prepaid/wallet.go
@@ -2,22 +2,39 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
-// Plan holds the figures by which a host sizes its slice of a budget.
+// Plan holds the figures by which a host sizes its slice of a budget. What hosts
+// hold is lost if they die, and is all they have while the log is out of reach.
+// The nearer a budget is to its end, the more the first counts: what is not spent
+// during an outage is then spent after it.
 type Plan struct {
 	// Horizon is how long a slice lasts at the present demand, in seconds.
 	Horizon float64
-	// EvenPart is the part of all unspent tokens that all hosts together hold
-	// whatever the demand, so that a host whose demand jumps can go on.
+	// FullSpan is the time, in seconds, that a budget has to last at the present
+	// flow for hosts to hold MostPart of it; with less they hold less.
+	FullSpan float64
+	// MostPart and LeastPart bound the part of the unspent tokens that all hosts
+	// together hold.
+	MostPart, LeastPart float64
+	// EvenPart is the part of that which a host holds whatever its demand.
 	EvenPart float64
-	// MostParts bounds a slice: so many even shares of the unspent tokens.
-	MostParts float64
 }
 
 // DefaultPlan is what the measurements in docs/MEASUREMENTS.md chose.
-var DefaultPlan = Plan{Horizon: 11, EvenPart: 0.2, MostParts: 0.3}
+var DefaultPlan = Plan{Horizon: 11, FullSpan: 30, MostPart: 0.35, LeastPart: 0.02, EvenPart: 0.6}
+
+// part is the part of the unspent tokens that all hosts together may hold. It falls
+// with the third power of the time that the budget still lasts.
+func (p Plan) part(unspent, flow float64) float64 {
+	if flow <= 0 {
+		return p.MostPart
+	}
+	lasts := min(unspent/flow/p.FullSpan, 1)
+	return max(p.MostPart*lasts*lasts*lasts, p.LeastPart)
+}
 
 // Figures of demand and of the changes worth an append.
 const (
@@ -25,6 +42,7 @@
 	refillBelow  = 0.7 // of the wanted slice
 	returnAbove  = 1.6 // times the wanted slice
 	smallReturns = 0.02
+	usefulTake   = 0.5 // of a recent large request; less is not worth an append
 )
 
 // wallet is this host's part of one budget. It is guarded by its treasury's lock.
@@ -37,10 +55,11 @@
 	verify   int64 // the account must be seen under this version or later before anything is spent
 	free     int64
 	reserved int64
-	waiting  int64 // what requests wait for
-	hungry   bool  // a request was turned away for want of tokens since the last look
+	waiting  []int64 // what requests wait for, one entry each
+	hungry   bool    // a request was turned away for want of tokens
 
-	demand   float64 // tokens a second
+	flow     flow
+	demand   float64 // of this host, tokens a second
 	demandAt time.Time
 	largest  float64 // of the recent requests
 }
@@ -88,19 +107,39 @@
 	}
 	left := float64(a.Left())
 	unspent := left + float64(w.free)
-	share := unspent / float64(max(hosts, 1))
-	even := p.EvenPart * share
-	most := p.MostParts * share
+	most := p.part(unspent, w.flow.rate(now)) * unspent / float64(max(hosts, 1))
+	even := p.EvenPart * most
 	want := max(even, min(w.demand*p.Horizon+w.largest, most))
 	free := float64(w.free)
-	if w.waiting > 0 {
-		return Change{Take: int64(max(want-free, float64(w.waiting))), Least: 1}
+	if len(w.waiting) > 0 {
+		return w.takeForWaiting(want)
 	}
 	switch {
-	case free < refillBelow*want && left > 0:
+	case free < refillBelow*want && want-free >= usefulTake*w.largest && left > 0:
 		return Change{Take: int64(want - free)}
 	case free > returnAbove*want && free-want > smallReturns*unspent:
 		return Change{Return: int64(free - want)}
 	}
 	return Change{}
 }
+
+// takeForWaiting asks for a slice that lets all waiting requests begin, or at least
+// the smallest of them.
+func (w *wallet) takeForWaiting(want float64) Change {
+	sum, least := int64(0), w.waiting[0]
+	for _, tokens := range w.waiting {
+		sum += tokens
+		least = min(least, tokens)
+	}
+	return Change{Take: max(int64(want), sum) - w.free, Least: max(least-w.free, 1)}
+}
+
+// wait notes that a request waits for tokens.
+func (w *wallet) wait(tokens int64) { w.waiting = append(w.waiting, tokens) }
+
+// stopWaiting takes back what wait noted.
+func (w *wallet) stopWaiting(tokens int64) {
+	if i := slices.Index(w.waiting, tokens); i >= 0 {
+		w.waiting = slices.Delete(w.waiting, i, i+1)
+	}
+}
--- a/router/replica/replica.go
+++ b/router/replica/replica.go
@@ -254,6 +254,13 @@
 	return r.end
 }
 
+// Loaded says whether the copy has taken over the topic once.
+func (r *Replica) Loaded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loaded
+}
+
 // Up says whether the last call to the log succeeded, and when one last did.
 func (r *Replica) Up() (up bool, contact time.Time) {
 	r.mu.Lock()
