--- a/router/settings/sections.go
+++ b/router/settings/sections.go
@@ -43,12 +43,11 @@
 
 // Bounds are the promises that the operator counts on.
 type Bounds struct {
-	DrainMs       float64 `ini:"drain_ms" default:"2000"`        // a leaving target gets nothing new after it
-	GraceS        float64 `ini:"grace_s" default:"8"`            // a planned stop ends within it
-	RetryRatio    float64 `ini:"retry_ratio" default:"0.2"`      // arrivals beyond the first, for each request
-	RetrySlack    float64 `ini:"retry_slack" default:"20"`       // and so many more, of all hosts together
-	RetryWindowS  float64 `ini:"retry_window_s" default:"10"`    // in any span of this length
-	ConfigApplyMs float64 `ini:"config_apply_ms" default:"2000"` // a configuration is in force within it
+	DrainMs      float64 `ini:"drain_ms" default:"2000"`     // a leaving target gets nothing new after it
+	GraceS       float64 `ini:"grace_s" default:"8"`         // a planned stop ends within it
+	RetryRatio   float64 `ini:"retry_ratio" default:"0.2"`   // arrivals beyond the first, for each request
+	RetrySlack   float64 `ini:"retry_slack" default:"20"`    // and so many more, of all hosts together
+	RetryWindowS float64 `ini:"retry_window_s" default:"10"` // in any span of this length
 }
 
 func (b Bounds) check() error {
--- a/router/settings/settings_test.go
+++ b/router/settings/settings_test.go
@@ -3,6 +3,8 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -63,6 +65,26 @@
 	}
 }
 
+// The commented settings show every key with its default.
+func TestShownDefaults(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile("../../config/router.ini")
+	is.NoErr(err)
+	want, err := load(t, string(data))
+	is.NoErr(err)
+	shown := regexp.MustCompile(`(?m)^; ([a-z0-9_]+) =`).ReplaceAllString(string(data), "$1 =")
+	got, err := load(t, shown)
+	is.NoErr(err)
+	is.Equal(got, want)
+	keys := regexp.MustCompile(`(?m)^[a-z0-9_]+ =`).FindAllString(shown, -1)
+	fields := 0
+	all := reflect.TypeFor[Settings]()
+	for i := range all.NumField() {
+		fields += all.Field(i).Type.NumField()
+	}
+	is.Equal(len(keys), fields)
+}
+
 func TestMissingFile(t *testing.T) {
 	_, err := Load(filepath.Join(t.TempDir(), "none.ini"))
 	is.New(t).True(err != nil)
