prepaid: slices last longer, refusals come sooner

Change: hosts hold the full part of a budget that lasts for 25 s; a request waits 120 ms for the log and 50 ms for other hosts.

--- a/router/prepaid/treasury.go
+++ b/router/prepaid/treasury.go
@@ -160,7 +160,7 @@
 }
 
 // borrowWait bounds a request to other hosts.
-const borrowWait = 80 * time.Millisecond
+const borrowWait = 50 * time.Millisecond
 
 func (t *Treasury) borrow(tenant string, tokens int64) (*Reservation, error) {
 	if t.opts.Borrow == nil {
--- a/router/prepaid/wallet.go
+++ b/router/prepaid/wallet.go
@@ -24,7 +24,7 @@
 }
 
 // DefaultPlan is what the measurements in docs/MEASUREMENTS.md chose.
-var DefaultPlan = Plan{Horizon: 11, FullSpan: 30, MostPart: 0.35, LeastPart: 0.02, EvenPart: 0.6}
+var DefaultPlan = Plan{Horizon: 11, FullSpan: 25, MostPart: 0.35, LeastPart: 0.02, EvenPart: 0.6}
 
 // part is the part of the unspent tokens that all hosts together may hold. It falls
 // with the third power of the time that the budget still lasts.
--- a/router/settings/sections.go
+++ b/router/settings/sections.go
@@ -68,12 +68,12 @@
 // Budgets says how slices of prepaid budgets are held.
 type Budgets struct {
 	HorizonS   float64 `ini:"horizon_s" default:"11"`    // a slice lasts so long at the present demand
-	FullSpanS  float64 `ini:"full_span_s" default:"30"`  // a budget that lasts so long is held by most_part
+	FullSpanS  float64 `ini:"full_span_s" default:"25"`  // a budget that lasts so long is held by most_part
 	MostPart   float64 `ini:"most_part" default:"0.35"`  // of what is unspent all hosts hold at most
 	LeastPart  float64 `ini:"least_part" default:"0.02"` // near its end
 	EvenPart   float64 `ini:"even_part" default:"0.6"`   // of that, a host holds whatever its demand
 	IntervalMs float64 `ini:"interval_ms" default:"400"` // between looks at the accounts
-	WaitMs     float64 `ini:"wait_ms" default:"150"`     // a request waits so long for tokens
+	WaitMs     float64 `ini:"wait_ms" default:"120"`     // a request waits so long for tokens
 }
 
 // Output says what is logged to standard output.
