--- a/router/prepaid/clerk.go
+++ b/router/prepaid/clerk.go
@@ -23,6 +23,7 @@
 	loaded    bool
 	end       int64 // all records below are known
 	refreshed time.Time
+	conflicts float64 // smoothed share of appends that others' came before
 }
 
 // Outcomes of calls to the log.
@@ -33,6 +34,13 @@
 	CallRefused  = "refused"
 )
 
+// readFirst is the share of conflicts above which the partition is read before an
+// append: a lost race costs an append, a read and another append.
+const (
+	readFirst      = 0.5
+	conflictWeight = 0.1
+)
+
 // conflictTries bounds the appends of one round that other hosts' came before.
 const conflictTries = 6
 
@@ -63,9 +71,10 @@
 	}
 }
 
+// run keeps the accounts until ctx ends. After a failure the next round waits,
+// longer each time, whether requests wait or not.
 func (c *clerk) run(ctx context.Context) {
-	interval := c.treasury.opts.Interval
-	timer := time.NewTimer(interval)
+	timer := time.NewTimer(jitter(c.interval()))
 	defer timer.Stop()
 	failures := 0
 	for {
@@ -75,13 +84,11 @@
 		case <-c.kicked:
 		case <-timer.C:
 		}
-		err := c.round(ctx)
-		pause := interval
-		if err != nil {
+		pause := c.interval()
+		if err := c.round(ctx); err != nil {
 			failures++
-			// Not kept from trying by requests that wait: the log may be back.
-			pause = min(interval, minRetry<<min(failures, 4))
-			sleep(ctx, minRetry)
+			sleep(ctx, jitter(min(minRetry<<min(failures, maxDoublings), maxRetry)))
+			pause = 0
 		} else {
 			failures = 0
 		}
@@ -89,9 +96,27 @@
 	}
 }
 
-const minRetry = 20 * time.Millisecond
+// usualHosts is the number of hosts up to which each looks at its accounts at the
+// interval of the settings; more hosts look less often.
+const usualHosts = 8
+
+func (c *clerk) interval() time.Duration {
+	t := c.treasury
+	return t.opts.Interval * time.Duration(max(t.opts.Hosts(), usualHosts)) / usualHosts
+}
+
+// Pauses after a failed call.
+const (
+	minRetry     = 20 * time.Millisecond
+	maxRetry     = 800 * time.Millisecond
+	maxDoublings = 6
+)
 
+// jitter spreads a pause over half of it to one and a half.
 func jitter(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
 	return d/2 + rand.N(d)
 }
 
@@ -128,6 +153,11 @@
 			return err
 		}
 	}
+	if c.conflicts > readFirst && c.wants() {
+		if _, err := c.follow(ctx, nil, 0); err != nil {
+			return c.afterRefresh(ctx, err)
+		}
+	}
 	for range conflictTries {
 		orders := c.orders()
 		if len(orders) == 0 && c.refreshDue() {
@@ -194,22 +224,38 @@
 	return false
 }
 
+// wants says whether a change is due as far as this host knows.
+func (c *clerk) wants() bool {
+	t := c.treasury
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for tenant, w := range t.wallets {
+		if t.clerkOf(tenant) == c && t.change(w) != (Change{}) {
+			return true
+		}
+	}
+	return false
+}
+
+// change is what is to be asked of an account; the treasury's lock is held.
+func (t *Treasury) change(w *wallet) Change {
+	if t.closing {
+		return Change{Return: w.free}
+	}
+	return w.change(t.opts.Plan, t.opts.Hosts(), time.Now())
+}
+
 // orders works out the changes that are due and debits what is given back.
 func (c *clerk) orders() []order {
 	t := c.treasury
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := time.Now()
-	hosts := t.opts.Hosts()
 	var orders []order
 	for tenant, w := range t.wallets {
 		if t.clerkOf(tenant) != c {
 			continue
 		}
-		change := w.change(t.opts.Plan, hosts, now)
-		if t.closing {
-			change = Change{Return: w.free}
-		}
+		change := t.change(w)
 		next, taken, ok := w.current().Apply(change)
 		announce := w.account.Version < w.verify
 		if !ok && !announce || change == (Change{}) && !announce {
@@ -242,11 +288,14 @@
 		switch {
 		case err == nil:
 			c.called(CallTaken)
+			c.conflicts -= conflictWeight * c.conflicts
 			c.end = end
 			c.book(orders, at)
 			return true, nil
 		case errors.As(err, &conflict):
 			c.called(CallConflict)
+			c.conflicts += conflictWeight * (1 - c.conflicts)
+			log.WithFields(log.Fields{"partition": c.partition.String(), "at": at, "end": conflict.End}).Debug("another host's append came first")
 			return c.afterConflict(ctx, orders, at, unknown)
 		case errors.Is(err, eventlog.ErrRefused) && !unknown:
 			c.called(CallRefused)
--- a/router/prepaid/wallet.go
+++ b/router/prepaid/wallet.go
@@ -40,7 +40,7 @@
 const (
 	demandTime   = 4.0 // seconds over which demand is smoothed
 	refillBelow  = 0.7 // of the wanted slice
-	returnAbove  = 1.6 // times the wanted slice
+	returnAbove  = 2.0 // times the wanted slice
 	smallReturns = 0.02
 	usefulTake   = 0.5 // of a recent large request; less is not worth an append
 )
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -22,7 +22,7 @@
 // Figures of the choice.
 const (
 	affinityBound = 1.6  // times the mean load that a target with the prompt's parts may have
-	affinitySlack = 3.0  // requests that it may have above that
+	affinitySlack = 10.0 // requests that it may have above that
 	farLoad       = 0.3  // what another failure domain counts as, in requests
 	workUnit      = 6000 // prompt tokens that count as one more request
 	coldLoad      = 2.0  // what a cold target counts as, times its load
