prepaid, fleet: few hosts of a large fleet keep slices, the others borrow

Cause: on the grown kpn site 87 hosts took and returned slices of 24 budgets: 61,833 calls to the store in 30 s. A tenant's callers come through few hosts (dewu80: 5,054 of its requests through one), while even shares lay at all others and were not given back, since a host that takes nothing does not see the budget end.

There demand alone sizes a slice. A keeper's answer that it has too little stands for 250 ms. A target is given up for silence only when another try is granted; a wait for tokens no longer misses a gain before it.

No second design: a fleet of eight hosts is the case where all keep.

--- a/router/exchange/conn.go
+++ b/router/exchange/conn.go
@@ -28,9 +28,8 @@
 	keepFor   time.Duration // what the target said of idle connections
 
 	closed  atomic.Bool
-	spoiled bool       // must not carry another request
-	written chan error // the write of the present request
-	ctx     context.Context
+	spoiled bool          // must not carry another request
+	written chan error    // the write of the present request
 	stop    func() bool   // ends the watch of the context
 	request *http.Request // what the answer's framing depends on
 }
@@ -70,8 +69,7 @@
 // Send writes the request and starts watching ctx: when it ends, so does all
 // that is under way on the connection.
 func (c *Conn) Send(ctx context.Context, req Request) *Failure {
-	c.ctx = ctx
-	c.stop = context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(aLongTimeAgo) })
+	c.stop = context.AfterFunc(ctx, c.Abort)
 	c.request = &http.Request{Method: req.Method}
 	c.written = make(chan error, 1)
 	if len(req.Head)+len(req.Body) <= inlineBody {
@@ -136,13 +134,9 @@
 	}
 }
 
-// ReadBy bounds the reads from now on; the zero time: no bound but the context.
-func (c *Conn) ReadBy(deadline time.Time) {
-	_ = c.nc.SetReadDeadline(deadline)
-	if c.ctx != nil && c.ctx.Err() != nil {
-		_ = c.nc.SetDeadline(aLongTimeAgo)
-	}
-}
+// Abort ends all that is under way on the connection at once. It may be called
+// from another goroutine.
+func (c *Conn) Abort() { _ = c.nc.SetDeadline(aLongTimeAgo) }
 
 // Spoil keeps the connection from being used again.
 func (c *Conn) Spoil() { c.spoiled = true }
--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -46,11 +46,13 @@
 
 type lendRequest struct {
 	Tenant string `json:"tenant"`
-	Tokens int64  `json:"tokens"`
+	Tokens int64  `json:"tokens"` // needed
+	Better int64  `json:"better"` // wanted if they can be spared
 }
 
 type lendResponse struct {
 	Tokens int64 `json:"tokens"`
+	Keeper bool  `json:"keeper"` // the lender takes slices of the budget from the log
 }
 
 type giveRequest struct {
@@ -143,7 +145,8 @@
 	if !read(w, r, &ask) {
 		return
 	}
-	write(w, lendResponse{Tokens: f.opts.Lend(ask.Tenant, ask.Tokens)})
+	loan := f.opts.Lend(r.Context(), ask.Tenant, ask.Tokens, ask.Better)
+	write(w, lendResponse{Tokens: loan.Tokens, Keeper: loan.Answered})
 }
 
 func (f *Fleet) serveGive(w http.ResponseWriter, r *http.Request) {
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -13,6 +13,7 @@
 	log "github.com/sirupsen/logrus"
 
 	"maststage.dev/router/eventlog"
+	"maststage.dev/router/prepaid"
 	"maststage.dev/router/replica"
 )
 
@@ -38,7 +39,7 @@
 	// Copies are the copies of the log's topics that hosts pull from each other,
 	// by topic.
 	Copies map[string]*replica.Replica
-	Lend   func(tenant string, tokens int64) int64
+	Lend   func(ctx context.Context, tenant string, tokens, better int64) prepaid.Loan
 	// Credit takes in tokens that a stopping host hands over.
 	Credit func(tenant string, tokens int64) bool
 }
@@ -54,9 +55,10 @@
 	opts  Options
 	calls *client
 
-	mu    sync.Mutex
-	seeds []string
-	hosts map[string]known
+	mu     sync.Mutex
+	seeds  []string
+	hosts  map[string]known
+	silent map[string]time.Time // addresses that did not answer, and when
 }
 
 // forgetAfter is how long a host counts without a new announcement. It is long:
@@ -65,7 +67,7 @@
 
 // New makes a fleet of this host alone; Run fills it.
 func New(opts Options) *Fleet {
-	return &Fleet{opts: opts, calls: newClient(opts.Timeout), seeds: opts.Seeds, hosts: map[string]known{}}
+	return &Fleet{opts: opts, calls: newClient(opts.Timeout), seeds: opts.Seeds, hosts: map[string]known{}, silent: map[string]time.Time{}}
 }
 
 // Changed takes in announcements from the log's copy.
@@ -181,8 +183,7 @@
 			list = append(list, seed)
 		}
 	}
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	return list
+	return shuffled(list)
 }
 
 // pull asks other hosts for what this one may have missed.
@@ -245,55 +246,6 @@
 	return nil
 }
 
-// Borrow asks other hosts for tokens, one after the other, until they lent
-// enough. A lost answer strands what was lent; it counts as spent.
-func (f *Fleet) Borrow(ctx context.Context, tenant string, tokens int64) int64 {
-	list := f.addresses()
-	total := int64(0)
-	for _, address := range list[:min(len(list), borrowFrom)] {
-		if total >= tokens || ctx.Err() != nil {
-			break
-		}
-		var got lendResponse
-		call, cancel := context.WithTimeout(ctx, borrowTimeout)
-		err := f.calls.do(call, address, pathLend, lendRequest{Tenant: tenant, Tokens: tokens - total}, &got)
-		cancel()
-		if err == nil {
-			total += got.Tokens
-		}
-	}
-	if tokens > 0 {
-		log.WithFields(log.Fields{"organisation": tenant, "wanted": tokens, "got": total}).Debug("borrowed from other hosts")
-	}
-	return total
-}
-
-// Bounds of a loan.
-const (
-	borrowFrom    = 5 // hosts asked
-	borrowTimeout = 30 * time.Millisecond
-)
-
-// Give hands tokens over to another host. Only one is tried, unless it surely did
-// not take them.
-func (f *Fleet) Give(ctx context.Context, tenant string, tokens int64) bool {
-	for _, address := range f.addresses() {
-		var got giveResponse
-		call, cancel := context.WithTimeout(ctx, giveTimeout)
-		err := f.calls.do(call, address, pathGive, giveRequest{Tenant: tenant, Tokens: tokens}, &got)
-		cancel()
-		if err == nil && got.Took {
-			return true
-		}
-		if err != nil && !notSent(err) || ctx.Err() != nil {
-			return false
-		}
-	}
-	return false
-}
-
-const giveTimeout = 200 * time.Millisecond
-
 // Leave takes this host's announcement back.
 func (f *Fleet) Leave(ctx context.Context) error {
 	_, err := f.opts.Log.Append(ctx, f.partition(), []eventlog.Record{{Key: f.opts.Self.Name}})
--- /dev/null
+++ b/router/fleet/keepers.go
@@ -0,0 +1,192 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	log "github.com/sirupsen/logrus"
+
+	"maststage.dev/lib/rendezvous"
+	"maststage.dev/router/prepaid"
+)
+
+// keeperGroup is how many hosts of a failure domain share one keeper of a budget.
+// A fleet of no more hosts has no keepers: each takes its own slices.
+const keeperGroup = 8
+
+// Keepers says how many hosts take slices of a budget from the log, and whether
+// this host is one of them. In large fleets a few hosts of each failure domain are,
+// by rendezvous hashing, and the others borrow from them.
+func (f *Fleet) Keepers(tenant string) (count int, self bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	zones := f.zones()
+	total := 0
+	for _, n := range zones {
+		total += n
+	}
+	if total <= keeperGroup {
+		return total, true
+	}
+	for _, n := range zones {
+		count += keepersOf(n)
+	}
+	own := rendezvous.Score(tenant, f.opts.Self.Name)
+	above := 0
+	for name, k := range f.hosts {
+		if f.counts(name, k) && k.host.Zone == f.opts.Self.Zone && rendezvous.Score(tenant, name) > own {
+			above++
+		}
+	}
+	return count, above < keepersOf(zones[f.opts.Self.Zone])
+}
+
+func keepersOf(hosts int) int { return (hosts + keeperGroup - 1) / keeperGroup }
+
+// counts says whether a host other than this one takes part; the lock is held.
+func (f *Fleet) counts(name string, k known) bool {
+	return name != f.opts.Self.Name && time.Since(k.seen) < forgetAfter
+}
+
+// zones counts the hosts of each failure domain, this one included.
+func (f *Fleet) zones() map[string]int {
+	zones := map[string]int{f.opts.Self.Zone: 1}
+	for name, k := range f.hosts {
+		if f.counts(name, k) {
+			zones[k.host.Zone]++
+		}
+	}
+	return zones
+}
+
+// keeperAddresses lists the keepers of a budget in this host's failure domain, those
+// that did not answer a moment ago last; nil if each host takes its own slices.
+func (f *Fleet) keeperAddresses(tenant string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	zones := f.zones()
+	total := 0
+	for _, n := range zones {
+		total += n
+	}
+	if total <= keeperGroup {
+		return nil
+	}
+	var same []known
+	for name, k := range f.hosts {
+		if f.counts(name, k) && k.host.Zone == f.opts.Self.Zone {
+			same = append(same, k)
+		}
+	}
+	ranked := rendezvous.Rank(tenant, same, func(k known) string { return k.host.Name })
+	ranked = ranked[:min(len(ranked), keepersOf(zones[f.opts.Self.Zone]))]
+	// Each borrower begins with another keeper.
+	if n := len(ranked); n > 1 {
+		start := int(rendezvous.Score(tenant, f.opts.Self.Name) % uint64(n))
+		ranked = append(ranked[start:n:n], ranked[:start]...)
+	}
+	var good, silent []string
+	for _, k := range ranked {
+		if time.Since(f.silent[k.host.Address]) < silentPause {
+			silent = append(silent, k.host.Address)
+		} else {
+			good = append(good, k.host.Address)
+		}
+	}
+	return append(good, silent...)
+}
+
+// silentPause is how long a host that did not answer is asked last.
+const silentPause = 2 * time.Second
+
+func (f *Fleet) noteSilent(address string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err == nil {
+		delete(f.silent, address)
+		return
+	}
+	f.silent[address] = time.Now()
+}
+
+// Bounds of a loan.
+const (
+	borrowFrom    = 5                     // hosts asked
+	borrowKeepers = 2                     // keepers asked
+	borrowTimeout = 30 * time.Millisecond // for an answer
+	keeperTimeout = 60 * time.Millisecond // a keeper may wait for the log
+)
+
+// Borrow asks the keepers of the budget, or in a small fleet all hosts, one after
+// the other, until they lent enough. A lost answer strands what was lent; it counts
+// as spent.
+func (f *Fleet) Borrow(ctx context.Context, tenant string, tokens, better int64) prepaid.Loan {
+	keepers := f.keeperAddresses(tenant)
+	if keepers != nil {
+		return f.borrowFrom(ctx, keepers[:min(len(keepers), borrowKeepers)], keeperTimeout, tenant, tokens, better)
+	}
+	list := f.addresses()
+	return f.borrowFrom(ctx, list[:min(len(list), borrowFrom)], borrowTimeout, tenant, tokens, tokens)
+}
+
+func (f *Fleet) borrowFrom(ctx context.Context, addresses []string, timeout time.Duration, tenant string, tokens, better int64) prepaid.Loan {
+	var total prepaid.Loan
+	for _, address := range addresses {
+		if total.Tokens >= tokens || ctx.Err() != nil {
+			break
+		}
+		ask := lendRequest{Tenant: tenant, Tokens: tokens - total.Tokens, Better: better - total.Tokens}
+		var got lendResponse
+		call, cancel := context.WithTimeout(ctx, timeout)
+		err := f.calls.do(call, address, pathLend, ask, &got)
+		cancel()
+		f.noteSilent(address, err)
+		if err == nil {
+			total.Tokens += got.Tokens
+			total.Answered = total.Answered || got.Keeper
+		}
+	}
+	log.WithFields(log.Fields{"organisation": tenant, "wanted": tokens, "got": total.Tokens, "answered": total.Answered}).Debug("borrowed from other hosts")
+	return total
+}
+
+// GiveBack gives tokens to a keeper of the budget.
+func (f *Fleet) GiveBack(ctx context.Context, tenant string, tokens int64) bool {
+	return f.giveTo(ctx, f.keeperAddresses(tenant), tenant, tokens)
+}
+
+// Give hands tokens over to another host.
+func (f *Fleet) Give(ctx context.Context, tenant string, tokens int64) bool {
+	list := f.addresses()
+	if keepers := f.keeperAddresses(tenant); keepers != nil {
+		list = append(keepers, list...)
+	}
+	return f.giveTo(ctx, list, tenant, tokens)
+}
+
+// giveTo hands tokens over to one host. The next one is tried only if the one before
+// surely did not take them.
+func (f *Fleet) giveTo(ctx context.Context, addresses []string, tenant string, tokens int64) bool {
+	for _, address := range addresses {
+		var got giveResponse
+		call, cancel := context.WithTimeout(ctx, giveTimeout)
+		err := f.calls.do(call, address, pathGive, giveRequest{Tenant: tenant, Tokens: tokens}, &got)
+		cancel()
+		if err == nil && got.Took {
+			return true
+		}
+		if err != nil && !notSent(err) || ctx.Err() != nil {
+			return false
+		}
+	}
+	return false
+}
+
+const giveTimeout = 200 * time.Millisecond
+
+// shuffled gives the addresses in random order.
+func shuffled(list []string) []string {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -130,6 +130,7 @@
 	tries    int    // targets that the request was sent to
 	ran      int    // of them, those that may have run it
 	failed   *whole // a target's own failure, to be passed on
+	claimed  bool   // another try was granted before the one before ended
 	stream   *stream
 	end      End
 }
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/http"
 	"time"
 
@@ -56,7 +57,7 @@
 	unsent := 0
 	var last error
 	for {
-		t := q.choose()
+		t := q.choose(q.excluded)
 		if t == nil {
 			return q.giveUp(NoTarget, errors.Join(last, errors.New("no target is left")))
 		}
@@ -102,8 +103,27 @@
 	return NoTarget, err
 }
 
+// claimTry asks for another try while the target before is still at work on a
+// request that may be repeated. It is called by the watch for silence.
+func (q *request) claimTry(target string) bool {
+	if q.claimed {
+		return true
+	}
+	others := maps.Clone(q.excluded)
+	others[target] = true
+	if !q.route.Repeatable() || q.choose(others) == nil {
+		return false
+	}
+	q.claimed = q.mayTryAgain(silent)
+	return q.claimed
+}
+
 // mayTryAgain says whether the request may go to another target after a try.
 func (q *request) mayTryAgain(res result) bool {
+	if q.claimed {
+		q.claimed = false
+		return true
+	}
 	if left, ok := q.left(); ok && left < leastTime {
 		return false
 	}
@@ -122,9 +142,9 @@
 	return q.handler.opts.Retries.Of(q.service).Spend(time.Now())
 }
 
-func (q *request) choose() *target.Target {
+func (q *request) choose(excluded map[string]bool) *target.Target {
 	return q.handler.opts.Targets.Choose(target.Want{
-		Service: q.service, Affinity: sharedParts(q.shared), Work: float64(q.usage.in), Exclude: q.excluded,
+		Service: q.service, Affinity: sharedParts(q.shared), Work: float64(q.usage.in), Exclude: excluded,
 	})
 }
 
@@ -156,6 +176,7 @@
 	work    float64 // counted at the target until it answers
 	status  int
 	resumed string
+	silence *silence
 }
 
 // judgement is what the try says of the target.
@@ -179,9 +200,6 @@
 
 // answered notes that the target began to answer.
 func (c *call) answered() {
-	if c.work == 0 && c.request.end.First > 0 {
-		return
-	}
 	c.request.handler.opts.Targets.Answered(c.target, c.work, time.Since(c.started))
 	c.work = 0
 }
@@ -245,13 +263,13 @@
 // receive reads the head of the answer that belongs to the request.
 func (c *call) receive(ctx context.Context) (result, error) {
 	q := c.request
-	tryLimit := q.tryLimit()
-	c.conn.ReadBy(tryLimit)
+	c.silence = q.watchSilence(c.conn, c.target.ID)
+	defer c.silence.stop()
 	for range maxCrossed {
 		resp, f := c.conn.Receive()
 		if f != nil {
 			c.conn.Done(false)
-			return c.ended(ctx, c.late(tryLimit, broken), f)
+			return c.ended(ctx, c.silence.result(broken), f)
 		}
 		if id := resp.Header.Get(q.handler.names.RequestID); id != "" && id != q.id {
 			// An answer to another request came in its place; ours may follow.
@@ -268,41 +286,6 @@
 	return c.ended(ctx, broken, errors.New("only answers to other requests"))
 }
 
-// late turns a failure into silence if the time for one try is over.
-func (c *call) late(limit time.Time, res result) result {
-	if !limit.IsZero() && !time.Now().Before(limit) {
-		return silent
-	}
-	return res
-}
-
-// Factors of the route's objective after which a silent target is given up.
-const (
-	silentStream  = 2.0
-	silentAnswer  = 2.5
-	silentGap     = 3.0 // of the objective for gaps
-	leastSilence  = 300 * time.Millisecond
-	leastGap      = 800 * time.Millisecond
-	fallbackAimMs = 1000
-)
-
-// tryLimit is when a target that has not begun to answer is given up for
-// another; the zero time if there will be no other.
-func (q *request) tryLimit() time.Time {
-	if !q.route.Repeatable() || q.tries >= q.route.Attempts() {
-		return time.Time{}
-	}
-	aim := q.route.TargetLatencyMs
-	if aim <= 0 {
-		aim = fallbackAimMs
-	}
-	factor := silentAnswer
-	if q.route.Kind == routing.Streaming {
-		factor = silentStream
-	}
-	return time.Now().Add(max(routing.Milliseconds(aim*factor), leastSilence))
-}
-
 // handle judges the head of the answer and passes the answer on.
 func (c *call) handle(ctx context.Context, resp *http.Response) (result, error) {
 	q := c.request
--- a/router/forward/streams_test.go
+++ b/router/forward/streams_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"maststage.dev/router/prepaid"
+	"maststage.dev/router/retrybudget"
 	"maststage.dev/standin/backend"
 )
 
@@ -96,6 +97,29 @@
 	b.eventually("the silent run is cancelled", func() bool { return first.Runs()[0].Cancelled })
 }
 
+// Silence alone ends no answer: without another target, or without a retry budget,
+// a stream that pauses goes on.
+func TestSilentStreamGoesOnWhereNoOtherCanTakeIt(t *testing.T) {
+	slow := backend.Behaviour{Events: 3, Gap: time.Second}
+	t.Run("no other target", func(t *testing.T) {
+		b := newBench(t)
+		b.add("e1", "engine", slow)
+		got := b.do(b.request("POST", "/stream/x", "p"))
+		b.is.NoErr(got.err)
+		b.is.Equal(got.body, events("r1", 3))
+	})
+	t.Run("no retry budget", func(t *testing.T) {
+		b := newBench(t)
+		b.handler.opts.Retries.SetLimits(retrybudget.Limits{Window: 10 * time.Second})
+		b.add("e1", "engine", slow)
+		b.add("e2", "engine", slow)
+		got := b.do(b.request("POST", "/stream/x", "p"))
+		b.is.NoErr(got.err)
+		b.is.Equal(got.body, events("r1", 3))
+		b.is.Equal(b.runs(), 1)
+	})
+}
+
 func TestStreamThatMayNotBeRepeatedLooksCut(t *testing.T) {
 	b := newBench(t)
 	b.add("e1", "engine", backend.Behaviour{Events: 10, BreakAfter: 4})
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -134,7 +134,9 @@
 			n.outside.TargetsTopic: n.targetsCopy,
 			n.outside.HostsTopic:   n.hostsCopy,
 		},
-		Lend:   func(tenant string, tokens int64) int64 { return n.treasury.Lend(tenant, tokens) },
+		Lend: func(ctx context.Context, tenant string, tokens, better int64) prepaid.Loan {
+			return n.treasury.Lend(ctx, tenant, tokens, better)
+		},
 		Credit: func(tenant string, tokens int64) bool { return n.treasury.Credit(tenant, tokens) },
 	})
 }
@@ -153,7 +155,9 @@
 		Interval: settings.Milliseconds(b.IntervalMs),
 		Wait:     settings.Milliseconds(b.WaitMs),
 		Hosts:    n.fleet.Size,
+		Keepers:  n.fleet.Keepers,
 		Borrow:   n.fleet.Borrow,
+		GiveBack: n.fleet.GiveBack,
 		OnCall:   func(outcome string) { n.observer.Count(fmt.Sprintf("budget_appends_total{outcome=%q}", outcome)) },
 	})
 }
--- a/router/node/reload.go
+++ b/router/node/reload.go
@@ -47,6 +47,6 @@
 func plan(s *settings.Settings) prepaid.Plan {
 	b := s.Budgets
 	return prepaid.Plan{
-		Horizon: b.HorizonS, FullSpan: b.FullSpanS, MostPart: b.MostPart, LeastPart: b.LeastPart, EvenPart: b.EvenPart,
+		Horizon: b.HorizonS, FullSpan: b.FullSpanS, MostPart: b.MostPart, LeastPart: b.LeastPart, EvenPart: b.EvenPart, MostShares: b.MostShares,
 	}
 }
--- a/router/prepaid/clerk.go
+++ b/router/prepaid/clerk.go
@@ -92,6 +92,7 @@
 		} else {
 			failures = 0
 		}
+		c.treasury.giveIdle(ctx, c)
 		timer.Reset(jitter(pause))
 	}
 }
@@ -230,7 +231,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for tenant, w := range t.wallets {
-		if t.clerkOf(tenant) == c && t.change(w) != (Change{}) {
+		if t.clerkOf(tenant) == c && t.change(tenant, w) != (Change{}) {
 			return true
 		}
 	}
@@ -238,11 +239,15 @@
 }
 
 // change is what is to be asked of an account; the treasury's lock is held.
-func (t *Treasury) change(w *wallet) Change {
+func (t *Treasury) change(tenant string, w *wallet) Change {
 	if t.closing {
 		return Change{Return: w.free}
 	}
-	return w.change(t.opts.Plan, t.opts.Hosts(), time.Now())
+	count, keeper := t.keeps(tenant, w)
+	if !keeper {
+		return w.changeForWaiting()
+	}
+	return w.change(t.opts.Plan, count, count < t.opts.Hosts(), time.Now())
 }
 
 // orders works out the changes that are due and debits what is given back.
@@ -255,7 +260,7 @@
 		if t.clerkOf(tenant) != c {
 			continue
 		}
-		change := t.change(w)
+		change := t.change(tenant, w)
 		next, taken, ok := w.current().Apply(change)
 		announce := w.account.Version < w.verify
 		if !ok && !announce || change == (Change{}) && !announce {
--- /dev/null
+++ b/router/prepaid/loans.go
@@ -0,0 +1,215 @@
+package prepaid
+
+import (
+	"context"
+	"time"
+
+	log "github.com/sirupsen/logrus"
+)
+
+// Loan is what other hosts lent.
+type Loan struct {
+	Tokens int64
+	// Answered means that a keeper of the budget answered: if it lent too little,
+	// there is no more within its reach.
+	Answered bool
+}
+
+// Figures of loans.
+const (
+	borrowWait  = 90 * time.Millisecond  // bounds the requests to other hosts
+	borrowPause = 250 * time.Millisecond // hosts are not asked again after they had too little
+	lendPart    = 0.9                    // of the free tokens, lent at most at once
+	lendWait    = 30 * time.Millisecond  // a keeper waits so long for the log
+	betterTime  = 4.0                    // seconds of demand that a borrower asks for
+	idleTime    = 3 * time.Second        // without a request, after which tokens are given back
+)
+
+// keeps says how many hosts take slices of a budget and whether this one does: as
+// a keeper for others, or because its own demand is worth it. The lock is held.
+func (t *Treasury) keeps(tenant string, w *wallet) (count int, self bool) {
+	if t.opts.Keepers == nil {
+		return max(t.opts.Hosts(), 1), true
+	}
+	count, self = t.opts.Keepers(tenant)
+	return count, self || w.busy(time.Now())
+}
+
+// keeper says whether this host takes slices of a budget.
+func (t *Treasury) keeper(tenant string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.wallets[tenant]
+	if w == nil {
+		return false
+	}
+	_, self := t.keeps(tenant, w)
+	return self
+}
+
+// borrow asks other hosts for what the wallet lacks.
+func (t *Treasury) borrow(tenant string, tokens int64) (got *Reservation, answered bool, err error) {
+	if t.opts.Borrow == nil {
+		return nil, false, nil
+	}
+	missing, better, refused := t.missing(tenant, tokens, time.Now())
+	if missing == 0 || refused {
+		return nil, refused, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), borrowWait)
+	defer cancel()
+	loan := t.opts.Borrow(ctx, tenant, missing, better)
+	t.takeLoan(tenant, missing, loan)
+	got, err = t.try(tenant, tokens)
+	return got, loan.Answered, err
+}
+
+// missing is what the wallet lacks for a request, and what it had better ask for.
+// refused says that other hosts had too little a moment ago.
+func (t *Treasury) missing(tenant string, tokens int64, now time.Time) (missing, better int64, refused bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.wallets[tenant]
+	if w == nil || !w.spendable() {
+		return 0, 0, false
+	}
+	w.decay(now)
+	missing = max(tokens-w.free, 0)
+	return missing, missing + int64(w.demand*betterTime), now.Sub(w.refused) < borrowPause
+}
+
+// takeLoan takes in a loan.
+func (t *Treasury) takeLoan(tenant string, wanted int64, loan Loan) {
+	if loan.Tokens > 0 {
+		t.credit(tenant, loan.Tokens)
+	}
+	if loan.Tokens >= wanted || !loan.Answered {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if w := t.wallets[tenant]; w != nil {
+		w.refused = time.Now()
+	}
+}
+
+// Lend takes tokens out of this host's slice for another host: better of them if
+// it can spare them, else as many as it can up to tokens. A keeper waits a moment
+// for a slice. What is lent is gone from here whether or not the other host gets it.
+func (t *Treasury) Lend(ctx context.Context, tenant string, tokens, better int64) Loan {
+	keeper := t.keeper(tenant)
+	if lent := t.lendFree(tenant, tokens, better, keeper); lent >= tokens || !keeper {
+		return Loan{Tokens: lent, Answered: keeper}
+	}
+	got, err := t.reserveOwn(ctx, tenant, tokens, lendWait)
+	if err != nil {
+		return Loan{Answered: true}
+	}
+	return Loan{Tokens: t.lendReserved(got), Answered: true}
+}
+
+// lendFree lends of what is free. A keeper lends all that is asked for or nothing,
+// since it may wait for more.
+func (t *Treasury) lendFree(tenant string, tokens, better int64, keeper bool) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.wallets[tenant]
+	if w == nil || tokens <= 0 || t.closing || len(w.waiting) > 0 || !w.spendable() {
+		return 0
+	}
+	spare := int64(lendPart * float64(w.free))
+	lent := min(tokens, spare)
+	if keeper {
+		if spare < tokens {
+			return 0
+		}
+		lent = max(tokens, min(better, spare/2))
+		w.note(lent, time.Now())
+	}
+	w.free -= lent
+	return lent
+}
+
+// lendReserved turns a reservation into a loan.
+func (t *Treasury) lendReserved(r *Reservation) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.wallets[r.tenant]
+	if w == nil || r.settled {
+		return 0
+	}
+	r.settled = true
+	w.reserved -= r.tokens
+	return r.tokens
+}
+
+// giveIdle gives the tokens of budgets that this host is no keeper of and has not
+// used for a while to a keeper.
+func (t *Treasury) giveIdle(ctx context.Context, c *clerk) {
+	if t.opts.GiveBack == nil {
+		return
+	}
+	for tenant, tokens := range t.takeIdle(c, time.Now()) {
+		// Without an answer they count as spent.
+		took := t.opts.GiveBack(ctx, tenant, tokens)
+		log.WithFields(log.Fields{"organisation": tenant, "tokens": tokens, "took": took}).Debug("idle tokens given back")
+	}
+}
+
+// takeIdle debits idle tokens of a clerk's budgets.
+func (t *Treasury) takeIdle(c *clerk, now time.Time) map[string]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	idle := map[string]int64{}
+	for tenant, w := range t.wallets {
+		if t.clerkOf(tenant) != c || w.free == 0 || now.Sub(w.used) < idleTime || !w.spendable() {
+			continue
+		}
+		if _, keeper := t.keeps(tenant, w); !keeper {
+			idle[tenant] = w.free
+			w.free = 0
+		}
+	}
+	return idle
+}
+
+// HandOver gives all free tokens to other hosts and takes no more; give says
+// whether one took them. Without an answer they count as spent.
+func (t *Treasury) HandOver(ctx context.Context, give func(ctx context.Context, tenant string, tokens int64) bool) {
+	t.mu.Lock()
+	t.closing = true
+	free := map[string]int64{}
+	for tenant, w := range t.wallets {
+		if w.free > 0 && w.spendable() {
+			free[tenant] = w.free
+			w.free = 0
+		}
+	}
+	t.mu.Unlock()
+	for tenant, tokens := range free {
+		took := give(ctx, tenant, tokens)
+		log.WithFields(log.Fields{"organisation": tenant, "tokens": tokens, "took": took}).Info("free tokens handed over")
+	}
+}
+
+// Credit takes in tokens that another host handed over. A host that is stopping
+// or does not know the budget refuses them.
+func (t *Treasury) Credit(tenant string, tokens int64) bool {
+	t.mu.Lock()
+	refuse := t.closing || t.wallets[tenant] == nil || tokens <= 0
+	t.mu.Unlock()
+	if refuse {
+		return false
+	}
+	t.credit(tenant, tokens)
+	return true
+}
+
+func (t *Treasury) credit(tenant string, tokens int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if w := t.wallets[tenant]; w != nil {
+		w.free += tokens
+		t.wake()
+	}
+}
--- a/router/prepaid/treasury.go
+++ b/router/prepaid/treasury.go
@@ -32,8 +32,14 @@
 	Wait       time.Duration // a request waits so long for tokens
 	Again      time.Duration // pause after a call without an answer; 0: 80 ms
 	Hosts      func() int    // how many hosts share the budgets
-	// Borrow asks other hosts for tokens; it may be nil.
-	Borrow func(ctx context.Context, tenant string, tokens int64) int64
+	// Keepers says how many hosts take slices of a budget from the log, and whether
+	// this host is one of them; the others borrow. nil: all hosts are.
+	Keepers func(tenant string) (count int, self bool)
+	// Borrow asks other hosts for at least so many tokens, and better more; nil: no
+	// other host is asked.
+	Borrow func(ctx context.Context, tenant string, tokens, better int64) Loan
+	// GiveBack gives idle tokens of a host that is no keeper to one; nil: never.
+	GiveBack func(ctx context.Context, tenant string, tokens int64) bool
 	// OnCall counts calls to the log by outcome.
 	OnCall func(outcome string)
 }
@@ -122,28 +128,52 @@
 // Reserve sets tokens aside, waiting for a slice if need be. The error is
 // ErrNever, ErrEmpty or that of ctx. A tenant without a budget has no limit.
 func (t *Treasury) Reserve(ctx context.Context, tenant string, tokens int64) (*Reservation, error) {
-	ctx, cancel := context.WithTimeout(ctx, t.opts.Wait)
+	if got, err := t.try(tenant, tokens); got != nil || err != nil {
+		return got, err
+	}
+	keeper := t.keeper(tenant)
+	if !keeper {
+		got, answered, err := t.borrow(tenant, tokens)
+		if got != nil || err != nil {
+			return got, err
+		}
+		if answered {
+			return nil, ErrEmpty
+		}
+	}
+	got, err := t.reserveOwn(ctx, tenant, tokens, t.opts.Wait)
+	if !errors.Is(err, ErrEmpty) || !keeper {
+		return got, err
+	}
+	got, _, err = t.borrow(tenant, tokens)
+	if got == nil && err == nil {
+		err = ErrEmpty
+	}
+	return got, err
+}
+
+// reserveOwn waits for a slice from the log.
+func (t *Treasury) reserveOwn(ctx context.Context, tenant string, tokens int64, limit time.Duration) (*Reservation, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	waited := false
+	t.wait(tenant, tokens)
+	defer t.stopWaiting(tenant, tokens)
 	for {
-		got, wake, err := t.try(tenant, tokens, waited)
-		if got != nil || err != nil {
+		// Asked for before the look, so that no gain between the two is missed.
+		wake := t.woken()
+		if got, err := t.try(tenant, tokens); got != nil || err != nil {
 			return got, err
 		}
-		waited = true
 		t.clerkOf(tenant).kick()
 		if t.exhausted(tenant, tokens) {
-			break
+			return nil, ErrEmpty
 		}
 		select {
 		case <-wake:
-			continue
 		case <-ctx.Done():
+			return nil, ErrEmpty
 		}
-		break
 	}
-	t.stopWaiting(tenant, tokens)
-	return t.borrow(tenant, tokens)
 }
 
 // exhausted says whether the account can't give what the request lacks, as far
@@ -159,95 +189,48 @@
 	return w.hungry
 }
 
-// borrowWait bounds a request to other hosts.
-const borrowWait = 50 * time.Millisecond
-
-func (t *Treasury) borrow(tenant string, tokens int64) (*Reservation, error) {
-	if t.opts.Borrow == nil {
-		return nil, ErrEmpty
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), borrowWait)
-	defer cancel()
-	if missing := t.missing(tenant, tokens); missing > 0 && t.mayBorrow(tenant, time.Now()) {
-		lent := t.opts.Borrow(ctx, tenant, missing)
-		t.lent(tenant, missing, lent, time.Now())
-	}
-	got, _, err := t.try(tenant, tokens, true)
-	if got == nil && err == nil {
-		t.stopWaiting(tenant, tokens)
-		return nil, ErrEmpty
-	}
-	return got, err
-}
-
-// borrowPause is how long other hosts are not asked again after they had too little.
-const borrowPause = 250 * time.Millisecond
-
-// mayBorrow says whether other hosts may be asked for tokens.
-func (t *Treasury) mayBorrow(tenant string, now time.Time) bool {
+// try reserves if the wallet has enough; nil if it has not.
+func (t *Treasury) try(tenant string, tokens int64) (*Reservation, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w := t.wallets[tenant]
-	return w != nil && now.Sub(w.refused) > borrowPause
-}
-
-// lent takes in a loan.
-func (t *Treasury) lent(tenant string, wanted, got int64, now time.Time) {
-	if got > 0 {
-		t.credit(tenant, got)
+	if w == nil {
+		return &Reservation{treasury: t, tenant: tenant}, nil
 	}
-	if got >= wanted {
-		return
+	if tokens > w.limit {
+		return nil, ErrNever
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if w := t.wallets[tenant]; w != nil {
-		w.refused = now
+	if w.free < tokens || !w.spendable() {
+		return nil, nil
 	}
+	w.free -= tokens
+	w.reserved += tokens
+	w.note(tokens, time.Now())
+	return &Reservation{treasury: t, tenant: tenant, tokens: tokens}, nil
 }
 
-// missing is what the wallet lacks for a request.
-func (t *Treasury) missing(tenant string, tokens int64) int64 {
+// wait notes that a request waits for tokens.
+func (t *Treasury) wait(tenant string, tokens int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.wallets[tenant]
-	if w == nil || !w.spendable() {
-		return 0
+	if w := t.wallets[tenant]; w != nil {
+		w.wait(tokens)
 	}
-	return max(tokens-w.free, 0)
 }
 
-// try reserves if the wallet has enough; else it notes that the request waits
-// and gives the channel that tells of more.
-func (t *Treasury) try(tenant string, tokens int64, waited bool) (*Reservation, <-chan struct{}, error) {
+func (t *Treasury) stopWaiting(tenant string, tokens int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.wallets[tenant]
-	if w == nil {
-		return &Reservation{treasury: t, tenant: tenant}, nil, nil
-	}
-	if waited {
+	if w := t.wallets[tenant]; w != nil {
 		w.stopWaiting(tokens)
 	}
-	if tokens > w.limit {
-		return nil, nil, ErrNever
-	}
-	if w.free >= tokens && w.spendable() {
-		w.free -= tokens
-		w.reserved += tokens
-		w.note(tokens, time.Now())
-		return &Reservation{treasury: t, tenant: tenant, tokens: tokens}, nil, nil
-	}
-	w.wait(tokens)
-	return nil, t.changed, nil
 }
 
-func (t *Treasury) stopWaiting(tenant string, tokens int64) {
+// woken gives the channel that tells of the next gain.
+func (t *Treasury) woken() <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if w := t.wallets[tenant]; w != nil {
-		w.stopWaiting(tokens)
-	}
+	return t.changed
 }
 
 // Extend sets more tokens aside for the same request, without waiting.
@@ -295,65 +278,6 @@
 	t.changed = make(chan struct{})
 }
 
-// HandOver gives all free tokens to other hosts and takes no more; give says
-// whether one took them. Without an answer they count as spent.
-func (t *Treasury) HandOver(ctx context.Context, give func(ctx context.Context, tenant string, tokens int64) bool) {
-	t.mu.Lock()
-	t.closing = true
-	free := map[string]int64{}
-	for tenant, w := range t.wallets {
-		if w.free > 0 && w.spendable() {
-			free[tenant] = w.free
-			w.free = 0
-		}
-	}
-	t.mu.Unlock()
-	for tenant, tokens := range free {
-		took := give(ctx, tenant, tokens)
-		log.WithFields(log.Fields{"organisation": tenant, "tokens": tokens, "took": took}).Info("free tokens handed over")
-	}
-}
-
-// Credit takes in tokens that another host handed over. A host that is stopping
-// or does not know the budget refuses them.
-func (t *Treasury) Credit(tenant string, tokens int64) bool {
-	t.mu.Lock()
-	refuse := t.closing || t.wallets[tenant] == nil || tokens <= 0
-	t.mu.Unlock()
-	if refuse {
-		return false
-	}
-	t.credit(tenant, tokens)
-	return true
-}
-
-func (t *Treasury) credit(tenant string, tokens int64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if w := t.wallets[tenant]; w != nil {
-		w.free += tokens
-		t.wake()
-	}
-}
-
-// lendPart is the part of a host's free tokens that it lends at most at once.
-const lendPart = 0.9
-
-// Lend takes tokens out of this host's slice for another host, as many as it can
-// spare up to those asked for. They are gone from here whether or not the other
-// host gets them.
-func (t *Treasury) Lend(tenant string, tokens int64) int64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	w := t.wallets[tenant]
-	if w == nil || tokens <= 0 || len(w.waiting) > 0 || !w.spendable() {
-		return 0
-	}
-	lent := min(tokens, int64(lendPart*float64(w.free)))
-	w.free -= lent
-	return lent
-}
-
 // Holding is this host's part of a budget.
 type Holding struct {
 	Tenant   string
--- a/router/prepaid/wallet.go
+++ b/router/prepaid/wallet.go
@@ -19,12 +19,13 @@
 	// MostPart and LeastPart bound the part of the unspent tokens that all hosts
 	// together hold.
 	MostPart, LeastPart float64
-	// EvenPart is the part of that which a host holds whatever its demand.
-	EvenPart float64
+	// EvenPart is the part of an even share of that which a host holds whatever its
+	// demand; MostShares bounds a slice in even shares.
+	EvenPart, MostShares float64
 }
 
 // DefaultPlan is what the measurements in docs/MEASUREMENTS.md chose.
-var DefaultPlan = Plan{Horizon: 11, FullSpan: 25, MostPart: 0.35, LeastPart: 0.02, EvenPart: 0.6}
+var DefaultPlan = Plan{Horizon: 11, FullSpan: 25, MostPart: 0.35, LeastPart: 0.02, EvenPart: 0.6, MostShares: 1}
 
 // part is the part of the unspent tokens that all hosts together may hold. It falls
 // with the third power of the time that the budget still lasts.
@@ -58,6 +59,7 @@
 	waiting  []int64   // what requests wait for, one entry each
 	hungry   bool      // a request was turned away for want of tokens
 	refused  time.Time // when other hosts last had too little to lend
+	used     time.Time // when a request last began
 
 	flow     flow
 	demand   float64 // of this host, tokens a second
@@ -83,6 +85,7 @@
 	w.decay(now)
 	w.demand += float64(tokens) / demandTime
 	w.largest = max(w.largest*0.98, float64(tokens))
+	w.used = now
 }
 
 // correct takes what a run did not use out of the demand again.
@@ -98,9 +101,31 @@
 	w.demandAt = now
 }
 
+// busy says whether this host's own demand is worth slices of its own: more than
+// about one large request in three seconds.
+func (w *wallet) busy(now time.Time) bool {
+	w.decay(now)
+	return w.largest > 0 && w.demand > busyDemand*w.largest
+}
+
+const busyDemand = 0.3
+
+// changeForWaiting is the change of a host that is no keeper of the budget: only
+// what requests wait for, since the keepers could not be asked.
+func (w *wallet) changeForWaiting() Change {
+	if w.current().Left() < 0 {
+		return Change{Return: w.free}
+	}
+	if len(w.waiting) == 0 {
+		return Change{}
+	}
+	return w.takeForWaiting(0)
+}
+
 // change works out what to ask of the account; zero: nothing. hosts is how many
-// hosts share the budget.
-func (w *wallet) change(p Plan, hosts int, now time.Time) Change {
+// hosts take slices of the budget. sparse says that they are few of many: then
+// demand alone decides, since it lies with few hosts.
+func (w *wallet) change(p Plan, hosts int, sparse bool, now time.Time) Change {
 	w.decay(now)
 	a := w.current()
 	if a.Left() < 0 {
@@ -108,9 +133,20 @@
 	}
 	left := float64(a.Left())
 	unspent := left + float64(w.free)
-	most := p.part(unspent, w.flow.rate(now)) * unspent / float64(max(hosts, 1))
-	even := p.EvenPart * most
-	want := max(even, min(w.demand*p.Horizon+w.largest, most))
+	flow := w.flow.rate(now)
+	hold := p.part(unspent, flow) * unspent // by all hosts
+	share := hold / float64(max(hosts, 1))
+	horizon := p.Horizon
+	if flow > 0 {
+		horizon = min(horizon, hold/flow)
+	}
+	want := max(p.EvenPart*share, min(w.demand*horizon+w.largest, p.MostShares*share))
+	if sparse {
+		want = min(w.demand*horizon+w.largest, hold)
+		if len(w.waiting) == 0 && now.Sub(w.used) > idleTime {
+			return Change{Return: w.free}
+		}
+	}
 	free := float64(w.free)
 	if len(w.waiting) > 0 {
 		return w.takeForWaiting(want)
--- a/router/settings/sections.go
+++ b/router/settings/sections.go
@@ -71,7 +71,8 @@
 	FullSpanS  float64 `ini:"full_span_s" default:"25"`  // a budget that lasts so long is held by most_part
 	MostPart   float64 `ini:"most_part" default:"0.35"`  // of what is unspent all hosts hold at most
 	LeastPart  float64 `ini:"least_part" default:"0.02"` // near its end
-	EvenPart   float64 `ini:"even_part" default:"0.6"`   // of that, a host holds whatever its demand
+	EvenPart   float64 `ini:"even_part" default:"0.6"`   // of an even share of that, a host holds whatever its demand
+	MostShares float64 `ini:"most_shares" default:"1"`   // even shares that a host holds at most
 	IntervalMs float64 `ini:"interval_ms" default:"400"` // between looks at the accounts
 	WaitMs     float64 `ini:"wait_ms" default:"120"`     // a request waits so long for tokens
 }
