--- a/daemon/node/drain.go
+++ b/daemon/node/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	log "github.com/sirupsen/logrus"
@@ -46,7 +45,6 @@
 	put(leave(false))
 	close(n.leaving)
 	n.finishRequests(ctx)
-	n.awaitQuiet(ctx)
 	n.http.SetKeepAlivesEnabled(false)
 	shut, cancel := context.WithTimeout(ctx, hangUpTimeout)
 	defer cancel()
@@ -66,40 +64,6 @@
 	return &peerv1.Record{Kind: &peerv1.Record_Leave{Leave: &peerv1.Leave{Final: final}}}
 }
 
-// Figures of the wait before idle connections of callers are closed. A request
-// that crosses the close of its connection breaks under its caller, so connections
-// in use are first closed by an answer that says so.
-const (
-	noticeTime = time.Second            // for each caller to send once more
-	quietTime  = 300 * time.Millisecond // without a request
-	quietLimit = 4 * time.Second
-)
-
-// awaitQuiet waits until callers have left this host for others.
-func (n *Node) awaitQuiet(ctx context.Context) {
-	begun := time.Now()
-	n.waitFor(ctx, func() bool {
-		now := time.Now()
-		if now.Sub(begun) > quietLimit {
-			return true
-		}
-		last := time.Unix(0, n.lastCall.Load())
-		return now.Sub(begun) > noticeTime && now.Sub(last) > quietTime && n.engine.Open() == 0
-	})
-}
-
-// closing notes when callers come and, once a planned stop has begun, tells them to
-// use their connection no more.
-func (n *Node) closing(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.lastCall.Store(time.Now().UnixNano())
-		if n.Draining() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // finishRequests waits until no request is open here. After the setting
 // drain_limit, if there is one, requests that can go on elsewhere are moved.
 func (n *Node) finishRequests(ctx context.Context) {
--- a/daemon/node/http.go
+++ b/daemon/node/http.go
@@ -33,7 +33,7 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler: n.closing(mux), Protocols: protocols,
+		Handler: mux, Protocols: protocols,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
 }
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -46,7 +46,6 @@
 	grpc     *grpc.Server
 	http     *http.Server
 	loans    atomic.Uint64
-	lastCall atomic.Int64 // when a caller last came, in Unix nanoseconds
 
 	current   atomic.Pointer[identity]
 	heart     atomic.Pointer[peer.Detector]
