archive: hosts that all start while the list is out of reach begin with a copy

And hosts pulled from each other three times a second though the log answered, since a copy with a slow pace always looked stale. And a target that went dark was chosen until two tries had broken, 1.6 s each.

Ruled out: one copy (its own partition was down too).

Change: one host writes copies of configuration and list to three partitions of a topic of ours; a host that finds neither topic nor another host with it begins with a copy. Staleness is judged by a copy's own pace. A target that has requests and sends nothing for 700 ms is passed over.

--- /dev/null
+++ b/router/archive/archive.go
@@ -0,0 +1,173 @@
+// Package archive keeps a second copy of the topics that a host needs to start, in
+// a topic of the product's own. The log may be out of reach in part: a host that
+// starts then, with no other host to ask, takes the copy. A copy is old, not wrong.
+package archive
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	log "github.com/sirupsen/logrus"
+
+	"maststage.dev/lib/wait"
+	"maststage.dev/router/eventlog"
+	"maststage.dev/router/replica"
+)
+
+// Options configure an Archive.
+type Options struct {
+	Log      eventlog.Log
+	Topic    string
+	Copies   map[string]*replica.Replica // by topic
+	Every    time.Duration               // between two copies of a topic
+	Patience time.Duration               // a start waits so long for the topics themselves
+	Timeout  time.Duration               // of a call
+	MaxBytes int                         // of a copy
+	// Partitions is how many partitions of the topic hold the same copies, since the
+	// log may be out of reach by partitions.
+	Partitions int
+	// Writer says whether this host is the one that writes copies.
+	Writer func() bool
+}
+
+// Archive writes copies, and reads them at a start.
+type Archive struct {
+	opts    Options
+	written map[string]int64 // end of the last copy of a topic that this host wrote
+}
+
+// New makes an archive; Run serves it.
+func New(opts Options) *Archive { return &Archive{opts: opts, written: map[string]int64{}} }
+
+// snapshot is the value of a copy's record.
+type snapshot struct {
+	End     int64    `json:"end"`
+	Records []record `json:"records"`
+}
+
+type record struct {
+	Key    string `json:"key"`
+	Value  []byte `json:"value"`
+	Offset int64  `json:"offset"`
+}
+
+func (a *Archive) partition(number int) eventlog.Partition {
+	return eventlog.Partition{Topic: a.opts.Topic, Number: number}
+}
+
+// Run reads the copies if the topics can't be read at the start, and then writes
+// copies, until ctx ends.
+func (a *Archive) Run(ctx context.Context) {
+	wait.For(ctx, a.opts.Patience)
+	for ctx.Err() == nil && len(a.missing()) > 0 {
+		if err := a.load(ctx); err != nil {
+			log.WithError(err).Debug("copies of topics can't be read")
+		}
+		wait.For(ctx, a.opts.Patience)
+	}
+	for ctx.Err() == nil {
+		if a.opts.Writer() {
+			a.writeAll(ctx)
+		}
+		wait.For(ctx, a.opts.Every)
+	}
+}
+
+// missing lists the topics that this host has nothing of.
+func (a *Archive) missing() []string {
+	var topics []string
+	for topic, c := range a.opts.Copies {
+		if !c.Loaded() {
+			topics = append(topics, topic)
+		}
+	}
+	return topics
+}
+
+// load takes the copies of missing topics from the partitions that answer.
+func (a *Archive) load(ctx context.Context) error {
+	errs := make([]error, a.opts.Partitions)
+	var all sync.WaitGroup
+	for i := range errs {
+		all.Go(func() { errs[i] = a.loadFrom(ctx, a.partition(i)) })
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
+func (a *Archive) loadFrom(ctx context.Context, p eventlog.Partition) error {
+	c, cancel := context.WithTimeout(ctx, a.opts.Timeout)
+	defer cancel()
+	page, err := a.opts.Log.Newest(c, p, "")
+	if err != nil {
+		return err
+	}
+	for _, topic := range a.missing() {
+		for _, rec := range page.Records {
+			if rec.Key != topic {
+				continue
+			}
+			if err := a.take(topic, rec.Value); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (a *Archive) take(topic string, value []byte) error {
+	var s snapshot
+	if err := json.Unmarshal(value, &s); err != nil {
+		return fmt.Errorf("copy of %s: %w", topic, err)
+	}
+	records := make([]eventlog.Record, len(s.Records))
+	for i, r := range s.Records {
+		records[i] = eventlog.Record{Key: r.Key, Value: r.Value, Offset: r.Offset}
+	}
+	a.opts.Copies[topic].MergeNewest(records, s.End)
+	log.WithFields(log.Fields{"topic": topic, "records": len(records), "end": s.End}).Warn("started from a copy of a topic")
+	return nil
+}
+
+func (a *Archive) writeAll(ctx context.Context) {
+	for topic, c := range a.opts.Copies {
+		if !c.Loaded() || c.End() == a.written[topic] {
+			continue
+		}
+		if err := a.write(ctx, topic, c); err != nil {
+			log.WithField("topic", topic).WithError(err).Debug("copy of a topic not written")
+		}
+	}
+}
+
+// write appends a copy of a topic, without its deleted keys.
+func (a *Archive) write(ctx context.Context, topic string, c *replica.Replica) error {
+	records, end := c.Since(0)
+	s := snapshot{End: end}
+	for _, r := range records {
+		if len(r.Value) > 0 {
+			s.Records = append(s.Records, record{Key: r.Key, Value: r.Value, Offset: r.Offset})
+		}
+	}
+	value, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	if len(value) > a.opts.MaxBytes {
+		return fmt.Errorf("%d bytes are more than a record may have", len(value))
+	}
+	for i := range a.opts.Partitions {
+		call, cancel := context.WithTimeout(ctx, a.opts.Timeout)
+		_, failed := a.opts.Log.Append(call, a.partition(i), []eventlog.Record{{Key: topic, Value: value}})
+		cancel()
+		err = errors.Join(err, failed)
+	}
+	if err == nil {
+		a.written[topic] = end
+	}
+	return err
+}
--- /dev/null
+++ b/router/archive/archive_test.go
@@ -0,0 +1,108 @@
+package archive
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	log "github.com/sirupsen/logrus"
+
+	"maststage.dev/router/eventlog"
+	"maststage.dev/router/replica"
+	"maststage.dev/standin/memlog"
+	"maststage.dev/standin/until"
+)
+
+func TestMain(m *testing.M) {
+	log.SetOutput(io.Discard)
+	m.Run()
+}
+
+var listed = eventlog.Partition{Topic: "list"}
+
+// start starts a host's copy of the list and its archive; stop kills it.
+func start(t *testing.T, l *memlog.Log, name string, writer bool) (c *replica.Replica, stop func()) {
+	c = replica.New(replica.Options{Log: l.Host(name), Partition: listed, LongPoll: 50 * time.Millisecond, Slack: 50 * time.Millisecond})
+	a := New(Options{
+		Log: l.Host(name), Topic: "copies", Copies: map[string]*replica.Replica{"list": c},
+		Every: 20 * time.Millisecond, Patience: 20 * time.Millisecond, Timeout: time.Second, MaxBytes: 1000, Partitions: 3,
+		Writer: func() bool { return writer },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{}, 2)
+	go func() { c.Run(ctx); ended <- struct{}{} }()
+	go func() { a.Run(ctx); ended <- struct{}{} }()
+	stop = func() {
+		cancel()
+		<-ended
+		<-ended
+	}
+	return c, stop
+}
+
+func archived(l *memlog.Log) bool {
+	_, ok := l.Get(eventlog.Partition{Topic: "copies", Number: 2}, "list")
+	return ok
+}
+
+// A host that starts while the list can't be read begins with the copy, and goes on
+// where the copy ended once the list is back.
+func TestStartsFromACopy(t *testing.T) {
+	is := is.New(t)
+	l := memlog.New()
+	l.Put(listed, "a", []byte("1"))
+	l.Put(listed, "dead", []byte("1"))
+	l.Put(listed, "dead", nil)
+	_, stop := start(t, l, "h1", true)
+	until.True(t, "a copy is written", func() bool { return archived(l) })
+	stop()
+
+	l.SetPartitionFault(listed, memlog.Fault{Refuse: true})
+	l.SetPartitionFault(eventlog.Partition{Topic: "copies", Number: 0}, memlog.Fault{Refuse: true})
+	l.SetPartitionFault(eventlog.Partition{Topic: "copies", Number: 1}, memlog.Fault{Silent: true})
+	c, stop := start(t, l, "h2", false)
+	defer stop()
+	until.True(t, "the copy is taken", c.Loaded)
+	records, end := c.Since(0)
+	is.Equal(len(records), 1)
+	is.Equal(records[0].Key, "a")
+	is.Equal(end, int64(3))
+
+	l.Put(listed, "b", []byte("2"))
+	l.SetPartitionFault(listed, memlog.Fault{})
+	until.True(t, "the list goes on", func() bool { return c.End() == 4 })
+}
+
+func TestOnlyTheWriterWrites(t *testing.T) {
+	is := is.New(t)
+	l := memlog.New()
+	l.Put(listed, "a", []byte("1"))
+	c, stop := start(t, l, "h1", false)
+	until.True(t, "the list is read", c.Loaded)
+	time.Sleep(100 * time.Millisecond)
+	stop()
+	is.True(!archived(l))
+}
+
+func TestTooLargeACopyIsNotWritten(t *testing.T) {
+	is := is.New(t)
+	l := memlog.New()
+	l.Put(listed, "a", make([]byte, 2000))
+	c, stop := start(t, l, "h1", true)
+	until.True(t, "the list is read", c.Loaded)
+	time.Sleep(100 * time.Millisecond)
+	stop()
+	is.True(!archived(l))
+}
+
+func TestNoCopy(t *testing.T) {
+	is := is.New(t)
+	l := memlog.New()
+	l.SetPartitionFault(listed, memlog.Fault{Refuse: true})
+	c, stop := start(t, l, "h1", true)
+	time.Sleep(100 * time.Millisecond)
+	stop()
+	is.True(!c.Loaded())
+}
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -12,6 +12,7 @@
 
 	log "github.com/sirupsen/logrus"
 
+	"maststage.dev/lib/wait"
 	"maststage.dev/router/eventlog"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/replica"
@@ -34,7 +35,6 @@
 	Seeds    []string
 	Announce time.Duration // between announcements
 	Pull     time.Duration // between looks at whether to pull
-	Stale    time.Duration // a copy of the log without contact for so long is pulled
 	Timeout  time.Duration // of a call to another host
 	// Copies are the copies of the log's topics that hosts pull from each other,
 	// by topic.
@@ -100,13 +100,8 @@
 func (f *Fleet) Size() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := 1
-	for name, k := range f.hosts {
-		if name != f.opts.Self.Name && time.Since(k.seen) < forgetAfter {
-			n++
-		}
-	}
-	return n
+	_, total := f.zones()
+	return total
 }
 
 // SetSeeds changes the addresses that are known beside the announcements.
@@ -116,9 +111,6 @@
 	f.seeds = seeds
 }
 
-// Alone says whether no other host is known, by the log or otherwise.
-func (f *Fleet) Alone() bool { return f.Size() == 1 }
-
 // Run announces this host and pulls from others until ctx ends.
 func (f *Fleet) Run(ctx context.Context) {
 	var all sync.WaitGroup
@@ -138,7 +130,7 @@
 		if err := f.write(ctx, self); err != nil {
 			pause = min(pause, announceRetry)
 		}
-		wait(ctx, pause/2+rand.N(pause))
+		wait.For(ctx, pause/2+rand.N(pause))
 	}
 }
 
@@ -155,15 +147,6 @@
 	return err
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // addresses lists the other hosts' addresses in random order, those of the
 // settings included, since they are all that a host knows at its start.
 func (f *Fleet) addresses() []string {
@@ -189,32 +172,35 @@
 // pull asks other hosts for what this one may have missed.
 func (f *Fleet) pull(ctx context.Context) {
 	for ctx.Err() == nil {
-		if f.behind() {
-			f.pullOnce(ctx)
+		if topics := f.stale(); len(topics) > 0 {
+			f.pullOnce(ctx, topics)
 		}
-		wait(ctx, f.opts.Pull/2+rand.N(f.opts.Pull))
+		wait.For(ctx, f.opts.Pull/2+rand.N(f.opts.Pull))
 	}
 }
 
-// behind says whether a copy has had no contact with the log for a while.
-func (f *Fleet) behind() bool {
-	for _, c := range f.opts.Copies {
-		if _, contact := c.Up(); time.Since(contact) > f.opts.Stale {
-			return true
+// stale lists the topics that the log has not told of for a while, each with the
+// offset from which records are missing.
+func (f *Fleet) stale() map[string]int64 {
+	now := time.Now()
+	topics := map[string]int64{}
+	for topic, c := range f.opts.Copies {
+		if c.Stale(now) {
+			topics[topic] = c.End()
 		}
 	}
-	return false
+	return topics
 }
 
 // pullFrom is how many hosts are asked at a time.
 const pullFrom = 2
 
-func (f *Fleet) pullOnce(ctx context.Context) {
+func (f *Fleet) pullOnce(ctx context.Context, topics map[string]int64) {
 	list := f.addresses()
 	var all sync.WaitGroup
 	for _, address := range list[:min(len(list), pullFrom)] {
 		all.Go(func() {
-			if err := f.pullAt(ctx, address); err != nil {
+			if err := f.pullAt(ctx, address, topics); err != nil {
 				log.WithField("peer", address).WithError(err).Debug("can't pull")
 			}
 		})
@@ -222,11 +208,8 @@
 	all.Wait()
 }
 
-func (f *Fleet) pullAt(ctx context.Context, address string) error {
-	ask := pullRequest{From: map[string]int64{}}
-	for topic, c := range f.opts.Copies {
-		ask.From[topic] = c.End()
-	}
+func (f *Fleet) pullAt(ctx context.Context, address string, topics map[string]int64) error {
+	ask := pullRequest{From: topics}
 	var got pullResponse
 	if err := f.calls.do(ctx, address, pathPull, ask, &got); err != nil {
 		return err
--- /dev/null
+++ b/router/fleet/fleet_test.go
@@ -0,0 +1,225 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	log "github.com/sirupsen/logrus"
+
+	"maststage.dev/router/eventlog"
+	"maststage.dev/router/prepaid"
+	"maststage.dev/router/replica"
+	"maststage.dev/standin/memlog"
+	"maststage.dev/standin/until"
+)
+
+func TestMain(m *testing.M) {
+	log.SetOutput(io.Discard)
+	m.Run()
+}
+
+func newFleet(self Host) *Fleet {
+	return New(Options{Self: self, Timeout: time.Second})
+}
+
+// announced tells a fleet of hosts.
+func announced(f *Fleet, hosts ...Host) {
+	var changes []replica.Change
+	for _, h := range hosts {
+		value, err := json.Marshal(h)
+		if err != nil {
+			panic(err)
+		}
+		changes = append(changes, replica.Change{Record: eventlog.Record{Key: h.Name, Value: value}})
+	}
+	f.Changed(changes)
+}
+
+// hosts makes n hosts in some failure domains.
+func hosts(n, zones int) []Host {
+	var list []Host
+	for i := range n {
+		list = append(list, Host{Name: fmt.Sprintf("h%d", i), Zone: fmt.Sprintf("z%d", i%zones), Address: fmt.Sprintf("10.0.0.%d:1", i)})
+	}
+	return list
+}
+
+func TestSize(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(Host{Name: "h0", Zone: "z0"})
+	is.Equal(f.Size(), 1)
+	announced(f, hosts(6, 3)...)
+	is.Equal(f.Size(), 6) // itself once
+	f.Changed([]replica.Change{{Record: eventlog.Record{Key: "h1"}}})
+	is.Equal(f.Size(), 5)
+	f.Changed([]replica.Change{{Record: eventlog.Record{Key: "h2", Value: []byte("not JSON")}}})
+	is.Equal(f.Size(), 5)
+}
+
+func TestSmallFleetHasNoKeepers(t *testing.T) {
+	is := is.New(t)
+	all := hosts(keeperGroup, 3)
+	for _, self := range all {
+		f := newFleet(self)
+		announced(f, all...)
+		count, keeper := f.Keepers("org")
+		is.Equal(count, keeperGroup)
+		is.True(keeper)
+		is.Equal(f.keeperAddresses("org"), nil)
+	}
+}
+
+// In a large fleet all hosts agree on the keepers, one of eight in each failure
+// domain, and each finds those of its own.
+func TestKeepersOfALargeFleet(t *testing.T) {
+	is := is.New(t)
+	all := hosts(87, 3)
+	keepers := map[string]int{}
+	names := map[string]string{}
+	for _, self := range all {
+		names[self.Address] = self.Zone
+	}
+	for _, self := range all {
+		f := newFleet(self)
+		announced(f, all...)
+		count, keeper := f.Keepers("org")
+		is.Equal(count, 3*4) // 29 hosts in each failure domain
+		if keeper {
+			keepers[self.Zone]++
+			continue
+		}
+		list := f.keeperAddresses("org")
+		is.Equal(len(list), 4)
+		for _, address := range list {
+			is.Equal(names[address], self.Zone)
+		}
+	}
+	is.Equal(keepers, map[string]int{"z0": 4, "z1": 4, "z2": 4})
+}
+
+func TestSilentKeeperIsAskedLast(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(Host{Name: "other", Zone: "z0"})
+	announced(f, hosts(40, 1)...)
+	list := f.keeperAddresses("org")
+	f.noteSilent(list[0], io.EOF)
+	is.Equal(f.keeperAddresses("org")[len(list)-1], list[0])
+	f.noteSilent(list[0], nil)
+	is.Equal(f.keeperAddresses("org")[0], list[0])
+}
+
+// peer is another host that lends and takes.
+type peer struct {
+	server *httptest.Server
+	asked  atomic.Int64
+	given  atomic.Int64
+}
+
+func newPeer(t *testing.T, lends int64, keeper, takes bool) *peer {
+	p := &peer{}
+	f := New(Options{
+		Lend: func(_ context.Context, _ string, tokens, _ int64) prepaid.Loan {
+			p.asked.Add(1)
+			return prepaid.Loan{Tokens: min(tokens, lends), Answered: keeper}
+		},
+		Credit: func(_ string, tokens int64) bool {
+			if takes {
+				p.given.Add(tokens)
+			}
+			return takes
+		},
+	})
+	p.server = httptest.NewServer(f.Handler())
+	t.Cleanup(p.server.Close)
+	return p
+}
+
+func (p *peer) address() string { return p.server.Listener.Addr().String() }
+
+func TestBorrowsInTurnUntilItIsEnough(t *testing.T) {
+	is := is.New(t)
+	peers := []*peer{newPeer(t, 30, true, true), newPeer(t, 30, true, true), newPeer(t, 30, true, true)}
+	f := newFleet(Host{Name: "self"})
+	for _, p := range peers {
+		f.seeds = append(f.seeds, p.address())
+	}
+	loan := f.Borrow(context.Background(), "org", 50, 50)
+	is.Equal(loan, prepaid.Loan{Tokens: 50, Answered: true})
+	asked := int64(0)
+	for _, p := range peers {
+		asked += p.asked.Load()
+	}
+	is.Equal(asked, int64(2))
+	is.Equal(f.Borrow(context.Background(), "org", 500, 500).Tokens, int64(90))
+}
+
+func TestBorrowFromNobody(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(Host{Name: "self"})
+	f.seeds = []string{"127.0.0.1:1"}
+	is.Equal(f.Borrow(context.Background(), "org", 50, 50), prepaid.Loan{})
+}
+
+// Tokens are given to one host only.
+func TestGive(t *testing.T) {
+	is := is.New(t)
+	refuses, takes, spare := newPeer(t, 0, false, false), newPeer(t, 0, false, true), newPeer(t, 0, false, true)
+	f := newFleet(Host{Name: "self"})
+	list := []string{"127.0.0.1:1", refuses.address(), takes.address(), spare.address()}
+	is.True(f.giveTo(context.Background(), list, "org", 70))
+	is.Equal(takes.given.Load(), int64(70))
+	is.Equal(spare.given.Load(), int64(0))
+	is.True(!f.giveTo(context.Background(), list[:2], "org", 70))
+}
+
+func TestAnnouncesAndLeaves(t *testing.T) {
+	is := is.New(t)
+	l := memlog.New()
+	f := New(Options{
+		Self: Host{Name: "self", Incarnation: "1", Address: "10.0.0.1:1", Zone: "z"}, Log: l.Host("self"), Topic: "hosts",
+		Announce: 20 * time.Millisecond, Pull: time.Hour, Timeout: time.Second,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.Run(ctx)
+	}()
+	at := eventlog.Partition{Topic: "hosts"}
+	beat := func() int64 {
+		rec, _ := l.Get(at, "self")
+		var h Host
+		_ = json.Unmarshal(rec.Value, &h)
+		return h.Beat
+	}
+	until.True(t, "three announcements", func() bool { return beat() >= 3 })
+	l.SetFault("self", memlog.Fault{Refuse: true})
+	time.Sleep(30 * time.Millisecond)
+	l.SetFault("self", memlog.Fault{})
+	before := beat()
+	until.True(t, "it goes on", func() bool { return beat() > before })
+	cancel()
+	<-done
+	is.NoErr(f.Leave(context.Background()))
+	_, listed := l.Get(at, "self")
+	is.True(!listed)
+}
+
+func TestBadCallsAreRefused(t *testing.T) {
+	is := is.New(t)
+	p := newPeer(t, 10, true, true)
+	for _, path := range []string{pathPull, pathLend, pathGive} {
+		resp, err := p.server.Client().Post(p.server.URL+path, "application/json", strings.NewReader("{"))
+		is.NoErr(err)
+		resp.Body.Close()
+		is.Equal(resp.StatusCode, 400)
+	}
+}
--- a/router/fleet/keepers.go
+++ b/router/fleet/keepers.go
@@ -21,11 +21,7 @@
 func (f *Fleet) Keepers(tenant string) (count int, self bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	zones := f.zones()
-	total := 0
-	for _, n := range zones {
-		total += n
-	}
+	zones, total := f.zones()
 	if total <= keeperGroup {
 		return total, true
 	}
@@ -44,20 +40,35 @@
 
 func keepersOf(hosts int) int { return (hosts + keeperGroup - 1) / keeperGroup }
 
+// First says whether this host is the one of all that has a duty.
+func (f *Fleet) First(duty string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	own := rendezvous.Score(duty, f.opts.Self.Name)
+	for name, k := range f.hosts {
+		if f.counts(name, k) && rendezvous.Score(duty, name) > own {
+			return false
+		}
+	}
+	return true
+}
+
 // counts says whether a host other than this one takes part; the lock is held.
 func (f *Fleet) counts(name string, k known) bool {
 	return name != f.opts.Self.Name && time.Since(k.seen) < forgetAfter
 }
 
-// zones counts the hosts of each failure domain, this one included.
-func (f *Fleet) zones() map[string]int {
-	zones := map[string]int{f.opts.Self.Zone: 1}
+// zones counts the hosts of each failure domain and in all, this one included.
+func (f *Fleet) zones() (zones map[string]int, total int) {
+	zones = map[string]int{f.opts.Self.Zone: 1}
+	total = 1
 	for name, k := range f.hosts {
 		if f.counts(name, k) {
 			zones[k.host.Zone]++
+			total++
 		}
 	}
-	return zones
+	return zones, total
 }
 
 // keeperAddresses lists the keepers of a budget in this host's failure domain, those
@@ -65,11 +76,7 @@
 func (f *Fleet) keeperAddresses(tenant string) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	zones := f.zones()
-	total := 0
-	for _, n := range zones {
-		total += n
-	}
+	zones, total := f.zones()
 	if total <= keeperGroup {
 		return nil
 	}
--- a/router/forward/harness_test.go
+++ b/router/forward/harness_test.go
@@ -21,6 +21,7 @@
 	"maststage.dev/router/routing"
 	"maststage.dev/router/target"
 	"maststage.dev/standin/backend"
+	"maststage.dev/standin/until"
 )
 
 func TestMain(m *testing.M) {
@@ -216,13 +217,7 @@
 // eventually waits until a condition holds.
 func (b *bench) eventually(what string, ok func() bool) {
 	b.t.Helper()
-	for range 500 {
-		if ok() {
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	b.t.Fatalf("not so after 5 s: %s", what)
+	until.True(b.t, what, ok)
 }
 
 // deadAddress is one on which nobody listens.
--- a/router/forward/pass.go
+++ b/router/forward/pass.go
@@ -104,6 +104,7 @@
 		n, err := resp.Body.Read(buffer)
 		if n > 0 {
 			c.silence.heard()
+			c.target.Heard(time.Now())
 			data := buffer[:n]
 			whole := s.scanner.Scan(data)
 			if whole > 0 {
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -200,6 +200,7 @@
 
 // answered notes that the target began to answer.
 func (c *call) answered() {
+	c.target.Heard(time.Now())
 	c.request.handler.opts.Targets.Answered(c.target, c.work, time.Since(c.started))
 	c.work = 0
 }
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -14,6 +14,7 @@
 	log "github.com/sirupsen/logrus"
 
 	"maststage.dev/lib/guard"
+	"maststage.dev/router/archive"
 	"maststage.dev/router/eventlog"
 	"maststage.dev/router/fleet"
 	"maststage.dev/router/forward"
@@ -31,8 +32,10 @@
 type Outside struct {
 	Log     eventlog.Log
 	Headers forward.Headers
-	// Topics of the shared log. Hosts and Budgets are this product's own.
-	ConfigTopic, TargetsTopic, HostsTopic, BudgetsTopic string
+	// Topics of the shared log. Hosts, Budgets and Archive are this product's own.
+	ConfigTopic, TargetsTopic, HostsTopic, BudgetsTopic, ArchiveTopic string
+	// MaxRecordBytes is the size of the largest record that the log takes.
+	MaxRecordBytes int
 	// ConfigKey is the key of the configuration in its topic.
 	ConfigKey    string
 	DecodeConfig func(value []byte) (*routing.Config, error)
@@ -128,7 +131,6 @@
 		},
 		Log: n.outside.Log, Topic: n.outside.HostsTopic, Seeds: n.cfg.Host.Seeds,
 		Announce: announceEvery, Pull: pullEvery, Timeout: peerTimeout,
-		Stale: settings.Milliseconds(n.cfg.Log.LongPollMs) + stalePause,
 		Copies: map[string]*replica.Replica{
 			n.outside.ConfigTopic:  n.configCopy,
 			n.outside.TargetsTopic: n.targetsCopy,
@@ -141,9 +143,27 @@
 	})
 }
 
-// stalePause is how long beyond a long poll a copy may be without contact before
-// other hosts are asked.
-const stalePause = 300 * time.Millisecond
+// Figures of the second copies of topics.
+const (
+	archiveEvery    = 4 * time.Second
+	archivePatience = 150 * time.Millisecond
+	archiveCopies   = 3
+)
+
+// newArchive keeps second copies of configuration and list for starts while the log
+// is out of reach in part.
+func (n *Node) newArchive() *archive.Archive {
+	return archive.New(archive.Options{
+		Log: n.outside.Log, Topic: n.outside.ArchiveTopic, MaxBytes: n.outside.MaxRecordBytes,
+		Partitions: min(archiveCopies, n.cfg.Log.Partitions),
+		Every:      archiveEvery, Patience: archivePatience, Timeout: settings.Milliseconds(n.cfg.Log.TimeoutMs),
+		Copies: map[string]*replica.Replica{
+			n.outside.ConfigTopic:  n.configCopy,
+			n.outside.TargetsTopic: n.targetsCopy,
+		},
+		Writer: func() bool { return n.fleet.First(n.outside.ArchiveTopic) },
+	})
+}
 
 func (n *Node) newTreasury(incarnation string) {
 	b := n.cfg.Budgets
@@ -183,6 +203,7 @@
 	guard.Go("targets copy", func() { n.targetsCopy.Run(ctx) })
 	guard.Go("hosts copy", func() { n.hostsCopy.Run(ctx) })
 	guard.Go("configuration", func() { n.applyConfigs(ctx) })
+	guard.Go("archive", func() { n.newArchive().Run(ctx) })
 	guard.Go("fleet", func() { n.fleet.Run(ctx) })
 	guard.Go("treasury", func() { n.treasury.Run(ctx) })
 	guard.Go("housekeeping", func() { n.housekeeping(ctx) })
--- a/router/node/node_test.go
+++ b/router/node/node_test.go
@@ -24,6 +24,7 @@
 	"maststage.dev/router/target"
 	"maststage.dev/standin/backend"
 	"maststage.dev/standin/memlog"
+	"maststage.dev/standin/until"
 )
 
 func TestMain(m *testing.M) {
@@ -36,6 +37,7 @@
 	topicTargets = "targets"
 	topicHosts   = "hosts"
 	topicBudgets = "budgets"
+	topicArchive = "copies"
 )
 
 var headers = forward.Headers{
@@ -115,6 +117,7 @@
 	outside := Outside{
 		Log: f.log.Host(cfg.Host.Name), Headers: headers,
 		ConfigTopic: topicConfig, TargetsTopic: topicTargets, HostsTopic: topicHosts, BudgetsTopic: topicBudgets,
+		ArchiveTopic: topicArchive, MaxRecordBytes: 1 << 18,
 		ConfigKey: "config", ReadyPath: "/ready",
 		DecodeConfig: routing.Parse,
 		DecodeTarget: func(id string, value []byte) (target.Entry, error) {
@@ -166,13 +169,7 @@
 
 func (f *testFleet) eventually(what string, ok func() bool) {
 	f.t.Helper()
-	for range 1000 {
-		if ok() {
-			return
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	f.t.Fatalf("not so after 5 s: %s", what)
+	until.True(f.t, what, ok)
 }
 
 func (f *testFleet) ready(h *host) {
--- a/router/prepaid/treasury_test.go
+++ b/router/prepaid/treasury_test.go
@@ -13,6 +13,7 @@
 
 	"maststage.dev/router/eventlog"
 	"maststage.dev/standin/memlog"
+	"maststage.dev/standin/until"
 )
 
 func TestMain(m *testing.M) {
@@ -71,17 +72,6 @@
 	return a
 }
 
-func eventually(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for range 500 {
-		if ok() {
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	t.Fatalf("not so after 5 s: %s", what)
-}
-
 // spend reserves and settles until the treasury has no more, at most n times.
 func spend(tr *Treasury, tenant string, tokens int64, n int) (spent int64) {
 	for range n {
@@ -155,7 +145,7 @@
 	spent := spend(a, "org", 10, 30) + spend(b, "org", 10, 30)
 	is.Equal(spent, int64(600))
 	a.Configure(2, []Budget{{"org", 700}}, false)
-	eventually(t, "the lowering is in the log", func() bool { return h.account(a, "org").Version == 2 })
+	until.True(t, "the lowering is in the log", func() bool { return h.account(a, "org").Version == 2 })
 	// b still knows the old limit, but the account tells it the new one.
 	spent += spend(a, "org", 10, 100)
 	b.Configure(2, []Budget{{"org", 700}}, false)
@@ -171,13 +161,13 @@
 	tr, _ := h.start("h1", nil)
 	tr.Configure(1, []Budget{{"org", 1000}}, true)
 	is.Equal(spend(tr, "org", 10, 1), int64(10))
-	eventually(t, "a slice", func() bool { got, _ := tr.Holding("org"); return got.Free > 100 })
+	until.True(t, "a slice", func() bool { got, _ := tr.Holding("org"); return got.Free > 100 })
 	h.log.SetFault("", memlog.Fault{Silent: true})
 	tr.Configure(2, []Budget{{"org", 900}}, false)
 	_, err := tr.Reserve(context.Background(), "org", 10)
 	is.True(errors.Is(err, ErrEmpty))
 	h.log.SetFault("", memlog.Fault{})
-	eventually(t, "it goes on", func() bool { return spend(tr, "org", 10, 1) == 10 })
+	until.True(t, "it goes on", func() bool { return spend(tr, "org", 10, 1) == 10 })
 }
 
 func TestGoesOnWithoutTheLog(t *testing.T) {
@@ -186,7 +176,7 @@
 	tr, _ := h.start("h1", nil)
 	tr.Configure(1, []Budget{{"org", 1000}}, true)
 	is.Equal(spend(tr, "org", 10, 1), int64(10))
-	eventually(t, "a slice", func() bool { got, _ := tr.Holding("org"); return got.Free >= 100 })
+	until.True(t, "a slice", func() bool { got, _ := tr.Holding("org"); return got.Free >= 100 })
 	h.log.SetFault("", memlog.Fault{Silent: true})
 	is.True(spend(tr, "org", 10, 10) == 100)
 }
@@ -264,7 +254,7 @@
 	spent := spend(borrower, "org", 300, 1)
 	is.Equal(spent, int64(300))
 	is.Equal(calls.Load(), int64(0))
-	eventually(t, "what is idle goes back", func() bool { held, _ := borrower.Holding("org"); return held.Free == 0 })
+	until.True(t, "what is idle goes back", func() bool { held, _ := borrower.Holding("org"); return held.Free == 0 })
 	is.Equal(spent+spend(keeper, "org", 10, 500), int64(1000)) // nothing is lost on the way
 	is.Equal(calls.Load(), int64(0))
 }
@@ -344,7 +334,7 @@
 				spent += spend(a, "org", 10, 1) + spend(b, "org", 10, 1)
 			}
 			h.log.SetFault("a", memlog.Fault{})
-			eventually(t, "both have spent it all", func() bool {
+			until.True(t, "both have spent it all", func() bool {
 				n := spend(a, "org", 10, 100) + spend(b, "org", 10, 100)
 				spent += n
 				return n == 0 && spent >= 950
--- a/router/replica/replica.go
+++ b/router/replica/replica.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"maststage.dev/lib/wait"
 	"maststage.dev/router/eventlog"
 )
 
@@ -75,7 +76,7 @@
 		} else {
 			backoff = minBackoff
 		}
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 	}
 }
 
@@ -84,18 +85,6 @@
 	maxBackoff = 400 * time.Millisecond
 )
 
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // step makes one call chain to the log: the newest records if the copy is empty
 // or too old, else a long poll.
 func (r *Replica) step(ctx context.Context) error {
@@ -268,6 +257,17 @@
 	return r.up, r.contact
 }
 
+// Stale says whether the log has not answered for longer than it should take.
+func (r *Replica) Stale(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.contact) > r.opts.LongPoll+r.opts.Pace+staleMargin
+}
+
+// staleMargin is how much longer than a long poll and the pause before it an answer
+// may take.
+const staleMargin = 300 * time.Millisecond
+
 // Since lists the known records at or above an offset, for another host.
 func (r *Replica) Since(offset int64) (records []eventlog.Record, end int64) {
 	r.mu.Lock()
--- a/router/replica/replica_test.go
+++ b/router/replica/replica_test.go
@@ -12,6 +12,7 @@
 
 	"maststage.dev/router/eventlog"
 	"maststage.dev/standin/memlog"
+	"maststage.dev/standin/until"
 )
 
 var part = eventlog.Partition{Topic: "t"}
@@ -83,28 +84,17 @@
 	return gaps
 }
 
-func eventually(t *testing.T, what string, ok func() bool) {
-	t.Helper()
-	for range 500 {
-		if ok() {
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	t.Fatalf("not so after 5 s: %s", what)
-}
-
 func TestFollows(t *testing.T) {
 	is := is.New(t)
 	l := memlog.New()
 	l.Put(part, "a", []byte("1"))
 	f := follow(t, l, "h")
-	eventually(t, "the first record", func() bool { return f.value("a") == "1" })
+	until.True(t, "the first record", func() bool { return f.value("a") == "1" })
 	l.Put(part, "a", []byte("2"))
 	l.Put(part, "b", []byte("3"))
-	eventually(t, "later records", func() bool { return f.value("a") == "2" && f.value("b") == "3" })
+	until.True(t, "later records", func() bool { return f.value("a") == "2" && f.value("b") == "3" })
 	l.Put(part, "b", nil)
-	eventually(t, "a deletion", func() bool { return f.value("b") == "" })
+	until.True(t, "a deletion", func() bool { return f.value("b") == "" })
 	is.Equal(f.gaps("a"), []bool{true, false}) // what was read at the start may follow others
 	is.Equal(f.End(), int64(4))
 }
@@ -115,16 +105,16 @@
 	l.Put(part, "a", []byte("1"))
 	l.Put(part, "gone", []byte("1"))
 	f := follow(t, l, "h")
-	eventually(t, "the first record", func() bool { return f.value("gone") == "1" })
+	until.True(t, "the first record", func() bool { return f.value("gone") == "1" })
 	l.SetFault("h", memlog.Fault{Refuse: true})
-	eventually(t, "the loss is noticed", func() bool { up, _ := f.Up(); return !up })
+	until.True(t, "the loss is noticed", func() bool { up, _ := f.Up(); return !up })
 	l.Put(part, "a", []byte("2"))
 	l.Put(part, "a", []byte("3"))
 	l.Put(part, "gone", nil)
 	l.Trim(part)
 	l.SetFault("h", memlog.Fault{})
-	eventually(t, "the newest record", func() bool { return f.value("a") == "3" })
-	eventually(t, "the deletion", func() bool { return f.value("gone") == "" })
+	until.True(t, "the newest record", func() bool { return f.value("a") == "3" })
+	until.True(t, "the deletion", func() bool { return f.value("gone") == "" })
 	is.Equal(f.gaps("a"), []bool{true, true})
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -138,9 +128,9 @@
 			l.Put(part, "a", []byte("1"))
 			l.SetFault("h", fault)
 			f := follow(t, l, "h")
-			eventually(t, "the loss is told", func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.lost == 1 })
+			until.True(t, "the loss is told", func() bool { f.mu.Lock(); defer f.mu.Unlock(); return f.lost == 1 })
 			l.SetFault("h", memlog.Fault{})
-			eventually(t, "the record", func() bool { return f.value("a") == "1" })
+			until.True(t, "the record", func() bool { return f.value("a") == "1" })
 		})
 	}
 }
@@ -152,10 +142,10 @@
 	l.Put(part, "dead", []byte("1"))
 	l.SetFault("cut", memlog.Fault{Refuse: true})
 	good, cut := follow(t, l, "good"), follow(t, l, "cut")
-	eventually(t, "the record", func() bool { return good.value("a") == "1" })
+	until.True(t, "the record", func() bool { return good.value("a") == "1" })
 	l.Put(part, "a", []byte("2"))
 	l.Put(part, "dead", nil)
-	eventually(t, "the newest record", func() bool { return good.value("a") == "2" && good.End() == 4 })
+	until.True(t, "the newest record", func() bool { return good.value("a") == "2" && good.End() == 4 })
 	cut.MergeNewest(good.Since(cut.End()))
 	is.Equal(cut.value("a"), "2")
 	is.Equal(cut.value("dead"), "")
@@ -169,5 +159,5 @@
 	// The log goes on where the other copy ended.
 	l.SetFault("cut", memlog.Fault{})
 	l.Put(part, "a", []byte("3"))
-	eventually(t, "the next record", func() bool { return cut.value("a") == "3" })
+	until.True(t, "the next record", func() bool { return cut.value("a") == "3" })
 }
--- a/router/settings/sections.go
+++ b/router/settings/sections.go
@@ -27,11 +27,12 @@
 
 // Log says how the shared log is reached. Times are milliseconds.
 type Log struct {
-	Address    string  `ini:"address"`
-	Partitions int     `ini:"partitions" default:"12"` // of a topic
-	LongPollMs float64 `ini:"long_poll_ms" default:"1000"`
-	TimeoutMs  float64 `ini:"timeout_ms" default:"1000"` // of an answer, beyond the wait asked for
-	PaceMs     float64 `ini:"pace_ms" default:"450"`     // least time between two reads of the list of targets
+	Address     string  `ini:"address"`
+	Partitions  int     `ini:"partitions" default:"12"`       // of a topic
+	RecordBytes int     `ini:"record_bytes" default:"262144"` // largest record that it takes
+	LongPollMs  float64 `ini:"long_poll_ms" default:"1000"`
+	TimeoutMs   float64 `ini:"timeout_ms" default:"1000"` // of an answer, beyond the wait asked for
+	PaceMs      float64 `ini:"pace_ms" default:"450"`     // least time between two reads of the list of targets
 }
 
 func (l Log) check() error {
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -46,7 +46,7 @@
 }
 
 // usable lists the targets that may take the request: the ready ones that are
-// not ejected; else the ready ones; else those that left a moment ago.
+// neither ejected, nor full, nor quiet; else the ready ones; else those that left a moment ago.
 func (r *Registry) usable(w Want, now time.Time) []*Target {
 	var good, ejected, leaving []*Target
 	for _, t := range r.services[w.Service] {
@@ -58,7 +58,7 @@
 			if now.Sub(t.leftAt) < r.opts.DrainWithin {
 				leaving = append(leaving, t)
 			}
-		case now.Before(t.health.until) || now.Before(t.health.shedUntil):
+		case now.Before(t.health.until) || now.Before(t.health.shedUntil) || t.quiet(now):
 			ejected = append(ejected, t)
 		default:
 			good = append(good, t)
--- a/router/target/health.go
+++ b/router/target/health.go
@@ -76,10 +76,33 @@
 func (r *Registry) Begin(t *Target, work float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if t.outstanding == 0 {
+		t.busySince = time.Now()
+	}
 	t.outstanding++
 	t.work += work
 }
 
+// Heard notes that the target sent something.
+func (t *Target) Heard(now time.Time) { t.heard.Store(now.UnixNano()) }
+
+// quietTime is how long a target with requests under way may send nothing before
+// others are preferred.
+const quietTime = 700 * time.Millisecond
+
+// quiet says whether a target has requests of this host and has sent nothing on any
+// of them for long: it may have gone dark, which its connections don't tell.
+func (t *Target) quiet(now time.Time) bool {
+	if t.outstanding == 0 {
+		return false
+	}
+	since := t.busySince
+	if heard := time.Unix(0, t.heard.Load()); heard.After(since) {
+		since = heard
+	}
+	return now.Sub(since) > quietTime
+}
+
 // Answered notes that the prompt was worked off, after a latency of its own.
 func (r *Registry) Answered(t *Target, work float64, latency time.Duration) {
 	r.mu.Lock()
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	log "github.com/sirupsen/logrus"
@@ -46,8 +47,10 @@
 	leftAt    time.Time // when it was first seen draining or gone
 	coldUntil time.Time
 
-	outstanding int     // requests of this host under way
-	work        float64 // prompt tokens of them not answered yet
+	heard       atomic.Int64 // when it last sent anything, in Unix nanoseconds
+	busySince   time.Time    // when requests were first under way again
+	outstanding int          // requests of this host under way
+	work        float64      // prompt tokens of them not answered yet
 
 	health health
 }
--- a/router/target/target_test.go
+++ b/router/target/target_test.go
@@ -173,6 +173,21 @@
 	is.Equal(r.Choose(Want{Service: "s"}).ID, "b")
 }
 
+// A target that has requests and sends nothing on any of them is left alone.
+func TestQuietTargetIsAvoided(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry(entry("a", "z1"), entry("b", "z2"))
+	dark := r.Choose(Want{Service: "s"})
+	is.Equal(dark.ID, "a")
+	r.Begin(dark, 0)
+	later := time.Now().Add(quietTime + time.Millisecond)
+	is.Equal(r.usable(Want{Service: "s"}, later)[0].ID, "b")
+	dark.Heard(later)
+	is.Equal(len(r.usable(Want{Service: "s"}, later)), 2)
+	r.End(dark, 0, Succeeded)
+	is.Equal(len(r.usable(Want{Service: "s"}, later.Add(time.Hour))), 2) // nothing is under way
+}
+
 func TestSharedPartsGoToOneTarget(t *testing.T) {
 	is := is.New(t)
 	var entries []Entry
--- a/standin/memlog/memlog.go
+++ b/standin/memlog/memlog.go
@@ -29,6 +29,7 @@
 	mu         sync.Mutex
 	partitions map[eventlog.Partition]*partition
 	faults     map[string]Fault // by host; "" for all
+	parts      map[eventlog.Partition]Fault
 	appends    int
 	reads      int
 }
@@ -44,7 +45,7 @@
 
 // New makes an empty log.
 func New() *Log {
-	return &Log{partitions: map[eventlog.Partition]*partition{}, faults: map[string]Fault{}}
+	return &Log{partitions: map[eventlog.Partition]*partition{}, faults: map[string]Fault{}, parts: map[eventlog.Partition]Fault{}}
 }
 
 // Host gives the log as one host sees it; faults may strike it alone.
@@ -57,6 +58,13 @@
 	l.faults[host] = f
 }
 
+// SetPartitionFault sets what happens to the calls of all hosts to one partition.
+func (l *Log) SetPartitionFault(p eventlog.Partition, f Fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.parts[p] = f
+}
+
 // Calls counts the appends and reads so far, refused ones included.
 func (l *Log) Calls() (appends, reads int) {
 	l.mu.Lock()
@@ -112,7 +120,10 @@
 	return part.end()
 }
 
-func (l *Log) fault(host string) Fault {
+func (l *Log) fault(host string, p eventlog.Partition) Fault {
+	if f := l.parts[p]; f != (Fault{}) {
+		return f
+	}
 	if f := l.faults[host]; f != (Fault{}) {
 		return f
 	}
@@ -139,7 +150,7 @@
 	l := v.log
 	l.mu.Lock()
 	l.appends++
-	fault := l.fault(v.host)
+	fault := l.fault(v.host, p)
 	l.mu.Unlock()
 	switch {
 	case fault.Refuse:
@@ -187,7 +198,7 @@
 }
 
 func (v *view) read(ctx context.Context, p eventlog.Partition, from int64) (eventlog.Batch, <-chan struct{}, error) {
-	if err := v.pass(ctx); err != nil {
+	if err := v.pass(ctx, p); err != nil {
 		return eventlog.Batch{}, nil, err
 	}
 	v.log.mu.Lock()
@@ -204,10 +215,10 @@
 }
 
 // pass counts a reading call and applies faults to it.
-func (v *view) pass(ctx context.Context) error {
+func (v *view) pass(ctx context.Context, p eventlog.Partition) error {
 	v.log.mu.Lock()
 	v.log.reads++
-	fault := v.log.fault(v.host)
+	fault := v.log.fault(v.host, p)
 	v.log.mu.Unlock()
 	if fault.Refuse {
 		return eventlog.ErrRefused
@@ -224,7 +235,7 @@
 
 // Newest implements eventlog.Log.
 func (v *view) Newest(ctx context.Context, p eventlog.Partition, after string) (eventlog.Page, error) {
-	if err := v.pass(ctx); err != nil {
+	if err := v.pass(ctx, p); err != nil {
 		return eventlog.Page{}, err
 	}
 	v.log.mu.Lock()
