observe: gauges of each organisation's budget at a host

Ruled out: a line for each change of a slice (too many).

Change: gauges of free, reserved and granted tokens and of the limit, for each organisation, bounded at 1,000; node TestMetrics checks one.

--- a/router/node/node.go
+++ b/router/node/node.go
@@ -289,6 +289,7 @@
 }
 
 func (n *Node) gauges() {
+	n.observer.Holdings(n.treasury.Holdings)
 	n.observer.Gauge("open_requests", func() float64 { return float64(n.handler.Open()) })
 	n.observer.Gauge("hosts", func() float64 { return float64(n.fleet.Size()) })
 	n.observer.Gauge("targets_ready", func() float64 { return float64(n.targets.Total()) })
--- a/router/node/node_test.go
+++ b/router/node/node_test.go
@@ -453,17 +453,17 @@
 
 func TestMetrics(t *testing.T) {
 	f := newFleet(t)
-	f.publish(config(1, plainRoute, ""))
+	f.publish(config(1, plainRoute, `,"tenants":[{"name":"o","keys":["k"],"prepaid":1000}]`))
 	f.backend("t1", backend.Behaviour{Body: "one"})
 	h := f.start(f.settings("h1"))
 	f.ready(h)
-	f.eventually("it serves", func() bool { return f.call(h, "/r/x", "").status == 200 })
+	f.eventually("it serves", func() bool { return f.call(h, "/r/x", "k").status == 200 })
 	resp, err := http.Get("http://" + h.cfg.Host.MetricsListen + "/metrics")
 	f.is.NoErr(err)
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	f.is.NoErr(err)
-	for _, want := range []string{"maststage_requests_total{", "maststage_request_seconds_bucket{", "maststage_config_version 1", "maststage_targets_ready 1"} {
+	for _, want := range []string{"maststage_requests_total{", "maststage_request_seconds_bucket{", "maststage_config_version 1", "maststage_targets_ready 1", "maststage_budget_limit_tokens{organisation=\"o\"} 1000"} {
 		f.is.True(strings.Contains(string(text), want))
 	}
 }
--- a/router/observe/observe.go
+++ b/router/observe/observe.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -18,6 +20,7 @@
 // Observer implements forward.Observer.
 type Observer struct {
 	set       *metrics.Set
+	holdings  func() []prepaid.Holding
 	successes *logging.Limiter
 	failures  *logging.Limiter
 }
@@ -107,6 +110,28 @@
 // Gauge adds a gauge that is read when the metrics are.
 func (o *Observer) Gauge(name string, f func() float64) { o.set.NewGauge("maststage_"+name, f) }
 
+// Holdings adds gauges of the host's part of each budget, read when the metrics are.
+func (o *Observer) Holdings(f func() []prepaid.Holding) { o.holdings = f }
+
+// maxBudgets bounds the budgets with gauges of their own.
+const maxBudgets = 1000
+
+// writeHoldings prints the gauges of budgets.
+func (o *Observer) writeHoldings(w io.Writer) {
+	if o.holdings == nil {
+		return
+	}
+	list := o.holdings()
+	slices.SortFunc(list, func(a, b prepaid.Holding) int { return strings.Compare(a.Tenant, b.Tenant) })
+	for _, h := range list[:min(len(list), maxBudgets)] {
+		label := fmt.Sprintf("{organisation=%q}", h.Tenant)
+		metrics.WriteGaugeUint64(w, "maststage_budget_free_tokens"+label, uint64(max(h.Free, 0)))
+		metrics.WriteGaugeUint64(w, "maststage_budget_reserved_tokens"+label, uint64(max(h.Reserved, 0)))
+		metrics.WriteGaugeUint64(w, "maststage_budget_granted_tokens"+label, uint64(max(h.Granted, 0)))
+		metrics.WriteGaugeUint64(w, "maststage_budget_limit_tokens"+label, uint64(max(h.Limit, 0)))
+	}
+}
+
 // Handler serves the metrics as text.
 func (o *Observer) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -117,4 +142,5 @@
 
 func (o *Observer) write(w io.Writer) {
 	o.set.WritePrometheus(w)
+	o.writeHoldings(w)
 }
