prepaid, fleet: loans without an answer are recalled

A keeper that waits for the log answers after the borrower's 60 ms, and a loan is of up to four seconds of the borrower's demand.

Ruled out: lost appends (takes booked and granted agree), gives that were not taken (under 0.1M), hosts that were stopped (0.5M each at most).

Change: a loan has an id. The borrower gives up a loan that it got no answer to and recalls it until the lender answers; the lender credits it once, and lends nothing to a request that arrives behind its recall. A lender does not begin with a borrower that has left. The model of TestNeverOverspent recalls lost loans, some twice; with the mark of a recall left out it fails after 795 tests.

--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -11,13 +11,16 @@
 	"time"
 
 	log "github.com/sirupsen/logrus"
+
+	"maststage.dev/router/prepaid"
 )
 
 // Paths of the calls between hosts.
 const (
-	pathPull = "/fleet/pull"
-	pathLend = "/fleet/lend"
-	pathGive = "/fleet/give"
+	pathPull   = "/fleet/pull"
+	pathLend   = "/fleet/lend"
+	pathRecall = "/fleet/recall"
+	pathGive   = "/fleet/give"
 )
 
 // maxCallBytes bounds a call's body.
@@ -45,6 +48,7 @@
 }
 
 type lendRequest struct {
+	ID     string `json:"id"`
 	Tenant string `json:"tenant"`
 	Tokens int64  `json:"tokens"` // needed
 	Better int64  `json:"better"` // wanted if they can be spared
@@ -55,6 +59,15 @@
 	Keeper bool  `json:"keeper"` // the lender takes slices of the budget from the log
 }
 
+// recallRequest names loans that their borrower got no answer to and never uses.
+type recallRequest struct {
+	Loans []string `json:"loans"`
+}
+
+type recallResponse struct {
+	Tokens int64 `json:"tokens"` // credited again
+}
+
 type giveRequest struct {
 	Tenant string `json:"tenant"`
 	Tokens int64  `json:"tokens"`
@@ -115,6 +128,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+pathPull, f.servePull)
 	mux.HandleFunc("POST "+pathLend, f.serveLend)
+	mux.HandleFunc("POST "+pathRecall, f.serveRecall)
 	mux.HandleFunc("POST "+pathGive, f.serveGive)
 	return mux
 }
@@ -145,10 +159,22 @@
 	if !read(w, r, &ask) {
 		return
 	}
-	loan := f.opts.Lend(r.Context(), ask.Tenant, ask.Tokens, ask.Better)
+	loan := f.opts.Lend(r.Context(), prepaid.LoanRequest{ID: ask.ID, Tenant: ask.Tenant, Tokens: ask.Tokens, Better: ask.Better})
 	write(w, lendResponse{Tokens: loan.Tokens, Keeper: loan.Answered})
 }
 
+func (f *Fleet) serveRecall(w http.ResponseWriter, r *http.Request) {
+	var ask recallRequest
+	if !read(w, r, &ask) {
+		return
+	}
+	var answer recallResponse
+	for _, id := range ask.Loans {
+		answer.Tokens += f.opts.Recall(id)
+	}
+	write(w, answer)
+}
+
 func (f *Fleet) serveGive(w http.ResponseWriter, r *http.Request) {
 	var ask giveRequest
 	if !read(w, r, &ask) {
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -39,7 +39,9 @@
 	// Copies are the copies of the log's topics that hosts pull from each other,
 	// by topic.
 	Copies map[string]*replica.Replica
-	Lend   func(ctx context.Context, tenant string, tokens, better int64) prepaid.Loan
+	Lend   func(ctx context.Context, ask prepaid.LoanRequest) prepaid.Loan
+	// Recall takes back a loan whose borrower got no answer.
+	Recall func(id string) (tokens int64)
 	// Credit takes in tokens that a stopping host hands over.
 	Credit func(tenant string, tokens int64) bool
 }
@@ -52,8 +54,9 @@
 
 // Fleet is this host's view of the hosts.
 type Fleet struct {
-	opts  Options
-	calls *client
+	opts    Options
+	calls   *client
+	recalls *recaller
 
 	mu     sync.Mutex
 	seeds  []string
@@ -67,7 +70,11 @@
 
 // New makes a fleet of this host alone; Run fills it.
 func New(opts Options) *Fleet {
-	return &Fleet{opts: opts, calls: newClient(opts.Timeout), seeds: opts.Seeds, hosts: map[string]known{}, silent: map[string]time.Time{}}
+	calls := newClient(opts.Timeout)
+	return &Fleet{
+		opts: opts, calls: calls, recalls: newRecaller(calls, opts.Self.Name+"/"+opts.Self.Incarnation),
+		seeds: opts.Seeds, hosts: map[string]known{}, silent: map[string]time.Time{},
+	}
 }
 
 // Changed takes in announcements from the log's copy.
@@ -116,6 +123,7 @@
 	var all sync.WaitGroup
 	all.Go(func() { f.announce(ctx) })
 	all.Go(func() { f.pull(ctx) })
+	all.Go(func() { f.recalls.run(ctx) })
 	all.Wait()
 }
 
--- a/router/fleet/fleet_test.go
+++ b/router/fleet/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -126,9 +127,9 @@
 func newPeer(t *testing.T, lends int64, keeper, takes bool) *peer {
 	p := &peer{}
 	f := New(Options{
-		Lend: func(_ context.Context, _ string, tokens, _ int64) prepaid.Loan {
+		Lend: func(_ context.Context, ask prepaid.LoanRequest) prepaid.Loan {
 			p.asked.Add(1)
-			return prepaid.Loan{Tokens: min(tokens, lends), Answered: keeper}
+			return prepaid.Loan{Tokens: min(ask.Tokens, lends), Answered: keeper}
 		},
 		Credit: func(_ string, tokens int64) bool {
 			if takes {
@@ -168,6 +169,43 @@
 	is.Equal(f.Borrow(context.Background(), "org", 50, 50), prepaid.Loan{})
 }
 
+// A loan whose answer comes too late is recalled, again and again until the lender
+// answers, and not used.
+func TestLoanWithoutAnswerIsRecalled(t *testing.T) {
+	is := is.New(t)
+	var lent atomic.Value
+	recalled := make(chan string, 1)
+	var refused atomic.Bool
+	lender := New(Options{
+		Lend: func(ctx context.Context, ask prepaid.LoanRequest) prepaid.Loan {
+			lent.Store(ask.ID)
+			<-ctx.Done() // the borrower gave up
+			return prepaid.Loan{Tokens: ask.Tokens, Answered: true}
+		},
+		Recall: func(id string) int64 {
+			recalled <- id
+			return 50
+		},
+	})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == pathRecall && !refused.Swap(true) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		lender.Handler().ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	f := newFleet(Host{Name: "self", Incarnation: "1"})
+	f.seeds = []string{server.Listener.Addr().String()}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go f.recalls.run(ctx)
+	is.Equal(f.Borrow(ctx, "org", 50, 50), prepaid.Loan{})
+	id := <-recalled
+	is.Equal(id, lent.Load())
+	is.True(refused.Load())
+}
+
 // Tokens are given to one host only.
 func TestGive(t *testing.T) {
 	is := is.New(t)
@@ -216,7 +254,7 @@
 func TestBadCallsAreRefused(t *testing.T) {
 	is := is.New(t)
 	p := newPeer(t, 10, true, true)
-	for _, path := range []string{pathPull, pathLend, pathGive} {
+	for _, path := range []string{pathPull, pathLend, pathRecall, pathGive} {
 		resp, err := p.server.Client().Post(p.server.URL+path, "application/json", strings.NewReader("{"))
 		is.NoErr(err)
 		resp.Body.Close()
--- a/router/fleet/keepers.go
+++ b/router/fleet/keepers.go
@@ -126,8 +126,7 @@
 )
 
 // Borrow asks the keepers of the budget, or in a small fleet all hosts, one after
-// the other, until they lent enough. A lost answer strands what was lent; it counts
-// as spent.
+// the other, until they lent enough. A loan without an answer is recalled.
 func (f *Fleet) Borrow(ctx context.Context, tenant string, tokens, better int64) prepaid.Loan {
 	keepers := f.keeperAddresses(tenant)
 	if keepers != nil {
@@ -143,7 +142,7 @@
 		if total.Tokens >= tokens || ctx.Err() != nil {
 			break
 		}
-		ask := lendRequest{Tenant: tenant, Tokens: tokens - total.Tokens, Better: better - total.Tokens}
+		ask := lendRequest{ID: f.recalls.newLoan(), Tenant: tenant, Tokens: tokens - total.Tokens, Better: better - total.Tokens}
 		var got lendResponse
 		call, cancel := context.WithTimeout(ctx, timeout)
 		err := f.calls.do(call, address, pathLend, ask, &got)
@@ -152,6 +151,8 @@
 		if err == nil {
 			total.Tokens += got.Tokens
 			total.Answered = total.Answered || got.Keeper
+		} else if !notSent(err) {
+			f.recalls.add(unanswered{address: address, id: ask.ID})
 		}
 	}
 	log.WithFields(log.Fields{"organisation": tenant, "wanted": tokens, "got": total.Tokens, "answered": total.Answered}).Debug("borrowed from other hosts")
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -136,9 +136,8 @@
 			n.outside.TargetsTopic: n.targetsCopy,
 			n.outside.HostsTopic:   n.hostsCopy,
 		},
-		Lend: func(ctx context.Context, tenant string, tokens, better int64) prepaid.Loan {
-			return n.treasury.Lend(ctx, tenant, tokens, better)
-		},
+		Lend:   func(ctx context.Context, ask prepaid.LoanRequest) prepaid.Loan { return n.treasury.Lend(ctx, ask) },
+		Recall: func(id string) int64 { return n.treasury.Recall(id) },
 		Credit: func(tenant string, tokens int64) bool { return n.treasury.Credit(tenant, tokens) },
 	})
 }
--- a/router/prepaid/fuzz_test.go
+++ b/router/prepaid/fuzz_test.go
@@ -27,6 +27,8 @@
 	spent    int64 // settled
 	reserved int64 // may still be spent
 	dead     int64 // reserved by hosts that were killed: counts as spent
+	loans    int
+	lost     []lostLoan
 }
 
 const fuzzHosts = 3
@@ -82,6 +84,7 @@
 			"settle":  func(t *rapid.T) { m.settle(t, host.Draw(t, "host")) },
 			"kill":    func(t *rapid.T) { m.kill(host.Draw(t, "host")) },
 			"lend":    func(t *rapid.T) { m.lend(t, host.Draw(t, "from"), host.Draw(t, "to")) },
+			"recall":  func(t *rapid.T) { m.recall(t) },
 			"trim":    func(*rapid.T) { m.log.Trim(eventlog.Partition{Topic: "b"}) },
 			"fault":   func(t *rapid.T) { m.fault(t, host.Draw(t, "host")) },
 			"topUp":   func(t *rapid.T) { m.setLimit(m.limit + rapid.Int64Range(1, 500).Draw(t, "more")) },
@@ -192,15 +195,35 @@
 	}
 	wanted := rapid.Int64Range(1, 200).Draw(t, "wanted")
 	keeper := rapid.Bool().Draw(t, "keeper")
-	lent := m.hosts[from].lendFree("org", wanted, 2*wanted, keeper)
-	if r, _ := m.hosts[from].try("org", wanted); keeper && lent == 0 && r != nil {
-		lent = m.hosts[from].lendReserved(r) // as a keeper does that waited
+	m.loans++
+	id := fmt.Sprint(m.loans)
+	lender := m.hosts[from]
+	lent := lender.lendFree(LoanRequest{ID: id, Tenant: "org", Tokens: wanted, Better: 2 * wanted}, keeper)
+	if r, _ := lender.try("org", wanted); keeper && lent == 0 && r != nil {
+		lent = lender.lendReserved(id, r) // as a keeper does that waited
 	} else {
-		m.note(m.hosts[from], r)
+		m.note(lender, r)
 	}
 	if lent > 0 && rapid.Bool().Draw(t, "arrives") {
 		m.hosts[to].credit("org", lent)
+		return
+	}
+	m.lost = append(m.lost, lostLoan{lender: from, id: id})
+}
+
+// lostLoan is a loan that its borrower got no answer to.
+type lostLoan struct {
+	lender int // may have been started again since
+	id     string
+}
+
+// recall recalls one of the lost loans, some of them more than once.
+func (m *model) recall(t *rapid.T) {
+	if len(m.lost) == 0 {
+		return
 	}
+	loan := rapid.SampledFrom(m.lost).Draw(t, "loan")
+	m.hosts[loan.lender].Recall(loan.id)
 }
 
 func (m *model) fault(t *rapid.T, i int) {
--- a/router/prepaid/loans.go
+++ b/router/prepaid/loans.go
@@ -7,6 +7,16 @@
 	log "github.com/sirupsen/logrus"
 )
 
+// LoanRequest is what a host asks of another.
+type LoanRequest struct {
+	// ID is unique among all loans. With it the borrower may recall a loan that it
+	// got no answer to; empty: it can't.
+	ID     string
+	Tenant string
+	Tokens int64 // needed
+	Better int64 // wanted if they can be spared
+}
+
 // Loan is what other hosts lent.
 type Loan struct {
 	Tokens int64
@@ -93,45 +103,50 @@
 	}
 }
 
-// Lend takes tokens out of this host's slice for another host: better of them if
-// it can spare them, else as many as it can up to tokens. A keeper waits a moment
-// for a slice. What is lent is gone from here whether or not the other host gets it.
-func (t *Treasury) Lend(ctx context.Context, tenant string, tokens, better int64) Loan {
-	keeper := t.keeper(tenant)
-	if lent := t.lendFree(tenant, tokens, better, keeper); lent >= tokens || !keeper {
+// Lend takes tokens out of this host's slice for another host: as many as are better
+// for it if it can spare them, else as many as it can up to those needed. A keeper
+// waits a moment for a slice. What is lent is gone from here, whether or not the
+// other host gets it, unless it recalls the loan.
+func (t *Treasury) Lend(ctx context.Context, ask LoanRequest) Loan {
+	keeper := t.keeper(ask.Tenant)
+	if ctx.Err() != nil {
+		return Loan{}
+	}
+	if lent := t.lendFree(ask, keeper); lent >= ask.Tokens || !keeper {
 		return Loan{Tokens: lent, Answered: keeper}
 	}
-	got, err := t.reserveOwn(ctx, tenant, tokens, lendWait)
+	got, err := t.reserveOwn(ctx, ask.Tenant, ask.Tokens, lendWait)
 	if err != nil {
 		return Loan{Answered: true}
 	}
-	return Loan{Tokens: t.lendReserved(got), Answered: true}
+	return Loan{Tokens: t.lendReserved(ask.ID, got), Answered: true}
 }
 
 // lendFree lends of what is free. A keeper lends all that is asked for or nothing,
 // since it may wait for more.
-func (t *Treasury) lendFree(tenant string, tokens, better int64, keeper bool) int64 {
+func (t *Treasury) lendFree(ask LoanRequest, keeper bool) int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.wallets[tenant]
-	if w == nil || tokens <= 0 || t.closing || len(w.waiting) > 0 || !w.spendable() {
+	w := t.wallets[ask.Tenant]
+	if w == nil || ask.Tokens <= 0 || t.closing || len(w.waiting) > 0 || !w.spendable() || t.loans.recalled(ask.ID) {
 		return 0
 	}
 	spare := int64(lendPart * float64(w.free))
-	lent := min(tokens, spare)
+	lent := min(ask.Tokens, spare)
 	if keeper {
-		if spare < tokens {
+		if spare < ask.Tokens {
 			return 0
 		}
-		lent = max(tokens, min(better, spare/2))
+		lent = max(ask.Tokens, min(ask.Better, spare/2))
 		w.note(lent, time.Now())
 	}
 	w.free -= lent
+	t.loans.lent(ask.ID, ask.Tenant, lent)
 	return lent
 }
 
 // lendReserved turns a reservation into a loan.
-func (t *Treasury) lendReserved(r *Reservation) int64 {
+func (t *Treasury) lendReserved(id string, r *Reservation) int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w := t.wallets[r.tenant]
@@ -140,9 +155,30 @@
 	}
 	r.settled = true
 	w.reserved -= r.tokens
+	if t.loans.recalled(id) {
+		w.free += r.tokens
+		t.wake()
+		return 0
+	}
+	t.loans.lent(id, r.tenant, r.tokens)
 	return r.tokens
 }
 
+// Recall takes back a loan whose borrower got no answer and never uses it. It may
+// come before the request for the loan, which then lends nothing, and more than once.
+func (t *Treasury) Recall(id string) (tokens int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	loan := t.loans.recall(id)
+	w := t.wallets[loan.tenant]
+	if w == nil {
+		return 0
+	}
+	w.free += loan.tokens
+	t.wake()
+	return loan.tokens
+}
+
 // giveIdle gives the tokens of budgets that this host is no keeper of and has not
 // used for a while to a keeper.
 func (t *Treasury) giveIdle(ctx context.Context, c *clerk) {
--- a/router/prepaid/treasury.go
+++ b/router/prepaid/treasury.go
@@ -52,6 +52,7 @@
 	wallets map[string]*wallet
 	changed chan struct{} // closed and replaced when a wallet gains tokens
 	clerks  []*clerk
+	loans   *loanBook
 	nextOp  int64
 	closing bool
 }
@@ -61,7 +62,7 @@
 	if opts.Again <= 0 {
 		opts.Again = defaultAgain
 	}
-	t := &Treasury{opts: opts, wallets: map[string]*wallet{}, changed: make(chan struct{})}
+	t := &Treasury{opts: opts, wallets: map[string]*wallet{}, changed: make(chan struct{}), loans: newLoanBook()}
 	for i := range max(opts.Partitions, 1) {
 		t.clerks = append(t.clerks, newClerk(t, i))
 	}
--- a/router/prepaid/treasury_test.go
+++ b/router/prepaid/treasury_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"sync/atomic"
 	"testing"
@@ -214,7 +215,9 @@
 	is := is.New(t)
 	h := newHosts(t, 2)
 	a, _ := h.start("a", nil)
-	b, _ := h.start("b", func(ctx context.Context, tenant string, n, better int64) Loan { return a.Lend(ctx, tenant, n, better) })
+	b, _ := h.start("b", func(ctx context.Context, tenant string, n, better int64) Loan {
+		return a.Lend(ctx, LoanRequest{Tenant: tenant, Tokens: n, Better: better})
+	})
 	for _, tr := range []*Treasury{a, b} {
 		tr.Configure(1, []Budget{{"org", 1000}}, true)
 	}
@@ -226,8 +229,66 @@
 	is.True(spend(b, "org", 50, 4) > 0)
 	after, _ := a.Holding("org")
 	is.True(after.Free < before.Free)
-	is.Equal(a.Lend(context.Background(), "org", 1e9, 1e9).Tokens, int64(0)) // not more than it has
-	is.Equal(a.Lend(context.Background(), "nobody", 10, 10).Tokens, int64(0))
+	is.Equal(a.Lend(context.Background(), LoanRequest{Tenant: "org", Tokens: 1e9, Better: 1e9}).Tokens, int64(0)) // not more than it has
+	is.Equal(a.Lend(context.Background(), LoanRequest{Tenant: "nobody", Tokens: 10, Better: 10}).Tokens, int64(0))
+}
+
+// A loan whose answer was lost goes back once, whether its recall comes before the
+// request, after it, or twice.
+func TestRecalledLoan(t *testing.T) {
+	is := is.New(t)
+	h := newHosts(t, 1)
+	a, _ := h.start("a", nil)
+	a.Configure(1, []Budget{{"org", 1000}}, true)
+	r, err := a.Reserve(context.Background(), "org", 100)
+	is.NoErr(err)
+	r.Settle(0)
+	free := func() int64 {
+		held, _ := a.Holding("org")
+		return held.Free
+	}
+	h.log.SetFault("", memlog.Fault{Refuse: true}) // the slice stays as it is
+	before := free()
+	ask := LoanRequest{ID: "b/1", Tenant: "org", Tokens: 40, Better: 40}
+	is.Equal(a.Lend(context.Background(), ask).Tokens, int64(40))
+	is.Equal(free(), before-40)
+	is.Equal(a.Recall("b/1"), int64(40))
+	is.Equal(a.Recall("b/1"), int64(0))
+	is.Equal(free(), before)
+	is.Equal(a.Lend(context.Background(), ask).Tokens, int64(0)) // it arrives again, late
+	is.Equal(a.Recall("b/2"), int64(0))
+	ask.ID = "b/2"
+	is.Equal(a.Lend(context.Background(), ask).Tokens, int64(0))
+	is.Equal(free(), before)
+}
+
+// A host that waited for tokens of the log lends nothing if the loan was recalled
+// meanwhile.
+func TestLoanRecalledWhileTheLenderWaits(t *testing.T) {
+	is := is.New(t)
+	h := newHosts(t, 1)
+	a, _ := h.start("a", nil)
+	a.Configure(1, []Budget{{"org", 1000}}, true)
+	r, err := a.Reserve(context.Background(), "org", 100)
+	is.NoErr(err)
+	before, _ := a.Holding("org")
+	is.Equal(a.Recall("b/1"), int64(0))
+	is.Equal(a.lendReserved("b/1", r), int64(0))
+	after, _ := a.Holding("org")
+	is.Equal(after.Free, before.Free+100)
+}
+
+// The book of loans is bounded; a loan that is forgotten counts as spent.
+func TestForgottenLoanCantBeRecalled(t *testing.T) {
+	is := is.New(t)
+	b := newLoanBook()
+	b.lent("first", "org", 10)
+	for i := range maxLoans {
+		b.lent(fmt.Sprint(i), "org", 1)
+	}
+	is.Equal(len(b.loans), maxLoans)
+	is.Equal(b.recall("first").tokens, int64(0))
+	is.Equal(b.recall(fmt.Sprint(maxLoans-1)).tokens, int64(1))
 }
 
 // A host that is no keeper of a budget borrows from one and makes no call to the log;
@@ -243,7 +304,7 @@
 		Hosts:   func() int { return 20 },
 		Keepers: func(string) (int, bool) { return 1, false },
 		Borrow: func(ctx context.Context, tenant string, n, better int64) Loan {
-			return keeper.Lend(ctx, tenant, n, better)
+			return keeper.Lend(ctx, LoanRequest{Tenant: tenant, Tokens: n, Better: better})
 		},
 		GiveBack: func(_ context.Context, tenant string, n int64) bool { return keeper.Credit(tenant, n) },
 		OnCall:   func(string) { calls.Add(1) },
