proofs: a fault soak of the router, from seeds

Change: proofs/soak starts 5 hosts (16 in one seed of ten) as processes and draws a schedule from the seed: signals, loopback proxies that delay, reset, cut one way or silence the ways to the store and to targets, a store that refuses, is silent, loses answers, does them late, forgets; targets that break off, refuse, fall mute, cross answers; targets that leave, configurations, quotas, keys, planned stops in series. It checks ten promises from what callers and targets see, while it runs and at its end. platform/platformtest serves the store's wire format for tests.

Ruled out: routing calls between hosts through proxies, since hosts announce the address that they listen on; those are disturbed by signals only.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES = $(MODULES:%=./%/...)
 STATICCHECK = honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
-.PHONY: build test fuzz lint run bench capacity refusals clean
+.PHONY: build test fuzz soak lint run bench capacity refusals clean
 
 build: ## the programs, into bin/
 	go build -o bin/ ./cmd/... ./standin/cmd/... ./load/cmd/...
@@ -27,6 +27,12 @@
 		go test -count=1 $(FUZZED) -rapid.checks=5000 -rapid.steps=100 || exit 1; \
 	done
 
+SEEDS ?= 50
+MINUTES ?= 0
+SOAK_LOGS ?= bin/soak
+soak: ## fresh seeds of the fault soak: SEEDS of them, or as many as begin in MINUTES
+	go test -count=1 -timeout 4h ./proofs/soak -run 'TestSoak$$' -v -soak.seeds $(SEEDS) -soak.minutes $(MINUTES) -soak.logs $(CURDIR)/$(SOAK_LOGS)
+
 lint: ## format, vet and staticcheck
 	@fmt=$$(gofmt -l $(MODULES)); test -z "$$fmt" || { echo "gofmt: $$fmt"; exit 1; }
 	go vet $(PACKAGES)
--- /dev/null
+++ b/proofs/soak/config_test.go
@@ -0,0 +1,112 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"maststage.dev/platform/platformtest"
+)
+
+// Organisations: one whose budget ends, one with a large one, one whose key comes
+// and goes.
+const (
+	smallTenant   = "small"
+	largeTenant   = "large"
+	revokedTenant = "revoked"
+	smallBudget   = 5_000
+	largeBudget   = 100_000_000
+)
+
+// Routes. Those under versionPrefix show which configuration is in force.
+const (
+	callersHost   = "callers.example"
+	streamPath    = "/stream/"
+	safePath      = "/safe/"
+	unsafePath    = "/unsafe/"
+	versionPrefix = "/version/"
+	requestLimit  = 5 * time.Second
+)
+
+func (w *world) firstConfig() {
+	limit := float64(requestLimit.Milliseconds())
+	route := func(path, kind, service string, attempts int) platformtest.Route {
+		return platformtest.Route{
+			Name: path, Host: callersHost, PathPrefix: path, Kind: kind, Service: service,
+			TimeoutMs: limit, TargetLatencyMs: 400, GapTargetMs: 300, MaxAttempts: attempts, Resumable: kind == "streaming",
+		}
+	}
+	small, large := int64(smallBudget), int64(largeBudget)
+	w.config = platformtest.Config{
+		Version: 1,
+		Routes: []platformtest.Route{
+			route(streamPath, "streaming", engineService, 3),
+			route(safePath, "safe", plainService, 3),
+			route(unsafePath, "unsafe", plainService, 3),
+		},
+		Services: []platformtest.Service{
+			{Name: engineService, MaxConns: 1000, Engine: &platformtest.Engine{Slots: targetSlots, Stride: 1}},
+			{Name: plainService, MaxConns: 1000},
+		},
+		Tenants: []platformtest.Tenant{
+			{Name: smallTenant, ApiKeys: []string{keyOf(smallTenant)}, Prepaid: &small},
+			{Name: largeTenant, ApiKeys: []string{keyOf(largeTenant)}, Prepaid: &large},
+			{Name: revokedTenant, ApiKeys: []string{keyOf(revokedTenant)}},
+		},
+	}
+	w.put()
+}
+
+func keyOf(tenant string) string { return "key-of-" + tenant }
+
+// publish puts a changed configuration into the store. Each version adds a route of
+// its own name and keeps the earlier ones.
+func (w *world) publish(change func(*platformtest.Config)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.config.Version++
+	w.config.Routes = append(slices.Clone(w.config.Routes), platformtest.Route{
+		Name: "version", Host: callersHost, PathPrefix: fmt.Sprintf("%s%d/", versionPrefix, w.config.Version),
+		Kind: "safe", Service: plainService, TimeoutMs: float64(requestLimit.Milliseconds()), MaxAttempts: 1, Public: true,
+	})
+	w.config.Tenants = slices.Clone(w.config.Tenants)
+	change(&w.config)
+	w.put()
+}
+
+func (w *world) put() {
+	for _, t := range w.config.Tenants {
+		if t.Prepaid != nil {
+			w.watch.budget(t.Name, *t.Prepaid)
+		}
+	}
+	w.log.Put(platformtest.Operator, platformtest.ConfigKey, platformtest.Encode(w.config))
+	w.watch.published(w.config.Version)
+}
+
+// setBudget publishes another prepaid amount for the organisation whose budget ends.
+func (w *world) setBudget(change func(int64) int64) {
+	w.publish(func(c *platformtest.Config) {
+		for i := range c.Tenants {
+			if c.Tenants[i].Name == smallTenant {
+				amount := change(*c.Tenants[i].Prepaid)
+				c.Tenants[i].Prepaid = &amount
+			}
+		}
+	})
+}
+
+// setKey publishes a configuration with or without the key that comes and goes.
+func (w *world) setKey(present bool) {
+	w.publish(func(c *platformtest.Config) {
+		for i := range c.Tenants {
+			if c.Tenants[i].Name != revokedTenant {
+				continue
+			}
+			c.Tenants[i].ApiKeys = nil
+			if present {
+				c.Tenants[i].ApiKeys = []string{keyOf(revokedTenant)}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/proofs/soak/world_test.go
@@ -0,0 +1,338 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"maststage.dev/platform"
+	"maststage.dev/platform/platformtest"
+	"maststage.dev/standin/backend"
+	"maststage.dev/standin/memlog"
+)
+
+// Bounds of the settings that hosts run with.
+const (
+	drainWithin  = time.Second // a leaving target gets nothing new after it
+	graceTime    = 3 * time.Second
+	retryRatio   = 0.2
+	retrySlack   = 20
+	retryWindow  = 10 * time.Second
+	startTime    = 10 * time.Second
+	restartPause = 200 * time.Millisecond
+)
+
+// Services, and the number of targets of each.
+const (
+	engineService = "engine"
+	plainService  = "plain"
+	engineTargets = 4
+	plainTargets  = 3
+	targetSlots   = 32
+)
+
+// world is one deployment: hosts as processes, everything else in the test.
+type world struct {
+	t       *testing.T
+	dir     string
+	network string // first two bytes of its loopback addresses
+	log     *memlog.Log
+	proxies *toxiproxy.ApiServer
+	hosts   []*host
+	watch   *watch
+
+	mu      sync.Mutex
+	targets []*targetState
+	nextID  int
+	config  platformtest.Config
+	random  *rand.Rand // of the behaviour of targets
+}
+
+// host is one maststage-router.
+type host struct {
+	world                *world
+	number               int
+	name, zone           string
+	listen, ready, peers string
+	store                *toxiproxy.Proxy // between the host and the store
+
+	mu      sync.Mutex
+	busy    bool // a fault of its process is under way
+	process *exec.Cmd
+	ended   chan struct{}
+	ending  bool // its end is expected
+	started time.Time
+	starts  int
+}
+
+// targetState is one incarnation of a target.
+type targetState struct {
+	*backend.Backend
+	id, service, zone string
+	proxy             *toxiproxy.Proxy
+	mu                sync.Mutex
+	behave            func(*backend.Behaviour) // a fault, nil if there is none
+	leftAt            time.Time                // when the store had it that the target leaves
+}
+
+// newWorld starts a deployment of n hosts. number tells worlds of one process apart.
+func newWorld(t *testing.T, number, n int, seed uint64) *world {
+	w := &world{
+		t: t, dir: t.TempDir(), network: fmt.Sprintf("127.%d", 20+number%200), log: memlog.New(),
+		proxies: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop()),
+		watch:   newWatch(), random: rand.New(rand.NewPCG(seed, 1)),
+	}
+	for range engineTargets {
+		w.addTarget(engineService)
+	}
+	for range plainTargets {
+		w.addTarget(plainService)
+	}
+	w.firstConfig()
+	for i := range n {
+		w.addHost(i)
+	}
+	for _, h := range w.hosts {
+		h.start()
+	}
+	for _, h := range w.hosts {
+		h.waitListening(startTime)
+	}
+	return w
+}
+
+// address gives an address of this world.
+func (w *world) address(part, number int) string {
+	return fmt.Sprintf("%s.%d.%d:9000", w.network, part, number+1)
+}
+
+// Parts of a world's network.
+const (
+	storePart = 1 + iota
+	storeProxyPart
+	targetProxyPart
+	callersPart
+	readyPart
+	peersPart
+)
+
+func (w *world) proxy(upstream, listen string) *toxiproxy.Proxy {
+	p := toxiproxy.NewProxy(w.proxies, listen, listen, upstream)
+	if err := p.Start(); err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(p.Stop)
+	return p
+}
+
+func (w *world) addHost(i int) {
+	h := &host{
+		world: w, number: i, name: fmt.Sprintf("h%d", i), zone: fmt.Sprintf("z%d", i%3),
+		listen: w.address(callersPart, i), ready: w.address(readyPart, i), peers: w.address(peersPart, i),
+	}
+	store, err := platformtest.Serve(w.address(storePart, i), w.log.Host(h.name))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(store.Close)
+	h.store = w.proxy(w.address(storePart, i), w.address(storeProxyPart, i))
+	w.hosts = append(w.hosts, h)
+	w.t.Cleanup(h.kill)
+}
+
+// seeds are the peer addresses that settings name.
+func (w *world) seeds() string {
+	return strings.Join([]string{w.address(peersPart, 0), w.address(peersPart, 1)}, ",")
+}
+
+// writeSettings writes the host's settings file and gives its path.
+func (h *host) writeSettings() string {
+	path := filepath.Join(h.world.dir, h.name+".ini")
+	text := fmt.Sprintf("[host]\nname = %s\nzone = %s\nlisten = %s\nready_listen = %s\npeer_listen = %s\nseeds = %s\n"+
+		"[log]\naddress = %s\npartitions = 4\n"+
+		"[bounds]\ndrain_ms = %d\ngrace_s = %g\nretry_ratio = %g\nretry_slack = %d\nretry_window_s = %g\n"+
+		"[output]\nlines_per_second = 2000\nlevel = debug\n",
+		h.name, h.zone, h.listen, h.ready, h.peers, h.world.seeds(), h.store.Listen,
+		drainWithin.Milliseconds(), graceTime.Seconds(), retryRatio, retrySlack, retryWindow.Seconds())
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		h.world.t.Error(err)
+	}
+	return path
+}
+
+// start starts the host's process, which must not run.
+func (h *host) start() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out, err := os.OpenFile(h.logFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		h.world.t.Error(err)
+		return
+	}
+	h.process = exec.Command(program, "-config", h.writeSettings())
+	h.process.Stdout, h.process.Stderr = out, out
+	if err := h.process.Start(); err != nil {
+		h.world.t.Error(err)
+		return
+	}
+	h.ending, h.started, h.ended = false, time.Now(), make(chan struct{})
+	h.starts++
+	go h.wait(h.process, out, h.ended)
+}
+
+func (h *host) logFile() string { return filepath.Join(h.world.dir, h.name+".log") }
+
+// wait notices the end of a process.
+func (h *host) wait(process *exec.Cmd, out *os.File, ended chan struct{}) {
+	err := process.Wait()
+	_ = out.Close()
+	h.mu.Lock()
+	expected := h.ending
+	h.mu.Unlock()
+	if !expected {
+		h.world.watch.violation("own end", "%s ended by itself: %v", h.name, err)
+	}
+	close(ended)
+}
+
+// signal sends a signal; ends says that the process is expected to end.
+func (h *host) signal(s syscall.Signal, ends bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ending = h.ending || ends
+	// The process may have ended already.
+	_ = h.process.Process.Signal(s)
+}
+
+// waitEnd waits for the end of the process.
+func (h *host) waitEnd(limit time.Duration) bool {
+	h.mu.Lock()
+	ended := h.ended
+	h.mu.Unlock()
+	select {
+	case <-ended:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// kill ends the process if it runs.
+func (h *host) kill() {
+	if h.process == nil {
+		return
+	}
+	h.signal(syscall.SIGKILL, true)
+	h.waitEnd(startTime)
+}
+
+// waitListening waits until the host takes connections.
+func (h *host) waitListening(limit time.Duration) bool {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		c, err := net.DialTimeout("tcp", h.listen, time.Second)
+		if err == nil {
+			_ = c.Close()
+			return true
+		}
+	}
+	return false
+}
+
+// addTarget starts a target and lists it.
+func (w *world) addTarget(service string) {
+	w.mu.Lock()
+	number := w.nextID
+	w.nextID++
+	w.mu.Unlock()
+	s := &targetState{id: fmt.Sprintf("%s-%d", service, number), service: service, zone: fmt.Sprintf("z%d", number%3)}
+	names := backend.Names{
+		RequestID: platform.Headers.RequestID, ExpectTarget: platform.Headers.ExpectTarget,
+		LastEventID: platform.Headers.LastEventID, Stamp: platform.Headers.Stamp, NotRun: platform.Headers.NotRun,
+	}
+	b, err := backend.Start(s.id, names, func(run backend.Run) backend.Behaviour { return w.behaviour(s, run) })
+	if err != nil {
+		w.t.Error(err)
+		return
+	}
+	s.Backend = b
+	w.t.Cleanup(b.Close)
+	s.proxy = w.proxy(b.Address(), w.address(targetProxyPart, number))
+	w.mu.Lock()
+	w.targets = append(w.targets, s)
+	w.mu.Unlock()
+	w.list(s, platformtest.Ready)
+}
+
+// list writes a target's entry.
+func (w *world) list(s *targetState, state string) {
+	w.log.Put(platformtest.Servers, s.id, platformtest.Encode(platformtest.Server{
+		Service: s.service, Address: s.proxy.Listen, Zone: s.zone, State: state, Slots: targetSlots,
+	}))
+}
+
+// Times of a target without a fault.
+const (
+	engineDelay = 15 * time.Millisecond
+	eventGap    = 15 * time.Millisecond
+	plainDelay  = 5 * time.Millisecond
+)
+
+// behaviour notes an arrival and says how the target answers it.
+func (w *world) behaviour(s *targetState, run backend.Run) backend.Behaviour {
+	w.watch.arrival(s, run)
+	b := backend.Behaviour{Delay: plainDelay, Body: wholeBody(run.ID)}
+	if s.service == engineService {
+		b = backend.Behaviour{Delay: engineDelay, Gap: eventGap, Events: eventsOf(run.ID)}
+	}
+	s.mu.Lock()
+	fault := s.behave
+	s.mu.Unlock()
+	if fault != nil {
+		w.mu.Lock()
+		fault(&b)
+		w.mu.Unlock()
+	}
+	return b
+}
+
+// allTargets copies the list of targets, those that left included.
+func (w *world) allTargets() []*targetState {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]*targetState(nil), w.targets...)
+}
+
+// readyTargets lists the targets of a service that did not leave.
+func (w *world) readyTargets(service string) []*targetState {
+	var list []*targetState
+	for _, s := range w.allTargets() {
+		s.mu.Lock()
+		if s.service == service && s.leftAt.IsZero() {
+			list = append(list, s)
+		}
+		s.mu.Unlock()
+	}
+	return list
+}
+
+// toxic strikes a proxy until the function that it gives is called.
+func toxic(p *toxiproxy.Proxy, name, kind, direction, attributes string) (heal func()) {
+	text := fmt.Sprintf(`{"name":%q,"type":%q,"stream":%q,"attributes":%s}`, name, kind, direction, attributes)
+	if _, err := p.Toxics.AddToxicJson(strings.NewReader(text)); err != nil {
+		return func() {} // one of the kind is at work already
+	}
+	return func() { _ = p.Toxics.RemoveToxic(context.Background(), name) }
+}
--- a/standin/memlog/memlog.go
+++ b/standin/memlog/memlog.go
@@ -87,6 +87,15 @@
 	part.first, part.records = part.end(), nil
 }
 
+// TrimAll trims all partitions.
+func (l *Log) TrimAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, part := range l.partitions {
+		part.first, part.records = part.end(), nil
+	}
+}
+
 // Get reads the newest record of a key.
 func (l *Log) Get(p eventlog.Partition, key string) (eventlog.Record, bool) {
 	l.mu.Lock()
