prepaid: small idle slices are given back too

A host kept what was under 2% of the unspent tokens; six hosts kept 12%.

Reclaiming a dead host's slice by what it wrote last would need it to hold back more seconds of demand than it holds here.

Change: what is over 0.5% of the unspent tokens goes back.

--- a/router/prepaid/account_test.go
+++ b/router/prepaid/account_test.go
@@ -49,6 +49,17 @@
 	is.True(c.Take <= int64(DefaultPlan.MostPart*1000000))
 }
 
+// Near a budget's end a hundredth of what is unspent is given back, since all hosts
+// together would else hold much of it, and lose it when all of them die.
+func TestSmallIdleSliceIsGivenBack(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	w := &wallet{limit: 1000000, version: 1, known: true, account: Account{Granted: 910000}, free: 1000}
+	w.flow.add(0, now.Add(-10*time.Second))
+	w.flow.add(910000, now) // it lasts for a second
+	is.Equal(w.change(DefaultPlan, 6, false, now).Return, int64(818))
+}
+
 func TestNewerLimitCounts(t *testing.T) {
 	is := is.New(t)
 	a := Account{Granted: 10, Limit: 100, Version: 5}
--- a/router/prepaid/wallet.go
+++ b/router/prepaid/wallet.go
@@ -39,11 +39,11 @@
 
 // Figures of demand and of the changes worth an append.
 const (
-	demandTime   = 4.0 // seconds over which demand is smoothed
-	refillBelow  = 0.7 // of the wanted slice
-	returnAbove  = 2.0 // times the wanted slice
-	smallReturns = 0.02
-	usefulTake   = 0.5 // of a recent large request; less is not worth an append
+	demandTime   = 4.0   // seconds over which demand is smoothed
+	refillBelow  = 0.7   // of the wanted slice
+	returnAbove  = 2.0   // times the wanted slice
+	smallReturns = 0.005 // of what is unspent
+	usefulTake   = 0.5   // of a recent large request; less is not worth an append
 )
 
 // wallet is this host's part of one budget. It is guarded by its treasury's lock.
