fleet, replica: few hosts of a large fleet read the list, the others ask them

Ruled out: longer pauses between reads (the bytes stay the same).

Change: in fleets of more than 8 hosts, one host of 12 in each failure domain reads the list (rendezvous hashing); the others ask two of them at their usual pace for what changed, and read the log when no answer is younger than 900 ms. An answer carries the age of the log's answer that it rests on, so hosts that take each other for readers fall back to the log. Records that mean the same as the one before (heartbeats) are no changes. The two rankings of hosts by duty share their code.

--- a/router/archive/archive.go
+++ b/router/archive/archive.go
@@ -146,9 +146,9 @@
 
 // write appends a copy of a topic, without its deleted keys.
 func (a *Archive) write(ctx context.Context, topic string, c *replica.Replica) error {
-	records, end := c.Since(0)
-	s := snapshot{End: end}
-	for _, r := range records {
+	part, _ := c.Since(0)
+	s := snapshot{End: part.End}
+	for _, r := range part.Records {
 		if len(r.Value) > 0 {
 			s.Records = append(s.Records, record{Key: r.Key, Value: r.Value, Offset: r.Offset})
 		}
@@ -167,7 +167,7 @@
 		err = errors.Join(err, failed)
 	}
 	if err == nil {
-		a.written[topic] = end
+		a.written[topic] = part.End
 	}
 	return err
 }
--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -12,7 +12,9 @@
 
 	log "github.com/sirupsen/logrus"
 
+	"maststage.dev/router/eventlog"
 	"maststage.dev/router/prepaid"
+	"maststage.dev/router/replica"
 )
 
 // Paths of the calls between hosts.
@@ -35,10 +37,20 @@
 	Topics map[string]topicPart `json:"topics"`
 }
 
-// topicPart is the newest records of a topic; all below End are known there.
+// topicPart is the changed records of a topic; all below End are known there.
 type topicPart struct {
 	Records []record `json:"records"`
 	End     int64    `json:"end"`
+	AgeMs   int64    `json:"age_ms"` // since the log told of them
+}
+
+// part turns a part of an answer into that of a copy.
+func (p topicPart) part() replica.Part {
+	part := replica.Part{End: p.End, Age: time.Duration(p.AgeMs) * time.Millisecond}
+	for _, r := range p.Records {
+		part.Records = append(part.Records, eventlog.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
+	}
+	return part
 }
 
 type record struct {
@@ -133,6 +145,14 @@
 	return mux
 }
 
+func newTopicPart(changed replica.Part) topicPart {
+	part := topicPart{End: changed.End, AgeMs: changed.Age.Milliseconds()}
+	for _, rec := range changed.Records {
+		part.Records = append(part.Records, record{Key: rec.Key, Value: rec.Value, Offset: rec.Offset})
+	}
+	return part
+}
+
 func (f *Fleet) servePull(w http.ResponseWriter, r *http.Request) {
 	var ask pullRequest
 	if !read(w, r, &ask) {
@@ -141,15 +161,12 @@
 	answer := pullResponse{Topics: map[string]topicPart{}}
 	for topic, c := range f.opts.Copies {
 		from, wanted := ask.From[topic]
-		if !wanted || c.End() <= from {
+		if !wanted || c.End() < from {
 			continue
 		}
-		records, end := c.Since(from)
-		part := topicPart{End: end}
-		for _, rec := range records {
-			part.Records = append(part.Records, record{Key: rec.Key, Value: rec.Value, Offset: rec.Offset})
+		if changed, ok := c.Since(from); ok {
+			answer.Topics[topic] = newTopicPart(changed)
 		}
-		answer.Topics[topic] = part
 	}
 	write(w, answer)
 }
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -227,12 +227,8 @@
 		if c == nil || part.End <= ask.From[topic] {
 			continue
 		}
-		records := make([]eventlog.Record, len(part.Records))
-		for i, r := range part.Records {
-			records[i] = eventlog.Record{Key: r.Key, Value: r.Value, Offset: r.Offset}
-		}
-		log.WithFields(log.Fields{"peer": address, "topic": topic, "records": len(records), "end": part.End}).Info("pulled from another host")
-		c.MergeNewest(records, part.End)
+		log.WithFields(log.Fields{"peer": address, "topic": topic, "records": len(part.Records), "end": part.End}).Info("pulled from another host")
+		c.MergeNewest(part.part().Records, part.End)
 	}
 	return nil
 }
--- a/router/fleet/fleet_test.go
+++ b/router/fleet/fleet_test.go
@@ -117,6 +117,71 @@
 	is.Equal(f.keeperAddresses("org")[0], list[0])
 }
 
+// In a large fleet a few hosts of each failure domain read a topic, and the others know
+// them; in a small one all read.
+func TestReadersOfALargeFleet(t *testing.T) {
+	is := is.New(t)
+	small := newFleet(Host{Name: "h0", Zone: "z0"})
+	announced(small, hosts(keeperGroup, 3)...)
+	is.Equal(len(small.readers("list")), 0)
+	all := hosts(87, 3)
+	readers := map[string]bool{}
+	asked := map[string]bool{}
+	for _, self := range all {
+		f := newFleet(self)
+		announced(f, all...)
+		list := f.readers("list")
+		if len(list) == 0 {
+			readers[self.Address] = true
+		}
+		for _, address := range list {
+			asked[address] = true
+		}
+	}
+	is.Equal(len(readers), 3*3) // 29 hosts in each failure domain
+	is.Equal(asked, readers)
+}
+
+// A reader's answer counts if it is fresh.
+func TestRelayAsksForFreshAnswers(t *testing.T) {
+	is := is.New(t)
+	l := memlog.New()
+	l.Put(eventlog.Partition{Topic: "list"}, "k", []byte("1"))
+	copied := replica.New(replica.Options{Log: l.Host("reader"), Partition: eventlog.Partition{Topic: "list"}, Slack: time.Second})
+	reader := New(Options{Copies: map[string]*replica.Replica{"list": copied}})
+	server := httptest.NewServer(reader.Handler())
+	t.Cleanup(server.Close)
+
+	all := hosts(9, 1)
+	for i := range all {
+		all[i].Address = server.Listener.Addr().String()
+	}
+	f := newFleet(Host{Name: "another", Zone: "z0"})
+	announced(f, all...)
+	if len(f.readers("list")) == 0 {
+		t.Fatal("the host is a reader itself")
+	}
+	_, ok := f.Relay(context.Background(), "list", 0)
+	is.True(!ok) // the reader has read nothing yet
+
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		copied.Run(ctx)
+	}()
+	until.True(t, "a fresh answer", func() bool {
+		part, ok := f.Relay(context.Background(), "list", 0)
+		return ok && len(part.Records) == 1 && part.End == 1
+	})
+	cancel()
+	<-done
+	until.True(t, "the answer is too old", func() bool {
+		_, ok := f.Relay(context.Background(), "list", 0)
+		return !ok
+	})
+}
+
 // peer is another host that lends and takes.
 type peer struct {
 	server *httptest.Server
--- a/router/fleet/keepers.go
+++ b/router/fleet/keepers.go
@@ -80,25 +80,32 @@
 	if total <= keeperGroup {
 		return nil
 	}
+	ranked := rendezvous.Rank(tenant, f.zoneMates(), func(k known) string { return k.host.Name })
+	return f.inTurn(tenant, ranked[:min(len(ranked), keepersOf(zones[f.opts.Self.Zone]))])
+}
+
+// zoneMates lists the other hosts of this host's failure domain; the lock is held.
+func (f *Fleet) zoneMates() []known {
 	var same []known
 	for name, k := range f.hosts {
 		if f.counts(name, k) && k.host.Zone == f.opts.Self.Zone {
 			same = append(same, k)
 		}
 	}
-	ranked := rendezvous.Rank(tenant, same, func(k known) string { return k.host.Name })
-	ranked = ranked[:min(len(ranked), keepersOf(zones[f.opts.Self.Zone]))]
-	// Each borrower begins with another keeper.
-	if n := len(ranked); n > 1 {
-		start := int(rendezvous.Score(tenant, f.opts.Self.Name) % uint64(n))
-		ranked = append(ranked[start:n:n], ranked[:start]...)
-	}
+	return same
+}
+
+// inTurn lists the addresses of hosts that share a duty, beginning with another one at
+// each host that asks; those that did not answer a moment ago are last. The lock is held.
+func (f *Fleet) inTurn(duty string, hosts []known) []string {
 	var good, silent []string
-	for _, k := range ranked {
-		if time.Since(f.silent[k.host.Address]) < silentPause {
-			silent = append(silent, k.host.Address)
+	for i := range hosts {
+		start := int(rendezvous.Score(duty, f.opts.Self.Name) % uint64(len(hosts)))
+		address := hosts[(start+i)%len(hosts)].host.Address
+		if time.Since(f.silent[address]) < silentPause {
+			silent = append(silent, address)
 		} else {
-			good = append(good, k.host.Address)
+			good = append(good, address)
 		}
 	}
 	return append(good, silent...)
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -120,10 +120,31 @@
 	}
 	pace := settings.Milliseconds(n.cfg.Log.PaceMs)
 	n.configCopy = copyOf(n.outside.ConfigTopic, 0, n.configChanged)
-	n.targetsCopy = copyOf(n.outside.TargetsTopic, pace, n.targetsChanged)
+	n.targetsCopy = replica.New(replica.Options{
+		Log: n.outside.Log, Partition: eventlog.Partition{Topic: n.outside.TargetsTopic}, LongPoll: poll, Slack: slack, Pace: pace,
+		OnChange:  n.targetsChanged,
+		OnContact: func(err error) { n.contact(n.outside.TargetsTopic, err) },
+		Relay: func(ctx context.Context, from int64) (replica.Part, bool) {
+			return n.fleet.Relay(ctx, n.outside.TargetsTopic, from)
+		},
+		Meaning: n.targetMeaning,
+	})
 	n.hostsCopy = copyOf(n.outside.HostsTopic, hostsPace, func(c []replica.Change) { n.fleet.Changed(c) })
 }
 
+// targetMeaning is what counts of an entry of the list: most records are heartbeats,
+// which change nothing.
+func (n *Node) targetMeaning(rec eventlog.Record) any {
+	if len(rec.Value) == 0 {
+		return nil
+	}
+	entry, err := n.outside.DecodeTarget(rec.Key, rec.Value)
+	if err != nil {
+		return nil
+	}
+	return entry
+}
+
 // Paces of what hosts do for each other.
 const (
 	hostsPace     = 3 * time.Second
--- a/router/replica/replica.go
+++ b/router/replica/replica.go
@@ -24,6 +24,13 @@
 	Gap bool
 }
 
+// Part is the newest records of keys that changed from some offset on.
+type Part struct {
+	Records []eventlog.Record
+	End     int64         // all records below are known
+	Age     time.Duration // since the log told of them
+}
+
 // Options configure a Replica.
 type Options struct {
 	Log       eventlog.Log
@@ -34,6 +41,12 @@
 	Slack time.Duration
 	// Pace is the least time between two reads.
 	Pace time.Duration
+	// Relay asks another host for what changed from an offset on; ok is false if none
+	// can tell. The log is read then. nil: never.
+	Relay func(ctx context.Context, from int64) (part Part, ok bool)
+	// Meaning gives what counts of a value, comparable. A record of the same meaning as
+	// the one before is no change. nil: each record is one.
+	Meaning func(rec eventlog.Record) any
 	// OnChange is called for the changes of one read, in order of offsets, with
 	// the replica's lock held; it must not call back or block.
 	OnChange func([]Change)
@@ -46,17 +59,25 @@
 	opts Options
 
 	mu      sync.Mutex
-	records map[string]eventlog.Record
+	records map[string]known
 	end     int64 // all records below are known
+	dropped int64 // deleted keys below it may be forgotten
 	loaded  bool
-	contact time.Time // last good answer of the log
+	contact time.Time // of the log's answer that the copy rests on
 	up      bool
 	called  bool // the log was called at least once
 }
 
+// known is the newest record of a key.
+type known struct {
+	eventlog.Record
+	meaning any
+	changed int64 // offset of the record that gave it its meaning
+}
+
 // New makes an empty copy; Run fills and follows it.
 func New(opts Options) *Replica {
-	return &Replica{opts: opts, records: map[string]eventlog.Record{}}
+	return &Replica{opts: opts, records: map[string]known{}}
 }
 
 // Run follows the log until ctx ends.
@@ -64,11 +85,11 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		started := time.Now()
-		err := r.step(ctx)
+		age, err := r.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		r.noteContact(err)
+		r.noteContact(age, err)
 		pause := r.opts.Pace - time.Since(started)
 		if err != nil {
 			pause = backoff
@@ -85,15 +106,26 @@
 	maxBackoff = 400 * time.Millisecond
 )
 
-// step makes one call chain to the log: the newest records if the copy is empty
-// or too old, else a long poll.
-func (r *Replica) step(ctx context.Context) error {
+// step asks a relay, or makes one call chain to the log: the newest records if the
+// copy is empty or too old, else a long poll. age is how old the answer is.
+func (r *Replica) step(ctx context.Context) (age time.Duration, err error) {
 	r.mu.Lock()
 	loaded, from := r.loaded, r.end
 	r.mu.Unlock()
 	if !loaded {
-		return r.load(ctx)
+		return 0, r.load(ctx)
+	}
+	if r.opts.Relay != nil {
+		if part, ok := r.opts.Relay(ctx, from); ok {
+			r.MergeNewest(part.Records, part.End)
+			return part.Age, nil
+		}
 	}
+	return 0, r.poll(ctx, from)
+}
+
+// poll waits for records at the log.
+func (r *Replica) poll(ctx context.Context, from int64) error {
 	c, cancel := context.WithTimeout(ctx, r.opts.LongPoll+r.opts.Slack)
 	defer cancel()
 	batch, err := r.opts.Log.Read(c, r.opts.Partition, from, r.opts.LongPoll)
@@ -185,11 +217,20 @@
 func (r *Replica) take(records []eventlog.Record, gap bool) []Change {
 	var changes []Change
 	for _, rec := range records {
-		if old, known := r.records[rec.Key]; known && old.Offset >= rec.Offset {
+		old, had := r.records[rec.Key]
+		if had && old.Offset >= rec.Offset {
 			continue
 		}
-		r.records[rec.Key] = rec
-		changes = append(changes, Change{Record: rec, Gap: gap})
+		next := known{Record: rec, changed: rec.Offset}
+		if r.opts.Meaning != nil {
+			next.meaning = r.opts.Meaning(rec)
+		}
+		if had && next.meaning != nil && next.meaning == old.meaning {
+			next.changed = old.changed
+		} else {
+			changes = append(changes, Change{Record: rec, Gap: gap})
+		}
+		r.records[rec.Key] = next
 	}
 	r.dropTombstones()
 	return changes
@@ -207,6 +248,7 @@
 		return
 	}
 	horizon := r.end - maxTombstones/2
+	r.dropped = max(r.dropped, horizon)
 	for key, rec := range r.records {
 		if len(rec.Value) == 0 && rec.Offset < horizon {
 			delete(r.records, key)
@@ -220,10 +262,10 @@
 	}
 }
 
-func (r *Replica) noteContact(err error) {
+func (r *Replica) noteContact(age time.Duration, err error) {
 	r.mu.Lock()
 	if err == nil {
-		r.contact = time.Now()
+		r.contact = time.Now().Add(-age)
 	}
 	changed := r.up != (err == nil) || !r.called
 	r.up, r.called = err == nil, true
@@ -268,14 +310,16 @@
 // may take.
 const staleMargin = 300 * time.Millisecond
 
-// Since lists the known records at or above an offset, for another host.
-func (r *Replica) Since(offset int64) (records []eventlog.Record, end int64) {
+// Since gives the records that changed from an offset on, for another host. ok is
+// false if the copy may have forgotten some of them.
+func (r *Replica) Since(offset int64) (part Part, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, rec := range r.records {
-		if rec.Offset >= offset {
-			records = append(records, rec)
+	part = Part{End: r.end, Age: time.Since(r.contact)}
+	for _, k := range r.records {
+		if k.changed >= offset {
+			part.Records = append(part.Records, k.Record)
 		}
 	}
-	return records, r.end
+	return part, offset == 0 || offset >= r.dropped
 }
--- a/router/replica/replica_test.go
+++ b/router/replica/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"testing"
@@ -146,7 +147,9 @@
 	l.Put(part, "a", []byte("2"))
 	l.Put(part, "dead", nil)
 	until.True(t, "the newest record", func() bool { return good.value("a") == "2" && good.End() == 4 })
-	cut.MergeNewest(good.Since(cut.End()))
+	newer, ok := good.Since(cut.End())
+	is.True(ok)
+	cut.MergeNewest(newer.Records, newer.End)
 	is.Equal(cut.value("a"), "2")
 	is.Equal(cut.value("dead"), "")
 	is.Equal(cut.End(), int64(4))
@@ -161,3 +164,102 @@
 	l.Put(part, "a", []byte("3"))
 	until.True(t, "the next record", func() bool { return cut.value("a") == "3" })
 }
+
+// A record that means the same as the one before is told to nobody: not here, and not
+// to other hosts.
+func TestHeartbeatsAreNoChanges(t *testing.T) {
+	is := is.New(t)
+	var told []string
+	r := New(Options{
+		OnChange: func(changes []Change) {
+			for _, c := range changes {
+				told = append(told, string(c.Record.Value))
+			}
+		},
+		Meaning: func(rec eventlog.Record) any {
+			if len(rec.Value) == 0 {
+				return nil
+			}
+			return rec.Value[0] // the rest counts heartbeats
+		},
+	})
+	put := func(offset int64, value string) {
+		r.Merge([]eventlog.Record{{Key: "k", Value: []byte(value), Offset: offset}}, offset+1, offset)
+	}
+	put(0, "a1")
+	put(1, "a2")
+	put(2, "b3")
+	put(3, "b4")
+	is.Equal(told, []string{"a1", "b3"})
+	since := func(offset int64) int {
+		part, _ := r.Since(offset)
+		is.Equal(part.End, int64(4))
+		return len(part.Records)
+	}
+	is.Equal(since(2), 1) // b3 came behind it
+	is.Equal(since(3), 0)
+	put(4, "")
+	put(5, "b6") // listed again
+	is.Equal(told, []string{"a1", "b3", "", "b6"})
+}
+
+// A copy that asks another host leaves the log alone, and reads it when no host can
+// tell.
+func TestRelay(t *testing.T) {
+	is := is.New(t)
+	l := memlog.New()
+	l.Put(part, "k", []byte("1"))
+	relay := true
+	r := New(Options{
+		Log: l.Host("h"), Partition: part, Slack: time.Second,
+		Relay: func(_ context.Context, from int64) (Part, bool) {
+			is.Equal(from, int64(1))
+			records := []eventlog.Record{{Key: "k", Value: []byte("2"), Offset: 1}}
+			return Part{Records: records, End: 2, Age: time.Minute}, relay
+		},
+	})
+	ctx := context.Background()
+	_, err := r.step(ctx) // the first call loads all
+	is.NoErr(err)
+	_, before := l.Calls()
+	age, err := r.step(ctx)
+	is.NoErr(err)
+	is.Equal(age, time.Minute)
+	_, after := l.Calls()
+	is.Equal(after, before)
+	is.Equal(r.End(), int64(2))
+	is.Equal(string(r.records["k"].Value), "2")
+
+	r.opts.Relay = func(context.Context, int64) (Part, bool) { return Part{}, false }
+	l.Put(part, "k", []byte("2"))
+	l.Put(part, "k", []byte("3"))
+	_, err = r.step(ctx)
+	is.NoErr(err)
+	is.Equal(r.End(), int64(3))
+}
+
+// The age of a copy is that of the log's answer that it rests on, however many hosts
+// handed it on.
+func TestAgeOfARelayedCopy(t *testing.T) {
+	is := is.New(t)
+	r := New(Options{})
+	r.noteContact(time.Minute, nil)
+	part, _ := r.Since(0)
+	is.True(part.Age >= time.Minute)
+	is.True(r.Stale(time.Now()))
+}
+
+// A copy that has forgotten deleted keys does not tell from before that.
+func TestSinceBeforeWhatWasForgotten(t *testing.T) {
+	is := is.New(t)
+	r := New(Options{})
+	for i := range int64(maxTombstones + 1) {
+		r.Merge([]eventlog.Record{{Key: fmt.Sprint(i), Offset: i}}, i+1, i)
+	}
+	_, ok := r.Since(1)
+	is.True(!ok)
+	_, ok = r.Since(0)
+	is.True(ok) // who has nothing misses no deleted key
+	_, ok = r.Since(r.End())
+	is.True(ok)
+}
