proofs: the soak ends with traffic past targets that left

Change: when all hosts serve again two targets leave, and a while later nothing may reach any target that left, whatever was before.

--- a/proofs/soak/checks_test.go
+++ b/proofs/soak/checks_test.go
@@ -142,7 +142,8 @@
 			a.target.mu.Lock()
 			left := a.target.leftAt
 			a.target.mu.Unlock()
-			if !left.IsZero() && a.at.Sub(left) > drainWithin+slack && w.watch.calm(left, a.at) {
+			late := !left.IsZero() && a.at.Sub(left) > drainWithin+slack
+			if late && (a.at.After(w.watch.wellAgain) || w.watch.calm(left, a.at)) {
 				w.watch.violation("leaving target", "%s got %s %v after it left", a.target.id, id, a.at.Sub(left).Round(time.Millisecond))
 			}
 		}
--- a/proofs/soak/probe_test.go
+++ b/proofs/soak/probe_test.go
@@ -69,8 +69,13 @@
 // the platform asks for, so that a busy machine does not matter.
 const recoverWithin = 40 * time.Second
 
-// recovered checks that all hosts serve again, with the newest configuration.
+// recovered checks that all hosts serve again, with the newest configuration, and that
+// none sends anything to targets that left.
 func (w *world) recovered() {
+	for i := range 2 {
+		targetLeaves(w, event{pick: i, part: float64(i)})
+	}
+	left := time.Now()
 	w.setKey(false)
 	version, _ := w.watch.newestVersion()
 	client := newClient()
@@ -93,8 +98,14 @@
 			return c.status == http.StatusUnauthorized
 		})
 	}
+	time.Sleep(time.Until(left.Add(drainWithin + slack)))
+	w.watch.recovered()
+	time.Sleep(lastTraffic)
 }
 
+// lastTraffic is how long traffic goes on when all is well again.
+const lastTraffic = time.Second
+
 func (w *world) eventually(h *host, what string, cond func() bool) {
 	for deadline := time.Now().Add(recoverWithin); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
 		if cond() {
--- a/proofs/soak/watch_test.go
+++ b/proofs/soak/watch_test.go
@@ -18,6 +18,7 @@
 	newest     int64
 	faults     []interval
 	stops      []interval
+	wellAgain  time.Time           // all hosts serve again and know which targets left
 	violations map[string][]string // by promise
 }
 
@@ -108,6 +109,13 @@
 	return true
 }
 
+// recovered notes that all faults and what came of them are over.
+func (w *watch) recovered() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.wellAgain = time.Now()
+}
+
 // settleTime is how long a fault is felt after its end.
 const settleTime = 3 * time.Second
 
