--- a/router/prepaid/treasury_test.go
+++ b/router/prepaid/treasury_test.go
@@ -430,3 +430,42 @@
 	}
 	is.True(spent <= 1000)
 }
+
+// Tokens that were given back by an append without an answer are not credited again,
+// though the records that would tell are gone.
+func TestUnansweredReturnThatWasTrimmed(t *testing.T) {
+	is := is.New(t)
+	l := memlog.New()
+	forgetful := &forgetfulLog{Log: l.Host("a"), log: l}
+	tr := New(Options{
+		Log: forgetful, Topic: "b", Partitions: 1, Host: "a", Plan: DefaultPlan, Again: time.Nanosecond,
+		Timeout: time.Second, Hosts: func() int { return 1 },
+	})
+	tr.Configure(1, []Budget{{"org", 1000}}, true)
+	is.NoErr(tr.clerks[0].round(context.Background()))
+	held, _ := tr.Holding("org")
+	is.True(held.Free > 0)
+
+	forgetful.forgets = true
+	tr.closing = true // all is given back
+	is.NoErr(tr.clerks[0].round(context.Background()))
+	held, _ = tr.Holding("org")
+	is.Equal(held.Granted, int64(0))
+	is.Equal(held.Free, int64(0))
+}
+
+// forgetfulLog does appends, answers none and drops their records.
+type forgetfulLog struct {
+	eventlog.Log
+	log     *memlog.Log
+	forgets bool
+}
+
+func (f *forgetfulLog) AppendAt(ctx context.Context, p eventlog.Partition, at int64, records []eventlog.Record) (int64, error) {
+	end, err := f.Log.AppendAt(ctx, p, at, records)
+	if !f.forgets || err != nil {
+		return end, err
+	}
+	f.log.Trim(p)
+	return 0, memlog.ErrNoAnswer
+}
