--- a/proofs/soak/checks_test.go
+++ b/proofs/soak/checks_test.go
@@ -101,8 +101,8 @@
 	names := platform.Headers
 	for _, run := range runs {
 		same := run.Method == http.MethodPost && run.URI == c.path+c.id && run.Host == callersHost && run.Body == sentBody(c.id)
-		if !same || run.Header.Get(names.Tenant) != c.tenant || run.Header.Get(names.Key) != "" {
-			w.watch.violation("as sent", "%s ran as %s %s of %q, body %q", c.id, run.Method, run.URI, run.Header.Get(names.Tenant), run.Body)
+		if !same || run.Header.Get(names.Organisation) != c.tenant || run.Header.Get(names.Key) != "" {
+			w.watch.violation("as sent", "%s ran as %s %s of %q, body %q", c.id, run.Method, run.URI, run.Header.Get(names.Organisation), run.Body)
 		}
 	}
 }
@@ -115,7 +115,7 @@
 		if !strings.HasPrefix(list[0].URI, streamPath) {
 			continue
 		}
-		tenant := list[0].Header.Get(platform.Headers.Tenant)
+		tenant := list[0].Header.Get(platform.Headers.Organisation)
 		spent[tenant] += tokensIn
 		for _, run := range list {
 			spent[tenant] += int64(run.Made)
--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -183,7 +183,7 @@
 // writeSettings writes the host's settings file and gives its path.
 func (h *host) writeSettings() string {
 	path := filepath.Join(h.world.dir, h.name+".ini")
-	text := fmt.Sprintf("[host]\nname = %s\nzone = %s\nlisten = %s\nready_listen = %s\npeer_listen = %s\nseeds = %s\n"+
+	text := fmt.Sprintf("[host]\nname = %s\ndomain = %s\nlisten = %s\nready_listen = %s\npeer_listen = %s\nseeds = %s\n"+
 		"[log]\naddress = %s\npartitions = 4\n"+
 		"[bounds]\ndrain_ms = %d\ngrace_s = %g\nretry_ratio = %g\nretry_slack = %d\nretry_window_s = %g\n"+
 		"[output]\nlines_per_second = 2000\nlevel = debug\n",
--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -60,10 +60,10 @@
 }
 
 type lendRequest struct {
-	ID     string `json:"id"`
-	Tenant string `json:"tenant"`
-	Tokens int64  `json:"tokens"` // needed
-	Better int64  `json:"better"` // wanted if they can be spared
+	ID           string `json:"id"`
+	Organisation string `json:"organisation"`
+	Tokens       int64  `json:"tokens"` // needed
+	Better       int64  `json:"better"` // wanted if they can be spared
 }
 
 type lendResponse struct {
@@ -81,8 +81,8 @@
 }
 
 type giveRequest struct {
-	Tenant string `json:"tenant"`
-	Tokens int64  `json:"tokens"`
+	Organisation string `json:"organisation"`
+	Tokens       int64  `json:"tokens"`
 }
 
 type giveResponse struct {
@@ -176,7 +176,7 @@
 	if !read(w, r, &ask) {
 		return
 	}
-	loan := f.opts.Lend(r.Context(), prepaid.LoanRequest{ID: ask.ID, Tenant: ask.Tenant, Tokens: ask.Tokens, Better: ask.Better})
+	loan := f.opts.Lend(r.Context(), prepaid.LoanRequest{ID: ask.ID, Organisation: ask.Organisation, Tokens: ask.Tokens, Better: ask.Better})
 	write(w, lendResponse{Tokens: loan.Tokens, Keeper: loan.Answered})
 }
 
@@ -197,8 +197,8 @@
 	if !read(w, r, &ask) {
 		return
 	}
-	took := f.opts.Credit(ask.Tenant, ask.Tokens)
-	log.WithFields(log.Fields{"organisation": ask.Tenant, "tokens": ask.Tokens, "took": took}).Info("tokens of a stopping host")
+	took := f.opts.Credit(ask.Organisation, ask.Tokens)
+	log.WithFields(log.Fields{"organisation": ask.Organisation, "tokens": ask.Tokens, "took": took}).Info("tokens of a stopping host")
 	write(w, giveResponse{Took: took})
 }
 
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -23,7 +23,7 @@
 	Name        string `json:"name"`
 	Incarnation string `json:"incarnation"`
 	Address     string `json:"address"` // for other hosts, IP:port
-	Zone        string `json:"zone"`    // failure domain
+	Domain      string `json:"domain"`  // failure domain
 	Beat        int64  `json:"beat"`    // counts the announcements of an incarnation
 }
 
@@ -43,7 +43,7 @@
 	// Recall takes back a loan whose borrower got no answer.
 	Recall func(id string) (tokens int64)
 	// Credit takes in tokens that a stopping host hands over.
-	Credit func(tenant string, tokens int64) bool
+	Credit func(organisation string, tokens int64) bool
 }
 
 // known is what this host knows of another.
@@ -107,7 +107,7 @@
 func (f *Fleet) Size() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	_, total := f.zones()
+	_, total := f.domains()
 	return total
 }
 
--- a/router/fleet/fleet_test.go
+++ b/router/fleet/fleet_test.go
@@ -45,17 +45,17 @@
 }
 
 // hosts makes n hosts in some failure domains.
-func hosts(n, zones int) []Host {
+func hosts(n, domains int) []Host {
 	var list []Host
 	for i := range n {
-		list = append(list, Host{Name: fmt.Sprintf("h%d", i), Zone: fmt.Sprintf("z%d", i%zones), Address: fmt.Sprintf("10.0.0.%d:1", i)})
+		list = append(list, Host{Name: fmt.Sprintf("h%d", i), Domain: fmt.Sprintf("z%d", i%domains), Address: fmt.Sprintf("10.0.0.%d:1", i)})
 	}
 	return list
 }
 
 func TestSize(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(Host{Name: "h0", Zone: "z0"})
+	f := newFleet(Host{Name: "h0", Domain: "z0"})
 	is.Equal(f.Size(), 1)
 	announced(f, hosts(6, 3)...)
 	is.Equal(f.Size(), 6) // itself once
@@ -86,7 +86,7 @@
 	keepers := map[string]int{}
 	names := map[string]string{}
 	for _, self := range all {
-		names[self.Address] = self.Zone
+		names[self.Address] = self.Domain
 	}
 	for _, self := range all {
 		f := newFleet(self)
@@ -94,13 +94,13 @@
 		count, keeper := f.Keepers("org")
 		is.Equal(count, 3*4) // 29 hosts in each failure domain
 		if keeper {
-			keepers[self.Zone]++
+			keepers[self.Domain]++
 			continue
 		}
 		list := f.keeperAddresses("org")
 		is.Equal(len(list), 4)
 		for _, address := range list {
-			is.Equal(names[address], self.Zone)
+			is.Equal(names[address], self.Domain)
 		}
 	}
 	is.Equal(keepers, map[string]int{"z0": 4, "z1": 4, "z2": 4})
@@ -108,7 +108,7 @@
 
 func TestSilentKeeperIsAskedLast(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(Host{Name: "other", Zone: "z0"})
+	f := newFleet(Host{Name: "other", Domain: "z0"})
 	announced(f, hosts(40, 1)...)
 	list := f.keeperAddresses("org")
 	f.noteSilent(list[0], io.EOF)
@@ -121,7 +121,7 @@
 // them; in a small one all read.
 func TestReadersOfALargeFleet(t *testing.T) {
 	is := is.New(t)
-	small := newFleet(Host{Name: "h0", Zone: "z0"})
+	small := newFleet(Host{Name: "h0", Domain: "z0"})
 	announced(small, hosts(keeperGroup, 3)...)
 	is.Equal(len(small.readers("list")), 0)
 	all := hosts(87, 3)
@@ -156,7 +156,7 @@
 	for i := range all {
 		all[i].Address = server.Listener.Addr().String()
 	}
-	f := newFleet(Host{Name: "another", Zone: "z0"})
+	f := newFleet(Host{Name: "another", Domain: "z0"})
 	announced(f, all...)
 	if len(f.readers("list")) == 0 {
 		t.Fatal("the host is a reader itself")
@@ -287,7 +287,7 @@
 	is := is.New(t)
 	l := memlog.New()
 	f := New(Options{
-		Self: Host{Name: "self", Incarnation: "1", Address: "10.0.0.1:1", Zone: "z"}, Log: l.Host("self"), Topic: "hosts",
+		Self: Host{Name: "self", Incarnation: "1", Address: "10.0.0.1:1", Domain: "z"}, Log: l.Host("self"), Topic: "hosts",
 		Announce: 20 * time.Millisecond, Pull: time.Hour, Timeout: time.Second,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/router/fleet/keepers.go
+++ b/router/fleet/keepers.go
@@ -18,24 +18,24 @@
 // Keepers says how many hosts take slices of a budget from the log, and whether
 // this host is one of them. In large fleets a few hosts of each failure domain are,
 // by rendezvous hashing, and the others borrow from them.
-func (f *Fleet) Keepers(tenant string) (count int, self bool) {
+func (f *Fleet) Keepers(organisation string) (count int, self bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	zones, total := f.zones()
+	domains, total := f.domains()
 	if total <= keeperGroup {
 		return total, true
 	}
-	for _, n := range zones {
+	for _, n := range domains {
 		count += keepersOf(n)
 	}
-	own := rendezvous.Score(tenant, f.opts.Self.Name)
+	own := rendezvous.Score(organisation, f.opts.Self.Name)
 	above := 0
 	for name, k := range f.hosts {
-		if f.counts(name, k) && k.host.Zone == f.opts.Self.Zone && rendezvous.Score(tenant, name) > own {
+		if f.counts(name, k) && k.host.Domain == f.opts.Self.Domain && rendezvous.Score(organisation, name) > own {
 			above++
 		}
 	}
-	return count, above < keepersOf(zones[f.opts.Self.Zone])
+	return count, above < keepersOf(domains[f.opts.Self.Domain])
 }
 
 func keepersOf(hosts int) int { return (hosts + keeperGroup - 1) / keeperGroup }
@@ -58,37 +58,37 @@
 	return name != f.opts.Self.Name && time.Since(k.seen) < forgetAfter
 }
 
-// zones counts the hosts of each failure domain and in all, this one included.
-func (f *Fleet) zones() (zones map[string]int, total int) {
-	zones = map[string]int{f.opts.Self.Zone: 1}
+// domains counts the hosts of each failure domain and in all, this one included.
+func (f *Fleet) domains() (domains map[string]int, total int) {
+	domains = map[string]int{f.opts.Self.Domain: 1}
 	total = 1
 	for name, k := range f.hosts {
 		if f.counts(name, k) {
-			zones[k.host.Zone]++
+			domains[k.host.Domain]++
 			total++
 		}
 	}
-	return zones, total
+	return domains, total
 }
 
 // keeperAddresses lists the keepers of a budget in this host's failure domain, those
 // that did not answer a moment ago last; nil if each host takes its own slices.
-func (f *Fleet) keeperAddresses(tenant string) []string {
+func (f *Fleet) keeperAddresses(organisation string) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	zones, total := f.zones()
+	domains, total := f.domains()
 	if total <= keeperGroup {
 		return nil
 	}
-	ranked := rendezvous.Rank(tenant, f.zoneMates(), func(k known) string { return k.host.Name })
-	return f.inTurn(tenant, ranked[:min(len(ranked), keepersOf(zones[f.opts.Self.Zone]))])
+	ranked := rendezvous.Rank(organisation, f.domainMates(), func(k known) string { return k.host.Name })
+	return f.inTurn(organisation, ranked[:min(len(ranked), keepersOf(domains[f.opts.Self.Domain]))])
 }
 
-// zoneMates lists the other hosts of this host's failure domain; the lock is held.
-func (f *Fleet) zoneMates() []known {
+// domainMates lists the other hosts of this host's failure domain; the lock is held.
+func (f *Fleet) domainMates() []known {
 	var same []known
 	for name, k := range f.hosts {
-		if f.counts(name, k) && k.host.Zone == f.opts.Self.Zone {
+		if f.counts(name, k) && k.host.Domain == f.opts.Self.Domain {
 			same = append(same, k)
 		}
 	}
@@ -134,22 +134,22 @@
 
 // Borrow asks the keepers of the budget, or in a small fleet all hosts, one after
 // the other, until they lent enough. A loan without an answer is recalled.
-func (f *Fleet) Borrow(ctx context.Context, tenant string, tokens, better int64) prepaid.Loan {
-	keepers := f.keeperAddresses(tenant)
+func (f *Fleet) Borrow(ctx context.Context, organisation string, tokens, better int64) prepaid.Loan {
+	keepers := f.keeperAddresses(organisation)
 	if keepers != nil {
-		return f.borrowFrom(ctx, keepers[:min(len(keepers), borrowKeepers)], keeperTimeout, tenant, tokens, better)
+		return f.borrowFrom(ctx, keepers[:min(len(keepers), borrowKeepers)], keeperTimeout, organisation, tokens, better)
 	}
 	list := f.addresses()
-	return f.borrowFrom(ctx, list[:min(len(list), borrowFrom)], borrowTimeout, tenant, tokens, tokens)
+	return f.borrowFrom(ctx, list[:min(len(list), borrowFrom)], borrowTimeout, organisation, tokens, tokens)
 }
 
-func (f *Fleet) borrowFrom(ctx context.Context, addresses []string, timeout time.Duration, tenant string, tokens, better int64) prepaid.Loan {
+func (f *Fleet) borrowFrom(ctx context.Context, addresses []string, timeout time.Duration, organisation string, tokens, better int64) prepaid.Loan {
 	var total prepaid.Loan
 	for _, address := range addresses {
 		if total.Tokens >= tokens || ctx.Err() != nil {
 			break
 		}
-		ask := lendRequest{ID: f.recalls.newLoan(), Tenant: tenant, Tokens: tokens - total.Tokens, Better: better - total.Tokens}
+		ask := lendRequest{ID: f.recalls.newLoan(), Organisation: organisation, Tokens: tokens - total.Tokens, Better: better - total.Tokens}
 		var got lendResponse
 		call, cancel := context.WithTimeout(ctx, timeout)
 		err := f.calls.do(call, address, pathLend, ask, &got)
@@ -162,31 +162,31 @@
 			f.recalls.add(unanswered{address: address, id: ask.ID})
 		}
 	}
-	log.WithFields(log.Fields{"organisation": tenant, "wanted": tokens, "got": total.Tokens, "answered": total.Answered}).Debug("borrowed from other hosts")
+	log.WithFields(log.Fields{"organisation": organisation, "wanted": tokens, "got": total.Tokens, "answered": total.Answered}).Debug("borrowed from other hosts")
 	return total
 }
 
 // GiveBack gives tokens to a keeper of the budget.
-func (f *Fleet) GiveBack(ctx context.Context, tenant string, tokens int64) bool {
-	return f.giveTo(ctx, f.keeperAddresses(tenant), tenant, tokens)
+func (f *Fleet) GiveBack(ctx context.Context, organisation string, tokens int64) bool {
+	return f.giveTo(ctx, f.keeperAddresses(organisation), organisation, tokens)
 }
 
 // Give hands tokens over to another host.
-func (f *Fleet) Give(ctx context.Context, tenant string, tokens int64) bool {
+func (f *Fleet) Give(ctx context.Context, organisation string, tokens int64) bool {
 	list := f.addresses()
-	if keepers := f.keeperAddresses(tenant); keepers != nil {
+	if keepers := f.keeperAddresses(organisation); keepers != nil {
 		list = append(keepers, list...)
 	}
-	return f.giveTo(ctx, list, tenant, tokens)
+	return f.giveTo(ctx, list, organisation, tokens)
 }
 
 // giveTo hands tokens over to one host. The next one is tried only if the one before
 // surely did not take them.
-func (f *Fleet) giveTo(ctx context.Context, addresses []string, tenant string, tokens int64) bool {
+func (f *Fleet) giveTo(ctx context.Context, addresses []string, organisation string, tokens int64) bool {
 	for _, address := range addresses {
 		var got giveResponse
 		call, cancel := context.WithTimeout(ctx, giveTimeout)
-		err := f.calls.do(call, address, pathGive, giveRequest{Tenant: tenant, Tokens: tokens}, &got)
+		err := f.calls.do(call, address, pathGive, giveRequest{Organisation: organisation, Tokens: tokens}, &got)
 		cancel()
 		if err == nil && got.Took {
 			return true
--- a/router/fleet/relay.go
+++ b/router/fleet/relay.go
@@ -45,13 +45,13 @@
 func (f *Fleet) readers(topic string) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	zones, total := f.zones()
+	domains, total := f.domains()
 	if total <= keeperGroup {
 		return nil
 	}
-	same := append(f.zoneMates(), known{host: f.opts.Self})
+	same := append(f.domainMates(), known{host: f.opts.Self})
 	ranked := rendezvous.Rank(topic, same, func(k known) string { return k.host.Name })
-	ranked = ranked[:min(len(ranked), readersOf(zones[f.opts.Self.Zone]))]
+	ranked = ranked[:min(len(ranked), readersOf(domains[f.opts.Self.Domain]))]
 	for _, k := range ranked {
 		if k.host.Name == f.opts.Self.Name {
 			return nil
--- a/router/forward/answers_test.go
+++ b/router/forward/answers_test.go
@@ -205,7 +205,7 @@
 
 func TestUnreachableTargetIsPassedOver(t *testing.T) {
 	b := newBench(t)
-	b.targets.Put(target.Entry{ID: "dead", Service: "plain", Address: deadAddress(t), Zone: "z1", Slots: 50})
+	b.targets.Put(target.Entry{ID: "dead", Service: "plain", Address: deadAddress(t), Domain: "z1", Slots: 50})
 	b.add("t1", "plain", backend.Behaviour{Body: "ok"})
 	for range 4 {
 		b.is.Equal(b.do(b.request("POST", "/unsafe/x", "b")).status, 200)
@@ -216,7 +216,7 @@
 func TestReusedAddressRunsNothing(t *testing.T) {
 	b := newBench(t)
 	e := b.add("new", "engine", backend.Behaviour{Body: "other service"})
-	b.targets.Put(target.Entry{ID: "old", Service: "plain", Address: e.Address(), Zone: "z1", Slots: 4})
+	b.targets.Put(target.Entry{ID: "old", Service: "plain", Address: e.Address(), Domain: "z1", Slots: 4})
 	got := b.do(b.request("POST", "/unsafe/x", "b"))
 	b.is.Equal(got.status, 503)
 	b.is.Equal(b.runs(), 0)
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -22,8 +22,8 @@
 
 // Budgets reserves tokens; *prepaid.Treasury does.
 type Budgets interface {
-	Reserve(ctx context.Context, tenant string, tokens int64) (*prepaid.Reservation, error)
-	Holding(tenant string) (prepaid.Holding, bool)
+	Reserve(ctx context.Context, organisation string, tokens int64) (*prepaid.Reservation, error)
+	Holding(organisation string) (prepaid.Holding, bool)
 }
 
 // Observer is told of decisions and ends; it must not block.
@@ -39,7 +39,7 @@
 	RequestID string
 	Number    int
 	Target    string
-	Zone      string
+	Domain    string
 	Result    string
 	Status    int
 	Resumed   string // the event behind which the stream went on
@@ -51,7 +51,7 @@
 type End struct {
 	RequestID     string
 	Route         string
-	Tenant        string
+	Organisation  string
 	Service       string
 	ConfigVersion int64
 	Kind          Kind
@@ -107,23 +107,23 @@
 
 // request is the state of one request.
 type request struct {
-	handler *Handler
-	w       http.ResponseWriter
-	r       *http.Request
-	ctx     context.Context // ends with the caller's connection
-	arrived time.Time
-	limit   time.Time // when the last answer is due
-	config  *routing.Config
-	route   *routing.Route
-	tenant  *routing.Tenant
-	service string
-	engine  *routing.Engine
-	id      string
-	head    []byte
-	body    []byte
-	usage   usage
-	shared  string // affinity
-	resume  string // the caller's own last event id
+	handler      *Handler
+	w            http.ResponseWriter
+	r            *http.Request
+	ctx          context.Context // ends with the caller's connection
+	arrived      time.Time
+	limit        time.Time // when the last answer is due
+	config       *routing.Config
+	route        *routing.Route
+	organisation *routing.Organisation
+	service      string
+	engine       *routing.Engine
+	id           string
+	head         []byte
+	body         []byte
+	usage        usage
+	shared       string // affinity
+	resume       string // the caller's own last event id
 
 	reserved *prepaid.Reservation
 	excluded map[string]bool
@@ -174,8 +174,8 @@
 	if q.route != nil {
 		e.Route = q.route.Name
 	}
-	if q.tenant != nil {
-		e.Tenant = q.tenant.Name
+	if q.organisation != nil {
+		e.Organisation = q.organisation.Name
 	}
 	if q.config != nil {
 		e.ConfigVersion = q.config.Version
@@ -234,9 +234,9 @@
 
 func (q *request) authenticate() Kind {
 	if key := q.r.Header.Get(q.handler.names.Key); key != "" {
-		q.tenant = q.config.ByKey(key)
+		q.organisation = q.config.ByKey(key)
 	}
-	if q.tenant == nil && !q.route.Public && len(q.config.Tenants) > 0 {
+	if q.organisation == nil && !q.route.Public && len(q.config.Organisations) > 0 {
 		return BadKey
 	}
 	return OK
@@ -312,13 +312,13 @@
 	q.shared = header.Get(q.handler.names.PromptParts)
 	u, ok := parseUsage(header.Get(q.handler.names.Usage))
 	q.usage = u
-	if q.tenant == nil || q.tenant.Prepaid == nil {
+	if q.organisation == nil || q.organisation.Prepaid == nil {
 		return OK, nil
 	}
 	if !ok {
 		return BadRequest, errors.New("the request does not say how many tokens it needs at most")
 	}
-	reserved, err := q.handler.opts.Budgets.Reserve(q.ctx, q.tenant.Name, u.in+u.out)
+	reserved, err := q.handler.opts.Budgets.Reserve(q.ctx, q.organisation.Name, u.in+u.out)
 	switch {
 	case err == nil:
 		q.reserved = reserved
@@ -326,7 +326,7 @@
 	case q.ctx.Err() != nil:
 		return CallerGone, err
 	}
-	q.end.Budget, _ = q.handler.opts.Budgets.Holding(q.tenant.Name)
+	q.end.Budget, _ = q.handler.opts.Budgets.Holding(q.organisation.Name)
 	if errors.Is(err, prepaid.ErrNever) {
 		return OverBudget, err
 	}
--- a/router/forward/harness_test.go
+++ b/router/forward/harness_test.go
@@ -31,7 +31,7 @@
 
 // testHeaders are the names of these tests; the platform's are its own matter.
 var testHeaders = Headers{
-	RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Tenant: "X-Org", ExpectTarget: "X-Expect",
+	RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Organisation: "X-Org", ExpectTarget: "X-Expect",
 	Usage: "X-Tokens", PromptParts: "X-Parts", LastEventID: "Last-Event-Id", Priority: "X-Priority",
 	Stamp: "X-Stamp", NotRun: "X-Not-Run", RetryAfter: "Retry-After", Internal: []string{"X-Memory"},
 }
@@ -46,11 +46,11 @@
 	err      error
 }
 
-func (f *fakeBudgets) Reserve(ctx context.Context, tenant string, tokens int64) (*prepaid.Reservation, error) {
+func (f *fakeBudgets) Reserve(ctx context.Context, organisation string, tokens int64) (*prepaid.Reservation, error) {
 	if f.err != nil {
 		return nil, f.err
 	}
-	return f.treasury.Reserve(ctx, tenant, tokens)
+	return f.treasury.Reserve(ctx, organisation, tokens)
 }
 
 func (f *fakeBudgets) Holding(string) (prepaid.Holding, bool) { return prepaid.Holding{}, false }
@@ -116,13 +116,13 @@
   {"name":"open","host":"a.example","path_prefix":"/open/","kind":"safe","timeout_ms":2000,"target_latency_ms":300,"service":"plain","max_attempts":1,"public":true}],
  "services":[{"name":"plain","max_conns":100},{"name":"engine","max_conns":100,"engine":{"slots":4,"stride":5,"kv_capacity":100000}}],
  "limits":{"max_body_bytes":100000},
- "tenants":[{"name":"org","keys":["k1","k2"],"priority":1}]}`
+ "organisations":[{"name":"org","keys":["k1","k2"],"priority":1}]}`
 
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, is: is.New(t), recorder: &recorder{}, budgets: &fakeBudgets{}, backends: map[string]*backend.Backend{}}
 	b.takes.Store(true)
 	b.targets = target.NewRegistry(target.Options{
-		Zone: "z1", DrainWithin: time.Second, DialTimeout: 200 * time.Millisecond, IdleTimeout: time.Minute, MaxIdle: 8,
+		Domain: "z1", DrainWithin: time.Second, DialTimeout: 200 * time.Millisecond, IdleTimeout: time.Minute, MaxIdle: 8,
 	})
 	one := func() int { return 1 }
 	b.budgets.treasury = prepaid.New(prepaid.Options{Hosts: one, Wait: 20 * time.Millisecond})
@@ -151,7 +151,7 @@
 	b.is.NoErr(err)
 	b.t.Cleanup(e.Close)
 	b.backends[id] = e
-	b.targets.Put(target.Entry{ID: id, Service: service, Address: e.Address(), Zone: "z1", Slots: 4})
+	b.targets.Put(target.Entry{ID: id, Service: service, Address: e.Address(), Domain: "z1", Slots: 4})
 	return e
 }
 
--- a/router/forward/headers.go
+++ b/router/forward/headers.go
@@ -16,7 +16,7 @@
 	RequestID    string // of one try of a caller
 	Deadline     string // milliseconds that the caller will wait
 	Key          string // the caller's key
-	Tenant       string // the organisation, set by the host
+	Organisation string // the organisation, set by the host
 	ExpectTarget string // the only target that may run the request
 	Usage        string // tokens of the prompt, and the most out
 	PromptParts  string // ID:TOKENS,... in order; the last is the request's own
@@ -38,7 +38,7 @@
 // canonical gives the spelling that net/http uses for keys.
 func (h Headers) canonical() Headers {
 	for _, name := range []*string{
-		&h.RequestID, &h.Deadline, &h.Key, &h.Tenant, &h.ExpectTarget, &h.Usage, &h.PromptParts,
+		&h.RequestID, &h.Deadline, &h.Key, &h.Organisation, &h.ExpectTarget, &h.Usage, &h.PromptParts,
 		&h.LastEventID, &h.Priority, &h.Stamp, &h.NotRun, &h.RetryAfter,
 	} {
 		*name = textproto.CanonicalMIMEHeaderKey(*name)
@@ -55,7 +55,7 @@
 func (h Headers) own() map[string]bool {
 	own := map[string]bool{"Content-Length": true, "Host": true, "Expect": true}
 	for _, name := range slices.Concat(hopByHop, h.Internal, []string{
-		h.Deadline, h.Key, h.Tenant, h.ExpectTarget, h.LastEventID, h.Priority,
+		h.Deadline, h.Key, h.Organisation, h.ExpectTarget, h.LastEventID, h.Priority,
 	}) {
 		own[name] = true
 	}
@@ -109,11 +109,11 @@
 	b.Write(q.head)
 	writeHeader(b, h.names.Deadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	writeHeader(b, h.names.ExpectTarget, targetID)
-	if q.tenant != nil {
-		writeHeader(b, h.names.Tenant, q.tenant.Name)
+	if q.organisation != nil {
+		writeHeader(b, h.names.Organisation, q.organisation.Name)
 	}
 	if q.engine != nil {
-		writeHeader(b, h.names.Priority, strconv.Itoa(q.config.Rank(q.tenant, q.route)))
+		writeHeader(b, h.names.Priority, strconv.Itoa(q.config.Rank(q.organisation, q.route)))
 	}
 	if id := q.lastEventID(); id != "" {
 		writeHeader(b, h.names.LastEventID, id)
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -161,7 +161,7 @@
 		targets.DialFailed(t)
 	}
 	q.handler.opts.Observer.Tried(Try{
-		RequestID: q.id, Number: q.tries, Target: t.ID, Zone: t.Zone, Result: res.String(),
+		RequestID: q.id, Number: q.tries, Target: t.ID, Domain: t.Domain, Result: res.String(),
 		Status: c.status, Resumed: c.resumed, Took: time.Since(started), Err: err,
 	})
 	return res, err
--- a/router/forward/streams_test.go
+++ b/router/forward/streams_test.go
@@ -20,7 +20,7 @@
 	b.is.Equal(got.status, 200)
 	b.is.Equal(got.body, events("r1", 20))
 	b.is.Equal(got.header.Get("X-Stamp"), "e1")
-	b.is.Equal(e.Runs()[0].Header.Get("X-Priority"), "3") // the tenant's before the route's
+	b.is.Equal(e.Runs()[0].Header.Get("X-Priority"), "3") // the organisation's before the route's
 }
 
 // Each event is with the caller before the next one is made.
@@ -190,7 +190,7 @@
 const budgetConfig = `{"version":8,
  "routes":[{"name":"stream","host":"a.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":4000,"target_latency_ms":200,"gap_target_ms":100,"service":"engine","max_attempts":3,"resumable":true}],
  "services":[{"name":"engine","engine":{"slots":4,"stride":5}}],
- "tenants":[{"name":"org","keys":["k1"],"prepaid":1000}]}`
+ "organisations":[{"name":"org","keys":["k1"],"prepaid":1000}]}`
 
 func TestBudgetRefusals(t *testing.T) {
 	cases := []struct {
--- a/router/node/config.go
+++ b/router/node/config.go
@@ -67,7 +67,7 @@
 	n.handler.Configure(config)
 	n.shareConnections()
 	fields := log.Fields{
-		"version": config.Version, "routes": len(config.Routes), "organisations": len(config.Tenants),
+		"version": config.Version, "routes": len(config.Routes), "organisations": len(config.Organisations),
 		"bytes": len(change.value), "gap": change.gap,
 	}
 	if old != nil {
@@ -78,9 +78,9 @@
 
 func budgets(c *routing.Config) []prepaid.Budget {
 	var list []prepaid.Budget
-	for _, t := range c.Tenants {
+	for _, t := range c.Organisations {
 		if t.Prepaid != nil {
-			list = append(list, prepaid.Budget{Tenant: t.Name, Limit: *t.Prepaid})
+			list = append(list, prepaid.Budget{Organisation: t.Name, Limit: *t.Prepaid})
 		}
 	}
 	return list
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -77,7 +77,7 @@
 		changed:  make(chan struct{}, 1),
 	}
 	n.targets = target.NewRegistry(target.Options{
-		Zone:        cfg.Host.Zone,
+		Domain:      cfg.Host.Domain,
 		DrainWithin: drainPart(settings.Milliseconds(cfg.Bounds.DrainMs)),
 		DialTimeout: settings.Milliseconds(cfg.Targets.DialMs),
 		IdleTimeout: settings.Milliseconds(cfg.Targets.IdleMs),
@@ -156,7 +156,7 @@
 func (n *Node) newFleet(incarnation string) {
 	n.fleet = fleet.New(fleet.Options{
 		Self: fleet.Host{
-			Name: n.cfg.Host.Name, Incarnation: incarnation, Address: n.cfg.Host.PeerListen, Zone: n.cfg.Host.Zone,
+			Name: n.cfg.Host.Name, Incarnation: incarnation, Address: n.cfg.Host.PeerListen, Domain: n.cfg.Host.Domain,
 		},
 		Log: n.outside.Log, Topic: n.outside.HostsTopic, Seeds: n.cfg.Host.Seeds,
 		Announce: announceEvery, Pull: pullEvery, Timeout: peerTimeout,
@@ -167,7 +167,7 @@
 		},
 		Lend:   func(ctx context.Context, ask prepaid.LoanRequest) prepaid.Loan { return n.treasury.Lend(ctx, ask) },
 		Recall: func(id string) int64 { return n.treasury.Recall(id) },
-		Credit: func(tenant string, tokens int64) bool { return n.treasury.Credit(tenant, tokens) },
+		Credit: func(organisation string, tokens int64) bool { return n.treasury.Credit(organisation, tokens) },
 	})
 }
 
--- a/router/node/node_test.go
+++ b/router/node/node_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -41,7 +43,7 @@
 )
 
 var headers = forward.Headers{
-	RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Tenant: "X-Org", ExpectTarget: "X-Expect",
+	RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Organisation: "X-Org", ExpectTarget: "X-Expect",
 	Usage: "X-Tokens", PromptParts: "X-Parts", LastEventID: "Last-Event-Id", Priority: "X-Priority",
 	Stamp: "X-Stamp", NotRun: "X-Not-Run", RetryAfter: "Retry-After",
 }
@@ -70,9 +72,13 @@
 	kill context.CancelFunc
 }
 
+// freeAddress gives an address that nobody uses. Its IP is drawn anew: a port of
+// 127.0.0.1 may become that of another program's outgoing connection before the host
+// listens there.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ip := net.IPv4(127, byte(1+rand.IntN(19)), byte(rand.IntN(256)), byte(1+rand.IntN(254)))
+	l, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -84,7 +90,7 @@
 	f.t.Helper()
 	text := fmt.Sprintf(`[host]
 name = %s
-zone = z1
+domain = z1
 listen = %s
 ready_listen = %s
 peer_listen = %s
@@ -130,7 +136,9 @@
 	h := &host{Node: n, name: cfg.Host.Name, done: make(chan struct{}), kill: cancel}
 	go func() {
 		defer close(h.done)
-		_ = n.Run(ctx)
+		if err := n.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+			f.t.Errorf("%s ended: %v", cfg.Host.Name, err)
+		}
 	}()
 	f.t.Cleanup(func() {
 		cancel()
@@ -163,7 +171,7 @@
 	b, err := backend.Start(id, names, func(backend.Run) backend.Behaviour { return how })
 	f.is.NoErr(err)
 	f.t.Cleanup(b.Close)
-	f.list(target.Entry{ID: id, Service: "s", Address: b.Address(), Zone: "z1", Slots: 4})
+	f.list(target.Entry{ID: id, Service: "s", Address: b.Address(), Domain: "z1", Slots: 4})
 	return b
 }
 
@@ -251,11 +259,11 @@
 func TestRevokedKeyIsRefused(t *testing.T) {
 	f := newFleet(t)
 	h := f.start(f.settings("h1"))
-	f.publish(config(1, plainRoute, `,"tenants":[{"name":"o","keys":["k1","k2"]}]`))
+	f.publish(config(1, plainRoute, `,"organisations":[{"name":"o","keys":["k1","k2"]}]`))
 	f.backend("t1", backend.Behaviour{Body: "one"})
 	f.ready(h)
 	f.eventually("it serves", func() bool { return f.call(h, "/r/x", "k1").status == 200 })
-	f.publish(config(2, plainRoute, `,"tenants":[{"name":"o","keys":["k2"]}]`))
+	f.publish(config(2, plainRoute, `,"organisations":[{"name":"o","keys":["k2"]}]`))
 	f.eventually("the key is refused", func() bool { return f.call(h, "/r/x", "k1").status == 401 })
 	f.is.Equal(f.call(h, "/r/x", "k2").status, 200)
 }
@@ -303,7 +311,7 @@
 	b, err := backend.Start(id, names, func(backend.Run) backend.Behaviour { return how })
 	f.is.NoErr(err)
 	f.t.Cleanup(b.Close)
-	f.list(target.Entry{ID: id, Service: "e", Address: b.Address(), Zone: "z1", Slots: 4})
+	f.list(target.Entry{ID: id, Service: "e", Address: b.Address(), Domain: "z1", Slots: 4})
 	return b
 }
 
@@ -311,7 +319,7 @@
 func TestBudgetHoldsAcrossHostsAndKills(t *testing.T) {
 	f := newFleet(t)
 	const limit = 5000 // 50 requests of 100 tokens at most, 62 in fact
-	f.publish(config(1, engineRoute, fmt.Sprintf(`,"tenants":[{"name":"o","keys":["k"],"prepaid":%d}]`, limit)))
+	f.publish(config(1, engineRoute, fmt.Sprintf(`,"organisations":[{"name":"o","keys":["k"],"prepaid":%d}]`, limit)))
 	e := f.engine("e1", backend.Behaviour{Events: 20})
 	a := f.start(f.settings("a"))
 	b := f.start(f.settings("b"))
@@ -353,7 +361,7 @@
 // and place back.
 func TestPlannedStop(t *testing.T) {
 	f := newFleet(t)
-	f.publish(config(1, engineRoute+","+plainRoute, `,"tenants":[{"name":"o","keys":["k"],"prepaid":100000}]`))
+	f.publish(config(1, engineRoute+","+plainRoute, `,"organisations":[{"name":"o","keys":["k"],"prepaid":100000}]`))
 	f.engine("e1", backend.Behaviour{Events: 10, Gap: 50 * time.Millisecond})
 	f.backend("t1", backend.Behaviour{Body: "one", Delay: 200 * time.Millisecond})
 	h := f.start(f.settings("h1"))
@@ -394,7 +402,7 @@
 // A host that stops while the log is out of reach hands its tokens to another.
 func TestPlannedStopWithoutTheLogHandsOver(t *testing.T) {
 	f := newFleet(t)
-	f.publish(config(1, engineRoute, `,"tenants":[{"name":"o","keys":["k"],"prepaid":100000}]`))
+	f.publish(config(1, engineRoute, `,"organisations":[{"name":"o","keys":["k"],"prepaid":100000}]`))
 	a, b := f.start(f.settings("a")), f.start(f.settings("b"))
 	f.ready(a)
 	f.ready(b)
@@ -439,7 +447,7 @@
 		f.is.NoErr(os.WriteFile(path, []byte(text), 0o600))
 		return path
 	}
-	base := fmt.Sprintf("[host]\nname=h1\nzone=z1\nlisten=%s\nready_listen=%s\npeer_listen=%s\n[log]\naddress=127.0.0.1:1\n",
+	base := fmt.Sprintf("[host]\nname=h1\ndomain=z1\nlisten=%s\nready_listen=%s\npeer_listen=%s\n[log]\naddress=127.0.0.1:1\n",
 		cfg.Host.Listen, cfg.Host.ReadyListen, cfg.Host.PeerListen)
 	h.Reload(write(base + "[bounds]\nretry_slack=0\nretry_ratio=0\n[output]\nlevel=warning\n"))
 	f.is.Equal(log.GetLevel(), log.WarnLevel)
@@ -453,7 +461,7 @@
 
 func TestMetrics(t *testing.T) {
 	f := newFleet(t)
-	f.publish(config(1, plainRoute, `,"tenants":[{"name":"o","keys":["k"],"prepaid":1000}]`))
+	f.publish(config(1, plainRoute, `,"organisations":[{"name":"o","keys":["k"],"prepaid":1000}]`))
 	f.backend("t1", backend.Behaviour{Body: "one"})
 	h := f.start(f.settings("h1"))
 	f.ready(h)
--- a/router/observe/observe.go
+++ b/router/observe/observe.go
@@ -61,14 +61,14 @@
 		return
 	}
 	entry.WithFields(log.Fields{
-		"request": t.RequestID, "try": t.Number, "target": t.Target, "zone": t.Zone, "result": t.Result,
+		"request": t.RequestID, "try": t.Number, "target": t.Target, "domain": t.Domain, "result": t.Result,
 		"status": t.Status, "behind": t.Resumed, "took": t.Took.Round(time.Millisecond),
 	}).WithError(t.Err).Info("try failed")
 }
 
 // Ended logs and counts a request.
 func (o *Observer) Ended(e forward.End) {
-	labels := fmt.Sprintf("organisation=%q,service=%q", e.Tenant, e.Service)
+	labels := fmt.Sprintf("organisation=%q,service=%q", e.Organisation, e.Service)
 	o.set.GetOrCreateHistogram("maststage_request_seconds{" + labels + "}").Update(e.Took.Seconds())
 	if e.First > 0 {
 		o.set.GetOrCreateHistogram("maststage_first_byte_seconds{" + labels + "}").Update(e.First.Seconds())
@@ -83,7 +83,7 @@
 		return
 	}
 	fields := log.Fields{
-		"request": e.RequestID, "route": e.Route, "organisation": e.Tenant, "service": e.Service,
+		"request": e.RequestID, "route": e.Route, "organisation": e.Organisation, "service": e.Service,
 		"config": e.ConfigVersion, "kind": e.Kind, "status": e.Status, "tries": e.Tries, "target": e.Target,
 		"events": e.Events, "reserved": e.Reserved, "used": e.Used,
 		"first": e.First.Round(time.Millisecond), "took": e.Took.Round(time.Millisecond),
@@ -122,9 +122,9 @@
 		return
 	}
 	list := o.holdings()
-	slices.SortFunc(list, func(a, b prepaid.Holding) int { return strings.Compare(a.Tenant, b.Tenant) })
+	slices.SortFunc(list, func(a, b prepaid.Holding) int { return strings.Compare(a.Organisation, b.Organisation) })
 	for _, h := range list[:min(len(list), maxBudgets)] {
-		label := fmt.Sprintf("{organisation=%q}", h.Tenant)
+		label := fmt.Sprintf("{organisation=%q}", h.Organisation)
 		metrics.WriteGaugeUint64(w, "maststage_budget_free_tokens"+label, uint64(max(h.Free, 0)))
 		metrics.WriteGaugeUint64(w, "maststage_budget_reserved_tokens"+label, uint64(max(h.Reserved, 0)))
 		metrics.WriteGaugeUint64(w, "maststage_budget_granted_tokens"+label, uint64(max(h.Granted, 0)))
--- a/router/prepaid/append.go
+++ b/router/prepaid/append.go
@@ -16,7 +16,7 @@
 func (c *clerk) append(ctx context.Context, orders []order) (done bool, err error) {
 	records := make([]eventlog.Record, len(orders))
 	for i, o := range orders {
-		records[i] = eventlog.Record{Key: o.tenant, Value: o.next.Encode()}
+		records[i] = eventlog.Record{Key: o.organisation, Value: o.next.Encode()}
 	}
 	at := c.end
 	unknown := false
@@ -172,14 +172,14 @@
 }
 
 // see takes in a record of an account.
-func (c *clerk) see(tenant string, a Account, offset int64) {
+func (c *clerk) see(organisation string, a Account, offset int64) {
 	t := c.treasury
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.wallets[tenant]
+	w := t.wallets[organisation]
 	if w == nil {
 		w = &wallet{limit: a.Limit}
-		t.wallets[tenant] = w
+		t.wallets[organisation] = w
 	}
 	if w.known && offset <= w.offset {
 		return
@@ -195,14 +195,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i, o := range orders {
-		w := t.wallets[o.tenant]
+		w := t.wallets[o.organisation]
 		w.free += o.taken
 		if offset := at + int64(i); !w.known || offset > w.offset {
 			w.account, w.known, w.offset = o.next, true, offset
 			w.flow.add(o.next.Granted, time.Now())
 		}
 		log.WithFields(log.Fields{
-			"organisation": o.tenant, "taken": o.taken, "returned": o.given, "granted": o.next.Granted,
+			"organisation": o.organisation, "taken": o.taken, "returned": o.given, "granted": o.next.Granted,
 			"limit": o.next.Limit, "version": o.next.Version, "offset": at + int64(i), "free": w.free,
 		}).Debug("slice changed")
 	}
@@ -215,6 +215,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, o := range orders {
-		t.wallets[o.tenant].free += o.given
+		t.wallets[o.organisation].free += o.given
 	}
 }
--- a/router/prepaid/clerk.go
+++ b/router/prepaid/clerk.go
@@ -54,11 +54,11 @@
 	return c
 }
 
-// clerkOf is the clerk of a tenant's account. The partition of an account is
+// clerkOf is the clerk of a organisation's account. The partition of an account is
 // fixed by its name.
-func (t *Treasury) clerkOf(tenant string) *clerk {
+func (t *Treasury) clerkOf(organisation string) *clerk {
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(tenant))
+	_, _ = h.Write([]byte(organisation))
 	return t.clerks[int(h.Sum32()%uint32(len(t.clerks)))]
 }
 
@@ -120,15 +120,15 @@
 	return d/2 + rand.N(d)
 }
 
-// order is one tenant's part of an append.
+// order is one organisation's part of an append.
 type order struct {
-	tenant string
-	next   Account
-	taken  int64
-	given  int64
+	organisation string
+	next         Account
+	taken        int64
+	given        int64
 }
 
-// round brings the slices of the partition's tenants in line with demand.
+// round brings the slices of the partition's organisations in line with demand.
 func (c *clerk) round(ctx context.Context) error {
 	select {
 	case <-c.turn:
@@ -136,7 +136,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	if !c.hasTenants() {
+	if !c.hasOrganisations() {
 		return nil
 	}
 	if !c.loaded {
@@ -187,8 +187,8 @@
 	t := c.treasury
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for tenant, w := range t.wallets {
-		if t.clerkOf(tenant) == c && (len(w.waiting) > 0 || w.hungry) {
+	for organisation, w := range t.wallets {
+		if t.clerkOf(organisation) == c && (len(w.waiting) > 0 || w.hungry) {
 			return true
 		}
 	}
@@ -204,11 +204,11 @@
 	return err
 }
 
-func (c *clerk) hasTenants() bool {
+func (c *clerk) hasOrganisations() bool {
 	c.treasury.mu.Lock()
 	defer c.treasury.mu.Unlock()
-	for tenant := range c.treasury.wallets {
-		if c.treasury.clerkOf(tenant) == c {
+	for organisation := range c.treasury.wallets {
+		if c.treasury.clerkOf(organisation) == c {
 			return true
 		}
 	}
@@ -220,8 +220,8 @@
 	t := c.treasury
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for tenant, w := range t.wallets {
-		if t.clerkOf(tenant) == c && t.change(tenant, w) != (Change{}) {
+	for organisation, w := range t.wallets {
+		if t.clerkOf(organisation) == c && t.change(organisation, w) != (Change{}) {
 			return true
 		}
 	}
@@ -229,11 +229,11 @@
 }
 
 // change is what is to be asked of an account; the treasury's lock is held.
-func (t *Treasury) change(tenant string, w *wallet) Change {
+func (t *Treasury) change(organisation string, w *wallet) Change {
 	if t.closing {
 		return Change{Return: w.free}
 	}
-	count, keeper := t.keeps(tenant, w)
+	count, keeper := t.keeps(organisation, w)
 	if !keeper {
 		return w.changeForWaiting()
 	}
@@ -246,11 +246,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var orders []order
-	for tenant, w := range t.wallets {
-		if t.clerkOf(tenant) != c {
+	for organisation, w := range t.wallets {
+		if t.clerkOf(organisation) != c {
 			continue
 		}
-		change := t.change(tenant, w)
+		change := t.change(organisation, w)
 		next, taken, ok := w.current().Apply(change)
 		announce := w.account.Version < w.verify
 		if !ok && !announce || change == (Change{}) && !announce {
@@ -261,7 +261,7 @@
 		if change.Return > 0 {
 			w.free -= change.Return
 		}
-		orders = append(orders, order{tenant: tenant, next: next, taken: taken, given: change.Return})
+		orders = append(orders, order{organisation: organisation, next: next, taken: taken, given: change.Return})
 	}
 	return orders
 }
--- a/router/prepaid/fuzz_test.go
+++ b/router/prepaid/fuzz_test.go
@@ -198,7 +198,7 @@
 	m.loans++
 	id := fmt.Sprint(m.loans)
 	lender := m.hosts[from]
-	lent := lender.lendFree(LoanRequest{ID: id, Tenant: "org", Tokens: wanted, Better: 2 * wanted}, keeper)
+	lent := lender.lendFree(LoanRequest{ID: id, Organisation: "org", Tokens: wanted, Better: 2 * wanted}, keeper)
 	if r, _ := lender.try("org", wanted); keeper && lent == 0 && r != nil {
 		lent = lender.lendReserved(id, r) // as a keeper does that waited
 	} else {
--- a/router/prepaid/loanbook.go
+++ b/router/prepaid/loanbook.go
@@ -13,9 +13,9 @@
 
 // lentLoan is a loan of this host.
 type lentLoan struct {
-	tenant   string
-	tokens   int64
-	recalled bool // the borrower never uses it
+	organisation string
+	tokens       int64
+	recalled     bool // the borrower never uses it
 }
 
 func newLoanBook() *loanBook { return &loanBook{loans: map[string]lentLoan{}} }
@@ -24,11 +24,11 @@
 func (b *loanBook) recalled(id string) bool { return b.loans[id].recalled }
 
 // lent notes a loan; one without an id can't be recalled.
-func (b *loanBook) lent(id, tenant string, tokens int64) {
+func (b *loanBook) lent(id, organisation string, tokens int64) {
 	if id == "" || tokens <= 0 {
 		return
 	}
-	b.put(id, lentLoan{tenant: tenant, tokens: tokens})
+	b.put(id, lentLoan{organisation: organisation, tokens: tokens})
 }
 
 // recall ends a loan and gives what is to be credited again: nothing if the loan is
--- a/router/prepaid/loans.go
+++ b/router/prepaid/loans.go
@@ -11,10 +11,10 @@
 type LoanRequest struct {
 	// ID is unique among all loans. With it the borrower may recall a loan that it
 	// got no answer to; empty: it can't.
-	ID     string
-	Tenant string
-	Tokens int64 // needed
-	Better int64 // wanted if they can be spared
+	ID           string
+	Organisation string
+	Tokens       int64 // needed
+	Better       int64 // wanted if they can be spared
 }
 
 // Loan is what other hosts lent.
@@ -37,49 +37,49 @@
 
 // keeps says how many hosts take slices of a budget and whether this one does: as
 // a keeper for others, or because its own demand is worth it. The lock is held.
-func (t *Treasury) keeps(tenant string, w *wallet) (count int, self bool) {
+func (t *Treasury) keeps(organisation string, w *wallet) (count int, self bool) {
 	if t.opts.Keepers == nil {
 		return max(t.opts.Hosts(), 1), true
 	}
-	count, self = t.opts.Keepers(tenant)
+	count, self = t.opts.Keepers(organisation)
 	return count, self || w.busy(time.Now())
 }
 
 // keeper says whether this host takes slices of a budget.
-func (t *Treasury) keeper(tenant string) bool {
+func (t *Treasury) keeper(organisation string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.wallets[tenant]
+	w := t.wallets[organisation]
 	if w == nil {
 		return false
 	}
-	_, self := t.keeps(tenant, w)
+	_, self := t.keeps(organisation, w)
 	return self
 }
 
 // borrow asks other hosts for what the wallet lacks.
-func (t *Treasury) borrow(tenant string, tokens int64) (got *Reservation, answered bool, err error) {
+func (t *Treasury) borrow(organisation string, tokens int64) (got *Reservation, answered bool, err error) {
 	if t.opts.Borrow == nil {
 		return nil, false, nil
 	}
-	missing, better, refused := t.missing(tenant, tokens, time.Now())
+	missing, better, refused := t.missing(organisation, tokens, time.Now())
 	if missing == 0 || refused {
 		return nil, refused, nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), borrowWait)
 	defer cancel()
-	loan := t.opts.Borrow(ctx, tenant, missing, better)
-	t.takeLoan(tenant, missing, loan)
-	got, err = t.try(tenant, tokens)
+	loan := t.opts.Borrow(ctx, organisation, missing, better)
+	t.takeLoan(organisation, missing, loan)
+	got, err = t.try(organisation, tokens)
 	return got, loan.Answered, err
 }
 
 // missing is what the wallet lacks for a request, and what it had better ask for.
 // refused says that other hosts had too little a moment ago.
-func (t *Treasury) missing(tenant string, tokens int64, now time.Time) (missing, better int64, refused bool) {
+func (t *Treasury) missing(organisation string, tokens int64, now time.Time) (missing, better int64, refused bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.wallets[tenant]
+	w := t.wallets[organisation]
 	if w == nil || !w.spendable() {
 		return 0, 0, false
 	}
@@ -89,16 +89,16 @@
 }
 
 // takeLoan takes in a loan.
-func (t *Treasury) takeLoan(tenant string, wanted int64, loan Loan) {
+func (t *Treasury) takeLoan(organisation string, wanted int64, loan Loan) {
 	if loan.Tokens > 0 {
-		t.credit(tenant, loan.Tokens)
+		t.credit(organisation, loan.Tokens)
 	}
 	if loan.Tokens >= wanted || !loan.Answered {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if w := t.wallets[tenant]; w != nil {
+	if w := t.wallets[organisation]; w != nil {
 		w.refused = time.Now()
 	}
 }
@@ -108,14 +108,14 @@
 // waits a moment for a slice. What is lent is gone from here, whether or not the
 // other host gets it, unless it recalls the loan.
 func (t *Treasury) Lend(ctx context.Context, ask LoanRequest) Loan {
-	keeper := t.keeper(ask.Tenant)
+	keeper := t.keeper(ask.Organisation)
 	if ctx.Err() != nil {
 		return Loan{}
 	}
 	if lent := t.lendFree(ask, keeper); lent >= ask.Tokens || !keeper {
 		return Loan{Tokens: lent, Answered: keeper}
 	}
-	got, err := t.reserveOwn(ctx, ask.Tenant, ask.Tokens, lendWait)
+	got, err := t.reserveOwn(ctx, ask.Organisation, ask.Tokens, lendWait)
 	if err != nil {
 		return Loan{Answered: true}
 	}
@@ -127,7 +127,7 @@
 func (t *Treasury) lendFree(ask LoanRequest, keeper bool) int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.wallets[ask.Tenant]
+	w := t.wallets[ask.Organisation]
 	if w == nil || ask.Tokens <= 0 || t.closing || len(w.waiting) > 0 || !w.spendable() || t.loans.recalled(ask.ID) {
 		return 0
 	}
@@ -141,7 +141,7 @@
 		w.note(lent, time.Now())
 	}
 	w.free -= lent
-	t.loans.lent(ask.ID, ask.Tenant, lent)
+	t.loans.lent(ask.ID, ask.Organisation, lent)
 	return lent
 }
 
@@ -149,7 +149,7 @@
 func (t *Treasury) lendReserved(id string, r *Reservation) int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.wallets[r.tenant]
+	w := t.wallets[r.organisation]
 	if w == nil || r.settled {
 		return 0
 	}
@@ -160,7 +160,7 @@
 		t.wake()
 		return 0
 	}
-	t.loans.lent(id, r.tenant, r.tokens)
+	t.loans.lent(id, r.organisation, r.tokens)
 	return r.tokens
 }
 
@@ -170,7 +170,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	loan := t.loans.recall(id)
-	w := t.wallets[loan.tenant]
+	w := t.wallets[loan.organisation]
 	if w == nil {
 		return 0
 	}
@@ -185,10 +185,10 @@
 	if t.opts.GiveBack == nil {
 		return
 	}
-	for tenant, tokens := range t.takeIdle(c, time.Now()) {
+	for organisation, tokens := range t.takeIdle(c, time.Now()) {
 		// Without an answer they count as spent.
-		took := t.opts.GiveBack(ctx, tenant, tokens)
-		log.WithFields(log.Fields{"organisation": tenant, "tokens": tokens, "took": took}).Debug("idle tokens given back")
+		took := t.opts.GiveBack(ctx, organisation, tokens)
+		log.WithFields(log.Fields{"organisation": organisation, "tokens": tokens, "took": took}).Debug("idle tokens given back")
 	}
 }
 
@@ -197,12 +197,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	idle := map[string]int64{}
-	for tenant, w := range t.wallets {
-		if t.clerkOf(tenant) != c || w.free == 0 || now.Sub(w.used) < idleTime || !w.spendable() {
+	for organisation, w := range t.wallets {
+		if t.clerkOf(organisation) != c || w.free == 0 || now.Sub(w.used) < idleTime || !w.spendable() {
 			continue
 		}
-		if _, keeper := t.keeps(tenant, w); !keeper {
-			idle[tenant] = w.free
+		if _, keeper := t.keeps(organisation, w); !keeper {
+			idle[organisation] = w.free
 			w.free = 0
 		}
 	}
@@ -211,40 +211,40 @@
 
 // HandOver gives all free tokens to other hosts and takes no more; give says
 // whether one took them. Without an answer they count as spent.
-func (t *Treasury) HandOver(ctx context.Context, give func(ctx context.Context, tenant string, tokens int64) bool) {
+func (t *Treasury) HandOver(ctx context.Context, give func(ctx context.Context, organisation string, tokens int64) bool) {
 	t.mu.Lock()
 	t.closing = true
 	free := map[string]int64{}
-	for tenant, w := range t.wallets {
+	for organisation, w := range t.wallets {
 		if w.free > 0 && w.spendable() {
-			free[tenant] = w.free
+			free[organisation] = w.free
 			w.free = 0
 		}
 	}
 	t.mu.Unlock()
-	for tenant, tokens := range free {
-		took := give(ctx, tenant, tokens)
-		log.WithFields(log.Fields{"organisation": tenant, "tokens": tokens, "took": took}).Info("free tokens handed over")
+	for organisation, tokens := range free {
+		took := give(ctx, organisation, tokens)
+		log.WithFields(log.Fields{"organisation": organisation, "tokens": tokens, "took": took}).Info("free tokens handed over")
 	}
 }
 
 // Credit takes in tokens that another host handed over. A host that is stopping
 // or does not know the budget refuses them.
-func (t *Treasury) Credit(tenant string, tokens int64) bool {
+func (t *Treasury) Credit(organisation string, tokens int64) bool {
 	t.mu.Lock()
-	refuse := t.closing || t.wallets[tenant] == nil || tokens <= 0
+	refuse := t.closing || t.wallets[organisation] == nil || tokens <= 0
 	t.mu.Unlock()
 	if refuse {
 		return false
 	}
-	t.credit(tenant, tokens)
+	t.credit(organisation, tokens)
 	return true
 }
 
-func (t *Treasury) credit(tenant string, tokens int64) {
+func (t *Treasury) credit(organisation string, tokens int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if w := t.wallets[tenant]; w != nil {
+	if w := t.wallets[organisation]; w != nil {
 		w.free += tokens
 		t.wake()
 	}
--- a/router/prepaid/treasury.go
+++ b/router/prepaid/treasury.go
@@ -34,12 +34,12 @@
 	Hosts      func() int    // how many hosts share the budgets
 	// Keepers says how many hosts take slices of a budget from the log, and whether
 	// this host is one of them; the others borrow. nil: all hosts are.
-	Keepers func(tenant string) (count int, self bool)
+	Keepers func(organisation string) (count int, self bool)
 	// Borrow asks other hosts for at least so many tokens, and better more; nil: no
 	// other host is asked.
-	Borrow func(ctx context.Context, tenant string, tokens, better int64) Loan
+	Borrow func(ctx context.Context, organisation string, tokens, better int64) Loan
 	// GiveBack gives idle tokens of a host that is no keeper to one; nil: never.
-	GiveBack func(ctx context.Context, tenant string, tokens int64) bool
+	GiveBack func(ctx context.Context, organisation string, tokens int64) bool
 	// OnCall counts calls to the log by outcome.
 	OnCall func(outcome string)
 }
@@ -89,8 +89,8 @@
 
 // Budget is the prepaid amount of an organisation by a configuration.
 type Budget struct {
-	Tenant string
-	Limit  int64
+	Organisation string
+	Limit        int64
 }
 
 // Configure takes over the budgets of a configuration. gap says that versions
@@ -99,10 +99,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, b := range budgets {
-		w := t.wallets[b.Tenant]
+		w := t.wallets[b.Organisation]
 		if w == nil {
 			w = &wallet{}
-			t.wallets[b.Tenant] = w
+			t.wallets[b.Organisation] = w
 		}
 		if version <= w.version {
 			continue
@@ -120,21 +120,21 @@
 
 // Reservation is tokens set aside for one request.
 type Reservation struct {
-	treasury *Treasury
-	tenant   string
-	tokens   int64
-	settled  bool
+	treasury     *Treasury
+	organisation string
+	tokens       int64
+	settled      bool
 }
 
 // Reserve sets tokens aside, waiting for a slice if need be. The error is
-// ErrNever, ErrEmpty or that of ctx. A tenant without a budget has no limit.
-func (t *Treasury) Reserve(ctx context.Context, tenant string, tokens int64) (*Reservation, error) {
-	if got, err := t.try(tenant, tokens); got != nil || err != nil {
+// ErrNever, ErrEmpty or that of ctx. A organisation without a budget has no limit.
+func (t *Treasury) Reserve(ctx context.Context, organisation string, tokens int64) (*Reservation, error) {
+	if got, err := t.try(organisation, tokens); got != nil || err != nil {
 		return got, err
 	}
-	keeper := t.keeper(tenant)
+	keeper := t.keeper(organisation)
 	if !keeper {
-		got, answered, err := t.borrow(tenant, tokens)
+		got, answered, err := t.borrow(organisation, tokens)
 		if got != nil || err != nil {
 			return got, err
 		}
@@ -142,11 +142,11 @@
 			return nil, ErrEmpty
 		}
 	}
-	got, err := t.reserveOwn(ctx, tenant, tokens, t.opts.Wait)
+	got, err := t.reserveOwn(ctx, organisation, tokens, t.opts.Wait)
 	if !errors.Is(err, ErrEmpty) || !keeper {
 		return got, err
 	}
-	got, _, err = t.borrow(tenant, tokens)
+	got, _, err = t.borrow(organisation, tokens)
 	if got == nil && err == nil {
 		err = ErrEmpty
 	}
@@ -154,19 +154,19 @@
 }
 
 // reserveOwn waits for a slice from the log.
-func (t *Treasury) reserveOwn(ctx context.Context, tenant string, tokens int64, limit time.Duration) (*Reservation, error) {
+func (t *Treasury) reserveOwn(ctx context.Context, organisation string, tokens int64, limit time.Duration) (*Reservation, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	t.wait(tenant, tokens)
-	defer t.stopWaiting(tenant, tokens)
+	t.wait(organisation, tokens)
+	defer t.stopWaiting(organisation, tokens)
 	for {
 		// Asked for before the look, so that no gain between the two is missed.
 		wake := t.woken()
-		if got, err := t.try(tenant, tokens); got != nil || err != nil {
+		if got, err := t.try(organisation, tokens); got != nil || err != nil {
 			return got, err
 		}
-		t.clerkOf(tenant).kick()
-		if t.exhausted(tenant, tokens) {
+		t.clerkOf(organisation).kick()
+		if t.exhausted(organisation, tokens) {
 			return nil, ErrEmpty
 		}
 		select {
@@ -179,10 +179,10 @@
 
 // exhausted says whether the account can't give what the request lacks, as far
 // as this host knows.
-func (t *Treasury) exhausted(tenant string, tokens int64) bool {
+func (t *Treasury) exhausted(organisation string, tokens int64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.wallets[tenant]
+	w := t.wallets[organisation]
 	if w == nil || !w.known {
 		return false
 	}
@@ -191,12 +191,12 @@
 }
 
 // try reserves if the wallet has enough; nil if it has not.
-func (t *Treasury) try(tenant string, tokens int64) (*Reservation, error) {
+func (t *Treasury) try(organisation string, tokens int64) (*Reservation, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.wallets[tenant]
+	w := t.wallets[organisation]
 	if w == nil {
-		return &Reservation{treasury: t, tenant: tenant}, nil
+		return &Reservation{treasury: t, organisation: organisation}, nil
 	}
 	if tokens > w.limit {
 		return nil, ErrNever
@@ -207,22 +207,22 @@
 	w.free -= tokens
 	w.reserved += tokens
 	w.note(tokens, time.Now())
-	return &Reservation{treasury: t, tenant: tenant, tokens: tokens}, nil
+	return &Reservation{treasury: t, organisation: organisation, tokens: tokens}, nil
 }
 
 // wait notes that a request waits for tokens.
-func (t *Treasury) wait(tenant string, tokens int64) {
+func (t *Treasury) wait(organisation string, tokens int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if w := t.wallets[tenant]; w != nil {
+	if w := t.wallets[organisation]; w != nil {
 		w.wait(tokens)
 	}
 }
 
-func (t *Treasury) stopWaiting(tenant string, tokens int64) {
+func (t *Treasury) stopWaiting(organisation string, tokens int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if w := t.wallets[tenant]; w != nil {
+	if w := t.wallets[organisation]; w != nil {
 		w.stopWaiting(tokens)
 	}
 }
@@ -239,7 +239,7 @@
 	t := r.treasury
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.wallets[r.tenant]
+	w := t.wallets[r.organisation]
 	if w == nil {
 		return true
 	}
@@ -260,7 +260,7 @@
 	t := r.treasury
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.wallets[r.tenant]
+	w := t.wallets[r.organisation]
 	if w == nil || r.settled {
 		return
 	}
@@ -281,12 +281,12 @@
 
 // Holding is this host's part of a budget.
 type Holding struct {
-	Tenant   string
-	Free     int64
-	Reserved int64
-	Granted  int64 // to all hosts, as last seen
-	Limit    int64
-	Offset   int64 // of the account's record as last seen
+	Organisation string
+	Free         int64
+	Reserved     int64
+	Granted      int64 // to all hosts, as last seen
+	Limit        int64
+	Offset       int64 // of the account's record as last seen
 }
 
 // Holdings lists this host's parts of all budgets.
@@ -294,27 +294,29 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := make([]Holding, 0, len(t.wallets))
-	for tenant, w := range t.wallets {
-		list = append(list, Holding{
-			Tenant: tenant, Free: w.free, Reserved: w.reserved,
-			Granted: w.account.Granted, Limit: w.limit, Offset: w.offset,
-		})
+	for organisation, w := range t.wallets {
+		list = append(list, w.holding(organisation))
 	}
 	return list
 }
 
 // Holding is this host's part of one budget.
-func (t *Treasury) Holding(tenant string) (Holding, bool) {
+func (t *Treasury) Holding(organisation string) (Holding, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.wallets[tenant]
+	w := t.wallets[organisation]
 	if w == nil {
 		return Holding{}, false
 	}
+	return w.holding(organisation), true
+}
+
+// holding is this host's part of the budget of an organisation.
+func (w *wallet) holding(organisation string) Holding {
 	return Holding{
-		Tenant: tenant, Free: w.free, Reserved: w.reserved,
+		Organisation: organisation, Free: w.free, Reserved: w.reserved,
 		Granted: w.account.Granted, Limit: w.limit, Offset: w.offset,
-	}, true
+	}
 }
 
 // Close gives all free tokens back, as far as ctx allows, and takes no more.
--- a/router/prepaid/treasury_test.go
+++ b/router/prepaid/treasury_test.go
@@ -60,9 +60,9 @@
 	return tr, stop
 }
 
-func (h *hosts) account(tr *Treasury, tenant string) Account {
+func (h *hosts) account(tr *Treasury, organisation string) Account {
 	h.t.Helper()
-	rec, ok := h.log.Get(tr.clerkOf(tenant).partition, tenant)
+	rec, ok := h.log.Get(tr.clerkOf(organisation).partition, organisation)
 	if !ok {
 		return Account{}
 	}
@@ -74,9 +74,9 @@
 }
 
 // spend reserves and settles until the treasury has no more, at most n times.
-func spend(tr *Treasury, tenant string, tokens int64, n int) (spent int64) {
+func spend(tr *Treasury, organisation string, tokens int64, n int) (spent int64) {
 	for range n {
-		r, err := tr.Reserve(context.Background(), tenant, tokens)
+		r, err := tr.Reserve(context.Background(), organisation, tokens)
 		if err != nil {
 			return spent
 		}
@@ -98,7 +98,7 @@
 	is.True(errors.Is(err, ErrNever))
 }
 
-func TestTenantWithoutBudgetHasNoLimit(t *testing.T) {
+func TestOrganisationWithoutBudgetHasNoLimit(t *testing.T) {
 	is := is.New(t)
 	h := newHosts(t, 1)
 	tr, _ := h.start("h1", nil)
@@ -215,8 +215,8 @@
 	is := is.New(t)
 	h := newHosts(t, 2)
 	a, _ := h.start("a", nil)
-	b, _ := h.start("b", func(ctx context.Context, tenant string, n, better int64) Loan {
-		return a.Lend(ctx, LoanRequest{Tenant: tenant, Tokens: n, Better: better})
+	b, _ := h.start("b", func(ctx context.Context, organisation string, n, better int64) Loan {
+		return a.Lend(ctx, LoanRequest{Organisation: organisation, Tokens: n, Better: better})
 	})
 	for _, tr := range []*Treasury{a, b} {
 		tr.Configure(1, []Budget{{"org", 1000}}, true)
@@ -229,8 +229,8 @@
 	is.True(spend(b, "org", 50, 4) > 0)
 	after, _ := a.Holding("org")
 	is.True(after.Free < before.Free)
-	is.Equal(a.Lend(context.Background(), LoanRequest{Tenant: "org", Tokens: 1e9, Better: 1e9}).Tokens, int64(0)) // not more than it has
-	is.Equal(a.Lend(context.Background(), LoanRequest{Tenant: "nobody", Tokens: 10, Better: 10}).Tokens, int64(0))
+	is.Equal(a.Lend(context.Background(), LoanRequest{Organisation: "org", Tokens: 1e9, Better: 1e9}).Tokens, int64(0)) // not more than it has
+	is.Equal(a.Lend(context.Background(), LoanRequest{Organisation: "nobody", Tokens: 10, Better: 10}).Tokens, int64(0))
 }
 
 // A loan whose answer was lost goes back once, whether its recall comes before the
@@ -249,7 +249,7 @@
 	}
 	h.log.SetFault("", memlog.Fault{Refuse: true}) // the slice stays as it is
 	before := free()
-	ask := LoanRequest{ID: "b/1", Tenant: "org", Tokens: 40, Better: 40}
+	ask := LoanRequest{ID: "b/1", Organisation: "org", Tokens: 40, Better: 40}
 	is.Equal(a.Lend(context.Background(), ask).Tokens, int64(40))
 	is.Equal(free(), before-40)
 	is.Equal(a.Recall("b/1"), int64(40))
@@ -303,10 +303,10 @@
 		Timeout: 50 * time.Millisecond, Interval: 20 * time.Millisecond, Wait: 100 * time.Millisecond,
 		Hosts:   func() int { return 20 },
 		Keepers: func(string) (int, bool) { return 1, false },
-		Borrow: func(ctx context.Context, tenant string, n, better int64) Loan {
-			return keeper.Lend(ctx, LoanRequest{Tenant: tenant, Tokens: n, Better: better})
+		Borrow: func(ctx context.Context, organisation string, n, better int64) Loan {
+			return keeper.Lend(ctx, LoanRequest{Organisation: organisation, Tokens: n, Better: better})
 		},
-		GiveBack: func(_ context.Context, tenant string, n int64) bool { return keeper.Credit(tenant, n) },
+		GiveBack: func(_ context.Context, organisation string, n int64) bool { return keeper.Credit(organisation, n) },
 		OnCall:   func(string) { calls.Add(1) },
 	})
 	for _, tr := range []*Treasury{keeper, borrower} {
--- a/router/routing/config.go
+++ b/router/routing/config.go
@@ -23,17 +23,17 @@
 
 // Config is one version of the configuration. It is not changed once it is indexed.
 type Config struct {
-	Version  int64     `json:"version"`
-	Routes   []Route   `json:"routes"`
-	Services []Service `json:"services"`
-	Limits   Limits    `json:"limits"`
-	Tenants  []Tenant  `json:"tenants"`
-
-	byHost    map[string][]*Route // longest prefix first
-	byKey     map[string]*Tenant
-	byTenant  map[string]*Tenant
-	byService map[string]*Service
-	maxRank   int
+	Version       int64          `json:"version"`
+	Routes        []Route        `json:"routes"`
+	Services      []Service      `json:"services"`
+	Limits        Limits         `json:"limits"`
+	Organisations []Organisation `json:"organisations"`
+
+	byHost         map[string][]*Route // longest prefix first
+	byKey          map[string]*Organisation
+	byOrganisation map[string]*Organisation
+	byService      map[string]*Service
+	maxRank        int
 }
 
 // Route maps a host and a path prefix to a service. Times are milliseconds.
@@ -84,8 +84,8 @@
 	IdleTimeoutMs   float64 `json:"idle_timeout_ms"`
 }
 
-// Tenant is an organisation.
-type Tenant struct {
+// Organisation is a customer, with keys and a prepaid budget.
+type Organisation struct {
 	Name     string   `json:"name"`
 	Keys     []string `json:"keys"`
 	Priority int      `json:"priority"` // 0 is the most urgent
@@ -129,17 +129,17 @@
 		return ErrNoVersion
 	}
 	c.byHost = map[string][]*Route{}
-	c.byKey = map[string]*Tenant{}
-	c.byTenant = map[string]*Tenant{}
+	c.byKey = map[string]*Organisation{}
+	c.byOrganisation = map[string]*Organisation{}
 	c.byService = map[string]*Service{}
 	for i := range c.Services {
 		c.byService[c.Services[i].Name] = &c.Services[i]
 	}
-	for i := range c.Tenants {
-		tenant := &c.Tenants[i]
-		c.byTenant[tenant.Name] = tenant
-		for _, key := range tenant.Keys {
-			c.byKey[key] = tenant
+	for i := range c.Organisations {
+		organisation := &c.Organisations[i]
+		c.byOrganisation[organisation.Name] = organisation
+		for _, key := range organisation.Keys {
+			c.byKey[key] = organisation
 		}
 	}
 	for i := range c.Routes {
@@ -178,11 +178,11 @@
 	return strings.ToLower(host)
 }
 
-// ByKey finds the tenant that holds a key, nil if none does.
-func (c *Config) ByKey(key string) *Tenant { return c.byKey[key] }
+// ByKey finds the organisation that holds a key, nil if none does.
+func (c *Config) ByKey(key string) *Organisation { return c.byKey[key] }
 
-// Tenant finds a tenant by name, nil if there is none.
-func (c *Config) Tenant(name string) *Tenant { return c.byTenant[name] }
+// Organisation finds a organisation by name, nil if there is none.
+func (c *Config) Organisation(name string) *Organisation { return c.byOrganisation[name] }
 
 // Service finds a service by name, nil if there is none.
 func (c *Config) Service(name string) *Service { return c.byService[name] }
@@ -190,12 +190,12 @@
 // maxPriority is the least urgent priority of an engine.
 const maxPriority = 9
 
-// Rank is the priority of a request at an engine, 0 (first) to 9: the tenant's
+// Rank is the priority of a request at an engine, 0 (first) to 9: the organisation's
 // priority goes before the route's.
-func (c *Config) Rank(tenant *Tenant, route *Route) int {
+func (c *Config) Rank(organisation *Organisation, route *Route) int {
 	rank := route.Priority
-	if tenant != nil {
-		rank += tenant.Priority * (c.maxRank + 1)
+	if organisation != nil {
+		rank += organisation.Priority * (c.maxRank + 1)
 	}
 	return min(max(rank, 0), maxPriority)
 }
--- a/router/routing/config_test.go
+++ b/router/routing/config_test.go
@@ -21,7 +21,7 @@
   {"name":"short","host":"a.example","path_prefix":"/x/","service":"s1"},
   {"name":"long","host":"a.example","path_prefix":"/x/y/","service":"s2","priority":2},
   {"name":"other","host":"b.example","path_prefix":"/x/","service":"s3"}],
- "tenants":[{"name":"t","keys":["k1","k2"],"priority":1,"prepaid":100},{"name":"u","keys":["k3"]}]}`
+ "organisations":[{"name":"t","keys":["k1","k2"],"priority":1,"prepaid":100},{"name":"u","keys":["k3"]}]}`
 
 func TestMatch(t *testing.T) {
 	c := parse(t, config)
@@ -56,17 +56,17 @@
 	is.Equal(c.ByKey("k2").Name, "t")
 	is.Equal(c.ByKey("k3").Name, "u")
 	is.Equal(c.ByKey("k4"), nil)
-	is.Equal(*c.Tenant("t").Prepaid, int64(100))
-	is.Equal(c.Tenant("u").Prepaid, nil)
+	is.Equal(*c.Organisation("t").Prepaid, int64(100))
+	is.Equal(c.Organisation("u").Prepaid, nil)
 }
 
 func TestRank(t *testing.T) {
 	is := is.New(t)
 	c := parse(t, config)
 	urgent, late := c.Match("a.example", "/x/"), c.Match("a.example", "/x/y/")
-	is.Equal(c.Rank(c.Tenant("u"), urgent), 0)
-	is.Equal(c.Rank(c.Tenant("u"), late), 2)
-	is.Equal(c.Rank(c.Tenant("t"), urgent), 3) // the tenant's goes first
+	is.Equal(c.Rank(c.Organisation("u"), urgent), 0)
+	is.Equal(c.Rank(c.Organisation("u"), late), 2)
+	is.Equal(c.Rank(c.Organisation("t"), urgent), 3) // the organisation's goes first
 	is.Equal(c.Rank(nil, late), 2)
 }
 
--- a/router/settings/sections.go
+++ b/router/settings/sections.go
@@ -3,7 +3,7 @@
 // Host says what this host is and where it listens. Addresses are IP:port.
 type Host struct {
 	Name          string   `ini:"name"`
-	Zone          string   `ini:"zone"`                      // failure domain
+	Domain        string   `ini:"domain"`                    // failure domain
 	Listen        string   `ini:"listen"`                    // callers
 	ReadyListen   string   `ini:"ready_listen"`              // who asks whether this host is ready
 	PeerListen    string   `ini:"peer_listen"`               // other hosts
--- a/router/settings/settings_test.go
+++ b/router/settings/settings_test.go
@@ -13,7 +13,7 @@
 
 const good = `[host]
 name = h1
-zone = z1
+domain = z1
 listen = 10.0.0.1:80
 ready_listen = 10.0.0.1:81
 peer_listen = 10.0.0.1:82
@@ -46,7 +46,7 @@
 func TestBadSettings(t *testing.T) {
 	cases := []struct{ name, from, to, want string }{
 		{"missing key", "name = h1\n", "", `section [host]: key "name" is missing`},
-		{"unknown key", "zone = z1", "zone = z1\nzoo = 1", `section [host]: key "zoo" is not known`},
+		{"unknown key", "domain = z1", "domain = z1\nzoo = 1", `section [host]: key "zoo" is not known`},
 		{"unknown section", "[log]", "[lag]\nx=1\n[log]", "section [lag]: not known"},
 		{"bad address", "10.0.0.1:81", "localhost:81", `section [host]: key "ready_listen": "localhost:81" is not an address`},
 		{"bad number", "partitions =", "partitions = many", `section [log]: key "partitions": "many" is not a whole number`},
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -115,7 +115,7 @@
 	ties := 0
 	for _, t := range usable {
 		load := r.load(t, now) / float64(t.slots)
-		if t.Zone != r.opts.Zone {
+		if t.Domain != r.opts.Domain {
 			load += farLoad / float64(t.slots)
 		}
 		switch {
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -26,19 +26,19 @@
 	ID       string
 	Service  string
 	Address  string // IP:port
-	Zone     string // failure domain
+	Domain   string // failure domain
 	Slots    int
 	State    State
 	ColdLeft time.Duration // how much longer it is slow from its start
 }
 
 // Target is one incarnation of a back end as this host sees it. Its fields are
-// guarded by the registry's lock, but for ID, Service, Address, Zone and Pool.
+// guarded by the registry's lock, but for ID, Service, Address, Domain and Pool.
 type Target struct {
 	ID      string
 	Service string
 	Address string
-	Zone    string
+	Domain  string
 	Pool    *exchange.Pool
 
 	slots     int
@@ -57,7 +57,7 @@
 
 // Options configure a Registry.
 type Options struct {
-	Zone        string        // of this host
+	Domain      string        // of this host
 	DrainWithin time.Duration // a leaving target gets no request later than this
 	DialTimeout time.Duration
 	IdleTimeout time.Duration
@@ -100,7 +100,7 @@
 	}
 	if t == nil {
 		t = r.add(e)
-		log.WithFields(log.Fields{"target": e.ID, "service": e.Service, "address": e.Address, "zone": e.Zone}).Info("target listed")
+		log.WithFields(log.Fields{"target": e.ID, "service": e.Service, "address": e.Address, "domain": e.Domain}).Info("target listed")
 	}
 	t.slots = max(e.Slots, 1)
 	if e.ColdLeft > 0 {
@@ -133,7 +133,7 @@
 
 func (r *Registry) add(e Entry) *Target {
 	t := &Target{
-		ID: e.ID, Service: e.Service, Address: e.Address, Zone: e.Zone, slots: max(e.Slots, 1),
+		ID: e.ID, Service: e.Service, Address: e.Address, Domain: e.Domain, slots: max(e.Slots, 1),
 		Pool: exchange.NewPool(exchange.Options{
 			Address: e.Address, DialTimeout: r.opts.DialTimeout, IdleTimeout: r.opts.IdleTimeout,
 			MaxIdle: r.opts.MaxIdle, UserTimeout: r.opts.UserTimeout, OnDial: r.opts.OnDial,
--- a/router/target/target_test.go
+++ b/router/target/target_test.go
@@ -16,15 +16,15 @@
 }
 
 func newRegistry(entries ...Entry) *Registry {
-	r := NewRegistry(Options{Zone: "z1", DrainWithin: 50 * time.Millisecond, MaxIdle: 1})
+	r := NewRegistry(Options{Domain: "z1", DrainWithin: 50 * time.Millisecond, MaxIdle: 1})
 	for _, e := range entries {
 		r.Put(e)
 	}
 	return r
 }
 
-func entry(id, zone string) Entry {
-	return Entry{ID: id, Service: "s", Address: "127.0.0.1:1", Zone: zone, Slots: 4}
+func entry(id, domain string) Entry {
+	return Entry{ID: id, Service: "s", Address: "127.0.0.1:1", Domain: domain, Slots: 4}
 }
 
 // chosen counts the choices of n requests that all stay under way.
