--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -101,10 +102,11 @@
 	for number := firstNetwork; number <= lastNetwork; number++ {
 		network := fmt.Sprintf("127.%d", number)
 		lock, err := net.Listen("tcp", fmt.Sprintf(lockAddress, network))
-		if err == nil {
-			t.Cleanup(func() { _ = lock.Close() })
-			return network
+		if err != nil {
+			continue
 		}
+		t.Cleanup(func() { _ = lock.Close() })
+		return network
 	}
 	t.Fatal("no loopback network is free")
 	return ""
@@ -206,7 +208,8 @@
 	}
 	h.process = exec.Command(program, "-config", h.writeSettings())
 	h.process.Stdout, h.process.Stderr = out, out
-	if err := h.process.Start(); err != nil {
+	h.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := starter.start(h.process); err != nil {
 		h.world.t.Error(err)
 		return
 	}
@@ -230,6 +233,35 @@
 	close(ended)
 }
 
+// processStarter starts processes from a thread of its own, which lives as long as the
+// test: a process that is to end with its parent ends with the thread that started it.
+type processStarter struct {
+	once  sync.Once
+	queue chan startRequest
+}
+
+// startRequest is a process to start.
+type startRequest struct {
+	process *exec.Cmd
+	started chan error
+}
+
+var starter = processStarter{queue: make(chan startRequest)}
+
+func (s *processStarter) start(process *exec.Cmd) error {
+	s.once.Do(func() { go s.run() })
+	request := startRequest{process: process, started: make(chan error, 1)}
+	s.queue <- request
+	return <-request.started
+}
+
+func (s *processStarter) run() {
+	runtime.LockOSThread()
+	for request := range s.queue {
+		request.started <- request.process.Start()
+	}
+}
+
 // signal sends a signal; ends says that the process is expected to end.
 func (h *host) signal(s syscall.Signal, ends bool) {
 	h.mu.Lock()
