--- a/router/logging/logging.go
+++ b/router/logging/logging.go
@@ -16,6 +16,7 @@
 type Writer struct {
 	lines   chan []byte
 	dropped atomic.Uint64
+	pending atomic.Int64 // lines taken and not written yet, the one being written included
 	done    chan struct{}
 }
 
@@ -27,6 +28,7 @@
 		for line := range w.lines {
 			// There is nowhere to tell of a failure to write.
 			_, _ = out.Write(line)
+			w.pending.Add(-1)
 		}
 	})
 	return w
@@ -34,9 +36,11 @@
 
 // Write takes one line; it never blocks.
 func (w *Writer) Write(line []byte) (int, error) {
+	w.pending.Add(1)
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
+		w.pending.Add(-1)
 		w.dropped.Add(1)
 	}
 	return len(line), nil
@@ -51,7 +55,7 @@
 // Flush waits a moment until the lines so far are written.
 func (w *Writer) Flush() {
 	deadline := time.Now().Add(flushWait)
-	for len(w.lines) > 0 && time.Now().Before(deadline) {
+	for w.pending.Load() > 0 && time.Now().Before(deadline) {
 		time.Sleep(time.Millisecond)
 	}
 }
--- a/router/logging/logging_test.go
+++ b/router/logging/logging_test.go
@@ -41,6 +41,24 @@
 	is.Equal(out.text.Len(), int(100-w.Dropped())*len("line\n"))
 }
 
+// Flush waits for the line that is being written too: the last one before an exit
+// names its reason.
+func TestFlushWaitsForTheLineBeingWritten(t *testing.T) {
+	is := is.New(t)
+	out := &stuck{free: make(chan struct{})}
+	w := NewWriter(out, 10)
+	_, err := w.Write([]byte("the reason\n"))
+	is.NoErr(err)
+	for len(w.lines) > 0 {
+		time.Sleep(time.Millisecond) // until the writer has taken the line
+	}
+	time.AfterFunc(20*time.Millisecond, func() { close(out.free) })
+	w.Flush()
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	is.Equal(out.text.String(), "the reason\n")
+}
+
 func TestLimiter(t *testing.T) {
 	is := is.New(t)
 	l := NewLimiter(10)
