fleet, prepaid: gifts of tokens carry ids and are repeated

Now a gift has an id and names the incarnation that is to take it. It is repeated for a second; the host that has it answers from memory. Another incarnation takes nothing that the one before may have taken and spent. Before: TestGiftWithoutAnswerIsRepeated gives false after one lost answer; after: true, counted once.

--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -81,12 +81,15 @@
 }
 
 type giveRequest struct {
+	ID           string `json:"id"`
+	Incarnation  string `json:"incarnation"` // of the host that is to take them; no other does
 	Organisation string `json:"organisation"`
 	Tokens       int64  `json:"tokens"`
 }
 
 type giveResponse struct {
-	Took bool `json:"took"`
+	Took        bool   `json:"took"`
+	Incarnation string `json:"incarnation"` // of the host that answers
 }
 
 // notSent says whether a failed call surely did not reach the other host.
@@ -197,9 +200,11 @@
 	if !read(w, r, &ask) {
 		return
 	}
-	took := f.opts.Credit(ask.Organisation, ask.Tokens)
-	log.WithFields(log.Fields{"organisation": ask.Organisation, "tokens": ask.Tokens, "took": took}).Info("tokens of a stopping host")
-	write(w, giveResponse{Took: took})
+	self := f.opts.Self.Incarnation
+	// An earlier incarnation may have taken and spent the same gift.
+	took := ask.Incarnation == self && f.opts.Credit(prepaid.Gift{ID: ask.ID, Organisation: ask.Organisation, Tokens: ask.Tokens})
+	log.WithFields(log.Fields{"gift": ask.ID, "organisation": ask.Organisation, "tokens": ask.Tokens, "took": took}).Info("tokens given by another host")
+	write(w, giveResponse{Took: took, Incarnation: self})
 }
 
 func read(w http.ResponseWriter, r *http.Request, into any) bool {
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	log "github.com/sirupsen/logrus"
@@ -42,8 +43,8 @@
 	Lend   func(ctx context.Context, ask prepaid.LoanRequest) prepaid.Loan
 	// Recall takes back a loan whose borrower got no answer.
 	Recall func(id string) (tokens int64)
-	// Credit takes in tokens that a stopping host hands over.
-	Credit func(organisation string, tokens int64) bool
+	// Credit takes in tokens that another host gives, once for each gift.
+	Credit func(gift prepaid.Gift) bool
 }
 
 // known is what this host knows of another.
@@ -57,6 +58,7 @@
 	opts    Options
 	calls   *client
 	recalls *recaller
+	gifts   atomic.Int64 // counts the gifts of this incarnation
 
 	mu     sync.Mutex
 	seeds  []string
--- a/router/fleet/fleet_test.go
+++ b/router/fleet/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -196,9 +197,9 @@
 			p.asked.Add(1)
 			return prepaid.Loan{Tokens: min(ask.Tokens, lends), Answered: keeper}
 		},
-		Credit: func(_ string, tokens int64) bool {
+		Credit: func(gift prepaid.Gift) bool {
 			if takes {
-				p.given.Add(tokens)
+				p.given.Add(gift.Tokens)
 			}
 			return takes
 		},
@@ -271,16 +272,87 @@
 	is.True(refused.Load())
 }
 
+// A gift whose answer is lost is repeated until it comes; the host that has it takes it
+// once, which its treasury sees to by the gift's id.
+func TestGiftWithoutAnswerIsRepeated(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	taken := map[string]int64{}
+	taker := New(Options{
+		Self: Host{Incarnation: "7"},
+		Credit: func(gift prepaid.Gift) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			taken[gift.ID] = gift.Tokens
+			return true
+		},
+	})
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		taker.Handler().ServeHTTP(w, r)
+		if calls.Add(1) < 3 {
+			panic(http.ErrAbortHandler) // the answer is lost
+		}
+	}))
+	t.Cleanup(server.Close)
+	f := newFleet(Host{Name: "self"})
+	list := []peerHost{{address: server.Listener.Addr().String(), incarnation: "7"}}
+	is.True(f.giveTo(context.Background(), list, "org", 70))
+	mu.Lock()
+	defer mu.Unlock()
+	is.Equal(len(taken), 1)
+	for _, tokens := range taken {
+		is.Equal(tokens, int64(70))
+	}
+}
+
+// What an incarnation that ended may have taken, the next one does not take again.
+func TestGiftIsForOneIncarnation(t *testing.T) {
+	is := is.New(t)
+	taken := atomic.Int64{}
+	taker := func(incarnation string) http.Handler {
+		return New(Options{
+			Self:   Host{Incarnation: incarnation},
+			Credit: func(gift prepaid.Gift) bool { taken.Add(gift.Tokens); return true },
+		}).Handler()
+	}
+	before, after := taker("1"), taker("2")
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 {
+			before.ServeHTTP(w, r)
+			panic(http.ErrAbortHandler)
+		}
+		after.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	spare := newPeer(t, 0, false, true)
+	f := newFleet(Host{Name: "self"})
+	list := []peerHost{{address: server.Listener.Addr().String(), incarnation: "1"}, {address: spare.address()}}
+	is.True(!f.giveTo(context.Background(), list, "org", 70))
+	is.Equal(taken.Load(), int64(70))
+	is.Equal(spare.given.Load(), int64(0))
+}
+
+// unknownIncarnations are hosts known by their address alone.
+func unknownIncarnations(addresses []string) []peerHost {
+	var list []peerHost
+	for _, a := range addresses {
+		list = append(list, peerHost{address: a})
+	}
+	return list
+}
+
 // Tokens are given to one host only.
 func TestGive(t *testing.T) {
 	is := is.New(t)
 	refuses, takes, spare := newPeer(t, 0, false, false), newPeer(t, 0, false, true), newPeer(t, 0, false, true)
 	f := newFleet(Host{Name: "self"})
 	list := []string{"127.0.0.1:1", refuses.address(), takes.address(), spare.address()}
-	is.True(f.giveTo(context.Background(), list, "org", 70))
+	is.True(f.giveTo(context.Background(), unknownIncarnations(list), "org", 70))
 	is.Equal(takes.given.Load(), int64(70))
 	is.Equal(spare.given.Load(), int64(0))
-	is.True(!f.giveTo(context.Background(), list[:2], "org", 70))
+	is.True(!f.giveTo(context.Background(), unknownIncarnations(list[:2]), "org", 70))
 }
 
 func TestAnnouncesAndLeaves(t *testing.T) {
--- /dev/null
+++ b/router/fleet/gifts.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"maststage.dev/lib/wait"
+)
+
+// Bounds of a gift.
+const (
+	giveTimeout = 200 * time.Millisecond // for one answer; hosts answer each other within a few ms
+	giveLimit   = time.Second            // for the whole gift, which is what a planned stop has for it
+	givePause   = 20 * time.Millisecond  // before a gift without an answer is repeated
+)
+
+// peerHost is a host that tokens may be given to.
+type peerHost struct {
+	address     string
+	incarnation string // empty: not known yet
+}
+
+// GiveBack gives tokens to a keeper of the budget.
+func (f *Fleet) GiveBack(ctx context.Context, organisation string, tokens int64) bool {
+	return f.giveTo(ctx, f.peerHosts(f.keeperAddresses(organisation)), organisation, tokens)
+}
+
+// Give hands tokens over to another host.
+func (f *Fleet) Give(ctx context.Context, organisation string, tokens int64) bool {
+	list := f.addresses()
+	if keepers := f.keeperAddresses(organisation); keepers != nil {
+		list = append(keepers, list...)
+	}
+	return f.giveTo(ctx, f.peerHosts(list), organisation, tokens)
+}
+
+// peerHosts adds what is known of the hosts at some addresses.
+func (f *Fleet) peerHosts(addresses []string) []peerHost {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	incarnations := map[string]string{}
+	for _, k := range f.hosts {
+		incarnations[k.host.Address] = k.host.Incarnation
+	}
+	list := make([]peerHost, 0, len(addresses))
+	for _, a := range addresses {
+		list = append(list, peerHost{address: a, incarnation: incarnations[a]})
+	}
+	return list
+}
+
+// giveTo hands tokens over to one host. The next one is tried only if the one before
+// surely did not take them.
+func (f *Fleet) giveTo(ctx context.Context, hosts []peerHost, organisation string, tokens int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, giveLimit)
+	defer cancel()
+	for _, host := range hosts {
+		took, certain := f.giveOne(ctx, host, organisation, tokens)
+		if took {
+			return true
+		}
+		if !certain || ctx.Err() != nil {
+			return false
+		}
+	}
+	return false
+}
+
+// giveOne offers tokens to one host. A call without an answer is repeated with the id of
+// the first, to the same incarnation: a host keeps what it answered as long as it lives.
+// certain is false if the host may have taken the tokens without telling.
+func (f *Fleet) giveOne(ctx context.Context, host peerHost, organisation string, tokens int64) (took, certain bool) {
+	ask := giveRequest{ID: f.newGift(), Incarnation: host.incarnation, Organisation: organisation, Tokens: tokens}
+	unanswered := false
+	for {
+		var got giveResponse
+		call, cancel := context.WithTimeout(ctx, giveTimeout)
+		err := f.calls.do(call, host.address, pathGive, ask, &got)
+		cancel()
+		switch {
+		case err == nil && got.Took:
+			return true, true
+		case err == nil && got.Incarnation == ask.Incarnation:
+			return false, true
+		case err == nil && unanswered:
+			return false, false // the incarnation before may have taken them
+		case err == nil:
+			ask.Incarnation = got.Incarnation
+			continue
+		case notSent(err) && !unanswered:
+			return false, true
+		case !notSent(err):
+			unanswered = true
+		}
+		if ctx.Err() != nil {
+			return false, false
+		}
+		wait.For(ctx, givePause)
+	}
+}
+
+// newGift gives the id of a gift, unique among all.
+func (f *Fleet) newGift() string {
+	self := f.opts.Self
+	return self.Name + "/" + self.Incarnation + "/" + strconv.FormatInt(f.gifts.Add(1), 36)
+}
--- a/router/fleet/keepers.go
+++ b/router/fleet/keepers.go
@@ -166,40 +166,6 @@
 	return total
 }
 
-// GiveBack gives tokens to a keeper of the budget.
-func (f *Fleet) GiveBack(ctx context.Context, organisation string, tokens int64) bool {
-	return f.giveTo(ctx, f.keeperAddresses(organisation), organisation, tokens)
-}
-
-// Give hands tokens over to another host.
-func (f *Fleet) Give(ctx context.Context, organisation string, tokens int64) bool {
-	list := f.addresses()
-	if keepers := f.keeperAddresses(organisation); keepers != nil {
-		list = append(keepers, list...)
-	}
-	return f.giveTo(ctx, list, organisation, tokens)
-}
-
-// giveTo hands tokens over to one host. The next one is tried only if the one before
-// surely did not take them.
-func (f *Fleet) giveTo(ctx context.Context, addresses []string, organisation string, tokens int64) bool {
-	for _, address := range addresses {
-		var got giveResponse
-		call, cancel := context.WithTimeout(ctx, giveTimeout)
-		err := f.calls.do(call, address, pathGive, giveRequest{Organisation: organisation, Tokens: tokens}, &got)
-		cancel()
-		if err == nil && got.Took {
-			return true
-		}
-		if err != nil && !notSent(err) || ctx.Err() != nil {
-			return false
-		}
-	}
-	return false
-}
-
-const giveTimeout = 200 * time.Millisecond
-
 // shuffled gives the addresses in random order.
 func shuffled(list []string) []string {
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -167,7 +167,7 @@
 		},
 		Lend:   func(ctx context.Context, ask prepaid.LoanRequest) prepaid.Loan { return n.treasury.Lend(ctx, ask) },
 		Recall: func(id string) int64 { return n.treasury.Recall(id) },
-		Credit: func(organisation string, tokens int64) bool { return n.treasury.Credit(organisation, tokens) },
+		Credit: func(gift prepaid.Gift) bool { return n.treasury.Credit(gift) },
 	})
 }
 
--- a/router/prepaid/loans.go
+++ b/router/prepaid/loans.go
@@ -210,7 +210,7 @@
 }
 
 // HandOver gives all free tokens to other hosts and takes no more; give says
-// whether one took them. Without an answer they count as spent.
+// whether one took them. Without an answer in time they count as spent.
 func (t *Treasury) HandOver(ctx context.Context, give func(ctx context.Context, organisation string, tokens int64) bool) {
 	t.mu.Lock()
 	t.closing = true
@@ -228,17 +228,29 @@
 	}
 }
 
-// Credit takes in tokens that another host handed over. A host that is stopping
-// or does not know the budget refuses them.
-func (t *Treasury) Credit(organisation string, tokens int64) bool {
+// Gift is tokens that one host gives to another.
+type Gift struct {
+	ID           string // unique among all gifts; a giver without an answer repeats it
+	Organisation string
+	Tokens       int64
+}
+
+// Credit takes in a gift, however often it comes, once; it says whether the gift was
+// taken. A host that is stopping or does not know the budget takes none.
+func (t *Treasury) Credit(g Gift) (took bool) {
 	t.mu.Lock()
-	refuse := t.closing || t.wallets[organisation] == nil || tokens <= 0
-	t.mu.Unlock()
-	if refuse {
-		return false
+	defer t.mu.Unlock()
+	if answer, known := t.gifts.answer(g.ID); known {
+		return answer
+	}
+	w := t.wallets[g.Organisation]
+	took = !t.closing && w != nil && g.Tokens > 0
+	t.gifts.note(g.ID, took)
+	if took {
+		w.free += g.Tokens
+		t.wake()
 	}
-	t.credit(organisation, tokens)
-	return true
+	return took
 }
 
 func (t *Treasury) credit(organisation string, tokens int64) {
--- a/router/prepaid/treasury.go
+++ b/router/prepaid/treasury.go
@@ -53,6 +53,7 @@
 	changed chan struct{} // closed and replaced when a wallet gains tokens
 	clerks  []*clerk
 	loans   *loanBook
+	gifts   *giftBook
 	nextOp  int64
 	closing bool
 }
@@ -62,7 +63,7 @@
 	if opts.Again <= 0 {
 		opts.Again = defaultAgain
 	}
-	t := &Treasury{opts: opts, wallets: map[string]*wallet{}, changed: make(chan struct{}), loans: newLoanBook()}
+	t := &Treasury{opts: opts, wallets: map[string]*wallet{}, changed: make(chan struct{}), loans: newLoanBook(), gifts: newGiftBook()}
 	for i := range max(opts.Partitions, 1) {
 		t.clerks = append(t.clerks, newClerk(t, i))
 	}
--- a/router/prepaid/treasury_test.go
+++ b/router/prepaid/treasury_test.go
@@ -306,8 +306,10 @@
 		Borrow: func(ctx context.Context, organisation string, n, better int64) Loan {
 			return keeper.Lend(ctx, LoanRequest{Organisation: organisation, Tokens: n, Better: better})
 		},
-		GiveBack: func(_ context.Context, organisation string, n int64) bool { return keeper.Credit(organisation, n) },
-		OnCall:   func(string) { calls.Add(1) },
+		GiveBack: func(_ context.Context, organisation string, n int64) bool {
+			return keeper.Credit(Gift{ID: "1", Organisation: organisation, Tokens: n})
+		},
+		OnCall: func(string) { calls.Add(1) },
 	})
 	for _, tr := range []*Treasury{keeper, borrower} {
 		tr.Configure(1, []Budget{{"org", 1000}}, true)
@@ -469,3 +471,18 @@
 	f.log.Trim(p)
 	return 0, memlog.ErrNoAnswer
 }
+
+// A gift that comes twice counts once; one that was refused stays refused.
+func TestGiftCountsOnce(t *testing.T) {
+	is := is.New(t)
+	tr := New(Options{Partitions: 1, Hosts: func() int { return 1 }})
+	gift := Gift{ID: "a/1", Organisation: "o", Tokens: 50}
+	is.True(!tr.Credit(gift)) // the budget is not known
+	tr.Configure(1, []Budget{{Organisation: "o", Limit: 100}}, false)
+	is.True(!tr.Credit(gift))
+	gift.ID = "a/2"
+	is.True(tr.Credit(gift))
+	is.True(tr.Credit(gift))
+	held, _ := tr.Holding("o")
+	is.Equal(held.Free, int64(50))
+}
