--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"maststage.dev/router/metering"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/retrybudget"
 	"maststage.dev/router/routing"
@@ -73,6 +74,7 @@
 	Targets  *target.Registry
 	Budgets  Budgets
 	Retries  *retrybudget.Set
+	Meter    *metering.Meter
 	Observer Observer
 	// Draining says that the host is stopping: connections are to be closed.
 	Draining func() bool
@@ -131,6 +133,8 @@
 	ran      int    // of them, those that may have run it
 	failed   *whole // a target's own failure, to be passed on
 	claimed  bool   // another try was granted before the one before ended
+	begun    bool   // a target may have begun to hand tokens out
+	unseen   int64  // tokens that targets may have made and that did not come
 	stream   *stream
 	end      End
 }
@@ -154,7 +158,7 @@
 	}
 	if q.reserved != nil {
 		q.end.Reserved = q.reserved.Tokens()
-		q.end.Used = q.used(kind)
+		q.end.Used = q.used()
 		q.reserved.Settle(q.end.Used)
 	}
 	if kind != OK && kind != CutOff && kind != CallerGone {
@@ -333,19 +337,6 @@
 	return BudgetWait, err
 }
 
-// used is what the request counts against its budget. A run whose end is not
-// known counts with all that was set aside.
-func (q *request) used(kind Kind) int64 {
-	switch {
-	case q.ran == 0:
-		return 0
-	case kind == OK && q.ran == 1 && q.stream != nil && q.engine.Stride > 0:
-		made := int64(float64(q.stream.scanner.Events()) * q.engine.Stride)
-		return q.usage.in + min(made, q.usage.out)
-	}
-	return q.reserved.Tokens()
-}
-
 // lastEventID is the event behind which the stream is to go on.
 func (q *request) lastEventID() string {
 	if q.stream != nil && q.stream.scanner.LastID() != "" {
--- a/router/forward/pass.go
+++ b/router/forward/pass.go
@@ -106,7 +106,9 @@
 			c.silence.heard()
 			c.target.Heard(time.Now())
 			data := buffer[:n]
+			before := s.scanner.Events()
 			whole := s.scanner.Scan(data)
+			c.noteEvents(s.scanner.Events() - before)
 			if whole > 0 {
 				if werr := q.sendEvents(resp, pending, data[:whole]); werr != nil {
 					c.conn.Done(false)
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -76,7 +76,7 @@
 			unsent++
 		}
 		q.excluded[t.ID] = true
-		if unsent >= maxUnsent || !q.mayTryAgain(res) {
+		if unsent >= maxUnsent || !q.mayTryAgain(res, false) {
 			return q.giveUp(TargetFailed, err)
 		}
 	}
@@ -114,12 +114,13 @@
 	if !q.route.Repeatable() || q.choose(others) == nil {
 		return false
 	}
-	q.claimed = q.mayTryAgain(silent)
+	q.claimed = q.mayTryAgain(silent, true)
 	return q.claimed
 }
 
-// mayTryAgain says whether the request may go to another target after a try.
-func (q *request) mayTryAgain(res result) bool {
+// mayTryAgain says whether the request may go to another target after a try; underway
+// says that the try has not ended yet.
+func (q *request) mayTryAgain(res result, underway bool) bool {
 	if q.claimed {
 		q.claimed = false
 		return true
@@ -136,7 +137,7 @@
 	if q.ran > 0 && !q.route.Repeatable() {
 		return false
 	}
-	if res.mayHaveRun() && q.reserved != nil && !q.reserved.Extend(q.usage.out) {
+	if res.mayHaveRun() && !q.reserveAnother(underway) {
 		return false
 	}
 	return q.handler.opts.Retries.Of(q.service).Spend(time.Now())
@@ -156,6 +157,7 @@
 	targets.Begin(t, work)
 	c := &call{request: q, target: t, started: started, work: work}
 	res, err := c.do(ctx)
+	q.charge(c, res)
 	targets.End(t, c.work, c.judgement(res))
 	if res == notSent {
 		targets.DialFailed(t)
@@ -173,7 +175,11 @@
 	target  *target.Target
 	conn    *exchange.Conn
 	started time.Time
-	work    float64 // counted at the target until it answers
+	work    float64   // counted at the target until it answers
+	first   time.Time // when the first event came
+	last    time.Time // when the newest event came
+	events  int       // that came
+	sent    bool      // the target may have the request
 	status  int
 	resumed string
 	silence *silence
@@ -225,15 +231,20 @@
 		if !f.Sent {
 			return c.ended(ctx, notSent, f)
 		}
-		q.tries++
-		q.ran++
+		c.noteSent()
 		return c.ended(ctx, broken, f)
 	}
-	q.tries++
-	q.ran++
+	c.noteSent()
 	return c.receive(ctx)
 }
 
+// noteSent counts a try that the target may run.
+func (c *call) noteSent() {
+	c.sent = true
+	c.request.tries++
+	c.request.ran++
+}
+
 // defaultDeadline is handed on when neither caller nor route has one.
 const defaultDeadline = time.Minute
 
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -18,6 +18,7 @@
 	"maststage.dev/router/eventlog"
 	"maststage.dev/router/fleet"
 	"maststage.dev/router/forward"
+	"maststage.dev/router/metering"
 	"maststage.dev/router/observe"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/replica"
@@ -90,7 +91,7 @@
 	n.retries = retrybudget.NewSet(retryLimits(cfg), n.knownHosts, time.Now())
 	n.newTreasury(incarnation)
 	n.handler = forward.New(forward.Options{
-		Names: outside.Headers, Targets: n.targets, Budgets: n.treasury, Retries: n.retries,
+		Names: outside.Headers, Targets: n.targets, Budgets: n.treasury, Retries: n.retries, Meter: metering.New(),
 		Observer: n.observer, Draining: n.Draining, Takes: n.Takes,
 	})
 	n.gauges()
