--- a/lib/rendezvous/rendezvous.go
+++ b/lib/rendezvous/rendezvous.go
@@ -8,12 +8,19 @@
 )
 
 // Score is the weight of a name for a key.
-func Score(key, name string) uint64 {
-	sum := add(offset64, key)
-	sum *= prime64 // a zero byte between the two
-	return mix(add(sum, name))
+func Score(key, name string) uint64 { return NewKey(key).Score(name) }
+
+// Key is a key whose scores are asked for many names.
+type Key uint64
+
+// NewKey prepares a key.
+func NewKey(key string) Key {
+	return Key(add(offset64, key) * prime64) // a zero byte behind it
 }
 
+// Score is the weight of a name for the key.
+func (k Key) Score(name string) uint64 { return mix(add(uint64(k), name)) }
+
 // The constants of 64-bit FNV-1a, written out since hash/fnv allocates.
 const (
 	offset64 = 14695981039346656037
--- a/router/forward/charge.go
+++ b/router/forward/charge.go
@@ -1,6 +1,10 @@
 package forward
 
-import "time"
+import (
+	"time"
+
+	"maststage.dev/router/routing"
+)
 
 // A request counts against its budget with its prompt, once, and the tokens that its
 // targets handed out. Those that were passed on are counted; those that a target may have
@@ -14,6 +18,9 @@
 	now := time.Now()
 	if c.events == 0 {
 		c.first = now
+	} else {
+		q := c.request
+		q.handler.opts.Targets.Paused(c.target, now.Sub(c.last), routing.Milliseconds(q.route.GapTargetMs))
 	}
 	c.events += n
 	c.last = now
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -37,19 +37,24 @@
 	if len(usable) == 0 {
 		return nil
 	}
+	if r.isLong(w) {
+		usable = r.withoutStalled(w.Service, usable, now)
+	}
 	if w.Affinity != "" {
 		if t := r.byAffinity(w, usable, now); t != nil {
 			return t
 		}
 	}
-	return r.leastLoaded(usable, now)
+	return r.leastLoaded(w.Service, usable, now)
 }
 
 // usable lists the targets that may take the request: the ready ones that are
 // neither ejected, nor full, nor quiet; else the ready ones; else those that left a moment ago.
 func (r *Registry) usable(w Want, now time.Time) []*Target {
-	var good, ejected, leaving []*Target
-	for _, t := range r.services[w.Service] {
+	all := r.services[w.Service]
+	good := make([]*Target, 0, len(all))
+	var ejected, leaving []*Target
+	for _, t := range all {
 		if w.Exclude[t.ID] {
 			continue
 		}
@@ -74,9 +79,8 @@
 }
 
 // load is how busy a target is, in requests of this host.
-func (r *Registry) load(t *Target, now time.Time) float64 {
+func (t *Target) load(stats *serviceStats, now time.Time) float64 {
 	load := float64(t.outstanding) + t.work/workUnit
-	stats := r.statsOf(t.Service)
 	if stats.latency > 0 && t.health.latency > slowFactor*stats.latency {
 		load = (load + 1) * t.health.latency / stats.latency
 	}
@@ -89,18 +93,22 @@
 // byAffinity picks the target that ranks first for the prompt's shared parts
 // among those that are not much busier than the rest.
 func (r *Registry) byAffinity(w Want, usable []*Target, now time.Time) *Target {
+	stats := r.statsOf(w.Service)
+	loads := make([]float64, len(usable))
 	total := 0.0
-	for _, t := range usable {
-		total += r.load(t, now)
+	for i, t := range usable {
+		loads[i] = t.load(stats, now)
+		total += loads[i]
 	}
 	bound := affinityBound*total/float64(len(usable)) + affinitySlack
+	key := rendezvous.NewKey(w.Affinity)
 	var best *Target
 	var score uint64
-	for _, t := range usable {
-		if r.load(t, now) > bound {
+	for i, t := range usable {
+		if loads[i] > bound {
 			continue
 		}
-		if s := rendezvous.Score(w.Affinity, t.ID); best == nil || s > score {
+		if s := key.Score(t.ID); best == nil || s > score {
 			best, score = t, s
 		}
 	}
@@ -109,12 +117,13 @@
 
 // leastLoaded picks the least busy target, this host's failure domain before
 // others, at random among equals.
-func (r *Registry) leastLoaded(usable []*Target, now time.Time) *Target {
+func (r *Registry) leastLoaded(service string, usable []*Target, now time.Time) *Target {
+	stats := r.statsOf(service)
 	var best *Target
 	least := math.Inf(1)
 	ties := 0
 	for _, t := range usable {
-		load := r.load(t, now) / float64(t.slots)
+		load := t.load(stats, now) / float64(t.slots)
 		if t.Domain != r.opts.Domain {
 			load += farLoad / float64(t.slots)
 		}
--- a/router/target/health.go
+++ b/router/target/health.go
@@ -56,6 +56,9 @@
 	failures  float64 // smoothed
 	latency   float64 // median of the targets' smoothed latencies, in seconds
 	latencyAt time.Time
+	prompt    float64 // smoothed tokens of a prompt
+	gap       float64 // median of the targets' median gaps, in seconds
+	gapAt     time.Time
 }
 
 // medianEvery is the least time between two looks at the median latency.
@@ -81,6 +84,7 @@
 	}
 	t.outstanding++
 	t.work += work
+	r.statsOf(t.Service).notePrompt(work)
 }
 
 // Heard notes that the target sent something.
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -53,6 +53,7 @@
 	work        float64      // prompt tokens of them not answered yet
 
 	health health
+	stall  stall
 }
 
 // Options configure a Registry.
