overload: a host whose own link is full turns requests away and leaves the balancer

Its dials took up to their 300 ms, each request dialled up to four targets, targets were ejected for it, and answers came after their deadline, while the host called itself ready. Ruled out: targets (the other 85 hosts saw none slow), budgets (328 of the refusals there). Now package overload judges a host by the time that new connections take: over 100 ms in the median of at least five targets within a second means the host.

--- a/router/exchange/conn.go
+++ b/router/exchange/conn.go
@@ -34,6 +34,9 @@
 	request *http.Request // what the answer's framing depends on
 }
 
+// Reused says whether the connection carried a request before.
+func (c *Conn) Reused() bool { return c.reused }
+
 // Request is what is sent. Head holds the request line, all headers and the
 // empty line.
 type Request struct {
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"maststage.dev/router/metering"
+	"maststage.dev/router/overload"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/retrybudget"
 	"maststage.dev/router/routing"
@@ -75,9 +76,10 @@
 	Budgets  Budgets
 	Retries  *retrybudget.Set
 	Meter    *metering.Meter
+	Overload *overload.Monitor
 	Observer Observer
-	// Draining says that the host is stopping: connections are to be closed.
-	Draining func() bool
+	// Leaving says that callers are to use other hosts: connections are to be closed.
+	Leaving func() bool
 	// Takes says whether a new request may begin.
 	Takes func(streaming bool) bool
 }
@@ -143,7 +145,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.open.Add(1)
 	defer h.open.Add(-1)
-	if h.opts.Draining() {
+	if h.opts.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{handler: h, w: w, r: r, ctx: r.Context(), arrived: time.Now(), excluded: map[string]bool{}}
@@ -222,6 +224,9 @@
 	if !h.opts.Takes(q.route.Kind == routing.Streaming) {
 		return Stopping, nil
 	}
+	if !h.opts.Overload.Admit(q.arrived) {
+		return HostBusy, nil
+	}
 	q.service = q.route.Pick(rand.Float64())
 	if s := q.config.Service(q.service); s != nil {
 		q.engine = s.Engine
--- a/router/forward/harness_test.go
+++ b/router/forward/harness_test.go
@@ -17,6 +17,7 @@
 	log "github.com/sirupsen/logrus"
 
 	"maststage.dev/router/metering"
+	"maststage.dev/router/overload"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/retrybudget"
 	"maststage.dev/router/routing"
@@ -103,6 +104,7 @@
 	budgets  *fakeBudgets
 	recorder *recorder
 	meter    *metering.Meter
+	overload *overload.Monitor
 	backends map[string]*backend.Backend
 	draining atomic.Bool
 	takes    atomic.Bool
@@ -121,7 +123,7 @@
  "organisations":[{"name":"org","keys":["k1","k2"],"priority":1}]}`
 
 func newBench(t *testing.T) *bench {
-	b := &bench{t: t, is: is.New(t), recorder: &recorder{}, meter: metering.New(), budgets: &fakeBudgets{}, backends: map[string]*backend.Backend{}}
+	b := &bench{t: t, is: is.New(t), recorder: &recorder{}, meter: metering.New(), overload: overload.New(), budgets: &fakeBudgets{}, backends: map[string]*backend.Backend{}}
 	b.takes.Store(true)
 	b.targets = target.NewRegistry(target.Options{
 		Domain: "z1", DrainWithin: time.Second, DialTimeout: 200 * time.Millisecond, IdleTimeout: time.Minute, MaxIdle: 8,
@@ -129,9 +131,9 @@
 	one := func() int { return 1 }
 	b.budgets.treasury = prepaid.New(prepaid.Options{Hosts: one, Wait: 20 * time.Millisecond})
 	b.handler = New(Options{
-		Names: testHeaders, Targets: b.targets, Budgets: b.budgets, Observer: b.recorder, Meter: b.meter,
-		Retries:  retrybudget.NewSet(retrybudget.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, one, time.Time{}),
-		Draining: b.draining.Load, Takes: func(bool) bool { return b.takes.Load() },
+		Names: testHeaders, Targets: b.targets, Budgets: b.budgets, Observer: b.recorder, Meter: b.meter, Overload: b.overload,
+		Retries: retrybudget.NewSet(retrybudget.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, one, time.Time{}),
+		Leaving: func() bool { return b.draining.Load() || b.overload.Out(time.Now()) }, Takes: func(bool) bool { return b.takes.Load() },
 	})
 	b.configure(testConfig)
 	b.server = httptest.NewServer(b.handler)
--- a/router/forward/outcome.go
+++ b/router/forward/outcome.go
@@ -19,6 +19,7 @@
 	OverBudget   Kind = "over_budget"   // larger than the whole budget
 	BudgetWait   Kind = "budget_wait"   // no tokens within reach now
 	Stopping     Kind = "stopping"      // this host ends too soon to take it
+	HostBusy     Kind = "host_busy"     // this host's own link or processor is overloaded
 	NoTarget     Kind = "no_target"     // no target could be tried
 	Overloaded   Kind = "overloaded"    // the targets tried said that they did not run it
 	TargetFailed Kind = "target_failed" // it may have run, and no whole answer came
@@ -43,6 +44,7 @@
 	OverBudget:   {http.StatusPaymentRequired, 0},
 	BudgetWait:   {http.StatusServiceUnavailable, 5 * time.Second},
 	Stopping:     {http.StatusServiceUnavailable, 50 * time.Millisecond},
+	HostBusy:     {http.StatusServiceUnavailable, 50 * time.Millisecond}, // another host takes it
 	NoTarget:     {http.StatusServiceUnavailable, 200 * time.Millisecond},
 	Overloaded:   {http.StatusServiceUnavailable, 100 * time.Millisecond},
 	TargetFailed: {http.StatusBadGateway, 0},
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -159,7 +159,7 @@
 	res, err := c.do(ctx)
 	q.charge(c, res)
 	targets.End(t, c.work, c.judgement(res))
-	if res == notSent {
+	if res == notSent && !q.handler.opts.Overload.Overloaded(time.Now()) {
 		targets.DialFailed(t)
 	}
 	q.handler.opts.Observer.Tried(Try{
@@ -255,7 +255,13 @@
 	}
 	dial, cancel := context.WithTimeout(ctx, dialLimit)
 	defer cancel()
-	return c.target.Pool.Get(dial, rest)
+	began := time.Now()
+	conn, err := c.target.Pool.Get(dial, rest)
+	now := time.Now()
+	if conn != nil && !conn.Reused() || err != nil && !errors.Is(err, exchange.ErrLimit) && !errors.Is(err, exchange.ErrClosed) {
+		c.request.handler.opts.Overload.Dialled(c.target.ID, now.Sub(began), now)
+	}
+	return conn, err
 }
 
 // ended corrects a result by what ended the try from this side.
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -20,6 +20,7 @@
 	"maststage.dev/router/forward"
 	"maststage.dev/router/metering"
 	"maststage.dev/router/observe"
+	"maststage.dev/router/overload"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/replica"
 	"maststage.dev/router/retrybudget"
@@ -57,6 +58,7 @@
 	treasury *prepaid.Treasury
 	fleet    *fleet.Fleet
 	retries  *retrybudget.Set
+	overload *overload.Monitor
 
 	configCopy, targetsCopy, hostsCopy *replica.Replica
 
@@ -74,6 +76,7 @@
 	n := &Node{
 		cfg: cfg, latest: cfg, outside: outside,
 		observer: observe.New(cfg.Output.LinesPerSecond),
+		overload: overload.New(),
 		stopping: make(chan struct{}),
 		changed:  make(chan struct{}, 1),
 	}
@@ -91,8 +94,8 @@
 	n.retries = retrybudget.NewSet(retryLimits(cfg), n.knownHosts, time.Now())
 	n.newTreasury(incarnation)
 	n.handler = forward.New(forward.Options{
-		Names: outside.Headers, Targets: n.targets, Budgets: n.treasury, Retries: n.retries, Meter: metering.New(),
-		Observer: n.observer, Draining: n.Draining, Takes: n.Takes,
+		Names: outside.Headers, Targets: n.targets, Budgets: n.treasury, Retries: n.retries, Meter: metering.New(), Overload: n.overload,
+		Observer: n.observer, Leaving: n.leaving, Takes: n.Takes,
 	})
 	n.gauges()
 	return n
@@ -292,9 +295,12 @@
 // Draining says whether a planned stop has begun.
 func (n *Node) Draining() bool { return n.stopBegan.Load() != nil }
 
+// leaving says whether callers had better use other hosts.
+func (n *Node) leaving() bool { return n.Draining() || n.overload.Out(time.Now()) }
+
 // Ready says whether the host takes new connections.
 func (n *Node) Ready() bool {
-	return !n.Draining() && n.handler.Config() != nil && n.targetsCopy.Loaded()
+	return !n.leaving() && n.handler.Config() != nil && n.targetsCopy.Loaded()
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
--- /dev/null
+++ b/router/overload/overload.go
@@ -0,0 +1,109 @@
+// Package overload tells whether this host's own link or processor holds its requests
+// up. It judges by how long new connections to targets take: they are made in a
+// millisecond or two where nothing is queued, and when those to many targets take long at
+// once, it is the host that is slow and not the targets.
+package overload
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	log "github.com/sirupsen/logrus"
+)
+
+// Figures of the judgement.
+const (
+	// span is how far back connections count: long enough for some of them on a busy
+	// host, short beside the second between two looks at a host's readiness.
+	span = time.Second
+	// leastTargets is how many targets have to be dialled to tell of the host. Each counts
+	// once, by its newest connection, so that one that is gone does not count for many.
+	leastTargets = 5
+	// usual is the median time of a connection above which a host turns requests away.
+	// Half a second of queue is too much; a request crosses the queue about four times.
+	usual = 100 * time.Millisecond
+	// rest is how long a host stays out after it was overloaded: callers are balanced
+	// anew within two looks, a second apart, and not sent back at once.
+	rest = 3 * time.Second
+)
+
+// dial is the newest attempt to connect to a target.
+type dial struct {
+	at   time.Time
+	took time.Duration
+}
+
+// Monitor judges one host.
+type Monitor struct {
+	mu    sync.Mutex
+	dials map[string]dial // by target, of the last span
+	until time.Time       // the host is out until then
+}
+
+// New makes a monitor of a host at rest.
+func New() *Monitor { return &Monitor{dials: map[string]dial{}} }
+
+// Dialled takes in an attempt to connect, whether it succeeded or not.
+func (m *Monitor) Dialled(target string, took time.Duration, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.dials[target] = dial{at: now, took: took}
+	median, ok := m.median(now)
+	if !ok || median <= usual {
+		return
+	}
+	if !now.Before(m.until) {
+		log.WithFields(log.Fields{"connect_median": median.Round(time.Millisecond), "targets": len(m.dials)}).Warn("host is overloaded")
+	}
+	m.until = now.Add(rest)
+}
+
+// median is the median over the targets of the newest connection to each; ok is false if
+// they are too few to tell. The lock is held.
+func (m *Monitor) median(now time.Time) (median time.Duration, ok bool) {
+	times := make([]time.Duration, 0, len(m.dials))
+	for target, d := range m.dials {
+		if now.Sub(d.at) > span {
+			delete(m.dials, target)
+			continue
+		}
+		times = append(times, d.took)
+	}
+	if len(times) < leastTargets {
+		return 0, false
+	}
+	slices.Sort(times)
+	return times[(len(times)-1)/2], true
+}
+
+// Out says whether callers had better use other hosts: the host is overloaded, or was
+// a moment ago.
+func (m *Monitor) Out(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return now.Before(m.until)
+}
+
+// Overloaded says whether connections take too long just now, so that a failed one tells
+// nothing of its target.
+func (m *Monitor) Overloaded(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	median, ok := m.median(now)
+	return ok && median > usual
+}
+
+// Admit says whether a new request may begin. The longer connections take, the fewer may:
+// as many as would bring their time down to the usual, and fewer while it is far above.
+func (m *Monitor) Admit(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	median, ok := m.median(now)
+	if !ok || median <= usual {
+		return true
+	}
+	share := float64(usual) / float64(median)
+	return rand.Float64() < share*share
+}
--- a/router/target/health.go
+++ b/router/target/health.go
@@ -202,6 +202,14 @@
 	r.judge(t, time.Now())
 }
 
+// Ejected says whether a target is passed over for its failures.
+func (r *Registry) Ejected(id string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.targets[id]
+	return t != nil && now.Before(t.health.until)
+}
+
 func (r *Registry) ejectedShare(service string, now time.Time) float64 {
 	all, out := 0, 0
 	for _, t := range r.services[service] {
