--- a/router/target/target_test.go
+++ b/router/target/target_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
-
 	log "github.com/sirupsen/logrus"
+
 	"maststage.dev/standin/backend"
 )
 
