metering, forward: a broken run is bounded by its whole time, not since it was heard

Cause, found by reading: the bound counted from the last event that came. Events that a full link or a lossy one held up were made before that, so a target may have handed out more than was charged. The bound now counts from the send of the request and takes off what came, so that delays on the way do not matter. A stream of which more came than the pace allows disproves the pace and counts with its worst case. A failure of the target's own behind a broken stream no longer passes for a whole stream.

--- a/router/forward/charge.go
+++ b/router/forward/charge.go
@@ -8,7 +8,7 @@
 
 // A request counts against its budget with its prompt, once, and the tokens that its
 // targets handed out. Those that were passed on are counted; those that a target may have
-// made before its answer broke off are bounded by the time that it was not heard.
+// made beside them before its answer broke off are bounded by the time that it had.
 
 // noteEvents counts events that came just now.
 func (c *call) noteEvents(n int) {
@@ -34,8 +34,7 @@
 	if c.events > 0 {
 		q.begun = true
 	}
-	if res == delivered && q.stream != nil {
-		q.begun = true
+	if res == delivered && c.events > 0 {
 		q.handler.opts.Meter.Note(q.service, c.first.Sub(c.started), c.last.Sub(c.first), c.events)
 		return
 	}
@@ -48,11 +47,7 @@
 // mostUnseen bounds the tokens that the target may have made and that did not come.
 func (c *call) mostUnseen(now time.Time) int64 {
 	q := c.request
-	heard := c.started
-	if c.events > 0 {
-		heard = c.last
-	}
-	events, known := q.handler.opts.Meter.Unseen(q.service, now.Sub(heard), c.events > 0)
+	events, known := q.handler.opts.Meter.Unseen(q.service, now.Sub(c.started), c.events)
 	if !known || q.engine.Stride <= 0 {
 		return q.usage.out
 	}
--- a/router/metering/metering.go
+++ b/router/metering/metering.go
@@ -1,6 +1,7 @@
 // Package metering bounds how many events a target may have made of a stream that broke
-// off before they came. A target makes events one after the other, so the time since it
-// was last heard bounds them, by the pace of the fastest streams that were seen.
+// off before they came. A target makes events one after the other, so the time since the
+// request was sent bounds them, by the pace of the fastest streams that were seen. When
+// the events came does not count: they may be held up on their way.
 package metering
 
 import (
@@ -54,22 +55,20 @@
 	m.paces[service] = p
 }
 
-// Unseen bounds the events that a target made in the time since it was last heard: since
-// its last event if the stream had begun, else since the request was sent. known is false
-// while too few streams were seen to tell.
-func (m *Meter) Unseen(service string, silent time.Duration, begun bool) (events int, known bool) {
+// Unseen bounds the events that a target made beyond those that came, elapsed after the
+// request was sent. known is false while too few streams were seen to tell, and for a
+// stream of which more came than the pace that is believed in allows.
+func (m *Meter) Unseen(service string, elapsed time.Duration, came int) (events int, known bool) {
 	m.mu.Lock()
 	p := m.paces[service]
 	m.mu.Unlock()
 	if p.streams < leastStreams {
 		return 0, false
 	}
-	if !begun {
-		silent -= time.Duration(margin * float64(p.first))
-		if silent < 0 {
-			return 0, true
-		}
+	made := 0
+	if elapsed -= time.Duration(margin * float64(p.first)); elapsed >= 0 {
+		gap := max(time.Duration(margin*float64(p.gap)), 1)
+		made = int(elapsed/gap) + 1
 	}
-	gap := max(time.Duration(margin*float64(p.gap)), 1)
-	return int(silent/gap) + 1, true
+	return made - came, made >= came
 }
--- a/router/metering/metering_test.go
+++ b/router/metering/metering_test.go
@@ -16,25 +16,27 @@
 	for range leastStreams - 1 {
 		m.Note("s", 100*ms, 200*ms, 11)
 	}
-	_, known := m.Unseen("s", ms, false)
+	_, known := m.Unseen("s", ms, 0)
 	is.True(!known)
 	m.Note("s", 100*ms, 200*ms, 2) // too short to tell
-	_, known = m.Unseen("s", ms, false)
+	_, known = m.Unseen("s", ms, 0)
 	is.True(!known)
 	m.Note("s", 100*ms, 200*ms, 11)
-	events, known := m.Unseen("s", 40*ms, false)
+	events, known := m.Unseen("s", 40*ms, 0)
 	is.True(known)
 	is.Equal(events, 0) // not even the first event can have been made
-	events, _ = m.Unseen("s", 50*ms, false)
+	events, _ = m.Unseen("s", 50*ms, 0)
 	is.Equal(events, 1)
-	events, _ = m.Unseen("s", 55*ms, true) // 20 ms an event, or 10
-	is.Equal(events, 6)
-	_, known = m.Unseen("other", ms, true)
+	events, _ = m.Unseen("s", 105*ms, 2) // the first after 50 ms, then one each 10 ms
+	is.Equal(events, 4)
+	_, known = m.Unseen("s", 105*ms, 9) // more came than such a target makes
+	is.True(!known)
+	_, known = m.Unseen("other", ms, 0)
 	is.True(!known)
 }
 
 // A target that is at most twice as fast as the fastest stream seen never made more
-// events than the bound.
+// events than came and the bound together, however late its events come.
 func TestBoundsWhatATargetMade(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := New()
@@ -45,19 +47,15 @@
 			m.Note("s", f, 10*g, 11)
 			first, gap = min(first, f), min(gap, g)
 		}
-		silent := time.Duration(rapid.IntRange(0, 5000).Draw(t, "silent")) * ms
-		begun := rapid.Bool().Draw(t, "begun")
+		elapsed := time.Duration(rapid.IntRange(0, 5000).Draw(t, "elapsed")) * ms
 		made := 0
-		next := first / 2
-		if begun {
-			next = gap / 2
-		}
-		for ; next <= silent; next += gap / 2 {
+		for next := first / 2; next <= elapsed; next += gap / 2 {
 			made++
 		}
-		events, known := m.Unseen("s", silent, begun)
-		if !known || events < made {
-			t.Fatalf("%d events bounded by %d (known %v)", made, events, known)
+		came := rapid.IntRange(0, made).Draw(t, "came") // the others are late or lost
+		events, known := m.Unseen("s", elapsed, came)
+		if !known || came+events < made {
+			t.Fatalf("%d events, %d came and %d more are charged (known %v)", made, came, events, known)
 		}
 	})
 }
