overload: a host whose targets are dark in part is not overloaded

Cause, found by reading: the median of dials also passes 100 ms when over half of the targets are dark. The host would turn most requests away, and eject none of the dark targets, though the others take requests at once. Now it is judged by the fastest quarter of the targets: a full link holds up all of them. Dials that end with their request no longer count. Before: TestDarkTargetsAreNotTheHost fails; after: passes. TestOverloadedHostEjectsNobody could not fail (nothing was admitted, so nothing was dialled): it now fails both with the exception taken out and with no ejection at all; readiness had no test and has one.

--- a/router/forward/overload_test.go
+++ b/router/forward/overload_test.go
@@ -9,10 +9,10 @@
 	"maststage.dev/standin/backend"
 )
 
-// overloaded makes connections to many targets seem to take long.
-func (b *bench) overloaded() {
-	for i := range 200 {
-		b.overload.Dialled(fmt.Sprint("t", i%8), time.Minute, time.Now())
+// slowDials makes connections to many targets seem to take so long.
+func (b *bench) slowDials(took time.Duration) {
+	for i := range 16 {
+		b.overload.Dialled(fmt.Sprint("t", i), took, time.Now())
 	}
 }
 
@@ -21,7 +21,7 @@
 func TestOverloadedHostTurnsRequestsAway(t *testing.T) {
 	b := newBench(t)
 	b.add("p1", "plain", backend.Behaviour{Body: "x"})
-	b.overloaded()
+	b.slowDials(time.Minute)
 	got := b.do(b.request("GET", "/safe/x", ""))
 	b.is.Equal(got.status, 503)
 	b.is.Equal(got.header.Get("Retry-After"), "0.05")
@@ -30,26 +30,39 @@
 	b.is.Equal(b.recorder.last(t, "r1").Kind, HostBusy)
 }
 
-// A target that an overloaded host can't reach is not ejected: the host is at fault.
+// A target that an overloaded host can't reach is not ejected: the host is at fault. A
+// host at rest ejects it.
 func TestOverloadedHostEjectsNobody(t *testing.T) {
-	b := newBench(t)
-	dead := target.Entry{ID: "dead", Service: "plain", Address: deadAddress(t), Domain: "z1", Slots: 4}
-	b.targets.Put(dead)
-	b.add("p1", "plain", backend.Behaviour{Body: "x"})
-	fail := func() bool {
-		for range 20 {
-			b.do(b.request("GET", "/safe/x", ""))
-		}
-		chosen := b.targets.Choose(target.Want{Service: "plain", Exclude: map[string]bool{"p1": true}})
-		return chosen != nil && b.targets.Ejected("dead", time.Now())
+	for name, overloaded := range map[string]bool{"at rest": false, "overloaded": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.targets.Put(target.Entry{ID: "dead", Service: "plain", Address: deadAddress(t), Domain: "z1", Slots: 4})
+			b.add("p1", "plain", backend.Behaviour{Body: "x"})
+			unreached := func() (n int) {
+				for _, try := range b.recorder.tries {
+					if try.Target == "dead" && try.Result == notSent.String() {
+						n++
+					}
+				}
+				return n
+			}
+			for range 500 {
+				if overloaded {
+					b.slowDials(110 * time.Millisecond) // most requests are admitted
+				}
+				b.do(b.request("GET", "/safe/x", ""))
+				if unreached() > brokenBeforeEjection {
+					break
+				}
+				if b.targets.Ejected("dead", time.Now()) {
+					break
+				}
+			}
+			b.is.Equal(b.targets.Ejected("dead", time.Now()), !overloaded)
+			b.is.True(unreached() >= brokenBeforeEjection)
+		})
 	}
-	b.is.True(fail()) // a host at rest ejects it
-	b.targets.Remove("dead")
-	dead.ID = "dead2"
-	b.targets.Put(dead)
-	b.overloaded()
-	for range 20 {
-		b.do(b.request("GET", "/safe/x", ""))
-	}
-	b.is.True(!b.targets.Ejected("dead2", time.Now()))
 }
+
+// brokenBeforeEjection is more than enough failures in a row for a target to be ejected.
+const brokenBeforeEjection = 2
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -257,13 +257,24 @@
 	defer cancel()
 	began := time.Now()
 	conn, err := c.target.Pool.Get(dial, rest)
-	now := time.Now()
-	if conn != nil && !conn.Reused() || err != nil && !errors.Is(err, exchange.ErrLimit) && !errors.Is(err, exchange.ErrClosed) {
+	if now := time.Now(); c.dialled(ctx, conn, err) {
 		c.request.handler.opts.Overload.Dialled(c.target.ID, now.Sub(began), now)
 	}
 	return conn, err
 }
 
+// dialled says whether the time of a connection tells how long dials take: not if none was
+// made, nor if the request ended meanwhile.
+func (c *call) dialled(ctx context.Context, conn *exchange.Conn, err error) bool {
+	switch {
+	case err == nil:
+		return !conn.Reused()
+	case errors.Is(err, exchange.ErrLimit), errors.Is(err, exchange.ErrClosed):
+		return false
+	}
+	return ctx.Err() == nil
+}
+
 // ended corrects a result by what ended the try from this side.
 func (c *call) ended(ctx context.Context, res result, err error) (result, error) {
 	switch {
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -94,7 +94,8 @@
 	n.retries = retrybudget.NewSet(retryLimits(cfg), n.knownHosts, time.Now())
 	n.newTreasury(incarnation)
 	n.handler = forward.New(forward.Options{
-		Names: outside.Headers, Targets: n.targets, Budgets: n.treasury, Retries: n.retries, Meter: metering.New(), Overload: n.overload,
+		Names: outside.Headers, Targets: n.targets, Budgets: n.treasury, Retries: n.retries,
+		Meter: metering.New(), Overload: n.overload,
 		Observer: n.observer, Leaving: n.leaving, Takes: n.Takes,
 	})
 	n.gauges()
--- a/router/node/node_test.go
+++ b/router/node/node_test.go
@@ -422,6 +422,18 @@
 	f.is.Equal(free(a), int64(0))
 }
 
+// A host whose own link is full is not ready, so that its callers are balanced elsewhere.
+func TestOverloadedHostIsNotReady(t *testing.T) {
+	f := newFleet(t)
+	f.publish(config(1, plainRoute, ""))
+	h := f.start(f.settings("h1"))
+	f.ready(h)
+	for i := range 10 {
+		h.overload.Dialled(fmt.Sprint("t", i), time.Second, time.Now())
+	}
+	f.is.True(!h.Ready())
+}
+
 // A stopping host refuses what it could not finish, as not run.
 func TestStopRefusesLateRequests(t *testing.T) {
 	f := newFleet(t)
--- a/router/overload/overload.go
+++ b/router/overload/overload.go
@@ -1,7 +1,7 @@
 // Package overload tells whether this host's own link or processor holds its requests
 // up. It judges by how long new connections to targets take: they are made in a
-// millisecond or two where nothing is queued, and when those to many targets take long at
-// once, it is the host that is slow and not the targets.
+// millisecond or two where nothing is queued. A full link holds all of them up; where
+// some targets are still reached at once, the others are slow or gone, and not the host.
 package overload
 
 import (
@@ -21,8 +21,11 @@
 	// leastTargets is how many targets have to be dialled to tell of the host. Each counts
 	// once, by its newest connection, so that one that is gone does not count for many.
 	leastTargets = 5
-	// usual is the median time of a connection above which a host turns requests away.
-	// Half a second of queue is too much; a request crosses the queue about four times.
+	// fastPart is the part of the targets that are reached fastest, by the slowest of which
+	// the host is judged: up to three quarters of the targets may be dark.
+	fastPart = 0.25
+	// usual is the time of that connection above which a host turns requests away. Half a
+	// second of queue is too much; a request crosses the queue about four times.
 	usual = 100 * time.Millisecond
 	// rest is how long a host stays out after it was overloaded: callers are balanced
 	// anew within two looks, a second apart, and not sent back at once.
@@ -50,19 +53,19 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.dials[target] = dial{at: now, took: took}
-	median, ok := m.median(now)
-	if !ok || median <= usual {
+	fast, ok := m.fast(now)
+	if !ok || fast <= usual {
 		return
 	}
 	if !now.Before(m.until) {
-		log.WithFields(log.Fields{"connect_median": median.Round(time.Millisecond), "targets": len(m.dials)}).Warn("host is overloaded")
+		log.WithFields(log.Fields{"connect": fast.Round(time.Millisecond), "targets": len(m.dials)}).Warn("host is overloaded")
 	}
 	m.until = now.Add(rest)
 }
 
-// median is the median over the targets of the newest connection to each; ok is false if
-// they are too few to tell. The lock is held.
-func (m *Monitor) median(now time.Time) (median time.Duration, ok bool) {
+// fast is the time in which the fastest targets are reached, by the newest connection to
+// each; ok is false if they are too few to tell. The lock is held.
+func (m *Monitor) fast(now time.Time) (took time.Duration, ok bool) {
 	times := make([]time.Duration, 0, len(m.dials))
 	for target, d := range m.dials {
 		if now.Sub(d.at) > span {
@@ -75,7 +78,7 @@
 		return 0, false
 	}
 	slices.Sort(times)
-	return times[(len(times)-1)/2], true
+	return times[int(fastPart*float64(len(times)))], true
 }
 
 // Out says whether callers had better use other hosts: the host is overloaded, or was
@@ -91,8 +94,8 @@
 func (m *Monitor) Overloaded(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	median, ok := m.median(now)
-	return ok && median > usual
+	fast, ok := m.fast(now)
+	return ok && fast > usual
 }
 
 // Admit says whether a new request may begin. The longer connections take, the fewer may:
@@ -100,10 +103,10 @@
 func (m *Monitor) Admit(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	median, ok := m.median(now)
-	if !ok || median <= usual {
+	fast, ok := m.fast(now)
+	if !ok || fast <= usual {
 		return true
 	}
-	share := float64(usual) / float64(median)
+	share := float64(usual) / float64(fast)
 	return rand.Float64() < share*share
 }
--- a/router/overload/overload_test.go
+++ b/router/overload/overload_test.go
@@ -57,6 +57,22 @@
 	is.True(!m.Overloaded(now))
 }
 
+// Where some targets are reached at once the host's link is not full: the others are dark.
+func TestDarkTargetsAreNotTheHost(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	m := New()
+	for i := range 15 {
+		took := 300 * ms
+		if i%3 == 0 {
+			took = 2 * ms
+		}
+		m.Dialled(fmt.Sprint("t", i), took, now)
+	}
+	is.True(!m.Out(now))
+	is.True(m.Admit(now))
+}
+
 // A host that recovers takes requests at once, and calls itself ready a moment later.
 func TestRecovers(t *testing.T) {
 	is := is.New(t)
