prepaid: a silent host holds up neither clerks nor a stop

Cause, found by reading: since gifts are repeated, one to a host that does not answer takes a second in place of 200 ms. A clerk that gave idle tokens back stood still for it, and a host that stops gave its budgets one after the other, so the first silent host used up the time of all. Idle tokens are now given beside the clerk, and up to 16 budgets at a time are handed over. Before: TestSilentTakerHoldsUpNothing gives a part of 20 budgets, and TestSilentKeeperDoesNotHoldUpBudgets gets no slice in 10 s; after: both pass.

--- /dev/null
+++ b/router/prepaid/gifts_test.go
@@ -0,0 +1,81 @@
+package prepaid
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"maststage.dev/standin/until"
+)
+
+// A gift that comes twice counts once; one that was refused stays refused.
+func TestGiftCountsOnce(t *testing.T) {
+	is := is.New(t)
+	tr := New(Options{Partitions: 1, Hosts: func() int { return 1 }})
+	gift := Gift{ID: "a/1", Organisation: "o", Tokens: 50}
+	is.True(!tr.Credit(gift)) // the budget is not known
+	tr.Configure(1, []Budget{{Organisation: "o", Limit: 100}}, false)
+	is.True(!tr.Credit(gift))
+	gift.ID = "a/2"
+	is.True(tr.Credit(gift))
+	is.True(tr.Credit(gift))
+	held, _ := tr.Holding("o")
+	is.Equal(held.Free, int64(50))
+}
+
+// A host that takes gifts and never answers holds up neither the gifts of other budgets
+// of a host that stops, nor what a living one does with its budgets.
+func TestSilentTakerHoldsUpNothing(t *testing.T) {
+	is := is.New(t)
+	tr := New(Options{Partitions: 1, Hosts: func() int { return 1 }})
+	var budgets []Budget
+	for i := range 20 {
+		budgets = append(budgets, Budget{Organisation: fmt.Sprint("o", i), Limit: 100})
+	}
+	tr.Configure(1, budgets, false)
+	for _, b := range budgets {
+		is.True(tr.Credit(Gift{ID: b.Organisation, Organisation: b.Organisation, Tokens: 50}))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	var given atomic.Int64
+	tr.HandOver(ctx, func(ctx context.Context, organisation string, tokens int64) bool {
+		if organisation == "o0" {
+			<-ctx.Done()
+		}
+		if ctx.Err() != nil && organisation != "o0" {
+			return false
+		}
+		given.Add(tokens)
+		return true
+	})
+	is.Equal(given.Load(), int64(20*50))
+}
+
+func TestSilentKeeperDoesNotHoldUpBudgets(t *testing.T) {
+	is := is.New(t)
+	h := newHosts(t, 20)
+	asked := make(chan struct{}, 1)
+	tr, _ := h.startWith(Options{
+		Log: h.log.Host("b"), Topic: "b", Partitions: 1, Host: "b", Plan: DefaultPlan,
+		Timeout: 50 * time.Millisecond, Interval: 20 * time.Millisecond, Wait: 200 * time.Millisecond,
+		Hosts:   func() int { return 20 },
+		Keepers: func(organisation string) (int, bool) { return 1, organisation == "kept" },
+		GiveBack: func(ctx context.Context, _ string, _ int64) bool {
+			asked <- struct{}{}
+			<-ctx.Done() // the keeper never answers
+			return false
+		},
+	})
+	tr.Configure(1, []Budget{{"kept", 1000}, {"idle", 1000}}, true)
+	is.True(tr.Credit(Gift{ID: "a/1", Organisation: "idle", Tokens: 50}))
+	<-asked
+	until.True(t, "a request for another budget of the same partition gets a slice", func() bool {
+		got, err := tr.Reserve(context.Background(), "kept", 10)
+		return err == nil && got != nil
+	})
+}
--- a/router/prepaid/loans.go
+++ b/router/prepaid/loans.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	log "github.com/sirupsen/logrus"
+
+	"maststage.dev/lib/guard"
 )
 
 // LoanRequest is what a host asks of another.
@@ -32,6 +35,7 @@
 	lendPart    = 0.9                    // of the free tokens, lent at most at once
 	lendWait    = 30 * time.Millisecond  // a keeper waits so long for the log
 	betterTime  = 4.0                    // seconds of demand that a borrower asks for
+	handOvers   = 16                     // budgets handed over at a time; each may wait for a silent host
 	idleTime    = 3 * time.Second        // without a request, after which tokens are given back
 )
 
@@ -185,11 +189,18 @@
 	if t.opts.GiveBack == nil {
 		return
 	}
-	for organisation, tokens := range t.takeIdle(c, time.Now()) {
-		// Without an answer they count as spent.
-		took := t.opts.GiveBack(ctx, organisation, tokens)
-		log.WithFields(log.Fields{"organisation": organisation, "tokens": tokens, "took": took}).Debug("idle tokens given back")
+	idle := t.takeIdle(c, time.Now())
+	if len(idle) == 0 {
+		return
 	}
+	// Beside the clerk: a keeper that does not answer must not hold up its rounds.
+	guard.Go("idle tokens", func() {
+		for organisation, tokens := range idle {
+			// Without an answer they count as spent.
+			took := t.opts.GiveBack(ctx, organisation, tokens)
+			log.WithFields(log.Fields{"organisation": organisation, "tokens": tokens, "took": took}).Debug("idle tokens given back")
+		}
+	})
 }
 
 // takeIdle debits idle tokens of a clerk's budgets.
@@ -222,10 +233,17 @@
 		}
 	}
 	t.mu.Unlock()
+	var all sync.WaitGroup
+	turns := make(chan struct{}, handOvers)
 	for organisation, tokens := range free {
-		took := give(ctx, organisation, tokens)
-		log.WithFields(log.Fields{"organisation": organisation, "tokens": tokens, "took": took}).Info("free tokens handed over")
+		turns <- struct{}{}
+		all.Go(func() {
+			defer func() { <-turns }()
+			took := give(ctx, organisation, tokens)
+			log.WithFields(log.Fields{"organisation": organisation, "tokens": tokens, "took": took}).Info("free tokens handed over")
+		})
 	}
+	all.Wait()
 }
 
 // Gift is tokens that one host gives to another.
