--- a/router/archive/archive.go
+++ b/router/archive/archive.go
@@ -139,7 +139,7 @@
 			continue
 		}
 		if err := a.write(ctx, topic, c); err != nil {
-			log.WithField("topic", topic).WithError(err).Debug("copy of a topic not written")
+			log.WithField("topic", topic).WithError(err).Warn("copy of a topic not written")
 		}
 	}
 }
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -15,6 +15,7 @@
 
 	"maststage.dev/lib/wait"
 	"maststage.dev/router/eventlog"
+	"maststage.dev/router/logging"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/replica"
 )
@@ -45,8 +46,17 @@
 	Recall func(id string) (tokens int64)
 	// Credit takes in tokens that another host gives, once for each gift.
 	Credit func(gift prepaid.Gift) bool
+	// OnPull counts the calls for what this host missed by their outcome, PullOK or
+	// PullFailed. nil: they are not counted.
+	OnPull func(outcome string)
 }
 
+// Outcomes of a pull.
+const (
+	PullOK     = "ok"
+	PullFailed = "failed"
+)
+
 // known is what this host knows of another.
 type known struct {
 	host Host
@@ -58,7 +68,8 @@
 	opts    Options
 	calls   *client
 	recalls *recaller
-	gifts   atomic.Int64 // counts the gifts of this incarnation
+	gifts   atomic.Int64     // counts the gifts of this incarnation
+	failed  *logging.Limiter // of lines about pulls that failed
 
 	mu     sync.Mutex
 	seeds  []string
@@ -76,6 +87,7 @@
 	return &Fleet{
 		opts: opts, calls: calls, recalls: newRecaller(calls, opts.Self.Name+"/"+opts.Self.Incarnation),
 		seeds: opts.Seeds, hosts: map[string]known{}, silent: map[string]time.Time{},
+		failed: logging.NewLimiter(failedPullLines),
 	}
 }
 
@@ -210,14 +222,38 @@
 	var all sync.WaitGroup
 	for _, address := range list[:min(len(list), pullFrom)] {
 		all.Go(func() {
-			if err := f.pullAt(ctx, address, topics); err != nil {
-				log.WithField("peer", address).WithError(err).Debug("can't pull")
-			}
+			started := time.Now()
+			err := f.pullAt(ctx, address, topics)
+			f.notePull(address, topics, time.Since(started), err)
 		})
 	}
 	all.Wait()
 }
 
+// failedPullLines bounds the lines a second about pulls that failed; a host that can
+// reach nobody tries some seven times a second.
+const failedPullLines = 2
+
+// notePull counts a pull, and logs one that failed with what it asked for: without
+// it a host that gets nothing looks like one that misses nothing.
+func (f *Fleet) notePull(address string, topics map[string]int64, took time.Duration, err error) {
+	outcome := PullOK
+	if err != nil {
+		outcome = PullFailed
+	}
+	if f.opts.OnPull != nil {
+		f.opts.OnPull(outcome)
+	}
+	if err == nil {
+		return
+	}
+	if ok, skipped := f.failed.Allow(time.Now()); ok {
+		log.WithFields(log.Fields{
+			"peer": address, "from": topics, "took": took.Round(time.Millisecond), "skipped": skipped,
+		}).WithError(err).Info("pull from another host failed")
+	}
+}
+
 func (f *Fleet) pullAt(ctx context.Context, address string, topics map[string]int64) error {
 	ask := pullRequest{From: topics}
 	var got pullResponse
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -173,6 +173,7 @@
 		Lend:   func(ctx context.Context, ask prepaid.LoanRequest) prepaid.Loan { return n.treasury.Lend(ctx, ask) },
 		Recall: func(id string) int64 { return n.treasury.Recall(id) },
 		Credit: func(gift prepaid.Gift) bool { return n.treasury.Credit(gift) },
+		OnPull: func(outcome string) { n.observer.Count(fmt.Sprintf("pulls_total{outcome=%q}", outcome)) },
 	})
 }
 
@@ -329,6 +330,12 @@
 	n.observer.Gauge("open_requests", func() float64 { return float64(n.handler.Open()) })
 	n.observer.Gauge("hosts", func() float64 { return float64(n.fleet.Size()) })
 	n.observer.Gauge("targets_ready", func() float64 { return float64(n.targets.Total()) })
+	for topic, c := range map[string]*replica.Replica{
+		n.outside.ConfigTopic: n.configCopy, n.outside.TargetsTopic: n.targetsCopy, n.outside.HostsTopic: n.hostsCopy,
+	} {
+		n.observer.Gauge(fmt.Sprintf("copy_end{topic=%q}", topic), func() float64 { return float64(c.End()) })
+		n.observer.Gauge(fmt.Sprintf("copy_age_seconds{topic=%q}", topic), func() float64 { return copyAge(c) })
+	}
 	n.observer.Gauge("config_version", func() float64 {
 		if c := n.handler.Config(); c != nil {
 			return float64(c.Version)
@@ -336,3 +343,12 @@
 		return 0
 	})
 }
+
+// copyAge is the time in seconds since the log last told of a topic, -1 if it never did.
+func copyAge(c *replica.Replica) float64 {
+	_, contact := c.Up()
+	if contact.IsZero() {
+		return -1
+	}
+	return time.Since(contact).Seconds()
+}
