--- a/router/archive/archive_test.go
+++ b/router/archive/archive_test.go
@@ -11,6 +11,7 @@
 
 	"maststage.dev/router/eventlog"
 	"maststage.dev/router/replica"
+	"maststage.dev/standin/bigconfig"
 	"maststage.dev/standin/memlog"
 	"maststage.dev/standin/until"
 )
@@ -24,10 +25,15 @@
 
 // start starts a host's copy of the list and its archive; stop kills it.
 func start(t *testing.T, l *memlog.Log, name string, writer bool) (c *replica.Replica, stop func()) {
+	return startLimited(t, l, name, writer, 1000)
+}
+
+// startLimited is start with another size of the largest record that the log takes.
+func startLimited(t *testing.T, l *memlog.Log, name string, writer bool, maxBytes int) (c *replica.Replica, stop func()) {
 	c = replica.New(replica.Options{Log: l.Host(name), Partition: listed, LongPoll: 50 * time.Millisecond, Slack: 50 * time.Millisecond})
 	a := New(Options{
 		Log: l.Host(name), Topic: "copies", Copies: map[string]*replica.Replica{"list": c},
-		Every: 20 * time.Millisecond, Patience: 20 * time.Millisecond, Timeout: time.Second, MaxBytes: 1000, Partitions: 3,
+		Every: 20 * time.Millisecond, Patience: 20 * time.Millisecond, Timeout: time.Second, MaxBytes: maxBytes, Partitions: 3,
 		Writer: func() bool { return writer },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -106,3 +112,24 @@
 	stop()
 	is.True(!c.Loaded())
 }
+
+// Hosts were seen to start with a configuration that was two dozen seconds old, and to answer
+// 404 for its newer routes: since it had grown over the largest record that the log takes,
+// no copy of it was written any more, which nothing told but a line for debugging.
+func TestLargeConfigurationIsCopied(t *testing.T) {
+	is := is.New(t)
+	l := memlog.New()
+	want := bigconfig.Routes(1770, 1)
+	l.Put(listed, "config", want)
+	_, stop := startLimited(t, l, "h1", true, 1<<18)
+	until.True(t, "a copy is written", func() bool { return archived(l) })
+	stop()
+
+	l.SetPartitionFault(listed, memlog.Fault{Refuse: true})
+	c, stop := startLimited(t, l, "h2", false, 1<<18)
+	defer stop()
+	until.True(t, "the copy is taken", c.Loaded)
+	part, _ := c.Since(0)
+	is.Equal(string(part.Records[0].Value), string(want))
+	is.Equal(part.End, int64(1))
+}
--- /dev/null
+++ b/router/fleet/thinlink_test.go
@@ -0,0 +1,85 @@
+package fleet
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"maststage.dev/router/eventlog"
+	"maststage.dev/router/replica"
+	"maststage.dev/standin/bigconfig"
+	"maststage.dev/standin/memlog"
+	"maststage.dev/standin/thinlink"
+	"maststage.dev/standin/until"
+)
+
+var configs = eventlog.Partition{Topic: "configs"}
+
+// peerAt starts a host that follows the log and answers others; it gives its address.
+func peerAt(t *testing.T, l *memlog.Log, name string) string {
+	t.Helper()
+	c := followed(t, l, name)
+	f := New(Options{
+		Self: Host{Name: name, Incarnation: "1"}, Timeout: time.Second,
+		Copies: map[string]*replica.Replica{configs.Topic: c},
+	})
+	server := httptest.NewServer(f.Handler())
+	t.Cleanup(server.Close)
+	until.True(t, name+" has the configuration", c.Loaded)
+	return server.Listener.Addr().String()
+}
+
+// followed is a host's copy of the configuration, kept up until the test ends.
+func followed(t *testing.T, l *memlog.Log, host string) *replica.Replica {
+	c := replica.New(replica.Options{Log: l.Host(host), Partition: configs, LongPoll: time.Second, Slack: time.Second})
+	untilEnd(t, c.Run)
+	return c
+}
+
+// untilEnd runs a duty until the test ends.
+func untilEnd(t *testing.T, run func(context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+// Hosts that the log did not answer were seen to stay at an old configuration for as long
+// as that lasted, and seconds longer, once it had grown to 335 KB. They asked two other
+// hosts at a time for it, again and again, and each call was cut off after half a second:
+// twice 447 KB, as the record was encoded, need 0.7 s on a link of 10 Mbit/s. So no call
+// could succeed, and together they kept the link full: the hosts read 600 to 800 KB/s, and
+// the peers' calls that failed had all ended at the time allowed.
+func TestLargeRecordOverAThinLink(t *testing.T) {
+	const (
+		linkBytes = 1.25e6 // a second: 10 Mbit/s
+		inForce   = 3 * time.Second
+		pull      = 300 * time.Millisecond // as a host of the product pulls
+		timeout   = 500 * time.Millisecond
+	)
+	l := memlog.New()
+	l.SetFault("cut", memlog.Fault{Silent: true})
+	l.Put(configs, "config", bigconfig.Routes(1770, 1))
+	link := thinlink.New(linkBytes)
+	c := followed(t, l, "cut")
+	f := New(Options{
+		Self: Host{Name: "cut", Incarnation: "1"}, Log: l.Host("cut"), Topic: "hosts",
+		Seeds:    []string{link.To(t, peerAt(t, l, "peer1")), link.To(t, peerAt(t, l, "peer2"))},
+		Announce: time.Hour, Pull: pull, Timeout: timeout,
+		Copies: map[string]*replica.Replica{configs.Topic: c},
+	})
+	untilEnd(t, f.Run)
+	for end := time.Now().Add(inForce); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if c.End() == 1 {
+			return
+		}
+	}
+	t.Fatalf("after %v the host has nothing of it, though %d KB crossed its link", inForce, link.Sent()/1000)
+}
