replica, fleet, archive: get large configurations over thin links

Cause: fixed time limits on whole transfers. A configuration of 335 KB does not fit into them on a link of 10 Mbit/s that is shared, what came was thrown away, and the next try, or two at once, filled the link again. Hosts that the log does not answer stayed at the old configuration, and so did those that were behind once it answered again.

Changed: calls that carry much are bounded by silence (lib/patience) and not by their whole time; whole records of a read that broke off count; a host first asks others for the ends they know and then fetches from one at a time; records for hosts and copies are packed (router/recordpack), to less than a quarter for a configuration. The call has another path, since hosts of the version before can't read the answers: they and we go to the log.

Ruled out: the processor (1 to 3 of 100), peers without the record (they gave it to others).

--- /dev/null
+++ b/lib/patience/patience_test.go
@@ -0,0 +1,105 @@
+package patience
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// trickle gives one byte at a time, each after a pause.
+type trickle struct {
+	pause time.Duration
+	bytes int
+}
+
+func (t *trickle) Read(p []byte) (int, error) {
+	if t.bytes == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(t.pause)
+	t.bytes--
+	p[0] = 'x'
+	return 1, nil
+}
+
+// readUntil reads until the end or until the context has ended.
+func readUntil(ctx context.Context, r io.Reader) int {
+	n := 0
+	for buffer := make([]byte, 10); ctx.Err() == nil; {
+		got, err := r.Read(buffer)
+		n += got
+		if err != nil {
+			break
+		}
+	}
+	return n
+}
+
+func TestLongTransferGoesOnWhileBytesCome(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := New(context.Background(), Limits{First: 200 * time.Millisecond, Silence: 200 * time.Millisecond, Most: time.Minute})
+	defer cancel()
+	n := readUntil(ctx, Reader(ctx, &trickle{pause: 20 * time.Millisecond, bytes: 30})) // 0.6 s
+	is.NoErr(ctx.Err())
+	is.Equal(n, 30)
+}
+
+// full gives a reader that returns only when the buffer is full, as some do.
+type full struct{ io.Reader }
+
+func (f full) Read(p []byte) (int, error) { return io.ReadFull(f.Reader, p) }
+
+// slow gives 4 KB at a time, each after a pause.
+type slow struct{ pause time.Duration }
+
+func (s slow) Read(p []byte) (int, error) {
+	time.Sleep(s.pause)
+	return min(len(p), 4<<10), nil
+}
+
+func TestLargeBufferDoesNotHideProgress(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := New(context.Background(), Limits{First: 200 * time.Millisecond, Silence: 200 * time.Millisecond, Most: time.Minute})
+	defer cancel()
+	n, err := io.ReadFull(Reader(ctx, full{slow{pause: 10 * time.Millisecond}}), make([]byte, 1<<18)) // 0.64 s
+	is.NoErr(err)
+	is.NoErr(ctx.Err())
+	is.Equal(n, 1<<18)
+}
+
+func TestSilenceEndsIt(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := New(context.Background(), Limits{First: time.Minute, Silence: 20 * time.Millisecond, Most: time.Minute})
+	defer cancel()
+	n := readUntil(ctx, Reader(ctx, &trickle{pause: time.Millisecond, bytes: 1}))
+	is.Equal(n, 1)
+	<-ctx.Done()
+	is.True(errors.Is(context.Cause(ctx), ErrSilent))
+}
+
+func TestNothingAtAll(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := New(context.Background(), Limits{First: 10 * time.Millisecond, Silence: time.Minute, Most: time.Minute})
+	defer cancel()
+	<-ctx.Done()
+	is.True(errors.Is(context.Cause(ctx), ErrSilent))
+}
+
+func TestTrickleEnds(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := New(context.Background(), Limits{First: time.Minute, Silence: time.Minute, Most: 50 * time.Millisecond})
+	defer cancel()
+	readUntil(ctx, Reader(ctx, &trickle{pause: time.Millisecond, bytes: 1 << 20}))
+	is.True(errors.Is(ctx.Err(), context.DeadlineExceeded))
+}
+
+func TestOtherContexts(t *testing.T) {
+	is := is.New(t)
+	r := strings.NewReader("")
+	is.Equal(Reader(context.Background(), r), io.Reader(r))
+}
--- a/router/archive/archive.go
+++ b/router/archive/archive.go
@@ -15,6 +15,7 @@
 
 	"maststage.dev/lib/wait"
 	"maststage.dev/router/eventlog"
+	"maststage.dev/router/recordpack"
 	"maststage.dev/router/replica"
 )
 
@@ -45,14 +46,8 @@
 
 // snapshot is the value of a copy's record.
 type snapshot struct {
-	End     int64    `json:"end"`
-	Records []record `json:"records"`
-}
-
-type record struct {
-	Key    string `json:"key"`
-	Value  []byte `json:"value"`
-	Offset int64  `json:"offset"`
+	End    int64  `json:"end"`
+	Packed []byte `json:"packed"` // the newest record of each key, by recordpack
 }
 
 func (a *Archive) partition(number int) eventlog.Partition {
@@ -124,9 +119,9 @@
 	if err := json.Unmarshal(value, &s); err != nil {
 		return fmt.Errorf("copy of %s: %w", topic, err)
 	}
-	records := make([]eventlog.Record, len(s.Records))
-	for i, r := range s.Records {
-		records[i] = eventlog.Record{Key: r.Key, Value: r.Value, Offset: r.Offset}
+	records, err := recordpack.Unpack(s.Packed)
+	if err != nil {
+		return fmt.Errorf("copy of %s: %w", topic, err)
 	}
 	a.opts.Copies[topic].MergeNewest(records, s.End)
 	log.WithFields(log.Fields{"topic": topic, "records": len(records), "end": s.End}).Warn("started from a copy of a topic")
@@ -147,13 +142,17 @@
 // write appends a copy of a topic, without its deleted keys.
 func (a *Archive) write(ctx context.Context, topic string, c *replica.Replica) error {
 	part, _ := c.Since(0)
-	s := snapshot{End: part.End}
+	var alive []eventlog.Record
 	for _, r := range part.Records {
 		if len(r.Value) > 0 {
-			s.Records = append(s.Records, record{Key: r.Key, Value: r.Value, Offset: r.Offset})
+			alive = append(alive, r)
 		}
 	}
-	value, err := json.Marshal(s)
+	packed, err := recordpack.Pack(alive)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(snapshot{End: part.End, Packed: packed})
 	if err != nil {
 		return err
 	}
--- a/router/eventlog/eventlog.go
+++ b/router/eventlog/eventlog.go
@@ -55,7 +55,7 @@
 }
 
 // Log is what the product needs of the shared log. Calls are bounded by their
-// context; implementations are safe for concurrent use.
+// context, whose patience a long answer keeps up; implementations are safe for concurrent use.
 type Log interface {
 	// AppendAt appends records to a keyed partition if it ends at offset at,
 	// all or none. It returns the new end, or a *ConflictError.
@@ -63,7 +63,8 @@
 	// Append appends records to a keyed partition without a condition.
 	Append(ctx context.Context, p Partition, records []Record) (end int64, err error)
 	// Read reads records from an offset on, waiting up to wait for the first.
-	// It returns ErrTrimmed if they are gone.
+	// It returns ErrTrimmed if they are gone. With another error the batch holds the
+	// records that came whole before it.
 	Read(ctx context.Context, p Partition, from int64, wait time.Duration) (Batch, error)
 	// Newest reads the newest record of each key behind the key after.
 	Newest(ctx context.Context, p Partition, after string) (Page, error)
--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -12,14 +12,15 @@
 
 	log "github.com/sirupsen/logrus"
 
-	"maststage.dev/router/eventlog"
+	"maststage.dev/lib/patience"
 	"maststage.dev/router/prepaid"
+	"maststage.dev/router/recordpack"
 	"maststage.dev/router/replica"
 )
 
 // Paths of the calls between hosts.
 const (
-	pathPull   = "/fleet/pull"
+	pathPull   = "/fleet/records"
 	pathLend   = "/fleet/lend"
 	pathRecall = "/fleet/recall"
 	pathGive   = "/fleet/give"
@@ -31,6 +32,8 @@
 // pullRequest names the offset of each topic from which the caller lacks records.
 type pullRequest struct {
 	From map[string]int64 `json:"from"`
+	// EndsOnly asks how far the other host knows the topics, without their records.
+	EndsOnly bool `json:"ends_only,omitempty"`
 }
 
 type pullResponse struct {
@@ -39,24 +42,20 @@
 
 // topicPart is the changed records of a topic; all below End are known there.
 type topicPart struct {
-	Records []record `json:"records"`
-	End     int64    `json:"end"`
-	AgeMs   int64    `json:"age_ms"` // since the log told of them
+	Packed []byte `json:"packed,omitempty"` // the records, by recordpack
+	End    int64  `json:"end"`
+	AgeMs  int64  `json:"age_ms"` // since the log told of them
 }
 
-// part turns a part of an answer into that of a copy.
-func (p topicPart) part() replica.Part {
-	part := replica.Part{End: p.End, Age: time.Duration(p.AgeMs) * time.Millisecond}
-	for _, r := range p.Records {
-		part.Records = append(part.Records, eventlog.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
-	}
-	return part
+func newTopicPart(changed replica.Part) (topicPart, error) {
+	packed, err := recordpack.Pack(changed.Records)
+	return topicPart{Packed: packed, End: changed.End, AgeMs: changed.Age.Milliseconds()}, err
 }
 
-type record struct {
-	Key    string `json:"key"`
-	Value  []byte `json:"value,omitempty"`
-	Offset int64  `json:"offset"`
+// part turns a part of an answer into that of a copy.
+func (p topicPart) part() (replica.Part, error) {
+	records, err := recordpack.Unpack(p.Packed)
+	return replica.Part{Records: records, End: p.End, Age: time.Duration(p.AgeMs) * time.Millisecond}, err
 }
 
 type lendRequest struct {
@@ -116,9 +115,25 @@
 	}
 }
 
+// longestFetch bounds a fetch whose bytes keep coming. Another host may have them faster.
+const longestFetch = 10 * time.Second
+
+// do makes a small call; it ends after the client's timeout.
 func (c *client) do(ctx context.Context, address, path string, ask, answer any) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
+	return c.call(ctx, address, path, ask, answer)
+}
+
+// fetch makes a call whose answer may be large; it ends when the other host is silent for
+// the client's timeout.
+func (c *client) fetch(ctx context.Context, address, path string, ask, answer any) error {
+	ctx, cancel := patience.New(ctx, patience.Limits{First: c.timeout, Silence: c.timeout, Most: longestFetch})
+	defer cancel()
+	return c.call(ctx, address, path, ask, answer)
+}
+
+func (c *client) call(ctx context.Context, address, path string, ask, answer any) error {
 	body, err := json.Marshal(ask)
 	if err != nil {
 		return err
@@ -135,7 +150,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("%s%s: %s", address, path, resp.Status)
 	}
-	return json.NewDecoder(resp.Body).Decode(answer)
+	return json.NewDecoder(patience.Reader(ctx, resp.Body)).Decode(answer)
 }
 
 // Handler serves the calls of other hosts.
@@ -148,14 +163,6 @@
 	return mux
 }
 
-func newTopicPart(changed replica.Part) topicPart {
-	part := topicPart{End: changed.End, AgeMs: changed.Age.Milliseconds()}
-	for _, rec := range changed.Records {
-		part.Records = append(part.Records, record{Key: rec.Key, Value: rec.Value, Offset: rec.Offset})
-	}
-	return part
-}
-
 func (f *Fleet) servePull(w http.ResponseWriter, r *http.Request) {
 	var ask pullRequest
 	if !read(w, r, &ask) {
@@ -167,9 +174,20 @@
 		if !wanted || c.End() < from {
 			continue
 		}
-		if changed, ok := c.Since(from); ok {
-			answer.Topics[topic] = newTopicPart(changed)
+		if ask.EndsOnly {
+			answer.Topics[topic] = topicPart{End: c.End()}
+			continue
+		}
+		changed, ok := c.Since(from)
+		if !ok {
+			continue
+		}
+		part, err := newTopicPart(changed)
+		if err != nil {
+			log.WithField("topic", topic).WithError(err).Error("records can't be packed for another host")
+			continue
 		}
+		answer.Topics[topic] = part
 	}
 	write(w, answer)
 }
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -70,6 +70,7 @@
 	recalls *recaller
 	gifts   atomic.Int64     // counts the gifts of this incarnation
 	failed  *logging.Limiter // of lines about pulls that failed
+	pulling sync.Mutex       // held while records are fetched, by one pull at a time
 
 	mu     sync.Mutex
 	seeds  []string
@@ -191,86 +192,6 @@
 	return shuffled(list)
 }
 
-// pull asks other hosts for what this one may have missed.
-func (f *Fleet) pull(ctx context.Context) {
-	for ctx.Err() == nil {
-		if topics := f.stale(); len(topics) > 0 {
-			f.pullOnce(ctx, topics)
-		}
-		wait.For(ctx, f.opts.Pull/2+rand.N(f.opts.Pull))
-	}
-}
-
-// stale lists the topics that the log has not told of for a while, each with the
-// offset from which records are missing.
-func (f *Fleet) stale() map[string]int64 {
-	now := time.Now()
-	topics := map[string]int64{}
-	for topic, c := range f.opts.Copies {
-		if c.Stale(now) {
-			topics[topic] = c.End()
-		}
-	}
-	return topics
-}
-
-// pullFrom is how many hosts are asked at a time.
-const pullFrom = 2
-
-func (f *Fleet) pullOnce(ctx context.Context, topics map[string]int64) {
-	list := f.addresses()
-	var all sync.WaitGroup
-	for _, address := range list[:min(len(list), pullFrom)] {
-		all.Go(func() {
-			started := time.Now()
-			err := f.pullAt(ctx, address, topics)
-			f.notePull(address, topics, time.Since(started), err)
-		})
-	}
-	all.Wait()
-}
-
-// failedPullLines bounds the lines a second about pulls that failed; a host that can
-// reach nobody tries some seven times a second.
-const failedPullLines = 2
-
-// notePull counts a pull, and logs one that failed with what it asked for: without
-// it a host that gets nothing looks like one that misses nothing.
-func (f *Fleet) notePull(address string, topics map[string]int64, took time.Duration, err error) {
-	outcome := PullOK
-	if err != nil {
-		outcome = PullFailed
-	}
-	if f.opts.OnPull != nil {
-		f.opts.OnPull(outcome)
-	}
-	if err == nil {
-		return
-	}
-	if ok, skipped := f.failed.Allow(time.Now()); ok {
-		log.WithFields(log.Fields{
-			"peer": address, "from": topics, "took": took.Round(time.Millisecond), "skipped": skipped,
-		}).WithError(err).Info("pull from another host failed")
-	}
-}
-
-func (f *Fleet) pullAt(ctx context.Context, address string, topics map[string]int64) error {
-	ask := pullRequest{From: topics}
-	var got pullResponse
-	if err := f.calls.do(ctx, address, pathPull, ask, &got); err != nil {
-		return err
-	}
-	for topic, part := range got.Topics {
-		c := f.opts.Copies[topic]
-		if c == nil || part.End <= ask.From[topic] {
-			continue
-		}
-		log.WithFields(log.Fields{"peer": address, "topic": topic, "records": len(part.Records), "end": part.End}).Info("pulled from another host")
-		c.MergeNewest(part.part().Records, part.End)
-	}
-	return nil
-}
-
 // Leave takes this host's announcement back.
 func (f *Fleet) Leave(ctx context.Context) error {
 	_, err := f.opts.Log.Append(ctx, f.partition(), []eventlog.Record{{Key: f.opts.Self.Name}})
--- a/router/fleet/relay.go
+++ b/router/fleet/relay.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	log "github.com/sirupsen/logrus"
+
 	"maststage.dev/lib/rendezvous"
 	"maststage.dev/router/replica"
 )
@@ -33,7 +35,12 @@
 		if err != nil || !told {
 			continue
 		}
-		if part = answer.part(); part.Age <= relayMaxAge {
+		part, err = answer.part()
+		if err != nil {
+			log.WithField("peer", address).WithError(err).Error("records of another host can't be read")
+			continue
+		}
+		if part.Age <= relayMaxAge {
 			return part, true
 		}
 	}
--- a/router/fleet/thinlink_test.go
+++ b/router/fleet/thinlink_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -58,6 +59,19 @@
 // could succeed, and together they kept the link full: the hosts read 600 to 800 KB/s, and
 // the peers' calls that failed had all ended at the time allowed.
 func TestLargeRecordOverAThinLink(t *testing.T) {
+	noise := make([]byte, 800e3)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(noise)
+	for name, value := range map[string][]byte{
+		"a configuration":         bigconfig.Routes(1770, 1),
+		"one that doesn't shrink": noise, // 1.07 MB as encoded: 0.85 s, and 1.7 s for two
+	} {
+		t.Run(name, func(t *testing.T) { pullsInTime(t, value) })
+	}
+}
+
+// pullsInTime publishes a record and fails the test unless a host that the log does not
+// answer has it in time, over a thin link and from two peers.
+func pullsInTime(t *testing.T, value []byte) {
 	const (
 		linkBytes = 1.25e6 // a second: 10 Mbit/s
 		inForce   = 3 * time.Second
@@ -66,7 +80,7 @@
 	)
 	l := memlog.New()
 	l.SetFault("cut", memlog.Fault{Silent: true})
-	l.Put(configs, "config", bigconfig.Routes(1770, 1))
+	l.Put(configs, "config", value)
 	link := thinlink.New(linkBytes)
 	c := followed(t, l, "cut")
 	f := New(Options{
@@ -77,9 +91,14 @@
 	})
 	untilEnd(t, f.Run)
 	for end := time.Now().Add(inForce); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		if c.End() == 1 {
-			return
+		if c.End() != 1 {
+			continue
+		}
+		// Encoded it takes a third more; a second copy of it on the way would double it.
+		if sent, most := link.Sent(), int64(1.6*float64(len(value))); sent > most {
+			t.Errorf("%d bytes crossed the link for a record of %d", sent, len(value))
 		}
+		return
 	}
 	t.Fatalf("after %v the host has nothing of it, though %d KB crossed its link", inForce, link.Sent()/1000)
 }
--- /dev/null
+++ b/router/recordpack/recordpack_test.go
@@ -0,0 +1,67 @@
+package recordpack
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"maststage.dev/router/eventlog"
+	"maststage.dev/standin/bigconfig"
+)
+
+// many are records whose pack is deflated.
+func many() []eventlog.Record {
+	var records []eventlog.Record
+	for i := range 500 {
+		records = append(records, eventlog.Record{Key: fmt.Sprintf("key %d", i), Value: []byte{0, 255, byte(i)}, Offset: int64(i) << 33})
+	}
+	return records
+}
+
+func TestUnpacksWhatWasPacked(t *testing.T) {
+	for name, records := range map[string][]eventlog.Record{
+		"none":    nil,
+		"deleted": {{Key: "a", Offset: 7}},
+		"small":   {{Key: "a", Value: []byte("1"), Offset: 7}, {Key: "", Value: []byte("2"), Offset: 0}},
+		"many":    many(),
+		"large":   {{Key: "config", Value: bigconfig.Routes(1770, 1), Offset: 3}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			pack, err := Pack(records)
+			is.NoErr(err)
+			got, err := Unpack(pack)
+			is.NoErr(err)
+			is.Equal(got, records)
+		})
+	}
+}
+
+func TestLargeConfigurationShrinks(t *testing.T) {
+	is := is.New(t)
+	value := bigconfig.Routes(1770, 1)
+	pack, err := Pack([]eventlog.Record{{Key: "config", Value: value}})
+	is.NoErr(err)
+	is.True(len(pack) < len(value)/4)
+}
+
+func TestBadPacks(t *testing.T) {
+	whole, err := Pack([]eventlog.Record{{Key: "key", Value: []byte("value"), Offset: 300}})
+	is.New(t).NoErr(err)
+	bad := map[string][]byte{
+		"empty":        nil,
+		"unknown form": {9},
+		"huge field":   {formPlain, 0xff, 0xff, 0xff, 0xff, 0x7f},
+		"not deflated": {formDeflated, 1, 2, 3},
+	}
+	for end := 2; end < len(whole); end++ {
+		bad[fmt.Sprintf("cut at %d", end)] = whole[:end]
+	}
+	for name, pack := range bad {
+		t.Run(name, func(t *testing.T) {
+			_, err := Unpack(pack)
+			is.New(t).True(err != nil)
+		})
+	}
+}
--- a/router/replica/replica.go
+++ b/router/replica/replica.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"maststage.dev/lib/patience"
 	"maststage.dev/lib/wait"
 	"maststage.dev/router/eventlog"
 )
@@ -126,19 +127,23 @@
 
 // poll waits for records at the log.
 func (r *Replica) poll(ctx context.Context, from int64) error {
-	c, cancel := context.WithTimeout(ctx, r.opts.LongPoll+r.opts.Slack)
+	c, cancel := patience.New(ctx, patience.Limits{First: r.opts.LongPoll + r.opts.Slack, Silence: r.opts.Slack, Most: longestRead})
 	defer cancel()
 	batch, err := r.opts.Log.Read(c, r.opts.Partition, from, r.opts.LongPoll)
 	if errors.Is(err, eventlog.ErrTrimmed) {
 		return r.load(ctx)
 	}
-	if err != nil {
-		return err
+	// Records that came before an error count: the next read goes on behind them.
+	if err == nil || len(batch.Records) > 0 {
+		r.Merge(batch.Records, from+int64(len(batch.Records)), from)
 	}
-	r.Merge(batch.Records, from+int64(len(batch.Records)), from)
-	return nil
+	return err
 }
 
+// longestRead bounds a read whose bytes keep coming: a megabyte, the most that the log
+// sends at once, at a twentieth of a link of 10 Mbit/s.
+const longestRead = 16 * time.Second
+
 // load reads the newest record of each key. Its pages are no snapshot, so the
 // copy then follows the log from the end that the first page told.
 func (r *Replica) load(ctx context.Context) error {
@@ -146,7 +151,7 @@
 	var end int64
 	after := ""
 	for first := true; ; first = false {
-		c, cancel := context.WithTimeout(ctx, 2*r.opts.Slack)
+		c, cancel := patience.New(ctx, patience.Limits{First: 2 * r.opts.Slack, Silence: r.opts.Slack, Most: longestRead})
 		page, err := r.opts.Log.Newest(c, r.opts.Partition, after)
 		cancel()
 		if err != nil {
