fleet: a test of pulls behind a queue of packets, known red

Pulls and connections to the log are given half a second, two round trips; on a link that callers fill one takes longer, so they fail as often as they are tried.

--- a/router/fleet/thinlink_test.go
+++ b/router/fleet/thinlink_test.go
@@ -65,23 +65,31 @@
 		"a configuration":         bigconfig.Routes(1770, 1),
 		"one that doesn't shrink": noise, // 1.07 MB as encoded: 0.85 s, and 1.7 s for two
 	} {
-		t.Run(name, func(t *testing.T) { pullsInTime(t, value) })
+		t.Run(name, func(t *testing.T) { pullsInTime(t, thinlink.New(linkBytes), value) })
 	}
 }
 
+// On hosts whose callers filled the link, calls to others and to the log waited longer for
+// their first byte than the half second they were given, new connections included. They
+// went on to fail, as often as they were tried, until the callers had gone elsewhere: up to
+// eight seconds behind the others, though a record on its way needs a tenth of a second.
+func TestRecordBehindAQueue(t *testing.T) {
+	pullsInTime(t, thinlink.Queued(linkBytes, 600*time.Millisecond), bigconfig.Routes(1770, 1))
+}
+
+const linkBytes = 1.25e6 // a second: 10 Mbit/s
+
 // pullsInTime publishes a record and fails the test unless a host that the log does not
-// answer has it in time, over a thin link and from two peers.
-func pullsInTime(t *testing.T, value []byte) {
+// answer has it in time, over its link and from two peers.
+func pullsInTime(t *testing.T, link *thinlink.Link, value []byte) {
 	const (
-		linkBytes = 1.25e6 // a second: 10 Mbit/s
-		inForce   = 3 * time.Second
-		pull      = 300 * time.Millisecond // as a host of the product pulls
-		timeout   = 500 * time.Millisecond
+		inForce = 3 * time.Second
+		pull    = 300 * time.Millisecond // as a host of the product pulls
+		timeout = 500 * time.Millisecond
 	)
 	l := memlog.New()
 	l.SetFault("cut", memlog.Fault{Silent: true})
 	l.Put(configs, "config", value)
-	link := thinlink.New(linkBytes)
 	c := followed(t, l, "cut")
 	f := New(Options{
 		Self: Host{Name: "cut", Incarnation: "1"}, Log: l.Host("cut"), Topic: "hosts",
--- a/standin/thinlink/thinlink.go
+++ b/standin/thinlink/thinlink.go
@@ -16,7 +16,8 @@
 
 // Link is one host's link.
 type Link struct {
-	perSecond float64 // bytes
+	perSecond float64       // bytes
+	queue     time.Duration // that bytes wait in beside their time on the link
 
 	mu   sync.Mutex
 	free time.Time // when the bytes that were granted so far have crossed
@@ -26,6 +27,11 @@
 // New makes a link that carries so many bytes a second.
 func New(bytesPerSecond float64) *Link { return &Link{perSecond: bytesPerSecond} }
 
+// Queued makes a link on which other traffic holds each byte up for so long.
+func Queued(bytesPerSecond float64, queue time.Duration) *Link {
+	return &Link{perSecond: bytesPerSecond, queue: queue}
+}
+
 // Sent counts the bytes that crossed the link so far.
 func (l *Link) Sent() int64 {
 	l.mu.Lock()
@@ -65,26 +71,50 @@
 		_, _ = io.Copy(other, host)
 		_ = other.Close()
 	}()
-	buffer := make([]byte, chunk)
+	arriving := make(chan arrival, maxQueued)
+	go l.read(other, arriving)
+	for a := range arriving {
+		time.Sleep(time.Until(a.at))
+		if _, err := host.Write(a.data); err != nil {
+			break
+		}
+	}
+	// The reader ends with its connection; what it still sends is dropped.
+	_ = other.Close()
+	for range arriving {
+	}
+}
+
+// maxQueued is how many chunks of a connection may be on their way, 256 KB.
+const maxQueued = 64
+
+// arrival is bytes on their way.
+type arrival struct {
+	data []byte
+	at   time.Time
+}
+
+// read puts what the other side sends on the link.
+func (l *Link) read(other net.Conn, arriving chan<- arrival) {
+	defer close(arriving)
 	for {
-		n, err := other.Read(buffer)
-		l.wait(n)
-		if _, failed := host.Write(buffer[:n]); err != nil || failed != nil {
+		data := make([]byte, chunk)
+		n, err := other.Read(data)
+		if err != nil {
 			return
 		}
+		arriving <- arrival{data: data[:n], at: l.send(n)}
 	}
 }
 
-// wait holds bytes until they have crossed the link behind those before them.
-func (l *Link) wait(bytes int) {
+// send counts bytes and says when they arrive, behind those before them.
+func (l *Link) send(bytes int) time.Time {
 	l.mu.Lock()
-	now := time.Now()
-	if l.free.Before(now) {
+	defer l.mu.Unlock()
+	if now := time.Now(); l.free.Before(now) {
 		l.free = now
 	}
 	l.free = l.free.Add(time.Duration(float64(bytes) / l.perSecond * float64(time.Second)))
 	l.sent += int64(bytes)
-	pause := l.free.Sub(now)
-	l.mu.Unlock()
-	time.Sleep(pause)
+	return l.free.Add(l.queue)
 }
