fleet, archive, platform: pulls and connections outlast a full link; newer copies

Half a second for two round trips fails wherever callers fill the link, as often as it is tried.

Changed: a pull may be silent for 1.5 s and holds up no other, six at most at a time; it asks first who brought records last, to whom there is a connection; connections to the log may take 1.5 s; a start reads copies as long as bytes come and stops at the first whole one; copies are written each second (every 4 s before, 30 KB now packed).

Ruled out: that the peers or the log were slow; other hosts got the same within 0.3 s.

TestRecordBehindAQueue passes.

--- a/router/archive/archive.go
+++ b/router/archive/archive.go
@@ -13,6 +13,7 @@
 
 	log "github.com/sirupsen/logrus"
 
+	"maststage.dev/lib/patience"
 	"maststage.dev/lib/wait"
 	"maststage.dev/router/eventlog"
 	"maststage.dev/router/recordpack"
@@ -26,7 +27,7 @@
 	Copies   map[string]*replica.Replica // by topic
 	Every    time.Duration               // between two copies of a topic
 	Patience time.Duration               // a start waits so long for the topics themselves
-	Timeout  time.Duration               // of a call
+	Timeout  time.Duration               // of a call, to its first bytes and between them
 	MaxBytes int                         // of a copy
 	// Partitions is how many partitions of the topic hold the same copies, since the
 	// log may be out of reach by partitions.
@@ -83,19 +84,30 @@
 	return topics
 }
 
-// load takes the copies of missing topics from the partitions that answer.
+// longestLoad bounds the reading of copies whose bytes keep coming.
+const longestLoad = 10 * time.Second
+
+// load takes the copies of missing topics from the partitions that answer. Once nothing is
+// missing it leaves the others: they hold the same, and cost the link as much again.
 func (a *Archive) load(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	errs := make([]error, a.opts.Partitions)
 	var all sync.WaitGroup
 	for i := range errs {
-		all.Go(func() { errs[i] = a.loadFrom(ctx, a.partition(i)) })
+		all.Go(func() {
+			errs[i] = a.loadFrom(ctx, a.partition(i))
+			if len(a.missing()) == 0 {
+				cancel()
+			}
+		})
 	}
 	all.Wait()
 	return errors.Join(errs...)
 }
 
 func (a *Archive) loadFrom(ctx context.Context, p eventlog.Partition) error {
-	c, cancel := context.WithTimeout(ctx, a.opts.Timeout)
+	c, cancel := patience.New(ctx, patience.Limits{First: a.opts.Timeout, Silence: a.opts.Timeout, Most: longestLoad})
 	defer cancel()
 	page, err := a.opts.Log.Newest(c, p, "")
 	if err != nil {
@@ -139,6 +151,10 @@
 	}
 }
 
+// longestWrite bounds the append of a copy: a quarter of a megabyte, the most that a record
+// may have, at a tenth of a link of 10 Mbit/s.
+const longestWrite = 3 * time.Second
+
 // write appends a copy of a topic, without its deleted keys.
 func (a *Archive) write(ctx context.Context, topic string, c *replica.Replica) error {
 	part, _ := c.Since(0)
@@ -160,7 +176,7 @@
 		return fmt.Errorf("%d bytes are more than a record may have", len(value))
 	}
 	for i := range a.opts.Partitions {
-		call, cancel := context.WithTimeout(ctx, a.opts.Timeout)
+		call, cancel := context.WithTimeout(ctx, longestWrite)
 		_, failed := a.opts.Log.Append(call, a.partition(i), []eventlog.Record{{Key: topic, Value: value}})
 		cancel()
 		err = errors.Join(err, failed)
--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -100,14 +100,14 @@
 // client calls other hosts.
 type client struct {
 	http    *http.Client
-	timeout time.Duration
+	timeout time.Duration // of a small call
 }
 
 func newClient(timeout time.Duration) *client {
 	return &client{
 		timeout: timeout,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+			DialContext:         (&net.Dialer{Timeout: max(timeout, pullTimeout)}).DialContext,
 			MaxIdleConnsPerHost: 1,
 			IdleConnTimeout:     5 * time.Second,
 			DisableCompression:  true,
@@ -125,10 +125,10 @@
 	return c.call(ctx, address, path, ask, answer)
 }
 
-// fetch makes a call whose answer may be large; it ends when the other host is silent for
-// the client's timeout.
+// fetch makes a call that is worth waiting for, or whose answer may be large; it ends when
+// the other host is silent for pullTimeout.
 func (c *client) fetch(ctx context.Context, address, path string, ask, answer any) error {
-	ctx, cancel := patience.New(ctx, patience.Limits{First: c.timeout, Silence: c.timeout, Most: longestFetch})
+	ctx, cancel := patience.New(ctx, patience.Limits{First: pullTimeout, Silence: pullTimeout, Most: longestFetch})
 	defer cancel()
 	return c.call(ctx, address, path, ask, answer)
 }
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -15,7 +15,6 @@
 
 	"maststage.dev/lib/wait"
 	"maststage.dev/router/eventlog"
-	"maststage.dev/router/logging"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/replica"
 )
@@ -68,9 +67,7 @@
 	opts    Options
 	calls   *client
 	recalls *recaller
-	gifts   atomic.Int64     // counts the gifts of this incarnation
-	failed  *logging.Limiter // of lines about pulls that failed
-	pulling sync.Mutex       // held while records are fetched, by one pull at a time
+	gifts   atomic.Int64 // counts the gifts of this incarnation
 
 	mu     sync.Mutex
 	seeds  []string
@@ -88,7 +85,6 @@
 	return &Fleet{
 		opts: opts, calls: calls, recalls: newRecaller(calls, opts.Self.Name+"/"+opts.Self.Incarnation),
 		seeds: opts.Seeds, hosts: map[string]known{}, silent: map[string]time.Time{},
-		failed: logging.NewLimiter(failedPullLines),
 	}
 }
 
@@ -137,7 +133,7 @@
 func (f *Fleet) Run(ctx context.Context) {
 	var all sync.WaitGroup
 	all.Go(func() { f.announce(ctx) })
-	all.Go(func() { f.pull(ctx) })
+	all.Go(func() { newPuller(f).run(ctx) })
 	all.Go(func() { f.recalls.run(ctx) })
 	all.Wait()
 }
--- a/router/fleet/keepers.go
+++ b/router/fleet/keepers.go
@@ -102,7 +102,7 @@
 	for i := range hosts {
 		start := int(rendezvous.Score(duty, f.opts.Self.Name) % uint64(len(hosts)))
 		address := hosts[(start+i)%len(hosts)].host.Address
-		if time.Since(f.silent[address]) < silentPause {
+		if f.silentNow(address) {
 			silent = append(silent, address)
 		} else {
 			good = append(good, address)
@@ -114,6 +114,16 @@
 // silentPause is how long a host that did not answer is asked last.
 const silentPause = 2 * time.Second
 
+// silentNow says whether a host did not answer a moment ago; the lock is held.
+func (f *Fleet) silentNow(address string) bool { return time.Since(f.silent[address]) < silentPause }
+
+// wasSilent says whether a host did not answer a moment ago.
+func (f *Fleet) wasSilent(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.silentNow(address)
+}
+
 func (f *Fleet) noteSilent(address string, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -179,7 +179,9 @@
 
 // Figures of the second copies of topics.
 const (
-	archiveEvery    = 4 * time.Second
+	// archiveEvery bounds how old the copy is that a host starts with. A copy costs some
+	// 30 KB at each of archiveCopies partitions.
+	archiveEvery    = time.Second
 	archivePatience = 150 * time.Millisecond
 	archiveCopies   = 3
 )
