replica, soak: far behind, read the newest records; a soak over thin links

A copy that is many versions of a configuration behind read all of them, a megabyte an answer, though only the last counts; over a thin link new ones can come as fast. Once an answer leaves records out, the newest of each key are read.

One seed of three now has thin links and 300 KB; which seeds, and their events, are drawn apart, so that earlier seeds keep their events.

--- a/proofs/soak/config_test.go
+++ b/proofs/soak/config_test.go
@@ -57,6 +57,23 @@
 	w.put()
 }
 
+// manyRoutes is by how many routes the configuration of a deployment with thin links grows:
+// it is then some 300 KB.
+const manyRoutes = 1500
+
+// grow publishes a configuration with many more routes, which callers don't use.
+func (w *world) grow() {
+	w.publish(func(c *platformtest.Config) {
+		for range manyRoutes {
+			name := fmt.Sprintf("r-%x", w.random.Uint64())
+			c.Routes = append(c.Routes, platformtest.Route{
+				Name: name, Host: name + ".example", PathPrefix: "/" + name + "/", Kind: "safe", Service: plainService,
+				TimeoutMs: float64(requestLimit.Milliseconds()), TargetLatencyMs: 400, MaxAttempts: 2,
+			})
+		}
+	})
+}
+
 func keyOf(tenant string) string { return "key-of-" + tenant }
 
 // publish puts a changed configuration into the store. Each version adds a route of
--- a/proofs/soak/soak_test.go
+++ b/proofs/soak/soak_test.go
@@ -81,6 +81,13 @@
 	return all
 }
 
+// thinEvery is of how many seeds one has thin links and a large configuration.
+const thinEvery = 3
+
+// thin says whether the hosts of a seed have thin links. It is drawn apart from the
+// events, which stay what they are for a seed.
+func thin(seed uint64) bool { return rand.New(rand.NewPCG(seed, 2)).IntN(thinEvery) == 0 }
+
 // runSeed runs one seed and fails the test if a promise was broken.
 func runSeed(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 0))
@@ -90,6 +97,10 @@
 	}
 	events := schedule(random)
 	w := newWorld(t, hosts, seed)
+	if thin(seed) {
+		w.thinLinks()
+		w.grow()
+	}
 	w.playAll(events, seed)
 	w.check()
 	w.report(seed, events)
@@ -113,7 +124,7 @@
 func (w *world) report(seed uint64, events []event) {
 	w.watch.mu.Lock()
 	defer w.watch.mu.Unlock()
-	w.t.Logf("seed %d: %d hosts, %d events, %d requests", seed, len(w.hosts), len(events), len(w.watch.calls))
+	w.t.Logf("seed %d: %d hosts, thin links %v, %d events, %d requests", seed, len(w.hosts), thin(seed), len(events), len(w.watch.calls))
 	if len(w.watch.violations) == 0 {
 		return
 	}
--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -55,6 +55,8 @@
 	hosts   []*host
 	watch   *watch
 
+	thin bool // hosts have thin links, and the configuration is large
+
 	mu      sync.Mutex
 	targets []*targetState
 	nextID  int
@@ -177,6 +179,16 @@
 	w.t.Cleanup(h.kill)
 }
 
+// thinLinks bounds what each connection of hosts to the store carries towards the host to
+// 150 KB a second: an eighth of a link of 10 Mbit/s, which the callers share. It is no fault,
+// and lasts.
+func (w *world) thinLinks() {
+	w.thin = true
+	for _, h := range w.hosts {
+		toxic(h.store, "thin link", "bandwidth", "downstream", `{"rate":150}`)
+	}
+}
+
 // seeds are the peer addresses that settings name.
 func (w *world) seeds() string {
 	return strings.Join([]string{w.address(peersPart, 0), w.address(peersPart, 1)}, ",")
--- a/router/replica/replica.go
+++ b/router/replica/replica.go
@@ -64,6 +64,7 @@
 	end     int64 // all records below are known
 	dropped int64 // deleted keys below it may be forgotten
 	loaded  bool
+	behind  bool      // the log's last answer left records out
 	contact time.Time // of the log's answer that the copy rests on
 	up      bool
 	called  bool // the log was called at least once
@@ -108,12 +109,12 @@
 )
 
 // step asks a relay, or makes one call chain to the log: the newest records if the
-// copy is empty or too old, else a long poll. age is how old the answer is.
+// copy is empty, too old or far behind, else a long poll. age is how old the answer is.
 func (r *Replica) step(ctx context.Context) (age time.Duration, err error) {
 	r.mu.Lock()
-	loaded, from := r.loaded, r.end
+	loaded, behind, from := r.loaded, r.behind, r.end
 	r.mu.Unlock()
-	if !loaded {
+	if !loaded || behind {
 		return 0, r.load(ctx)
 	}
 	if r.opts.Relay != nil {
@@ -133,13 +134,24 @@
 	if errors.Is(err, eventlog.ErrTrimmed) {
 		return r.load(ctx)
 	}
+	end := from + int64(len(batch.Records))
 	// Records that came before an error count: the next read goes on behind them.
 	if err == nil || len(batch.Records) > 0 {
-		r.Merge(batch.Records, from+int64(len(batch.Records)), from)
+		r.Merge(batch.Records, end, from)
 	}
+	r.noteBehind(err == nil && end < batch.End)
 	return err
 }
 
+// noteBehind notes whether an answer was too short for all records. What it left is then
+// read by key: of several versions of a configuration that is one, where the history has
+// them all, and over a thin link new ones may come faster than old ones are read.
+func (r *Replica) noteBehind(behind bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.behind = behind
+}
+
 // longestRead bounds a read whose bytes keep coming: a megabyte, the most that the log
 // sends at once, at a twentieth of a link of 10 Mbit/s.
 const longestRead = 16 * time.Second
@@ -214,7 +226,7 @@
 	if end > r.end {
 		r.end = end
 	}
-	r.loaded = true
+	r.loaded, r.behind = true, false
 	r.tell(changes)
 }
 
--- a/router/replica/replica_test.go
+++ b/router/replica/replica_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -249,6 +250,46 @@
 	is.True(r.Stale(time.Now()))
 }
 
+// shortAnswers is a log that sends one record in an answer, and counts those that it sent.
+type shortAnswers struct {
+	eventlog.Log
+	sent atomic.Int64
+}
+
+func (l *shortAnswers) Read(ctx context.Context, p eventlog.Partition, from int64, wait time.Duration) (eventlog.Batch, error) {
+	batch, err := l.Log.Read(ctx, p, from, wait)
+	batch.Records = batch.Records[:min(len(batch.Records), 1)]
+	l.sent.Add(int64(len(batch.Records)))
+	return batch, err
+}
+
+// A copy that is many versions behind does not read them all.
+func TestFarBehindReadsTheNewest(t *testing.T) {
+	is := is.New(t)
+	l := memlog.New()
+	l.Put(part, "a", []byte("0"))
+	short := &shortAnswers{Log: l.Host("h")}
+	r := New(Options{Log: short, Partition: part, LongPoll: 50 * time.Millisecond, Slack: 100 * time.Millisecond})
+	is.NoErr(r.load(t.Context()))
+	for i := range 100 {
+		l.Put(part, "a", []byte(fmt.Sprint(i)))
+	}
+	for r.End() < 101 {
+		_, err := r.step(t.Context())
+		is.NoErr(err)
+	}
+	is.Equal(short.sent.Load(), int64(1))
+	known, _ := r.Since(0)
+	is.Equal(string(known.Records[0].Value), "99")
+
+	// It follows the log again.
+	l.Put(part, "a", []byte("next"))
+	_, err := r.step(t.Context())
+	is.NoErr(err)
+	is.Equal(short.sent.Load(), int64(2))
+	is.Equal(r.End(), int64(102))
+}
+
 // A copy that has forgotten deleted keys does not tell from before that.
 func TestSinceBeforeWhatWasForgotten(t *testing.T) {
 	is := is.New(t)
