--- /dev/null
+++ b/router/node/stop_test.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"maststage.dev/router/eventlog"
+	"maststage.dev/standin/backend"
+	"maststage.dev/standin/memlog"
+)
+
+// A planned stop answers what it has taken on, streams included, and gives tokens
+// and place back.
+func TestPlannedStop(t *testing.T) {
+	f := newFleet(t)
+	f.publish(config(1, engineRoute+","+plainRoute, `,"organisations":[{"name":"o","keys":["k"],"prepaid":100000}]`))
+	f.engine("e1", backend.Behaviour{Events: 10, Gap: 50 * time.Millisecond})
+	f.backend("t1", backend.Behaviour{Body: "one", Delay: 200 * time.Millisecond})
+	h := f.start(f.settings("h1"))
+	f.ready(h)
+	replies := make(chan reply, 20)
+	for range 10 {
+		go func() { replies <- f.call(h, "/e/x", "k") }()
+		go func() { replies <- f.call(h, "/r/x", "k") }()
+	}
+	f.eventually("all are under way", func() bool { return h.handler.Open() == 20 })
+	h.Stop()
+	f.is.True(!h.Ready())
+	f.is.Equal(f.call(h, "/r/x", "k").status, 200) // what still comes is served
+	for range 20 {
+		got := <-replies
+		f.is.NoErr(got.err)
+		f.is.Equal(got.status, 200)
+	}
+	select {
+	case <-h.done:
+	case <-time.After(3 * time.Second):
+		t.Fatal("not ended within its grace time")
+	}
+	if _, listed := f.log.Get(eventlog.Partition{Topic: topicHosts}, "h1"); listed {
+		t.Fatal("still announced")
+	}
+	granted := int64(0)
+	for i := range 2 {
+		if rec, ok := f.log.Get(eventlog.Partition{Topic: topicBudgets, Number: i}, "o"); ok {
+			var account struct{ Granted int64 }
+			f.is.NoErr(json.Unmarshal(rec.Value, &account))
+			granted = account.Granted
+		}
+	}
+	f.is.Equal(granted, int64(10*(60+10))) // what the streams used
+}
+
+// A host that stops while the log is out of reach hands its tokens to another.
+func TestPlannedStopWithoutTheLogHandsOver(t *testing.T) {
+	f := newFleet(t)
+	f.publish(config(1, engineRoute, `,"organisations":[{"name":"o","keys":["k"],"prepaid":100000}]`))
+	a, b := f.start(f.settings("a")), f.start(f.settings("b"))
+	f.ready(a)
+	f.ready(b)
+	free := func(h *host) int64 {
+		held, _ := h.treasury.Holding("o")
+		return held.Free
+	}
+	f.eventually("both hold a slice and know each other", func() bool {
+		return free(a) > 0 && free(b) > 0 && a.fleet.Size() == 2 && b.fleet.Size() == 2
+	})
+	f.log.SetFault("", memlog.Fault{Silent: true})
+	f.eventually("the loss is noticed", func() bool { up, _ := a.configCopy.Up(); return !up })
+	sum := free(a) + free(b)
+	a.Stop()
+	<-a.done
+	f.is.Equal(free(b), sum)
+	f.is.Equal(free(a), int64(0))
+}
+
+// A stopping host refuses what it could not finish, as not run.
+func TestStopRefusesLateRequests(t *testing.T) {
+	f := newFleet(t)
+	f.publish(config(1, plainRoute, ""))
+	f.backend("t1", backend.Behaviour{Delay: 100 * time.Millisecond})
+	h := f.start(f.settings("h1"))
+	f.ready(h)
+	past := time.Now().Add(-h.stopPart(answerTime))
+	h.stopBegan.Store(&past)
+	f.is.Equal(f.call(h, "/r/x", "").status, 503)
+	f.is.True(!h.Takes(true) && !h.Takes(false))
+	between := time.Now().Add(-h.stopPart(streamTime))
+	h.stopBegan.Store(&between)
+	f.is.True(!h.Takes(true) && h.Takes(false))
+}
--- /dev/null
+++ b/router/prepaid/loans_test.go
@@ -0,0 +1,182 @@
+package prepaid
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"maststage.dev/standin/memlog"
+	"maststage.dev/standin/until"
+)
+
+func TestLoan(t *testing.T) {
+	is := is.New(t)
+	h := newHosts(t, 2)
+	a, _ := h.start("a", nil)
+	b, _ := h.start("b", func(ctx context.Context, organisation string, n, better int64) Loan {
+		return a.Lend(ctx, LoanRequest{Organisation: organisation, Tokens: n, Better: better})
+	})
+	for _, tr := range []*Treasury{a, b} {
+		tr.Configure(1, []Budget{{"org", 1000}}, true)
+	}
+	r, err := a.Reserve(context.Background(), "org", 500) // a takes most of what b left
+	is.NoErr(err)
+	r.Settle(0)
+	h.log.SetFault("", memlog.Fault{Refuse: true})
+	before, _ := a.Holding("org")
+	is.True(spend(b, "org", 50, 4) > 0)
+	after, _ := a.Holding("org")
+	is.True(after.Free < before.Free)
+	is.Equal(a.Lend(context.Background(), LoanRequest{Organisation: "org", Tokens: 1e9, Better: 1e9}).Tokens, int64(0)) // not more than it has
+	is.Equal(a.Lend(context.Background(), LoanRequest{Organisation: "nobody", Tokens: 10, Better: 10}).Tokens, int64(0))
+}
+
+// A loan whose answer was lost goes back once, whether its recall comes before the
+// request, after it, or twice.
+func TestRecalledLoan(t *testing.T) {
+	is := is.New(t)
+	h := newHosts(t, 1)
+	a, _ := h.start("a", nil)
+	a.Configure(1, []Budget{{"org", 1000}}, true)
+	r, err := a.Reserve(context.Background(), "org", 100)
+	is.NoErr(err)
+	r.Settle(0)
+	free := func() int64 {
+		held, _ := a.Holding("org")
+		return held.Free
+	}
+	h.log.SetFault("", memlog.Fault{Refuse: true}) // the slice stays as it is
+	before := free()
+	ask := LoanRequest{ID: "b/1", Organisation: "org", Tokens: 40, Better: 40}
+	is.Equal(a.Lend(context.Background(), ask).Tokens, int64(40))
+	is.Equal(free(), before-40)
+	is.Equal(a.Recall("b/1"), int64(40))
+	is.Equal(a.Recall("b/1"), int64(0))
+	is.Equal(free(), before)
+	is.Equal(a.Lend(context.Background(), ask).Tokens, int64(0)) // it arrives again, late
+	is.Equal(a.Recall("b/2"), int64(0))
+	ask.ID = "b/2"
+	is.Equal(a.Lend(context.Background(), ask).Tokens, int64(0))
+	is.Equal(free(), before)
+}
+
+// A host that waited for tokens of the log lends nothing if the loan was recalled
+// meanwhile.
+func TestLoanRecalledWhileTheLenderWaits(t *testing.T) {
+	is := is.New(t)
+	h := newHosts(t, 1)
+	a, _ := h.start("a", nil)
+	a.Configure(1, []Budget{{"org", 1000}}, true)
+	r, err := a.Reserve(context.Background(), "org", 100)
+	is.NoErr(err)
+	before, _ := a.Holding("org")
+	is.Equal(a.Recall("b/1"), int64(0))
+	is.Equal(a.lendReserved("b/1", r), int64(0))
+	after, _ := a.Holding("org")
+	is.Equal(after.Free, before.Free+100)
+}
+
+// The book of loans is bounded; a loan that is forgotten counts as spent.
+func TestForgottenLoanCantBeRecalled(t *testing.T) {
+	is := is.New(t)
+	b := newLoanBook()
+	b.lent("first", "org", 10)
+	for i := range maxLoans {
+		b.lent(fmt.Sprint(i), "org", 1)
+	}
+	is.Equal(len(b.loans), maxLoans)
+	is.Equal(b.recall("first").tokens, int64(0))
+	is.Equal(b.recall(fmt.Sprint(maxLoans-1)).tokens, int64(1))
+}
+
+// A host that is no keeper of a budget borrows from one and makes no call to the log;
+// what it does not use goes back.
+func TestBorrowerLeavesTheLogToKeepers(t *testing.T) {
+	is := is.New(t)
+	h := newHosts(t, 20)
+	keeper, _ := h.start("keeper", nil)
+	var calls, gifts atomic.Int64
+	borrower, _ := h.startWith(Options{
+		Log: h.log.Host("borrower"), Topic: "b", Partitions: 2, Host: "borrower", Plan: DefaultPlan,
+		Timeout: 50 * time.Millisecond, Interval: 20 * time.Millisecond, Wait: 100 * time.Millisecond,
+		Hosts:   func() int { return 20 },
+		Keepers: func(string) (int, bool) { return 1, false },
+		Borrow: func(ctx context.Context, organisation string, n, better int64) Loan {
+			return keeper.Lend(ctx, LoanRequest{Organisation: organisation, Tokens: n, Better: better})
+		},
+		GiveBack: func(_ context.Context, organisation string, n int64) bool {
+			return keeper.Credit(Gift{ID: fmt.Sprint(gifts.Add(1)), Organisation: organisation, Tokens: n})
+		},
+		OnCall: func(string) { calls.Add(1) },
+	})
+	for _, tr := range []*Treasury{keeper, borrower} {
+		tr.Configure(1, []Budget{{"org", 1000}}, true)
+	}
+	spent := spend(borrower, "org", 300, 1)
+	is.Equal(spent, int64(300))
+	is.Equal(calls.Load(), int64(0))
+	until.True(t, "what is idle goes back", func() bool { held, _ := borrower.Holding("org"); return held.Free == 0 })
+	is.Equal(spent+spend(keeper, "org", 10, 500), int64(1000)) // nothing is lost on the way
+	is.Equal(calls.Load(), int64(0))
+}
+
+// A host with much demand of its own takes slices itself.
+func TestBusyBorrowerTakesSlices(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	w := &wallet{}
+	is.True(!w.busy(now))
+	w.note(100, now)
+	is.True(!w.busy(now)) // one request
+	for range 4 {
+		w.note(100, now)
+	}
+	is.True(w.busy(now))
+	is.True(!w.busy(now.Add(20 * time.Second)))
+}
+
+// A borrower whose keepers can't be reached takes a slice itself.
+func TestBorrowerWithoutKeepers(t *testing.T) {
+	is := is.New(t)
+	h := newHosts(t, 20)
+	tr, _ := h.startWith(Options{
+		Log: h.log.Host("b"), Topic: "b", Partitions: 2, Host: "b", Plan: DefaultPlan,
+		Timeout: 50 * time.Millisecond, Interval: 20 * time.Millisecond, Wait: 100 * time.Millisecond,
+		Hosts:   func() int { return 20 },
+		Keepers: func(string) (int, bool) { return 1, false },
+		Borrow:  func(context.Context, string, int64, int64) Loan { return Loan{} },
+	})
+	tr.Configure(1, []Budget{{"org", 1000}}, true)
+	is.Equal(spend(tr, "org", 10, 200), int64(1000))
+}
+
+// A keeper that answers that there is no more is not asked again at once, nor is the
+// log in its place.
+func TestExhaustedBudgetIsNotAskedForAtOnce(t *testing.T) {
+	is := is.New(t)
+	h := newHosts(t, 20)
+	var asked, calls atomic.Int64
+	tr, _ := h.startWith(Options{
+		Log: h.log.Host("b"), Topic: "b", Partitions: 2, Host: "b", Plan: DefaultPlan,
+		Timeout: 50 * time.Millisecond, Interval: 20 * time.Millisecond, Wait: 100 * time.Millisecond,
+		Hosts:   func() int { return 20 },
+		Keepers: func(string) (int, bool) { return 1, false },
+		Borrow: func(context.Context, string, int64, int64) Loan {
+			asked.Add(1)
+			return Loan{Answered: true}
+		},
+		OnCall: func(string) { calls.Add(1) },
+	})
+	tr.Configure(1, []Budget{{"org", 1000}}, true)
+	for range 20 {
+		_, err := tr.Reserve(context.Background(), "org", 10)
+		is.True(errors.Is(err, ErrEmpty))
+	}
+	is.Equal(asked.Load(), int64(1))
+	is.Equal(calls.Load(), int64(0))
+}
