soak, standin: a proxy whose faults end whatever connections do

Cause: soak did not end.

standin/faultlink is a proxy whose faults are looked up for each chunk, so nothing is taken out of open connections. thinlink keeps its rate and uses it for the rest. New beside it: connections that go silent for good while new ones work, drawn apart from the other events, so that the seeds keep theirs.

--- a/proofs/soak/faults_test.go
+++ b/proofs/soak/faults_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"maststage.dev/platform/platformtest"
 	"maststage.dev/standin/backend"
+	"maststage.dev/standin/faultlink"
 	"maststage.dev/standin/memlog"
 )
 
@@ -41,14 +43,14 @@
 	"store loses":     storeFault(memlog.Fault{Lose: true}),
 	"store late":      storeFault(memlog.Fault{Late: 700 * time.Millisecond}),
 	"store forgets":   storeForgets,
-	"store slow":      storeProxy("latency", "downstream", `{"latency":150,"jitter":100}`),
-	"store resets":    storeProxy("reset_peer", "downstream", `{"timeout":20}`),
-	"store one way":   storeProxy("timeout", "downstream", `{"timeout":0}`),
-	"store cut":       storeProxy("timeout", "upstream", `{"timeout":0}`),
-	"target slow":     targetProxy("latency", "downstream", `{"latency":300,"jitter":200}`),
-	"target resets":   targetProxy("reset_peer", "downstream", `{"timeout":40}`),
-	"target one way":  targetProxy("timeout", "downstream", `{"timeout":0}`),
-	"target cut":      targetProxy("timeout", "upstream", `{"timeout":0}`),
+	"store slow":      storeLink(faultlink.Fault{Delay: 150 * time.Millisecond, Jitter: 100 * time.Millisecond}),
+	"store resets":    storeLink(faultlink.Fault{Reset: true, ResetAfter: 20 * time.Millisecond}),
+	"store one way":   storeLink(faultlink.Fault{DropDown: true}),
+	"store cut":       storeLink(faultlink.Fault{DropUp: true}),
+	"target slow":     targetLink(faultlink.Fault{Delay: 300 * time.Millisecond, Jitter: 200 * time.Millisecond}),
+	"target resets":   targetLink(faultlink.Fault{Reset: true, ResetAfter: 40 * time.Millisecond}),
+	"target one way":  targetLink(faultlink.Fault{DropDown: true}),
+	"target cut":      targetLink(faultlink.Fault{DropUp: true}),
 	"target breaks":   targetFault(func(b *backend.Behaviour) { b.BreakAfter, b.Reset = 3, true }),
 	"target inside":   targetFault(func(b *backend.Behaviour) { b.BreakAfter, b.BreakInside, b.Reset = 2, true, true }),
 	"target refuses":  targetFault(func(b *backend.Behaviour) { b.Refuse = true }),
@@ -66,6 +68,58 @@
 	"revoke":          revoke,
 }
 
+// hushKind is the kind of events that let open connections go silent for good. It is not
+// among strikes: the events of a seed stay what they were without it.
+const hushKind = "hush"
+
+func strikeOf(kind string) strike {
+	if kind == hushKind {
+		return hush
+	}
+	return strikes[kind]
+}
+
+// Figures of hushes.
+const (
+	hushEvery  = 3 // of so many seeds with faults one has them
+	mostHushes = 3
+	hushFelt   = requestLimit // a request may wait so long on a silent connection
+)
+
+// hushes draws the hushes of a seed, apart from its other events.
+func hushes(seed uint64, others []event) []event {
+	random := rand.New(rand.NewPCG(seed, 3))
+	if !faulty(others) || random.IntN(hushEvery) != 0 {
+		return nil
+	}
+	events := make([]event, 1+random.IntN(mostHushes))
+	for i := range events {
+		events[i] = event{
+			at: time.Duration(random.Int64N(int64(faultTime))), length: hushFelt, kind: hushKind,
+			pick: random.IntN(1000), part: random.Float64(),
+		}
+	}
+	return events
+}
+
+// faulty says whether some of the events are no planned work.
+func faulty(events []event) bool {
+	return slices.ContainsFunc(events, func(e event) bool { return !slices.Contains(plannedWork, e.kind) })
+}
+
+// hush lets the open connections of some hosts to the store and of all hosts to some
+// targets go silent for good, without an end. New ones work.
+func hush(w *world, e event) {
+	defer w.watch.fault(e.kind)()
+	for _, i := range some(len(w.hosts), e) {
+		w.hosts[i].store.Hush()
+	}
+	for _, s := range struck(w, e) {
+		s.way.Hush()
+	}
+	time.Sleep(e.length)
+}
+
 // Figures of a schedule.
 const (
 	faultTime  = 9 * time.Second // in which events begin
@@ -100,7 +154,7 @@
 			select {
 			case <-ctx.Done():
 			case <-time.After(time.Until(begin.Add(e.at))):
-				strikes[e.kind](w, e)
+				strikeOf(e.kind)(w, e)
 			}
 		})
 	}
@@ -200,12 +254,12 @@
 	}
 }
 
-// storeProxy disturbs the way of some hosts to the store.
-func storeProxy(kind, direction, attributes string) strike {
+// storeLink disturbs the way of some hosts to the store.
+func storeLink(f faultlink.Fault) strike {
 	return func(w *world, e event) {
 		defer w.watch.fault(e.kind)()
 		for _, i := range some(len(w.hosts), e) {
-			defer toxic(w.hosts[i].store, e.kind, kind, direction, attributes)()
+			defer w.hosts[i].store.Strike(f)()
 		}
 		time.Sleep(e.length)
 	}
@@ -224,11 +278,11 @@
 	return picked
 }
 
-func targetProxy(kind, direction, attributes string) strike {
+func targetLink(f faultlink.Fault) strike {
 	return func(w *world, e event) {
 		defer w.watch.fault(e.kind)()
 		for _, s := range struck(w, e) {
-			defer toxic(s.proxy, e.kind, kind, direction, attributes)()
+			defer s.way.Strike(f)()
 		}
 		time.Sleep(e.length)
 	}
--- a/proofs/soak/soak_test.go
+++ b/proofs/soak/soak_test.go
@@ -96,6 +96,7 @@
 		hosts = manyHosts
 	}
 	events := schedule(random)
+	events = append(events, hushes(seed, events)...)
 	w := newWorld(t, hosts, seed)
 	if thin(seed) {
 		w.thinLinks()
--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -15,13 +14,10 @@
 	"testing"
 	"time"
 
-	toxiproxy "github.com/Shopify/toxiproxy/v2"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/rs/zerolog"
-
 	"maststage.dev/platform"
 	"maststage.dev/platform/platformtest"
 	"maststage.dev/standin/backend"
+	"maststage.dev/standin/faultlink"
 	"maststage.dev/standin/memlog"
 )
 
@@ -51,7 +47,6 @@
 	dir     string
 	network string // first two bytes of its loopback addresses
 	log     *memlog.Log
-	proxies *toxiproxy.ApiServer
 	hosts   []*host
 	watch   *watch
 
@@ -72,7 +67,7 @@
 	number               int
 	name, zone           string
 	listen, ready, peers string
-	store                *toxiproxy.Proxy // between the host and the store
+	store                *faultlink.Link // between the host and the store
 
 	mu      sync.Mutex
 	busy    bool // a fault of its process is under way
@@ -87,7 +82,7 @@
 type targetState struct {
 	*backend.Backend
 	id, service, zone string
-	proxy             *toxiproxy.Proxy
+	way               *faultlink.Link // from hosts to it
 	mu                sync.Mutex
 	behave            func(*backend.Behaviour) // a fault, nil if there is none
 	leftAt            time.Time                // when the store had it that the target leaves
@@ -120,8 +115,7 @@
 func newWorld(t *testing.T, n int, seed uint64) *world {
 	w := &world{
 		t: t, dir: t.TempDir(), network: takeNetwork(t), log: memlog.New(),
-		proxies: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop()),
-		watch:   newWatch(), random: rand.New(rand.NewPCG(seed, 1)),
+		watch: newWatch(), random: rand.New(rand.NewPCG(seed, 1)),
 	}
 	for range engineTargets {
 		w.addTarget(engineService)
@@ -150,22 +144,13 @@
 // Parts of a world's network.
 const (
 	storePart = 1 + iota
-	storeProxyPart
-	targetProxyPart
+	storeLinkPart
+	targetLinkPart
 	callersPart
 	readyPart
 	peersPart
 )
 
-func (w *world) proxy(upstream, listen string) *toxiproxy.Proxy {
-	p := toxiproxy.NewProxy(w.proxies, listen, listen, upstream)
-	if err := p.Start(); err != nil {
-		w.t.Fatal(err)
-	}
-	w.t.Cleanup(p.Stop)
-	return p
-}
-
 func (w *world) addHost(i int) {
 	h := &host{
 		world: w, number: i, name: fmt.Sprintf("h%d", i), zone: fmt.Sprintf("z%d", i%3),
@@ -176,18 +161,21 @@
 		w.t.Fatal(err)
 	}
 	w.t.Cleanup(store.Close)
-	h.store = w.proxy(w.address(storePart, i), w.address(storeProxyPart, i))
+	h.store = faultlink.Open(w.t, faultlink.Options{Listen: w.address(storeLinkPart, i), To: w.address(storePart, i)})
 	w.hosts = append(w.hosts, h)
 	w.t.Cleanup(h.kill)
 }
 
-// thinLinks bounds what each connection of hosts to the store carries towards the host to
-// 150 KB a second: an eighth of a link of 10 Mbit/s, which the callers share. It is no fault,
-// and lasts.
+// thinRate is what a connection over a thin link carries, in bytes a second: an eighth of a
+// link of 10 Mbit/s, which the callers share.
+const thinRate = 150e3
+
+// thinLinks bounds what each connection of hosts to the store carries towards the host. It
+// is no fault, and lasts.
 func (w *world) thinLinks() {
 	w.thin = true
 	for _, h := range w.hosts {
-		toxic(h.store, "thin link", "bandwidth", "downstream", `{"rate":150}`)
+		h.store.Strike(faultlink.Fault{PerSecond: thinRate})
 	}
 }
 
@@ -203,7 +191,7 @@
 		"[log]\naddress = %s\npartitions = 4\n"+
 		"[bounds]\ndrain_ms = %d\ngrace_s = %g\nretry_ratio = %g\nretry_slack = %d\nretry_window_s = %g\n"+
 		"[output]\nlines_per_second = 2000\nlevel = debug\n",
-		h.name, h.zone, h.listen, h.ready, h.peers, h.world.seeds(), h.store.Listen,
+		h.name, h.zone, h.listen, h.ready, h.peers, h.world.seeds(), h.store.Address(),
 		drainWithin.Milliseconds(), graceTime.Seconds(), retryRatio, retrySlack, retryWindow.Seconds())
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		h.world.t.Error(err)
@@ -337,7 +325,7 @@
 	}
 	s.Backend = b
 	w.t.Cleanup(b.Close)
-	s.proxy = w.proxy(b.Address(), w.address(targetProxyPart, number))
+	s.way = faultlink.Open(w.t, faultlink.Options{Listen: w.address(targetLinkPart, number), To: b.Address()})
 	w.mu.Lock()
 	w.targets = append(w.targets, s)
 	w.mu.Unlock()
@@ -347,7 +335,7 @@
 // list writes a target's entry.
 func (w *world) list(s *targetState, state string) {
 	w.log.Put(platformtest.Servers, s.id, platformtest.Encode(platformtest.Server{
-		Service: s.service, Address: s.proxy.Listen, Zone: s.zone, State: state, Slots: targetSlots,
+		Service: s.service, Address: s.way.Address(), Zone: s.zone, State: state, Slots: targetSlots,
 	}))
 }
 
@@ -395,12 +383,3 @@
 	}
 	return list
 }
-
-// toxic strikes a proxy until the function that it gives is called.
-func toxic(p *toxiproxy.Proxy, name, kind, direction, attributes string) (heal func()) {
-	text := fmt.Sprintf(`{"name":%q,"type":%q,"stream":%q,"attributes":%s}`, name, kind, direction, attributes)
-	if _, err := p.Toxics.AddToxicJson(strings.NewReader(text)); err != nil {
-		return func() {} // one of the kind is at work already
-	}
-	return func() { _ = p.Toxics.RemoveToxic(context.Background(), name) }
-}
--- a/standin/thinlink/thinlink.go
+++ b/standin/thinlink/thinlink.go
@@ -3,16 +3,12 @@
 package thinlink
 
 import (
-	"io"
-	"net"
 	"sync"
 	"testing"
 	"time"
-)
 
-// chunk is how many bytes cross the link at a time: small, so that connections share it
-// evenly.
-const chunk = 4 << 10
+	"maststage.dev/standin/faultlink"
+)
 
 // Link is one host's link.
 type Link struct {
@@ -42,69 +38,7 @@
 // To gives an address at which another one is reached over the link, until the test ends.
 func (l *Link) To(t testing.TB, address string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go l.carry(conn, address)
-		}
-	}()
-	return listener.Addr().String()
-}
-
-// carry joins a connection of the host with one to the other side.
-func (l *Link) carry(host net.Conn, address string) {
-	defer host.Close()
-	other, err := net.Dial("tcp", address)
-	if err != nil {
-		return
-	}
-	defer other.Close()
-	go func() {
-		_, _ = io.Copy(other, host)
-		_ = other.Close()
-	}()
-	arriving := make(chan arrival, maxQueued)
-	go l.read(other, arriving)
-	for a := range arriving {
-		time.Sleep(time.Until(a.at))
-		if _, err := host.Write(a.data); err != nil {
-			break
-		}
-	}
-	// The reader ends with its connection; what it still sends is dropped.
-	_ = other.Close()
-	for range arriving {
-	}
-}
-
-// maxQueued is how many chunks of a connection may be on their way, 256 KB.
-const maxQueued = 64
-
-// arrival is bytes on their way.
-type arrival struct {
-	data []byte
-	at   time.Time
-}
-
-// read puts what the other side sends on the link.
-func (l *Link) read(other net.Conn, arriving chan<- arrival) {
-	defer close(arriving)
-	for {
-		data := make([]byte, chunk)
-		n, err := other.Read(data)
-		if err != nil {
-			return
-		}
-		arriving <- arrival{data: data[:n], at: l.send(n)}
-	}
+	return faultlink.Open(t, faultlink.Options{Listen: "127.0.0.1:0", To: address, Arrive: l.send}).Address()
 }
 
 // send counts bytes and says when they arrive, behind those before them.
