platform, forward, exchange: a silent connection costs one call its time

A call that timed out closed its own connection, and the next one took another idle one that was as silent: up to 8 calls to the store of up to 2 s each, and up to 32 requests at a target. Calls between hosts keep one idle connection and were right.

Tests first: TestSilentStoreConnectionsCostOneCall and TestSilentTargetConnectionsCostOneRequest failed (deadline exceeded; 504) and pass; TestSilentPeerConnectionsCostOneCall passed as it was and stays as a guard.

--- a/router/exchange/pool.go
+++ b/router/exchange/pool.go
@@ -191,9 +191,17 @@
 
 // Close closes the idle connections and keeps no more.
 func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.CloseIdle()
+}
+
+// CloseIdle closes the idle connections: one of the same age went silent.
+func (p *Pool) CloseIdle() {
 	p.mu.Lock()
 	idle := p.idle
-	p.idle, p.closed = nil, true
+	p.idle = nil
 	p.mu.Unlock()
 	for _, c := range idle {
 		c.Close()
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -157,6 +157,9 @@
 	targets.Begin(t, work)
 	c := &call{request: q, target: t, started: started, work: work}
 	res, err := c.do(ctx)
+	if c.wentSilent(res) {
+		t.Pool.CloseIdle()
+	}
 	q.charge(c, res)
 	targets.End(t, c.work, c.judgement(res))
 	if res == notSent && !q.handler.opts.Overload.Overloaded(time.Now()) {
@@ -185,6 +188,13 @@
 	silence *silence
 }
 
+// wentSilent says whether nothing came on a connection that had carried answers before. It
+// may have gone silent for good, and those beside it too, while new ones work: without a
+// reset nothing else tells, and each would cost another request its time.
+func (c *call) wentSilent(res result) bool {
+	return c.conn != nil && c.conn.Reused() && c.status == 0 && (res == silent || res == outOfTime)
+}
+
 // judgement is what the try says of the target.
 func (c *call) judgement(res result) target.Result {
 	switch res {
