--- a/cmd/maststage/main.go
+++ b/cmd/maststage/main.go
@@ -26,7 +26,7 @@
 	for _, c := range []subcommands.Command{&checkCmd{}, &diffCmd{}, &applyCmd{}, &getCmd{}} {
 		subcommands.Register(c, "declarations")
 	}
-	for _, c := range []subcommands.Command{&budgetsCmd{}, &hostsCmd{}, &drainCmd{}} {
+	for _, c := range []subcommands.Command{&budgetsCmd{}, &hostsCmd{}, &drainCmd{}, &accountCmd{}} {
 		subcommands.Register(c, "fleet")
 	}
 	for _, c := range []subcommands.Command{&runCmd{}, &hashCmd{}} {
--- /dev/null
+++ b/proofs/soak/account_test.go
@@ -0,0 +1,122 @@
+package soak
+
+import (
+	"context"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"maststage.dev/lib/account"
+	"maststage.dev/platform"
+	"maststage.dev/router/eventlog"
+	"maststage.dev/router/prepaid"
+	"maststage.dev/standin/faultlink"
+	"maststage.dev/standin/memlog"
+)
+
+// accountHosts is more than a fleet in which each host takes its own slices, so that
+// tokens lie at keepers and are lent.
+const accountHosts = 12
+
+// TestAccountBalances puts the account of tokens together from the lines of real processes,
+// some of which are cut off and killed, and compares it with the store and the targets.
+func TestAccountBalances(t *testing.T) {
+	w := newWorld(t, accountHosts, 7)
+	w.traffics(1, 2*time.Second)
+	heal := w.hosts[2].store.Strike(faultlink.Fault{DropUp: true})
+	w.log.SetFault(w.hosts[3].name, memlog.Fault{Lose: true}) // what it appends is done, and it is not told
+	w.traffics(2, 2*time.Second)
+	heal()
+	w.log.SetFault(w.hosts[3].name, memlog.Fault{})
+	w.traffics(3, settleTime)
+	w.settle()
+	before := w.accountOf(largeTenant)
+	for _, h := range w.hosts[4:7] {
+		h.kill()
+		h.start()
+	}
+	for _, h := range w.hosts[4:7] {
+		h.waitListening(startTime)
+	}
+	w.traffics(4, settleTime)
+	w.settle()
+	after := w.accountOf(largeTenant)
+	t.Logf("before %+v", before)
+	t.Logf("after  %+v", after)
+	for _, s := range []account.Sum{before, after} {
+		if s.Untold != 0 || s.Reserved != 0 || s.OnTheWay != 0 {
+			t.Errorf("tokens that nobody has: %+v", s)
+		}
+	}
+	if before.Died != 0 || after.Died == 0 {
+		t.Errorf("died %d before the kills, %d after them", before.Died, after.Died)
+	}
+	w.checkAccount(after)
+}
+
+// traffics lets callers ask for a while.
+func (w *world) traffics(seed uint64, d time.Duration) {
+	ctx, stop := context.WithTimeout(context.Background(), d)
+	defer stop()
+	w.traffic(ctx, seed)
+}
+
+// settle waits until requests under way are over and hosts told of them; tokens that are
+// not used for longer go back to the log.
+func (w *world) settle() { time.Sleep(time.Second) }
+
+// accountOf is where the tokens of an organisation are by the hosts' lines.
+func (w *world) accountOf(organisation string) account.Sum {
+	w.t.Helper()
+	var book account.Book
+	for _, h := range w.hosts {
+		file, err := os.Open(h.logFile())
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		err = book.Read(h.name, file)
+		_ = file.Close()
+		if err != nil {
+			w.t.Fatal(err)
+		}
+	}
+	for _, s := range account.Newest(book.Series(0, 0)) {
+		if s.Organisation == organisation {
+			return s
+		}
+	}
+	w.t.Fatal("nothing is told of " + organisation)
+	return account.Sum{}
+}
+
+// checkAccount compares an account with the store's record and with what targets made.
+func (w *world) checkAccount(s account.Sum) {
+	record := prepaid.Account{}
+	budgets := platform.Outside(w.hosts[0].store.Address(), 0).BudgetsTopic
+	for number := range logPartitions {
+		if rec, ok := w.log.Get(eventlog.Partition{Topic: budgets, Number: number}, s.Organisation); ok {
+			decoded, err := prepaid.DecodeAccount(rec.Value)
+			if err != nil {
+				w.t.Fatal(err)
+			}
+			record = decoded
+		}
+	}
+	if s.Granted != record.Granted {
+		w.t.Errorf("granted %d, the store has %d", s.Granted, record.Granted)
+	}
+	spent := int64(0)
+	for _, list := range w.runs() {
+		run := list[0]
+		if run.Header.Get(platform.Headers.Organisation) == s.Organisation && strings.HasPrefix(run.URI, streamPath) {
+			spent += tokensIn
+			for _, r := range list {
+				spent += int64(r.Made)
+			}
+		}
+	}
+	if s.Used != spent {
+		w.t.Errorf("used %d, targets read and made %d", s.Used, spent)
+	}
+}
--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -23,13 +23,15 @@
 
 // Bounds of the settings that hosts run with.
 const (
-	drainWithin  = time.Second // a leaving target gets nothing new after it
-	graceTime    = 3 * time.Second
-	retryRatio   = 0.2
-	retrySlack   = 20
-	retryWindow  = 10 * time.Second
-	startTime    = 10 * time.Second
-	restartPause = 200 * time.Millisecond
+	drainWithin   = time.Second // a leaving target gets nothing new after it
+	graceTime     = 3 * time.Second
+	retryRatio    = 0.2
+	retrySlack    = 20
+	retryWindow   = 10 * time.Second
+	startTime     = 10 * time.Second
+	restartPause  = 200 * time.Millisecond
+	logPartitions = 4
+	accountEvery  = 100 * time.Millisecond // between lines about the budgets held
 )
 
 // Services, and the number of targets of each.
@@ -188,11 +190,11 @@
 func (h *host) writeSettings() string {
 	path := filepath.Join(h.world.dir, h.name+".ini")
 	text := fmt.Sprintf("[host]\nname = %s\ndomain = %s\nlisten = %s\nready_listen = %s\npeer_listen = %s\nseeds = %s\n"+
-		"[log]\naddress = %s\npartitions = 4\n"+
+		"[log]\naddress = %s\npartitions = %d\n"+
 		"[bounds]\ndrain_ms = %d\ngrace_s = %g\nretry_ratio = %g\nretry_slack = %d\nretry_window_s = %g\n"+
-		"[output]\nlines_per_second = 2000\nlevel = debug\n",
-		h.name, h.zone, h.listen, h.ready, h.peers, h.world.seeds(), h.store.Address(),
-		drainWithin.Milliseconds(), graceTime.Seconds(), retryRatio, retrySlack, retryWindow.Seconds())
+		"[output]\nlines_per_second = 2000\nlevel = debug\naccount_s = %g\n",
+		h.name, h.zone, h.listen, h.ready, h.peers, h.world.seeds(), h.store.Address(), logPartitions,
+		drainWithin.Milliseconds(), graceTime.Seconds(), retryRatio, retrySlack, retryWindow.Seconds(), accountEvery.Seconds())
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		h.world.t.Error(err)
 	}
--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -62,12 +62,14 @@
 	ID           string `json:"id"`
 	Organisation string `json:"organisation"`
 	Tokens       int64  `json:"tokens"` // needed
-	Better       int64  `json:"better"` // wanted if they can be spared
+	FreeOnly     bool   `json:"free_only,omitempty"`
+	Partly       bool   `json:"partly,omitempty"`
 }
 
 type lendResponse struct {
 	Tokens int64 `json:"tokens"`
 	Keeper bool  `json:"keeper"` // the lender takes slices of the budget from the log
+	Free   int64 `json:"free"`   // what it could still lend
 }
 
 // recallRequest names loans that their borrower got no answer to and never uses.
@@ -197,8 +199,8 @@
 	if !read(w, r, &ask) {
 		return
 	}
-	loan := f.opts.Lend(r.Context(), prepaid.LoanRequest{ID: ask.ID, Organisation: ask.Organisation, Tokens: ask.Tokens, Better: ask.Better})
-	write(w, lendResponse{Tokens: loan.Tokens, Keeper: loan.Answered})
+	loan := f.opts.Lend(r.Context(), prepaid.LoanRequest{ID: ask.ID, Organisation: ask.Organisation, Tokens: ask.Tokens, FreeOnly: ask.FreeOnly, Partly: ask.Partly})
+	write(w, lendResponse{Tokens: loan.Tokens, Keeper: loan.Answered, Free: loan.Free})
 }
 
 func (f *Fleet) serveRecall(w http.ResponseWriter, r *http.Request) {
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -73,6 +73,10 @@
 	seeds  []string
 	hosts  map[string]known
 	silent map[string]time.Time // addresses that did not answer, and when
+	parts  map[string]float64   // of all prepaid tokens, by organisation
+
+	othersThen []string // names of the other hosts, as of othersAt
+	othersAt   time.Time
 }
 
 // forgetAfter is how long a host counts without a new announcement. It is long:
@@ -92,6 +96,7 @@
 func (f *Fleet) Changed(changes []replica.Change) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.othersAt = time.Time{}
 	for _, c := range changes {
 		name := c.Record.Key
 		if len(c.Record.Value) == 0 {
--- a/router/fleet/fleet_test.go
+++ b/router/fleet/fleet_test.go
@@ -17,6 +17,7 @@
 	log "github.com/sirupsen/logrus"
 
 	"maststage.dev/router/eventlog"
+	"maststage.dev/router/keeper"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/replica"
 	"maststage.dev/standin/memlog"
@@ -68,54 +69,53 @@
 
 func TestSmallFleetHasNoKeepers(t *testing.T) {
 	is := is.New(t)
-	all := hosts(keeperGroup, 3)
+	all := hosts(keeper.Group, 3)
 	for _, self := range all {
 		f := newFleet(self)
 		announced(f, all...)
-		count, keeper := f.Keepers("org")
-		is.Equal(count, keeperGroup)
-		is.True(keeper)
-		is.Equal(f.keeperAddresses("org"), nil)
+		count, own := f.Keepers("org")
+		is.Equal(count, keeper.Group)
+		is.True(own)
+		is.Equal(f.lenders("org"), nil)
 	}
 }
 
-// In a large fleet all hosts agree on the keepers, one of eight in each failure
-// domain, and each finds those of its own.
+// In a large fleet all hosts agree on the keepers, the more the larger the organisation's
+// part of all tokens is, and each that is none finds all of them first.
 func TestKeepersOfALargeFleet(t *testing.T) {
 	is := is.New(t)
 	all := hosts(87, 3)
-	keepers := map[string]int{}
-	names := map[string]string{}
-	for _, self := range all {
-		names[self.Address] = self.Domain
-	}
-	for _, self := range all {
-		f := newFleet(self)
-		announced(f, all...)
-		count, keeper := f.Keepers("org")
-		is.Equal(count, 3*4) // 29 hosts in each failure domain
-		if keeper {
-			keepers[self.Domain]++
-			continue
-		}
-		list := f.keeperAddresses("org")
-		is.Equal(len(list), 4)
-		for _, address := range list {
-			is.Equal(names[address], self.Domain)
+	for part, wanted := range map[float64]int{0: 1, 0.01: 1, 0.3: 3, 1: 8} {
+		keepers := map[string]bool{}
+		asked := map[string]bool{}
+		for _, self := range all {
+			f := newFleet(self)
+			announced(f, all...)
+			f.SetParts(map[string]float64{"org": part})
+			count, own := f.Keepers("org")
+			is.Equal(count, wanted)
+			if own {
+				keepers[self.Address] = true
+				continue
+			}
+			for _, address := range f.lenders("org")[:count] {
+				asked[address] = true
+			}
 		}
+		is.Equal(len(keepers), wanted)
+		is.Equal(asked, keepers)
 	}
-	is.Equal(keepers, map[string]int{"z0": 4, "z1": 4, "z2": 4})
 }
 
 func TestSilentKeeperIsAskedLast(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(Host{Name: "other", Domain: "z0"})
 	announced(f, hosts(40, 1)...)
-	list := f.keeperAddresses("org")
+	list := f.lenders("org")
 	f.noteSilent(list[0], io.EOF)
-	is.Equal(f.keeperAddresses("org")[len(list)-1], list[0])
+	is.Equal(f.lenders("org")[len(list)-1], list[0])
 	f.noteSilent(list[0], nil)
-	is.Equal(f.keeperAddresses("org")[0], list[0])
+	is.Equal(f.lenders("org")[0], list[0])
 }
 
 // In a large fleet a few hosts of each failure domain read a topic, and the others know
@@ -123,7 +123,7 @@
 func TestReadersOfALargeFleet(t *testing.T) {
 	is := is.New(t)
 	small := newFleet(Host{Name: "h0", Domain: "z0"})
-	announced(small, hosts(keeperGroup, 3)...)
+	announced(small, hosts(keeper.Group, 3)...)
 	is.Equal(len(small.readers("list")), 0)
 	all := hosts(87, 3)
 	readers := map[string]bool{}
@@ -218,21 +218,21 @@
 	for _, p := range peers {
 		f.seeds = append(f.seeds, p.address())
 	}
-	loan := f.Borrow(context.Background(), "org", 50, 50)
+	loan := f.Borrow(context.Background(), "org", 50)
 	is.Equal(loan, prepaid.Loan{Tokens: 50, Answered: true})
 	asked := int64(0)
 	for _, p := range peers {
 		asked += p.asked.Load()
 	}
 	is.Equal(asked, int64(2))
-	is.Equal(f.Borrow(context.Background(), "org", 500, 500).Tokens, int64(90))
+	is.Equal(f.Borrow(context.Background(), "org", 500).Tokens, int64(90))
 }
 
 func TestBorrowFromNobody(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(Host{Name: "self"})
 	f.seeds = []string{"127.0.0.1:1"}
-	is.Equal(f.Borrow(context.Background(), "org", 50, 50), prepaid.Loan{})
+	is.Equal(f.Borrow(context.Background(), "org", 50), prepaid.Loan{})
 }
 
 // A loan whose answer comes too late is recalled, again and again until the lender
@@ -266,7 +266,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go f.recalls.run(ctx)
-	is.Equal(f.Borrow(ctx, "org", 50, 50), prepaid.Loan{})
+	is.Equal(f.Borrow(ctx, "org", 50), prepaid.Loan{})
 	id := <-recalled
 	is.Equal(id, lent.Load())
 	is.True(refused.Load())
--- a/router/fleet/gifts.go
+++ b/router/fleet/gifts.go
@@ -23,14 +23,14 @@
 
 // GiveBack gives tokens to a keeper of the budget.
 func (f *Fleet) GiveBack(ctx context.Context, organisation string, tokens int64) bool {
-	return f.giveTo(ctx, f.peerHosts(f.keeperAddresses(organisation)), organisation, tokens)
+	return f.giveTo(ctx, f.peerHosts(f.lenders(organisation)), organisation, tokens)
 }
 
 // Give hands tokens over to another host.
 func (f *Fleet) Give(ctx context.Context, organisation string, tokens int64) bool {
 	list := f.addresses()
-	if keepers := f.keeperAddresses(organisation); keepers != nil {
-		list = append(keepers, list...)
+	if lenders := f.lenders(organisation); lenders != nil {
+		list = append(lenders, list...)
 	}
 	return f.giveTo(ctx, f.peerHosts(list), organisation, tokens)
 }
--- a/router/fleet/keepers.go
+++ b/router/fleet/keepers.go
@@ -8,38 +8,27 @@
 	log "github.com/sirupsen/logrus"
 
 	"maststage.dev/lib/rendezvous"
+	"maststage.dev/router/keeper"
 	"maststage.dev/router/prepaid"
 )
 
-// keeperGroup is how many hosts of a failure domain share one keeper of a budget.
-// A fleet of no more hosts has no keepers: each takes its own slices.
-const keeperGroup = 8
+// SetParts takes over which part of all prepaid tokens each organisation has.
+func (f *Fleet) SetParts(parts map[string]float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.parts = parts
+}
 
-// Keepers says how many hosts take slices of a budget from the log, and whether
-// this host is one of them. In large fleets a few hosts of each failure domain are,
-// by rendezvous hashing, and the others borrow from them.
+// Keepers says how many hosts hold tokens of a budget, and whether this host is one of
+// them. In a small fleet all are; in a large one few are, and the others borrow from them.
 func (f *Fleet) Keepers(organisation string) (count int, self bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	domains, total := f.domains()
-	if total <= keeperGroup {
-		return total, true
-	}
-	for _, n := range domains {
-		count += keepersOf(n)
-	}
-	own := rendezvous.Score(organisation, f.opts.Self.Name)
-	above := 0
-	for name, k := range f.hosts {
-		if f.counts(name, k) && k.host.Domain == f.opts.Self.Domain && rendezvous.Score(organisation, name) > own {
-			above++
-		}
-	}
-	return count, above < keepersOf(domains[f.opts.Self.Domain])
+	others := f.others()
+	count = keeper.Count(len(others)+1, f.parts[organisation])
+	return count, keeper.Is(organisation, f.opts.Self.Name, others, count)
 }
 
-func keepersOf(hosts int) int { return (hosts + keeperGroup - 1) / keeperGroup }
-
 // First says whether this host is the one of all that has a duty.
 func (f *Fleet) First(duty string) bool {
 	f.mu.Lock()
@@ -71,17 +60,45 @@
 	return domains, total
 }
 
-// keeperAddresses lists the keepers of a budget in this host's failure domain, those
+// lenders lists the addresses of the hosts that are asked for tokens of a budget, those
 // that did not answer a moment ago last; nil if each host takes its own slices.
-func (f *Fleet) keeperAddresses(organisation string) []string {
+func (f *Fleet) lenders(organisation string) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	domains, total := f.domains()
-	if total <= keeperGroup {
+	others := f.others()
+	hosts := len(others) + 1
+	if hosts <= keeper.Group {
 		return nil
 	}
-	ranked := rendezvous.Rank(organisation, f.domainMates(), func(k known) string { return k.host.Name })
-	return f.inTurn(organisation, ranked[:min(len(ranked), keepersOf(domains[f.opts.Self.Domain]))])
+	names := keeper.Lenders(organisation, f.opts.Self.Name, others, keeper.Count(hosts, f.parts[organisation]))
+	addresses := make([]string, 0, len(names))
+	for _, name := range names {
+		addresses = append(addresses, f.hosts[name].host.Address)
+	}
+	return f.silentLast(addresses)
+}
+
+// othersFor is how long the list of the other hosts is used: each request that needs tokens
+// asks for it, and hosts come and go within seconds.
+const othersFor = 200 * time.Millisecond
+
+// others lists the names of the other hosts that take part, as of a moment ago; the lock is
+// held.
+func (f *Fleet) others() []string {
+	if now := time.Now(); now.Sub(f.othersAt) > othersFor {
+		f.othersAt, f.othersThen = now, f.otherNames()
+	}
+	return f.othersThen
+}
+
+func (f *Fleet) otherNames() []string {
+	names := make([]string, 0, len(f.hosts))
+	for name, k := range f.hosts {
+		if f.counts(name, k) {
+			names = append(names, name)
+		}
+	}
+	return names
 }
 
 // domainMates lists the other hosts of this host's failure domain; the lock is held.
@@ -98,10 +115,18 @@
 // inTurn lists the addresses of hosts that share a duty, beginning with another one at
 // each host that asks; those that did not answer a moment ago are last. The lock is held.
 func (f *Fleet) inTurn(duty string, hosts []known) []string {
-	var good, silent []string
+	addresses := make([]string, 0, len(hosts))
 	for i := range hosts {
 		start := int(rendezvous.Score(duty, f.opts.Self.Name) % uint64(len(hosts)))
-		address := hosts[(start+i)%len(hosts)].host.Address
+		addresses = append(addresses, hosts[(start+i)%len(hosts)].host.Address)
+	}
+	return f.silentLast(addresses)
+}
+
+// silentLast puts the addresses that did not answer a moment ago last; the lock is held.
+func (f *Fleet) silentLast(addresses []string) []string {
+	var good, silent []string
+	for _, address := range addresses {
 		if f.silentNow(address) {
 			silent = append(silent, address)
 		} else {
@@ -137,43 +162,82 @@
 // Bounds of a loan.
 const (
 	borrowFrom    = 5                     // hosts asked
-	borrowKeepers = 2                     // keepers asked
 	borrowTimeout = 30 * time.Millisecond // for an answer
-	keeperTimeout = 60 * time.Millisecond // a keeper may wait for the log
+	keeperTimeout = 90 * time.Millisecond // a keeper may wait for the log
 )
 
 // Borrow asks the keepers of the budget, or in a small fleet all hosts, one after
 // the other, until they lent enough. A loan without an answer is recalled.
-func (f *Fleet) Borrow(ctx context.Context, organisation string, tokens, better int64) prepaid.Loan {
-	keepers := f.keeperAddresses(organisation)
-	if keepers != nil {
-		return f.borrowFrom(ctx, keepers[:min(len(keepers), borrowKeepers)], keeperTimeout, organisation, tokens, better)
+func (f *Fleet) Borrow(ctx context.Context, organisation string, tokens int64) prepaid.Loan {
+	if lenders := f.lenders(organisation); lenders != nil {
+		return f.borrowFrom(ctx, lenders, keeperTimeout, organisation, tokens)
 	}
-	list := f.addresses()
-	return f.borrowFrom(ctx, list[:min(len(list), borrowFrom)], borrowTimeout, organisation, tokens, tokens)
+	return f.borrowFrom(ctx, f.addresses(), borrowTimeout, organisation, tokens)
 }
 
-func (f *Fleet) borrowFrom(ctx context.Context, addresses []string, timeout time.Duration, organisation string, tokens, better int64) prepaid.Loan {
-	var total prepaid.Loan
+// borrowFrom asks hosts in their order. Once a keeper answered, the others are asked only
+// for what they have. Where none has enough and together they have, it is gathered.
+func (f *Fleet) borrowFrom(ctx context.Context, addresses []string, timeout time.Duration, organisation string, tokens int64) prepaid.Loan {
+	b := borrowing{fleet: f, timeout: timeout, organisation: organisation, free: map[string]int64{}}
+	addresses = addresses[:min(len(addresses), borrowFrom)]
 	for _, address := range addresses {
-		if total.Tokens >= tokens || ctx.Err() != nil {
+		if b.total.Tokens >= tokens || ctx.Err() != nil {
 			break
 		}
-		ask := lendRequest{ID: f.recalls.newLoan(), Organisation: organisation, Tokens: tokens - total.Tokens, Better: better - total.Tokens}
-		var got lendResponse
-		call, cancel := context.WithTimeout(ctx, timeout)
-		err := f.calls.do(call, address, pathLend, ask, &got)
-		cancel()
-		f.noteSilent(address, err)
-		if err == nil {
-			total.Tokens += got.Tokens
-			total.Answered = total.Answered || got.Keeper
-		} else if !notSent(err) {
-			f.recalls.add(unanswered{address: address, id: ask.ID})
+		b.ask(ctx, address, lendRequest{Tokens: tokens - b.total.Tokens, FreeOnly: b.total.Answered})
+	}
+	if b.canGather(tokens) {
+		b.gather(ctx, addresses, tokens)
+	}
+	log.WithFields(log.Fields{"organisation": organisation, "wanted": tokens, "got": b.total.Tokens, "answered": b.total.Answered}).Debug("borrowed from other hosts")
+	return b.total
+}
+
+// borrowing is the loans for one request.
+type borrowing struct {
+	fleet        *Fleet
+	timeout      time.Duration // of an answer
+	organisation string
+	total        prepaid.Loan
+	free         map[string]int64 // what hosts that lent too little could still lend
+}
+
+// ask asks one host.
+func (b *borrowing) ask(ctx context.Context, address string, ask lendRequest) {
+	f := b.fleet
+	ask.ID, ask.Organisation = f.recalls.newLoan(), b.organisation
+	var got lendResponse
+	call, cancel := context.WithTimeout(ctx, b.timeout)
+	err := f.calls.do(call, address, pathLend, ask, &got)
+	cancel()
+	f.noteSilent(address, err)
+	switch {
+	case err == nil:
+		b.total.Tokens += got.Tokens
+		b.total.Answered = b.total.Answered || got.Keeper
+		b.free[address] = got.Free
+	case !notSent(err):
+		f.recalls.add(unanswered{address: address, id: ask.ID})
+	}
+}
+
+// canGather says whether the hosts that were asked could together lend what is missing.
+func (b *borrowing) canGather(tokens int64) bool {
+	sum := b.total.Tokens
+	for _, free := range b.free {
+		sum += free
+	}
+	return b.total.Tokens < tokens && sum >= tokens
+}
+
+// gather borrows parts.
+func (b *borrowing) gather(ctx context.Context, addresses []string, tokens int64) {
+	for _, address := range addresses {
+		part := min(b.free[address], tokens-b.total.Tokens)
+		if part > 0 && ctx.Err() == nil {
+			b.ask(ctx, address, lendRequest{Tokens: part, FreeOnly: true, Partly: true})
 		}
 	}
-	log.WithFields(log.Fields{"organisation": organisation, "wanted": tokens, "got": total.Tokens, "answered": total.Answered}).Debug("borrowed from other hosts")
-	return total
 }
 
 // shuffled gives the addresses in random order.
--- /dev/null
+++ b/router/fleet/pool_test.go
@@ -0,0 +1,167 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"maststage.dev/router/prepaid"
+	"maststage.dev/standin/memlog"
+)
+
+// inProcess carries calls between hosts without a network.
+type inProcess map[string]http.Handler
+
+func (p inProcess) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	p[r.URL.Host].ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// pool is a fleet of hosts that share prepaid budgets, in one process.
+type pool struct {
+	log        *memlog.Log
+	treasuries []*prepaid.Treasury
+}
+
+// newPool starts n hosts in five failure domains; parts are those of the organisations.
+func newPool(t *testing.T, n int, limits map[string]int64) *pool {
+	p := &pool{log: memlog.New()}
+	calls := inProcess{}
+	all := hosts(n, 5)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	for _, self := range all {
+		f := newFleet(self)
+		f.calls.http.Transport = calls
+		announced(f, all...)
+		f.SetParts(partsOf(limits))
+		tr := prepaid.New(prepaid.Options{
+			Log: p.log.Host(self.Name), Topic: "b", Partitions: 4, Host: self.Name, Plan: prepaid.DefaultPlan,
+			Timeout: 100 * time.Millisecond, Interval: 400 * time.Millisecond, Wait: 100 * time.Millisecond,
+			Hosts: f.Size, Keepers: f.Keepers, Borrow: f.Borrow, GiveBack: f.GiveBack,
+		})
+		f.opts.Lend, f.opts.Recall, f.opts.Credit = tr.Lend, tr.Recall, tr.Credit
+		calls[self.Address] = f.Handler()
+		p.treasuries = append(p.treasuries, tr)
+	}
+	var budgets []prepaid.Budget
+	for organisation, limit := range limits {
+		budgets = append(budgets, prepaid.Budget{Organisation: organisation, Limit: limit})
+	}
+	for _, tr := range p.treasuries {
+		tr.Configure(1, budgets, true)
+		go tr.Run(ctx)
+	}
+	return p
+}
+
+func partsOf(limits map[string]int64) map[string]float64 {
+	total, parts := int64(0), map[string]float64{}
+	for _, limit := range limits {
+		total += limit
+	}
+	for organisation, limit := range limits {
+		parts[organisation] = float64(limit) / float64(total)
+	}
+	return parts
+}
+
+// ask lets a request arrive at any host; it uses all of its tokens.
+func (p *pool) ask(organisation string, tokens int64) bool {
+	tr := p.treasuries[rand.IntN(len(p.treasuries))]
+	r, err := tr.Reserve(context.Background(), organisation, tokens)
+	if err != nil {
+		return false
+	}
+	r.Settle(tokens)
+	return true
+}
+
+// free sums the free tokens of all hosts.
+func (p *pool) free(organisation string) (sum int64) {
+	for _, tr := range p.treasuries {
+		if h, ok := tr.Holding(organisation); ok {
+			sum += h.Free
+		}
+	}
+	return sum
+}
+
+// Tokens that one host holds serve a request at any other, also while the log is away: the
+// fleet refuses nothing before nearly all that it holds is spent. Requests of an
+// organisation come to any of many hosts, each of which sees few of them.
+func TestHeldTokensAreWithinReachWhileTheLogIsAway(t *testing.T) {
+	const request, rate, seconds = 9_000, 40, 3
+	for _, n := range []int{20, 87} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			p := newPool(t, n, map[string]int64{"large": 30_000_000, "small": 10_000_000})
+			for range rate * seconds {
+				is.True(p.ask("large", request)) // nothing is refused while the log is there
+				time.Sleep(time.Second / rate)
+			}
+			p.log.SetFault("", memlog.Fault{Refuse: true})
+			held := p.free("large")
+			is.True(held > 3*rate*request) // some seconds of the flow
+			served := int64(0)
+			for p.ask("large", request) {
+				served++
+			}
+			t.Logf("held %d, served %d, left %d", held, served*request, p.free("large"))
+			is.True(float64(served*request) > 0.9*float64(held))
+		})
+	}
+}
+
+// Where the log is away for some hosts, the keepers among them, others take their place.
+func TestKeepersWithoutTheLogAreReplaced(t *testing.T) {
+	is := is.New(t)
+	const request = 9_000
+	p := newPool(t, 40, map[string]int64{"org": 50_000_000})
+	for range 20 {
+		is.True(p.ask("org", request))
+	}
+	for i, tr := range p.treasuries {
+		if h, _ := tr.Holding("org"); h.Keeper {
+			p.log.SetFault(fmt.Sprintf("h%d", i), memlog.Fault{Refuse: true})
+		}
+	}
+	for range 300 {
+		is.True(p.ask("org", request))
+	}
+}
+
+// Requests of all sizes are refused alike while tokens are short: small ones do not take
+// each token that comes free.
+func TestLargeRequestsAreNotStarvedBySmallOnes(t *testing.T) {
+	is := is.New(t)
+	const small, large = 1_000, 20_000
+	p := newPool(t, 40, map[string]int64{"org": 40_000_000})
+	for range 60 {
+		is.True(p.ask("org", large))
+		is.True(p.ask("org", small))
+		time.Sleep(20 * time.Millisecond)
+	}
+	p.log.SetFault("", memlog.Fault{Refuse: true})
+	refused := map[int64]int{}
+	for range 2_000 {
+		for _, tokens := range []int64{small, small, small, large} {
+			if !p.ask("org", tokens) {
+				refused[tokens]++
+			}
+		}
+		if refused[large] > 20 {
+			break
+		}
+	}
+	t.Log(refused, p.free("org"))
+	is.True(refused[large] > 0)
+	is.True(refused[small] >= 2*refused[large]) // of three times as many
+}
--- a/router/fleet/relay.go
+++ b/router/fleet/relay.go
@@ -7,6 +7,7 @@
 	log "github.com/sirupsen/logrus"
 
 	"maststage.dev/lib/rendezvous"
+	"maststage.dev/router/keeper"
 	"maststage.dev/router/replica"
 )
 
@@ -53,7 +54,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	domains, total := f.domains()
-	if total <= keeperGroup {
+	if total <= keeper.Group {
 		return nil
 	}
 	same := append(f.domainMates(), known{host: f.opts.Self})
--- /dev/null
+++ b/router/node/accounts.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	log "github.com/sirupsen/logrus"
+
+	"maststage.dev/router/prepaid"
+	"maststage.dev/router/settings"
+)
+
+// mostAccounts bounds the lines about budgets that are written at a time.
+const mostAccounts = 200
+
+// tellAccounts writes now and again where this host's part of each budget came from and
+// went to, until ctx ends. The lines of all hosts together tell where an organisation's
+// tokens are.
+func (n *Node) tellAccounts(ctx context.Context) {
+	if n.cfg.Output.AccountS <= 0 {
+		return
+	}
+	tick := time.NewTicker(settings.Seconds(n.cfg.Output.AccountS))
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			n.accounts.tell(n.treasury.Holdings())
+		}
+	}
+}
+
+// accounts writes lines about budgets whose tokens moved since the line before.
+type accounts struct {
+	incarnation string
+	told        map[string]prepaid.Holding
+}
+
+func newAccounts(incarnation string) *accounts {
+	return &accounts{incarnation: incarnation, told: map[string]prepaid.Holding{}}
+}
+
+// tell writes a line for each holding that changed.
+func (a *accounts) tell(list []prepaid.Holding) {
+	lines := 0
+	for _, h := range list {
+		if h.Flows == (prepaid.Flows{}) || h == a.told[h.Organisation] || lines == mostAccounts {
+			continue
+		}
+		lines++
+		a.told[h.Organisation] = h
+		log.WithFields(log.Fields{
+			"incarnation": a.incarnation, "organisation": h.Organisation, "keeper": h.Keeper,
+			"free": h.Free, "reserved": h.Reserved, "granted": h.Granted, "limit": h.Limit, "offset": h.Offset,
+			"taken": h.Flows.Taken, "returned": h.Flows.Returned, "borrowed": h.Flows.Borrowed, "lent": h.Flows.Lent,
+			"recalled": h.Flows.Recalled, "given": h.Flows.Given, "received": h.Flows.Received, "used": h.Flows.Used,
+		}).Info("budget held")
+	}
+}
--- a/router/node/config.go
+++ b/router/node/config.go
@@ -63,7 +63,9 @@
 	if old != nil && config.Version <= old.Version {
 		return
 	}
-	n.treasury.Configure(config.Version, budgets(config), change.gap)
+	list := budgets(config)
+	n.treasury.Configure(config.Version, list, change.gap)
+	n.fleet.SetParts(parts(list))
 	n.handler.Configure(config)
 	n.shareConnections()
 	fields := log.Fields{
@@ -86,6 +88,21 @@
 	return list
 }
 
+// parts is which part of all prepaid tokens each organisation has.
+func parts(list []prepaid.Budget) map[string]float64 {
+	total := 0.0
+	for _, b := range list {
+		total += float64(b.Limit)
+	}
+	parts := make(map[string]float64, len(list))
+	for _, b := range list {
+		if total > 0 {
+			parts[b.Organisation] = float64(b.Limit) / total
+		}
+	}
+	return parts
+}
+
 // connectionPart is the part of a target's connections that hosts use together.
 const connectionPart = 0.9
 
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -59,6 +59,7 @@
 	fleet    *fleet.Fleet
 	retries  *retrybudget.Set
 	overload *overload.Monitor
+	accounts *accounts
 
 	configCopy, targetsCopy, hostsCopy *replica.Replica
 
@@ -77,6 +78,7 @@
 		cfg: cfg, latest: cfg, outside: outside,
 		observer: observe.New(cfg.Output.LinesPerSecond),
 		overload: overload.New(),
+		accounts: newAccounts(incarnation),
 		stopping: make(chan struct{}),
 		changed:  make(chan struct{}, 1),
 	}
@@ -211,13 +213,23 @@
 		Interval: settings.Milliseconds(b.IntervalMs),
 		Wait:     settings.Milliseconds(b.WaitMs),
 		Hosts:    n.fleet.Size,
-		Keepers:  n.fleet.Keepers,
+		Keepers:  n.keepers,
 		Borrow:   n.fleet.Borrow,
 		GiveBack: n.fleet.GiveBack,
 		OnCall:   func(outcome string) { n.observer.Count(fmt.Sprintf("budget_appends_total{outcome=%q}", outcome)) },
 	})
 }
 
+// keepers says how many hosts hold the tokens of a budget and whether this one is among
+// them: it is not before it knows the other hosts, or it would take the slice of a host
+// that is alone.
+func (n *Node) keepers(organisation string) (count int, self bool) {
+	if !n.hostsCopy.Loaded() {
+		return 1, false
+	}
+	return n.fleet.Keepers(organisation)
+}
+
 // contact logs that the log was lost or regained.
 func (n *Node) contact(topic string, err error) {
 	entry := log.WithFields(log.Fields{"dependency": "log", "topic": topic})
@@ -243,12 +255,19 @@
 	guard.Go("fleet", func() { n.fleet.Run(ctx) })
 	guard.Go("treasury", func() { n.treasury.Run(ctx) })
 	guard.Go("housekeeping", func() { n.housekeeping(ctx) })
+	telling, told := context.WithCancel(ctx)
+	var accounts sync.WaitGroup
+	accounts.Go(func() { n.tellAccounts(telling) })
 	select {
 	case <-ctx.Done():
+		told()
 		return ctx.Err()
 	case <-n.stopping:
 	}
 	n.drain(ctx)
+	told()
+	accounts.Wait()
+	n.accounts.tell(n.treasury.Holdings())
 	return nil
 }
 
--- a/router/node/reload.go
+++ b/router/node/reload.go
@@ -48,5 +48,6 @@
 	b := s.Budgets
 	return prepaid.Plan{
 		Horizon: b.HorizonS, FullSpan: b.FullSpanS, MostPart: b.MostPart, LeastPart: b.LeastPart, EvenPart: b.EvenPart, MostShares: b.MostShares,
+		KeeperHorizon: b.KeeperHorizonS, KeeperPart: b.KeeperPart,
 	}
 }
--- a/router/prepaid/append.go
+++ b/router/prepaid/append.go
@@ -25,6 +25,7 @@
 		end, err := c.treasury.opts.Log.AppendAt(call, c.partition, at, records)
 		cancel()
 		var conflict *eventlog.ConflictError
+		c.answeredAppend(err)
 		switch {
 		case err == nil:
 			c.called(CallTaken)
@@ -60,6 +61,15 @@
 	}
 }
 
+// answeredAppend notes whether the log answered an append; a lost race is an answer.
+func (c *clerk) answeredAppend(err error) {
+	var conflict *eventlog.ConflictError
+	if errors.As(err, &conflict) {
+		err = nil
+	}
+	c.answered(err)
+}
+
 // endMoved asks whether the partition still ends at an offset; if it does not, or
 // its records are gone, the fate of an append there can be told.
 func (c *clerk) endMoved(ctx context.Context, at int64) bool {
@@ -114,6 +124,7 @@
 	call, cancel := context.WithTimeout(ctx, c.treasury.opts.Timeout)
 	defer cancel()
 	batch, err := c.treasury.opts.Log.Read(call, c.partition, c.end, 0)
+	c.answered(err)
 	if err != nil {
 		return false, err
 	}
@@ -148,6 +159,7 @@
 		call, cancel := context.WithTimeout(ctx, c.treasury.opts.Timeout)
 		page, err := c.treasury.opts.Log.Newest(call, c.partition, after)
 		cancel()
+		c.answered(err)
 		if err != nil {
 			return err
 		}
@@ -185,7 +197,7 @@
 		return
 	}
 	w.account, w.known, w.offset = a, true, offset
-	w.flow.add(a.Granted, time.Now())
+	w.noteFlow(time.Now())
 	t.wake()
 }
 
@@ -197,9 +209,10 @@
 	for i, o := range orders {
 		w := t.wallets[o.organisation]
 		w.free += o.taken
+		w.flows.Taken += o.taken
 		if offset := at + int64(i); !w.known || offset > w.offset {
 			w.account, w.known, w.offset = o.next, true, offset
-			w.flow.add(o.next.Granted, time.Now())
+			w.noteFlow(time.Now())
 		}
 		log.WithFields(log.Fields{
 			"organisation": o.organisation, "taken": o.taken, "returned": o.given, "granted": o.next.Granted,
@@ -215,6 +228,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, o := range orders {
-		t.wallets[o.organisation].free += o.given
+		w := t.wallets[o.organisation]
+		w.free += o.given
+		w.flows.Returned -= o.given
 	}
 }
--- a/router/prepaid/clerk.go
+++ b/router/prepaid/clerk.go
@@ -5,6 +5,7 @@
 	"errors"
 	"hash/fnv"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"maststage.dev/lib/wait"
@@ -22,7 +23,8 @@
 	loaded    bool
 	end       int64 // all records below are known
 	refreshed time.Time
-	conflicts float64 // smoothed share of appends that others' came before
+	conflicts float64      // smoothed share of appends that others' came before
+	failed    atomic.Int64 // calls to the log in a row that failed
 }
 
 // Outcomes of calls to the log.
@@ -62,6 +64,22 @@
 	return t.clerks[int(h.Sum32()%uint32(len(t.clerks)))]
 }
 
+// awayAfter is how many calls in a row have to fail for the log to count as away: one alone
+// may be refused at a busy log.
+const awayAfter = 2
+
+// away says whether the log is out of reach, so that waiting for a slice is in vain.
+func (c *clerk) away() bool { return c.failed.Load() >= awayAfter }
+
+// answered notes whether the log answered a call.
+func (c *clerk) answered(err error) {
+	if err == nil || errors.Is(err, eventlog.ErrTrimmed) {
+		c.failed.Store(0)
+	} else {
+		c.failed.Add(1)
+	}
+}
+
 // kick asks for a round soon.
 func (c *clerk) kick() {
 	select {
@@ -83,7 +101,7 @@
 		case <-c.kicked:
 		case <-timer.C:
 		}
-		pause := c.interval()
+		pause := c.pause()
 		if err := c.round(ctx); err != nil {
 			failures++
 			wait.For(ctx, jitter(min(minRetry<<min(failures, maxDoublings), maxRetry)))
@@ -105,6 +123,32 @@
 	return t.opts.Interval * time.Duration(max(t.opts.Hosts(), usualHosts)) / usualHosts
 }
 
+// holdLook is the time between two looks of a host at slices that it holds for others: what
+// a hot spell made it take is given back soon. A look at a slice that is right makes no call.
+const holdLook = time.Second
+
+// pause is the time until the next round that nobody asks for.
+func (c *clerk) pause() time.Duration {
+	if c.holds() {
+		return min(c.interval(), holdLook)
+	}
+	return c.interval()
+}
+
+// holds says whether this host holds tokens of one of the accounts for others, or more than
+// it needs itself.
+func (c *clerk) holds() bool {
+	t := c.treasury
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for organisation, w := range t.wallets {
+		if (w.wanted > 0 && w.free > 0 || float64(w.free) > returnAbove*w.largest) && t.clerkOf(organisation) == c {
+			return true
+		}
+	}
+	return false
+}
+
 // Pauses after a failed call.
 const (
 	minRetry     = 20 * time.Millisecond
@@ -235,9 +279,9 @@
 	}
 	count, keeper := t.keeps(organisation, w)
 	if !keeper {
-		return w.changeForWaiting()
+		return w.changeForWaiting(time.Now())
 	}
-	return w.change(t.opts.Plan, count, count < t.opts.Hosts(), time.Now())
+	return w.change(t.opts.Plan, count, t.sparse(count), time.Now())
 }
 
 // orders works out the changes that are due and debits what is given back.
@@ -260,6 +304,7 @@
 		next.Writer, next.Op = t.opts.Host, t.nextOp
 		if change.Return > 0 {
 			w.free -= change.Return
+			w.flows.Returned += change.Return
 		}
 		orders = append(orders, order{organisation: organisation, next: next, taken: taken, given: change.Return})
 	}
--- a/router/prepaid/flow.go
+++ b/router/prepaid/flow.go
@@ -62,3 +62,13 @@
 	}
 	return float64(drawn) / max(now.Sub(first.at), flowLeast).Seconds()
 }
+
+// noteFlow takes in how much of the budget is drawn. What a keeper holds itself is not
+// drawn yet: its slices come in steps of several seconds of the flow.
+func (w *wallet) noteFlow(now time.Time) {
+	drawn := w.account.Granted
+	if w.wanted > 0 {
+		drawn -= w.free
+	}
+	w.flow.add(drawn, now)
+}
--- a/router/prepaid/fuzz_test.go
+++ b/router/prepaid/fuzz_test.go
@@ -29,6 +29,7 @@
 	dead     int64 // reserved by hosts that were killed: counts as spent
 	loans    int
 	lost     []lostLoan
+	keepers  int // hosts that hold tokens for all; 0: each takes its own slices
 }
 
 const fuzzHosts = 3
@@ -36,11 +37,15 @@
 func (m *model) start(i int) {
 	m.starts++
 	name := fmt.Sprintf("h%d/%d", i, m.starts)
-	tr := New(Options{
+	opts := Options{
 		Log: m.log.Host(fmt.Sprintf("h%d", i)), Topic: "b", Partitions: 1, Host: name,
-		Plan: Plan{Horizon: 5, FullSpan: 10, MostPart: 0.9, LeastPart: 0.2, EvenPart: 0.5}, Again: time.Nanosecond,
-		Timeout: time.Second, Hosts: func() int { return fuzzHosts },
-	})
+		Plan:  Plan{Horizon: 5, FullSpan: 10, MostPart: 0.9, LeastPart: 0.2, EvenPart: 0.5, KeeperHorizon: 5, KeeperPart: 0.5},
+		Again: time.Nanosecond, Timeout: time.Second, Hosts: func() int { return fuzzHosts },
+	}
+	if m.keepers > 0 {
+		opts.Keepers = func(string) (int, bool) { return m.keepers, i < m.keepers }
+	}
+	tr := New(opts)
 	tr.Configure(m.version, []Budget{{"org", m.limit}}, true)
 	m.hosts[i] = tr
 }
@@ -57,6 +62,16 @@
 	if total > m.highest {
 		t.Fatalf("spent %d, reserved %d, dead %d; the limit was never above %d", m.spent, m.reserved, m.dead, m.highest)
 	}
+	m.checkFlows(t)
+}
+
+// checkFlows: each host's flows balance to the token.
+func (m *model) checkFlows(t *rapid.T) {
+	for i, tr := range m.hosts {
+		if h, _ := tr.Holding("org"); h.Flows.Held() != h.Free+h.Reserved {
+			t.Fatalf("host %d: flows %+v leave %d, free %d, reserved %d", i, h.Flows, h.Flows.Held(), h.Free, h.Reserved)
+		}
+	}
 }
 
 func TestNeverOverspent(t *testing.T) {
@@ -64,6 +79,7 @@
 		m := &model{log: memlog.New(), hosts: make([]*Treasury, fuzzHosts), open: map[*Treasury][]*Reservation{}}
 		m.limit = rapid.Int64Range(10, 2000).Draw(t, "limit")
 		m.highest, m.version = m.limit, 1
+		m.keepers = rapid.IntRange(0, fuzzHosts-1).Draw(t, "keepers")
 		for i := range m.hosts {
 			m.start(i)
 		}
@@ -198,7 +214,8 @@
 	m.loans++
 	id := fmt.Sprint(m.loans)
 	lender := m.hosts[from]
-	lent := lender.lendFree(LoanRequest{ID: id, Organisation: "org", Tokens: wanted, Better: 2 * wanted}, keeper)
+	partly := rapid.Bool().Draw(t, "partly")
+	lent := lender.lendFree(LoanRequest{ID: id, Organisation: "org", Tokens: wanted, Partly: partly}, keeper)
 	if r, _ := lender.try("org", wanted); keeper && lent == 0 && r != nil {
 		lent = lender.lendReserved(id, r) // as a keeper does that waited
 	} else {
--- a/router/prepaid/loans.go
+++ b/router/prepaid/loans.go
@@ -17,7 +17,11 @@
 	ID           string
 	Organisation string
 	Tokens       int64 // needed
-	Better       int64 // wanted if they can be spared
+	// FreeOnly asks for what the host has; else it takes a slice for the loan if need be,
+	// and is a keeper of the budget from then on.
+	FreeOnly bool
+	// Partly takes less than what is needed too: others lend the rest.
+	Partly bool
 }
 
 // Loan is what other hosts lent.
@@ -26,29 +30,36 @@
 	// Answered means that a keeper of the budget answered: if it lent too little,
 	// there is no more within its reach.
 	Answered bool
+	// Free is what the lender could still lend, where it lent too little.
+	Free int64
 }
 
 // Figures of loans.
 const (
-	borrowWait  = 90 * time.Millisecond  // bounds the requests to other hosts
-	borrowPause = 250 * time.Millisecond // hosts are not asked again after they had too little
-	lendPart    = 0.9                    // of the free tokens, lent at most at once
-	lendWait    = 30 * time.Millisecond  // a keeper waits so long for the log
-	betterTime  = 4.0                    // seconds of demand that a borrower asks for
+	borrowWait  = 150 * time.Millisecond // bounds the requests to other hosts
+	borrowPause = 250 * time.Millisecond // hosts are not asked again for as much after they had too little
+	lendPart    = 0.9                    // of the free tokens that a host holds for itself, lent at most at once
+	lendWait    = 60 * time.Millisecond  // a keeper waits so long for the log
+	keeperTime  = 5 * time.Second        // a host that was asked for a loan is a keeper for so long
 	handOvers   = 16                     // budgets handed over at a time; each may wait for a silent host
 	idleTime    = 3 * time.Second        // without a request, after which tokens are given back
 )
 
-// keeps says how many hosts take slices of a budget and whether this one does: as
-// a keeper for others, or because its own demand is worth it. The lock is held.
+// keeps says how many hosts take slices of a budget and whether this one does: as a
+// keeper, because others took it for one, or because its own demand is worth it. The lock
+// is held.
 func (t *Treasury) keeps(organisation string, w *wallet) (count int, self bool) {
 	if t.opts.Keepers == nil {
 		return max(t.opts.Hosts(), 1), true
 	}
 	count, self = t.opts.Keepers(organisation)
-	return count, self || w.busy(time.Now())
+	now := time.Now()
+	return count, self || now.Sub(w.asked) < keeperTime || w.busy(now)
 }
 
+// sparse says whether few of many hosts take slices of a budget; the lock is held.
+func (t *Treasury) sparse(count int) bool { return count < t.opts.Hosts() }
+
 // keeper says whether this host takes slices of a budget.
 func (t *Treasury) keeper(organisation string) bool {
 	t.mu.Lock()
@@ -66,30 +77,30 @@
 	if t.opts.Borrow == nil {
 		return nil, false, nil
 	}
-	missing, better, refused := t.missing(organisation, tokens, time.Now())
+	missing, refused := t.missing(organisation, tokens, time.Now())
 	if missing == 0 || refused {
 		return nil, refused, nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), borrowWait)
 	defer cancel()
-	loan := t.opts.Borrow(ctx, organisation, missing, better)
+	loan := t.opts.Borrow(ctx, organisation, missing)
 	t.takeLoan(organisation, missing, loan)
 	got, err = t.try(organisation, tokens)
 	return got, loan.Answered, err
 }
 
-// missing is what the wallet lacks for a request, and what it had better ask for.
-// refused says that other hosts had too little a moment ago.
-func (t *Treasury) missing(organisation string, tokens int64, now time.Time) (missing, better int64, refused bool) {
+// missing is what the wallet lacks for a request. Nothing is borrowed beyond it: what a host
+// holds that is no keeper is out of others' reach. refused says that other hosts had too
+// little for as much a moment ago.
+func (t *Treasury) missing(organisation string, tokens int64, now time.Time) (missing int64, refused bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w := t.wallets[organisation]
 	if w == nil || !w.spendable() {
-		return 0, 0, false
+		return 0, false
 	}
-	w.decay(now)
 	missing = max(tokens-w.free, 0)
-	return missing, missing + int64(w.demand*betterTime), now.Sub(w.refused) < borrowPause
+	return missing, now.Sub(w.refused) < borrowPause && missing >= w.refusedFor
 }
 
 // takeLoan takes in a loan.
@@ -97,55 +108,96 @@
 	if loan.Tokens > 0 {
 		t.credit(organisation, loan.Tokens)
 	}
-	if loan.Tokens >= wanted || !loan.Answered {
-		return
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if w := t.wallets[organisation]; w != nil {
-		w.refused = time.Now()
+	w := t.wallets[organisation]
+	if w == nil {
+		return
+	}
+	if loan.Tokens < wanted && loan.Answered {
+		w.refused, w.refusedFor = time.Now(), wanted-loan.Tokens
 	}
 }
 
-// Lend takes tokens out of this host's slice for another host: as many as are better
-// for it if it can spare them, else as many as it can up to those needed. A keeper
+// Lend takes tokens out of this host's slice for another host, up to those needed. A keeper
 // waits a moment for a slice. What is lent is gone from here, whether or not the
 // other host gets it, unless it recalls the loan.
 func (t *Treasury) Lend(ctx context.Context, ask LoanRequest) Loan {
-	keeper := t.keeper(ask.Organisation)
+	loan := t.lend(ctx, ask)
+	if loan.Tokens < ask.Tokens {
+		loan.Free = t.lendable(ask.Organisation)
+	}
+	return loan
+}
+
+func (t *Treasury) lend(ctx context.Context, ask LoanRequest) Loan {
+	keeper := t.takeOver(ask)
 	if ctx.Err() != nil {
 		return Loan{}
 	}
-	if lent := t.lendFree(ask, keeper); lent >= ask.Tokens || !keeper {
+	if lent := t.lendFree(ask, keeper); lent >= ask.Tokens || !keeper || ask.FreeOnly {
 		return Loan{Tokens: lent, Answered: keeper}
 	}
 	got, err := t.reserveOwn(ctx, ask.Organisation, ask.Tokens, lendWait)
 	if err != nil {
-		return Loan{Answered: true}
+		// Only a budget that has no more is a no for all: where this host can't reach the
+		// log, another one may.
+		return Loan{Answered: t.exhausted(ask.Organisation, ask.Tokens)}
 	}
 	return Loan{Tokens: t.lendReserved(ask.ID, got), Answered: true}
 }
 
+// lendable is what this host could lend at once.
+func (t *Treasury) lendable(organisation string) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.wallets[organisation]
+	if w == nil || t.closing || !w.spendable() {
+		return 0
+	}
+	return w.spare()
+}
+
+// takeOver notes that another host takes this one for a keeper, and says whether it is one.
+func (t *Treasury) takeOver(ask LoanRequest) (keeper bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.wallets[ask.Organisation]
+	if w == nil || t.closing {
+		return false
+	}
+	if !ask.FreeOnly {
+		w.asked = time.Now()
+	}
+	_, keeper = t.keeps(ask.Organisation, w)
+	return keeper
+}
+
 // lendFree lends of what is free. A keeper lends all that is asked for or nothing,
 // since it may wait for more.
 func (t *Treasury) lendFree(ask LoanRequest, keeper bool) int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	w := t.wallets[ask.Organisation]
-	if w == nil || ask.Tokens <= 0 || t.closing || len(w.waiting) > 0 || !w.spendable() || t.loans.recalled(ask.ID) {
+	if w == nil || ask.Tokens <= 0 || t.closing || !w.spendable() || t.loans.recalled(ask.ID) {
+		return 0
+	}
+	count, _ := t.keeps(ask.Organisation, w)
+	if len(w.waiting) > 0 && !t.sparse(count) {
 		return 0
 	}
-	spare := int64(lendPart * float64(w.free))
+	spare := w.spare()
 	lent := min(ask.Tokens, spare)
+	if keeper && !ask.Partly && (lent < ask.Tokens || !t.hasRoom(ask.Organisation, w, ask.Tokens)) {
+		return 0
+	}
 	if keeper {
-		if spare < ask.Tokens {
-			return 0
-		}
-		lent = max(ask.Tokens, min(ask.Better, spare/2))
-		w.note(lent, time.Now())
+		w.noteLoan(lent, ask.Tokens, time.Now())
 	}
 	w.free -= lent
+	w.flows.Lent += lent
 	t.loans.lent(ask.ID, ask.Organisation, lent)
+	t.refillSoon(ask.Organisation, w)
 	return lent
 }
 
@@ -164,6 +216,7 @@
 		t.wake()
 		return 0
 	}
+	w.flows.Lent += r.tokens
 	t.loans.lent(id, r.organisation, r.tokens)
 	return r.tokens
 }
@@ -179,6 +232,7 @@
 		return 0
 	}
 	w.free += loan.tokens
+	w.flows.Recalled += loan.tokens
 	t.wake()
 	return loan.tokens
 }
@@ -213,8 +267,7 @@
 			continue
 		}
 		if _, keeper := t.keeps(organisation, w); !keeper {
-			idle[organisation] = w.free
-			w.free = 0
+			idle[organisation] = w.giveAway()
 		}
 	}
 	return idle
@@ -228,8 +281,7 @@
 	free := map[string]int64{}
 	for organisation, w := range t.wallets {
 		if w.free > 0 && w.spendable() {
-			free[organisation] = w.free
-			w.free = 0
+			free[organisation] = w.giveAway()
 		}
 	}
 	t.mu.Unlock()
@@ -266,6 +318,7 @@
 	t.gifts.note(g.ID, took)
 	if took {
 		w.free += g.Tokens
+		w.flows.Received += g.Tokens
 		t.wake()
 	}
 	return took
@@ -276,6 +329,15 @@
 	defer t.mu.Unlock()
 	if w := t.wallets[organisation]; w != nil {
 		w.free += tokens
+		w.flows.Borrowed += tokens
 		t.wake()
 	}
 }
+
+// giveAway debits all free tokens for a gift and says how many they are.
+func (w *wallet) giveAway() int64 {
+	given := w.free
+	w.free = 0
+	w.flows.Given += given
+	return given
+}
--- a/router/prepaid/loans_test.go
+++ b/router/prepaid/loans_test.go
@@ -18,8 +18,8 @@
 	is := is.New(t)
 	h := newHosts(t, 2)
 	a, _ := h.start("a", nil)
-	b, _ := h.start("b", func(ctx context.Context, organisation string, n, better int64) Loan {
-		return a.Lend(ctx, LoanRequest{Organisation: organisation, Tokens: n, Better: better})
+	b, _ := h.start("b", func(ctx context.Context, organisation string, n int64) Loan {
+		return a.Lend(ctx, LoanRequest{Organisation: organisation, Tokens: n})
 	})
 	for _, tr := range []*Treasury{a, b} {
 		tr.Configure(1, []Budget{{"org", 1000}}, true)
@@ -32,8 +32,8 @@
 	is.True(spend(b, "org", 50, 4) > 0)
 	after, _ := a.Holding("org")
 	is.True(after.Free < before.Free)
-	is.Equal(a.Lend(context.Background(), LoanRequest{Organisation: "org", Tokens: 1e9, Better: 1e9}).Tokens, int64(0)) // not more than it has
-	is.Equal(a.Lend(context.Background(), LoanRequest{Organisation: "nobody", Tokens: 10, Better: 10}).Tokens, int64(0))
+	is.Equal(a.Lend(context.Background(), LoanRequest{Organisation: "org", Tokens: 1e9}).Tokens, int64(0)) // not more than it has
+	is.Equal(a.Lend(context.Background(), LoanRequest{Organisation: "nobody", Tokens: 10}).Tokens, int64(0))
 }
 
 // A loan whose answer was lost goes back once, whether its recall comes before the
@@ -52,7 +52,7 @@
 	}
 	h.log.SetFault("", memlog.Fault{Refuse: true}) // the slice stays as it is
 	before := free()
-	ask := LoanRequest{ID: "b/1", Organisation: "org", Tokens: 40, Better: 40}
+	ask := LoanRequest{ID: "b/1", Organisation: "org", Tokens: 40}
 	is.Equal(a.Lend(context.Background(), ask).Tokens, int64(40))
 	is.Equal(free(), before-40)
 	is.Equal(a.Recall("b/1"), int64(40))
@@ -106,8 +106,8 @@
 		Timeout: 50 * time.Millisecond, Interval: 20 * time.Millisecond, Wait: 100 * time.Millisecond,
 		Hosts:   func() int { return 20 },
 		Keepers: func(string) (int, bool) { return 1, false },
-		Borrow: func(ctx context.Context, organisation string, n, better int64) Loan {
-			return keeper.Lend(ctx, LoanRequest{Organisation: organisation, Tokens: n, Better: better})
+		Borrow: func(ctx context.Context, organisation string, n int64) Loan {
+			return keeper.Lend(ctx, LoanRequest{Organisation: organisation, Tokens: n})
 		},
 		GiveBack: func(_ context.Context, organisation string, n int64) bool {
 			return keeper.Credit(Gift{ID: fmt.Sprint(gifts.Add(1)), Organisation: organisation, Tokens: n})
@@ -133,13 +133,27 @@
 	is.True(!w.busy(now))
 	w.note(100, now)
 	is.True(!w.busy(now)) // one request
-	for range 4 {
+	for range 14 {
 		w.note(100, now)
 	}
 	is.True(w.busy(now))
 	is.True(!w.busy(now.Add(20 * time.Second)))
 }
 
+// What a host holds from a time when it took slices of its own goes back once it is no
+// keeper, also while it is in use.
+func TestBorrowerKeepsNoMoreThanItNeeds(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	w := &wallet{account: Account{Granted: 5000, Limit: 10000}, limit: 10000, free: 4000}
+	w.note(100, now)
+	is.Equal(w.changeForWaiting(now), Change{Return: 4000 - 125})
+	w.free = 200
+	is.Equal(w.changeForWaiting(now), Change{})
+	w.wait(300)
+	is.Equal(w.changeForWaiting(now), Change{Take: 100, Least: 100})
+}
+
 // A borrower whose keepers can't be reached takes a slice itself.
 func TestBorrowerWithoutKeepers(t *testing.T) {
 	is := is.New(t)
@@ -149,7 +163,7 @@
 		Timeout: 50 * time.Millisecond, Interval: 20 * time.Millisecond, Wait: 100 * time.Millisecond,
 		Hosts:   func() int { return 20 },
 		Keepers: func(string) (int, bool) { return 1, false },
-		Borrow:  func(context.Context, string, int64, int64) Loan { return Loan{} },
+		Borrow:  func(context.Context, string, int64) Loan { return Loan{} },
 	})
 	tr.Configure(1, []Budget{{"org", 1000}}, true)
 	is.Equal(spend(tr, "org", 10, 200), int64(1000))
@@ -166,7 +180,7 @@
 		Timeout: 50 * time.Millisecond, Interval: 20 * time.Millisecond, Wait: 100 * time.Millisecond,
 		Hosts:   func() int { return 20 },
 		Keepers: func(string) (int, bool) { return 1, false },
-		Borrow: func(context.Context, string, int64, int64) Loan {
+		Borrow: func(context.Context, string, int64) Loan {
 			asked.Add(1)
 			return Loan{Answered: true}
 		},
--- a/router/prepaid/treasury.go
+++ b/router/prepaid/treasury.go
@@ -35,9 +35,8 @@
 	// Keepers says how many hosts take slices of a budget from the log, and whether
 	// this host is one of them; the others borrow. nil: all hosts are.
 	Keepers func(organisation string) (count int, self bool)
-	// Borrow asks other hosts for at least so many tokens, and better more; nil: no
-	// other host is asked.
-	Borrow func(ctx context.Context, organisation string, tokens, better int64) Loan
+	// Borrow asks other hosts for so many tokens; nil: no other host is asked.
+	Borrow func(ctx context.Context, organisation string, tokens int64) Loan
 	// GiveBack gives idle tokens of a host that is no keeper to one; nil: never.
 	GiveBack func(ctx context.Context, organisation string, tokens int64) bool
 	// OnCall counts calls to the log by outcome.
@@ -166,8 +165,9 @@
 		if got, err := t.try(organisation, tokens); got != nil || err != nil {
 			return got, err
 		}
-		t.clerkOf(organisation).kick()
-		if t.exhausted(organisation, tokens) {
+		clerk := t.clerkOf(organisation)
+		clerk.kick()
+		if clerk.away() || t.exhausted(organisation, tokens) {
 			return nil, ErrEmpty
 		}
 		select {
@@ -202,15 +202,38 @@
 	if tokens > w.limit {
 		return nil, ErrNever
 	}
-	if w.free < tokens || !w.spendable() {
+	if w.free < tokens || !w.spendable() || !t.hasRoom(organisation, w, tokens) {
 		return nil, nil
 	}
 	w.free -= tokens
 	w.reserved += tokens
 	w.note(tokens, time.Now())
+	t.refillSoon(organisation, w)
 	return &Reservation{treasury: t, organisation: organisation, tokens: tokens}, nil
 }
 
+// hasRoom says whether a request of so many tokens leaves room for larger ones. Where a
+// keeper gets no more tokens for now, small requests would otherwise take each one that
+// comes free, and large ones never find enough; so all need as many to be there as a large
+// one does. The lock is held.
+func (t *Treasury) hasRoom(organisation string, w *wallet, tokens int64) bool {
+	if w.wanted == 0 {
+		return true
+	}
+	room := int64(w.largest)
+	if !t.clerkOf(organisation).away() && w.current().Left() >= room {
+		return true
+	}
+	return w.free >= max(tokens, room)
+}
+
+// refillSoon asks for a slice once what a keeper holds runs low; the lock is held.
+func (t *Treasury) refillSoon(organisation string, w *wallet) {
+	if w.low() {
+		t.clerkOf(organisation).kick()
+	}
+}
+
 // wait notes that a request waits for tokens.
 func (t *Treasury) wait(organisation string, tokens int64) {
 	t.mu.Lock()
@@ -269,6 +292,7 @@
 	used = min(used, r.tokens)
 	w.reserved -= r.tokens
 	w.free += r.tokens - used
+	w.flows.Used += used
 	w.correct(used-r.tokens, time.Now())
 	if used < r.tokens && len(w.waiting) > 0 {
 		t.wake()
@@ -288,6 +312,8 @@
 	Granted      int64 // to all hosts, as last seen
 	Limit        int64
 	Offset       int64 // of the account's record as last seen
+	Keeper       bool  // it holds tokens for others too
+	Flows        Flows
 }
 
 // Holdings lists this host's parts of all budgets.
@@ -316,7 +342,7 @@
 func (w *wallet) holding(organisation string) Holding {
 	return Holding{
 		Organisation: organisation, Free: w.free, Reserved: w.reserved,
-		Granted: w.account.Granted, Limit: w.limit, Offset: w.offset,
+		Granted: w.account.Granted, Limit: w.limit, Offset: w.offset, Keeper: w.wanted > 0, Flows: w.flows,
 	}
 }
 
--- a/router/prepaid/wallet.go
+++ b/router/prepaid/wallet.go
@@ -22,10 +22,13 @@
 	// EvenPart is the part of an even share of that which a host holds whatever its
 	// demand; MostShares bounds a slice in even shares.
 	EvenPart, MostShares float64
+	// KeeperHorizon and KeeperPart take the place of Horizon and MostPart where few of many
+	// hosts hold a budget's tokens, for all to borrow: all of them together hold so much.
+	KeeperHorizon, KeeperPart float64
 }
 
 // DefaultPlan is what the measurements in docs/MEASUREMENTS.md chose.
-var DefaultPlan = Plan{Horizon: 11, FullSpan: 25, MostPart: 0.35, LeastPart: 0.02, EvenPart: 0.6, MostShares: 1}
+var DefaultPlan = Plan{Horizon: 11, FullSpan: 25, MostPart: 0.35, LeastPart: 0.02, EvenPart: 0.6, MostShares: 1, KeeperHorizon: 11, KeeperPart: 0.4}
 
 // part is the part of the unspent tokens that all hosts together may hold. It falls
 // with the third power of the time that the budget still lasts.
@@ -48,18 +51,22 @@
 
 // wallet is this host's part of one budget. It is guarded by its treasury's lock.
 type wallet struct {
-	account  Account
-	known    bool // account was read from the log
-	offset   int64
-	version  int64 // of the newest configuration
-	limit    int64 // prepaid by that
-	verify   int64 // the account must be seen under this version or later before anything is spent
-	free     int64
-	reserved int64
-	waiting  []int64   // what requests wait for, one entry each
-	hungry   bool      // a request was turned away for want of tokens
-	refused  time.Time // when other hosts last had too little to lend
-	used     time.Time // when a request last began
+	account    Account
+	known      bool // account was read from the log
+	offset     int64
+	version    int64 // of the newest configuration
+	limit      int64 // prepaid by that
+	verify     int64 // the account must be seen under this version or later before anything is spent
+	free       int64
+	reserved   int64
+	flows      Flows
+	waiting    []int64   // what requests wait for, one entry each
+	hungry     bool      // a request was turned away for want of tokens
+	refused    time.Time // when other hosts last had too little to lend
+	refusedFor int64     // how much it was
+	asked      time.Time // when another host last took this one for a keeper
+	wanted     int64     // the slice that it should have, where few hosts hold the budget's
+	used       time.Time // when a request last began
 
 	flow     flow
 	demand   float64 // of this host, tokens a second
@@ -81,10 +88,13 @@
 
 // note adds a reservation to the demand: a run may take long, and what it needs is
 // known when it begins.
-func (w *wallet) note(tokens int64, now time.Time) {
+func (w *wallet) note(tokens int64, now time.Time) { w.noteLoan(tokens, tokens, now) }
+
+// noteLoan adds a loan to the demand that is for a request of so many tokens.
+func (w *wallet) noteLoan(lent, request int64, now time.Time) {
 	w.decay(now)
-	w.demand += float64(tokens) / demandTime
-	w.largest = max(w.largest*0.98, float64(tokens))
+	w.demand += float64(lent) / demandTime
+	w.largest = max(w.largest*0.98, float64(request))
 	w.used = now
 }
 
@@ -101,25 +111,44 @@
 	w.demandAt = now
 }
 
-// busy says whether this host's own demand is worth slices of its own: more than
-// about one large request in three seconds.
+// busyDemand is the demand, in large requests a second, above which a host takes slices of
+// its own: where most callers of an organisation come to one host, it is the right place for
+// the tokens. What it holds is out of others' reach, so lower demand is met by loans.
+const busyDemand = 3.0
+
+// busy says whether this host's own demand is worth slices of its own.
 func (w *wallet) busy(now time.Time) bool {
 	w.decay(now)
 	return w.largest > 0 && w.demand > busyDemand*w.largest
 }
 
-const busyDemand = 0.3
-
 // changeForWaiting is the change of a host that is no keeper of the budget: only
-// what requests wait for, since the keepers could not be asked.
-func (w *wallet) changeForWaiting() Change {
+// what requests wait for, since the keepers could not be asked. What it holds beyond its
+// need, as from a time when it was one, is out of others' reach and goes back.
+func (w *wallet) changeForWaiting(now time.Time) Change {
+	w.decay(now)
+	w.wanted = 0
 	if w.current().Left() < 0 {
 		return Change{Return: w.free}
 	}
-	if len(w.waiting) == 0 {
-		return Change{}
+	if len(w.waiting) > 0 {
+		return w.takeForWaiting(0)
+	}
+	if now.Sub(w.used) > idleTime {
+		return Change{} // all of it goes to a keeper
+	}
+	need := w.demand + w.largest // a second of it, and one request more
+	if unspent := float64(w.current().Left() + w.free); w.excess(need, unspent) {
+		return Change{Return: w.free - int64(need)}
 	}
-	return w.takeForWaiting(0)
+	return Change{}
+}
+
+// excess says whether a slice is so much larger than what is wanted that giving the rest
+// back is worth an append.
+func (w *wallet) excess(want, unspent float64) bool {
+	free := float64(w.free)
+	return free > returnAbove*want && free-want > smallReturns*unspent
 }
 
 // change works out what to ask of the account; zero: nothing. hosts is how many
@@ -134,6 +163,9 @@
 	left := float64(a.Left())
 	unspent := left + float64(w.free)
 	flow := w.flow.rate(now)
+	if sparse {
+		return w.changeOfKeeper(p, unspent, flow, now)
+	}
 	hold := p.part(unspent, flow) * unspent // by all hosts
 	share := hold / float64(max(hosts, 1))
 	horizon := p.Horizon
@@ -141,25 +173,51 @@
 		horizon = min(horizon, hold/flow)
 	}
 	want := max(p.EvenPart*share, min(w.demand*horizon+w.largest, p.MostShares*share))
-	if sparse {
-		want = min(w.demand*horizon+w.largest, hold)
-		if len(w.waiting) == 0 && now.Sub(w.used) > idleTime {
-			return Change{Return: w.free}
-		}
+	return w.changeTo(want, unspent)
+}
+
+// changeOfKeeper is the change where few of many hosts hold the budget's tokens: by their
+// demand alone, since it lies with few of them.
+func (w *wallet) changeOfKeeper(p Plan, unspent, flow float64, now time.Time) Change {
+	hold := p.KeeperPart * unspent
+	horizon := p.KeeperHorizon
+	if flow > 0 {
+		horizon = min(horizon, hold/flow)
+	}
+	want := min(w.demand*horizon+w.largest, hold)
+	w.wanted = int64(want)
+	if len(w.waiting) == 0 && now.Sub(w.used) > idleTime {
+		return Change{Return: w.free}
 	}
+	return w.changeTo(want, unspent)
+}
+
+// changeTo is the change that brings the slice to what is wanted.
+func (w *wallet) changeTo(want, unspent float64) Change {
 	free := float64(w.free)
 	if len(w.waiting) > 0 {
 		return w.takeForWaiting(want)
 	}
 	switch {
-	case free < refillBelow*want && want-free >= usefulTake*w.largest && left > 0:
+	case free < refillBelow*want && want-free >= usefulTake*w.largest && w.current().Left() > 0:
 		return Change{Take: int64(want - free)}
-	case free > returnAbove*want && free-want > smallReturns*unspent:
+	case w.excess(want, unspent):
 		return Change{Return: int64(free - want)}
 	}
 	return Change{}
 }
 
+// spare is what may be lent at once of what is free: all that a keeper holds for others.
+func (w *wallet) spare() int64 {
+	if w.wanted > 0 {
+		return w.free
+	}
+	return int64(lendPart * float64(w.free))
+}
+
+// low says whether a slice should be filled up before requests wait for it.
+func (w *wallet) low() bool { return float64(w.free) < refillBelow*float64(w.wanted) }
+
 // takeForWaiting asks for a slice that lets all waiting requests begin, or at least
 // the smallest of them.
 func (w *wallet) takeForWaiting(want float64) Change {
--- a/router/settings/sections.go
+++ b/router/settings/sections.go
@@ -68,14 +68,16 @@
 
 // Budgets says how slices of prepaid budgets are held.
 type Budgets struct {
-	HorizonS   float64 `ini:"horizon_s" default:"11"`    // a slice lasts so long at the present demand
-	FullSpanS  float64 `ini:"full_span_s" default:"25"`  // a budget that lasts so long is held by most_part
-	MostPart   float64 `ini:"most_part" default:"0.35"`  // of what is unspent all hosts hold at most
-	LeastPart  float64 `ini:"least_part" default:"0.02"` // near its end
-	EvenPart   float64 `ini:"even_part" default:"0.6"`   // of an even share of that, a host holds whatever its demand
-	MostShares float64 `ini:"most_shares" default:"1"`   // even shares that a host holds at most
-	IntervalMs float64 `ini:"interval_ms" default:"400"` // between looks at the accounts
-	WaitMs     float64 `ini:"wait_ms" default:"120"`     // a request waits so long for tokens
+	HorizonS       float64 `ini:"horizon_s" default:"11"`        // a slice lasts so long at the present demand
+	FullSpanS      float64 `ini:"full_span_s" default:"25"`      // a budget that lasts so long is held by most_part
+	MostPart       float64 `ini:"most_part" default:"0.35"`      // of what is unspent all hosts hold at most
+	LeastPart      float64 `ini:"least_part" default:"0.02"`     // near its end
+	EvenPart       float64 `ini:"even_part" default:"0.6"`       // of an even share of that, a host holds whatever its demand
+	MostShares     float64 `ini:"most_shares" default:"1"`       // even shares that a host holds at most
+	KeeperHorizonS float64 `ini:"keeper_horizon_s" default:"11"` // where few hosts of many hold a budget: they hold so much together
+	KeeperPart     float64 `ini:"keeper_part" default:"0.4"`     // of what is unspent they hold at most
+	IntervalMs     float64 `ini:"interval_ms" default:"400"`     // between looks at the accounts
+	WaitMs         float64 `ini:"wait_ms" default:"120"`         // a request waits so long for tokens
 }
 
 // Output says what is logged to standard output.
@@ -83,6 +85,7 @@
 	Level          string  `ini:"level" default:"info"`
 	LinesPerSecond float64 `ini:"lines_per_second" default:"200"` // of ended requests and tries; the rest is counted
 	Buffer         int     `ini:"buffer" default:"1024"`          // lines that wait to be written
+	AccountS       float64 `ini:"account_s" default:"10"`         // between lines about the budgets held; 0: none
 }
 
 func (o Output) check() error { return checkLevel(o.Level) }
