prepaid, settings: room for large requests is not kept for ever; parts are checked

Cause, found by reading: the room that a keeper leaves for large requests while it gets no more tokens fell only with requests that were served; where all were refused, it stayed, and up to a large request's tokens lay idle at each keeper.

--- a/router/node/accounts.go
+++ b/router/node/accounts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	log "github.com/sirupsen/logrus"
@@ -15,8 +16,19 @@
 
 // tellAccounts writes now and again where this host's part of each budget came from and
 // went to, until ctx ends. The lines of all hosts together tell where an organisation's
-// tokens are.
-func (n *Node) tellAccounts(ctx context.Context) {
+// tokens are. The function that it gives ends it with a last line for each.
+func (n *Node) tellAccounts(ctx context.Context) (last func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var telling sync.WaitGroup
+	telling.Go(func() { n.tellUntil(ctx) })
+	return func() {
+		cancel()
+		telling.Wait()
+		n.accounts.tell(n.treasury.Holdings())
+	}
+}
+
+func (n *Node) tellUntil(ctx context.Context) {
 	if n.cfg.Output.AccountS <= 0 {
 		return
 	}
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -255,19 +255,14 @@
 	guard.Go("fleet", func() { n.fleet.Run(ctx) })
 	guard.Go("treasury", func() { n.treasury.Run(ctx) })
 	guard.Go("housekeeping", func() { n.housekeeping(ctx) })
-	telling, told := context.WithCancel(ctx)
-	var accounts sync.WaitGroup
-	accounts.Go(func() { n.tellAccounts(telling) })
+	tellLast := n.tellAccounts(ctx)
 	select {
 	case <-ctx.Done():
-		told()
 		return ctx.Err()
 	case <-n.stopping:
 	}
 	n.drain(ctx)
-	told()
-	accounts.Wait()
-	n.accounts.tell(n.treasury.Holdings())
+	tellLast()
 	return nil
 }
 
--- a/router/prepaid/loans_test.go
+++ b/router/prepaid/loans_test.go
@@ -194,3 +194,18 @@
 	is.Equal(asked.Load(), int64(1))
 	is.Equal(calls.Load(), int64(0))
 }
+
+// A keeper that gets no more tokens leaves room for large requests, and no longer keeps
+// them for such as do not come.
+func TestRoomForLargeRequestsIsNotKeptForEver(t *testing.T) {
+	is := is.New(t)
+	tr := New(Options{Partitions: 1, Hosts: func() int { return 20 }, Keepers: func(string) (int, bool) { return 1, true }})
+	tr.Configure(1, []Budget{{"org", 1000}}, true)
+	w := tr.wallets["org"]
+	w.account, w.known, w.free, w.wanted = Account{Granted: 1000, Limit: 1000, Version: 1}, true, 90, 500
+	w.note(100, time.Now())
+	is.True(!tr.hasRoom("org", w, 10))
+	w.used = time.Now().Add(-time.Second)
+	is.True(tr.hasRoom("org", w, 10))
+	is.True(!tr.hasRoom("org", w, 91))
+}
--- a/router/prepaid/treasury.go
+++ b/router/prepaid/treasury.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -212,6 +213,10 @@
 	return &Reservation{treasury: t, organisation: organisation, tokens: tokens}, nil
 }
 
+// roomTime is the time in seconds in which the room that is left for large requests falls to
+// a third while none begins: tokens are not kept for requests that don't come.
+const roomTime = 1.0
+
 // hasRoom says whether a request of so many tokens leaves room for larger ones. Where a
 // keeper gets no more tokens for now, small requests would otherwise take each one that
 // comes free, and large ones never find enough; so all need as many to be there as a large
@@ -220,7 +225,7 @@
 	if w.wanted == 0 {
 		return true
 	}
-	room := int64(w.largest)
+	room := int64(w.largest * math.Exp(-time.Since(w.used).Seconds()/roomTime))
 	if !t.clerkOf(organisation).away() && w.current().Left() >= room {
 		return true
 	}
--- a/router/settings/sections.go
+++ b/router/settings/sections.go
@@ -1,5 +1,7 @@
 package settings
 
+import "fmt"
+
 // Host says what this host is and where it listens. Addresses are IP:port.
 type Host struct {
 	Name          string   `ini:"name"`
@@ -80,6 +82,18 @@
 	WaitMs         float64 `ini:"wait_ms" default:"120"`         // a request waits so long for tokens
 }
 
+func (b Budgets) check() error {
+	for _, part := range []struct {
+		key   string
+		value float64
+	}{{"most_part", b.MostPart}, {"least_part", b.LeastPart}, {"keeper_part", b.KeeperPart}} {
+		if part.value > 1 {
+			return bad("budgets", part.key, fmt.Sprint(part.value), "is more than all")
+		}
+	}
+	return nil
+}
+
 // Output says what is logged to standard output.
 type Output struct {
 	Level          string  `ini:"level" default:"info"`
