--- a/router/prepaid/loans.go
+++ b/router/prepaid/loans.go
@@ -27,8 +27,8 @@
 // Loan is what other hosts lent.
 type Loan struct {
 	Tokens int64
-	// Answered means that a keeper of the budget answered: if it lent too little,
-	// there is no more within its reach.
+	// Answered means that a keeper answered for the whole budget: if it lent too little,
+	// the log has no more either, and only what hosts hold is left.
 	Answered bool
 	// Free is what the lender could still lend, where it lent too little.
 	Free int64
