target, fleet: cold targets get a bounded number of requests from all hosts together

Cause: a cold target was only weighed by two, on each host's own sight, which is a hundredth of what it gets. Now 17 hosts elected by rendezvous send it one a second each; a host takes part once the others know it (6 s), not while it leaves, nor once its announcement may be forgotten. The bound is a setting of the operator's.

--- /dev/null
+++ b/router/fleet/elect.go
@@ -0,0 +1,30 @@
+package fleet
+
+import (
+	"time"
+
+	"maststage.dev/router/keeper"
+)
+
+// settleTime is how long a host takes no part in duties that are bounded over all hosts:
+// until then others may not have read its announcement, nor it theirs, and two hosts that
+// do not know each other would both take the same place. It is twice the pause between two
+// reads of the hosts' topic.
+const settleTime = 6 * time.Second
+
+// lapseTime is how long a host takes part after its newest announcement: others forget it
+// after forgetAfter, and then take its place.
+const lapseTime = forgetAfter - 2*settleTime
+
+// Elected says whether this host is one of up to count hosts that share a duty, and how
+// many they are. All hosts that know of the same hosts agree.
+func (f *Fleet) Elected(duty string, count int) (hosts int, self bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	others := f.others()
+	hosts = min(count, len(others)+1)
+	if time.Since(f.started) < settleTime || time.Since(f.announced) > lapseTime {
+		return hosts, false
+	}
+	return hosts, keeper.Is(duty, f.opts.Self.Name, others, hosts)
+}
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -68,6 +68,7 @@
 	calls   *client
 	recalls *recaller
 	gifts   atomic.Int64 // counts the gifts of this incarnation
+	started time.Time
 
 	mu     sync.Mutex
 	seeds  []string
@@ -75,6 +76,8 @@
 	silent map[string]time.Time // addresses that did not answer, and when
 	parts  map[string]float64   // of all prepaid tokens, by organisation
 
+	announced time.Time // when the log last took this host's announcement
+
 	othersThen []string // names of the other hosts, as of othersAt
 	othersAt   time.Time
 }
@@ -88,7 +91,7 @@
 	calls := newClient(opts.Timeout)
 	return &Fleet{
 		opts: opts, calls: calls, recalls: newRecaller(calls, opts.Self.Name+"/"+opts.Self.Incarnation),
-		seeds: opts.Seeds, hosts: map[string]known{}, silent: map[string]time.Time{},
+		started: time.Now(), announced: time.Now(), seeds: opts.Seeds, hosts: map[string]known{}, silent: map[string]time.Time{},
 	}
 }
 
@@ -167,8 +170,14 @@
 	}
 	c, cancel := context.WithTimeout(ctx, f.opts.Timeout)
 	defer cancel()
-	_, err = f.opts.Log.Append(c, f.partition(), []eventlog.Record{{Key: self.Name, Value: value}})
-	return err
+	began := time.Now()
+	if _, err = f.opts.Log.Append(c, f.partition(), []eventlog.Record{{Key: self.Name, Value: value}}); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.announced = began
+	return nil
 }
 
 // addresses lists the other hosts' addresses in random order, those of the
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -111,7 +111,7 @@
 	}
 	others := maps.Clone(q.excluded)
 	others[target] = true
-	if !q.route.Repeatable() || q.choose(others) == nil {
+	if !q.route.Repeatable() || !q.handler.opts.Targets.HasChoice(q.want(others)) {
 		return false
 	}
 	q.claimed = q.mayTryAgain(silent, true)
@@ -144,9 +144,13 @@
 }
 
 func (q *request) choose(excluded map[string]bool) *target.Target {
-	return q.handler.opts.Targets.Choose(target.Want{
+	return q.handler.opts.Targets.Choose(q.want(excluded))
+}
+
+func (q *request) want(excluded map[string]bool) target.Want {
+	return target.Want{
 		Service: q.service, Affinity: sharedParts(q.shared), Work: float64(q.usage.in), Exclude: excluded,
-	})
+	}
 }
 
 // try sends the request to one target and handles its answer.
--- a/router/node/config.go
+++ b/router/node/config.go
@@ -8,6 +8,8 @@
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/replica"
 	"maststage.dev/router/routing"
+	"maststage.dev/router/settings"
+	"maststage.dev/router/target"
 )
 
 // configChange is a configuration that was read and is not in force yet.
@@ -66,6 +68,7 @@
 	list := budgets(config)
 	n.treasury.Configure(config.Version, list, change.gap)
 	n.fleet.SetParts(parts(list))
+	n.setCold(config, n.newestSettings().Bounds)
 	n.handler.Configure(config)
 	n.shareConnections()
 	fields := log.Fields{
@@ -121,6 +124,21 @@
 	}
 }
 
+// coldPart is the part of what cold targets may get that hosts aim at: one host in ten may
+// be counted by some and not by others.
+const coldPart = 0.9
+
+// setCold tells what cold targets bear.
+func (n *Node) setCold(config *routing.Config, b settings.Bounds) {
+	for _, s := range config.Services {
+		limits := target.ColdLimits{Lasts: settings.Seconds(s.ColdS)}
+		if s.ColdPerS > 0 {
+			limits.PerSecond = coldPart * (b.ColdOverrun*s.ColdPerS + b.ColdSlack)
+		}
+		n.targets.SetCold(s.Name, limits)
+	}
+}
+
 // targetsChanged takes over the list of targets.
 func (n *Node) targetsChanged(changes []replica.Change) {
 	for _, c := range changes {
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -90,6 +90,7 @@
 		MaxIdle:     cfg.Targets.MaxIdle,
 		UserTimeout: settings.Milliseconds(cfg.Targets.UserTimeoutMs),
 		OnDial:      func() { n.observer.Count("target_connections_total") },
+		Elected:     n.elected,
 	})
 	n.copies()
 	n.newFleet(incarnation)
@@ -230,6 +231,15 @@
 	return n.fleet.Keepers(organisation)
 }
 
+// elected says whether this host is one of those that share a duty: never before it knows
+// the other hosts, nor once it has told them that it leaves.
+func (n *Node) elected(duty string, count int) (hosts int, self bool) {
+	if !n.hostsCopy.Loaded() || n.Draining() {
+		return count, false
+	}
+	return n.fleet.Elected(duty, count)
+}
+
 // contact logs that the log was lost or regained.
 func (n *Node) contact(topic string, err error) {
 	entry := log.WithFields(log.Fields{"dependency": "log", "topic": topic})
--- a/router/node/reload.go
+++ b/router/node/reload.go
@@ -32,12 +32,22 @@
 	n.treasury.SetPlan(plan(fresh))
 	n.fleet.SetSeeds(fresh.Host.Seeds)
 	n.targets.SetDrainWithin(drainPart(settings.Milliseconds(fresh.Bounds.DrainMs)))
+	if config := n.handler.Config(); config != nil {
+		n.setCold(config, fresh.Bounds)
+	}
 	if level, err := log.ParseLevel(fresh.Output.Level); err == nil {
 		log.SetLevel(level)
 	}
 	log.Info("settings reloaded")
 }
 
+// newestSettings are those of the last reload.
+func (n *Node) newestSettings() *settings.Settings {
+	n.reload.Lock()
+	defer n.reload.Unlock()
+	return n.latest
+}
+
 func retryLimits(s *settings.Settings) retrybudget.Limits {
 	return retrybudget.Limits{
 		Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: settings.Seconds(s.Bounds.RetryWindowS),
--- a/router/routing/config.go
+++ b/router/routing/config.go
@@ -66,6 +66,10 @@
 	HealthPath string  `json:"health_path"`
 	MaxConns   int     `json:"max_conns"` // at one target, from all hosts together
 	Engine     *Engine `json:"engine"`    // set for model engines
+	// ColdPerS is how many requests a second a target bears that is cold after its start,
+	// from all hosts together; 0: any number. It is cold for ColdS seconds.
+	ColdPerS float64 `json:"cold_per_s"`
+	ColdS    float64 `json:"cold_s"`
 }
 
 // Engine describes the model engines of a service.
--- a/router/settings/sections.go
+++ b/router/settings/sections.go
@@ -51,12 +51,19 @@
 	RetryRatio   float64 `ini:"retry_ratio" default:"0.2"`   // arrivals beyond the first, for each request
 	RetrySlack   float64 `ini:"retry_slack" default:"20"`    // and so many more, of all hosts together
 	RetryWindowS float64 `ini:"retry_window_s" default:"10"` // in any span of this length
+	// A cold target gets at most cold_overrun times what it bears and cold_slack more, from
+	// all hosts together in any second.
+	ColdOverrun float64 `ini:"cold_overrun" default:"1"`
+	ColdSlack   float64 `ini:"cold_slack" default:"0"`
 }
 
 func (b Bounds) check() error {
 	if b.RetryWindowS <= 0 {
 		return bad("bounds", "retry_window_s", "0", "is not above 0")
 	}
+	if b.ColdOverrun <= 0 {
+		return bad("bounds", "cold_overrun", fmt.Sprint(b.ColdOverrun), "is not above 0")
+	}
 	return nil
 }
 
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -14,9 +14,6 @@
 	Affinity string // shared parts of the prompt; empty: none
 	Work     float64
 	Exclude  map[string]bool // ids tried already
-	// AnyDrained allows targets that left a moment ago, for requests that would
-	// find no other.
-	AnyDrained bool
 }
 
 // Figures of the choice.
@@ -28,12 +25,29 @@
 	coldLoad      = 2.0  // what a cold target counts as, times its load
 )
 
-// Choose picks a target, nil if none can take the request.
+// Choose picks a target, nil if none can take the request. A choice counts against what a
+// cold target bears.
 func (r *Registry) Choose(w Want) *Target {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	usable := r.usable(w, now)
+	t := r.choose(w, now)
+	if t != nil {
+		r.noteCold(t, now)
+	}
+	return t
+}
+
+// HasChoice says whether a target could take the request.
+func (r *Registry) HasChoice(w Want) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.usable(w, time.Now())) > 0
+}
+
+// choose picks a target; the lock is held.
+func (r *Registry) choose(w Want, now time.Time) *Target {
+	usable, spared := r.candidates(w, now)
 	if len(usable) == 0 {
 		return nil
 	}
@@ -41,16 +55,23 @@
 		usable = r.withoutStalled(w.Service, usable, now)
 	}
 	if w.Affinity != "" {
-		if t := r.byAffinity(w, usable, now); t != nil {
+		if t := r.byAffinity(w, inPlaceOf(spared, usable, w.Affinity, now), now); t != nil {
 			return t
 		}
 	}
 	return r.leastLoaded(w.Service, usable, now)
 }
 
-// usable lists the targets that may take the request: the ready ones that are
-// neither ejected, nor full, nor quiet; else the ready ones; else those that left a moment ago.
+// usable lists the targets that may take the request.
 func (r *Registry) usable(w Want, now time.Time) []*Target {
+	usable, _ := r.candidates(w, now)
+	return usable
+}
+
+// candidates lists the targets that may take the request: the ready ones that are
+// neither ejected, nor full, nor quiet; else the ready ones; else those that left a moment
+// ago. Cold ones that have enough are listed apart.
+func (r *Registry) candidates(w Want, now time.Time) (usable, spared []*Target) {
 	all := r.services[w.Service]
 	good := make([]*Target, 0, len(all))
 	var ejected, leaving []*Target
@@ -59,6 +80,8 @@
 			continue
 		}
 		switch {
+		case !r.coldAdmits(t, now):
+			spared = append(spared, t)
 		case !t.listed || t.state != Ready:
 			if now.Sub(t.leftAt) < r.opts.DrainWithin {
 				leaving = append(leaving, t)
@@ -71,11 +94,11 @@
 	}
 	switch {
 	case len(good) > 0:
-		return good
+		return good, spared
 	case len(ejected) > 0:
-		return ejected
+		return ejected, spared
 	}
-	return leaving
+	return leaving, spared
 }
 
 // load is how busy a target is, in requests of this host.
@@ -84,7 +107,7 @@
 	if stats.latency > 0 && t.health.latency > slowFactor*stats.latency {
 		load = (load + 1) * t.health.latency / stats.latency
 	}
-	if now.Before(t.coldUntil) {
+	if t.isCold(now) {
 		load = (load + 1) * coldLoad
 	}
 	return load
--- /dev/null
+++ b/router/target/cold_test.go
@@ -0,0 +1,144 @@
+package target_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"maststage.dev/router/eventlog"
+	"maststage.dev/router/fleet"
+	"maststage.dev/router/replica"
+	"maststage.dev/router/target"
+)
+
+// Figures of the platform's deployments: a cold target is to get no more than 19 requests in
+// any second, from all hosts together, of which they aim at nine tenths.
+const (
+	coldPerSecond = 17.1
+	coldAllowed   = 19
+)
+
+// host is a router host without a network: its view of the fleet and its targets.
+type host struct {
+	name    string
+	fleet   *fleet.Fleet
+	targets *target.Registry
+}
+
+func newHost(name string) *host {
+	h := &host{name: name, fleet: fleet.New(fleet.Options{Self: fleet.Host{Name: name}})}
+	h.targets = target.NewRegistry(target.Options{Elected: h.fleet.Elected})
+	h.targets.SetCold("s", target.ColdLimits{PerSecond: coldPerSecond})
+	return h
+}
+
+// knows tells a host of others.
+func (h *host) knows(others []*host) {
+	for _, o := range others {
+		value, err := json.Marshal(fleet.Host{Name: o.name, Incarnation: "1"})
+		if err != nil {
+			panic(err)
+		}
+		h.fleet.Changed([]replica.Change{{Record: eventlog.Record{Key: o.name, Value: value}}})
+	}
+}
+
+func hosts(from, to int) []*host {
+	var all []*host
+	for i := from; i < to; i++ {
+		all = append(all, newHost(fmt.Sprintf("front-%d", i)))
+	}
+	return all
+}
+
+// mostInASecond is the largest number of the times within any second.
+func mostInASecond(times []time.Time) int {
+	slices.SortFunc(times, time.Time.Compare)
+	most, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// A cold target gets no more than it may from all hosts together, however many requests
+// each has for it, while the fleet grows to twice its size and hosts learn of the new ones
+// one after the other.
+func TestColdTargetIsSparedByAllHostsTogether(t *testing.T) {
+	for _, count := range []int{1, 2, 6, 87, 100, 300} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { coldTargetOf(t, count) })
+		})
+	}
+}
+
+func coldTargetOf(t *testing.T, count int) {
+	is := is.New(t)
+	old := hosts(0, (count+1)/2)
+	for _, h := range old {
+		h.knows(old)
+	}
+	time.Sleep(10 * time.Second) // they have settled
+	fresh := hosts((count+1)/2, count)
+	all := slices.Concat(old, fresh)
+	for _, h := range fresh {
+		h.knows(all)
+	}
+	learn := map[*host]int{} // the step at which a host reads of the new ones
+	for _, h := range old {
+		learn[h] = rand.IntN(60)
+	}
+	for _, h := range all {
+		h.targets.Put(target.Entry{ID: "t", Service: "s", Address: "127.0.0.1:1", Slots: 48, ColdLeft: 9500 * time.Millisecond})
+	}
+	const step = 50 * time.Millisecond
+	var sent []time.Time
+	for i := range 180 { // 9 s
+		for _, h := range all {
+			if learn[h] == i {
+				h.knows(fresh)
+			}
+			if c := h.targets.Choose(target.Want{Service: "s"}); c != nil {
+				h.targets.Begin(c, 0)
+				sent = append(sent, time.Now())
+			}
+		}
+		time.Sleep(step)
+	}
+	is.True(mostInASecond(sent) <= coldAllowed)
+	is.True(float64(len(sent)) > 9*coldPerSecond/3) // but not much less than it may
+}
+
+// A host that is up for a moment only, and one that does not know the others, send nothing.
+func TestUnsettledHostSendsNothingToColdTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := newHost("front-1")
+		h.targets.Put(target.Entry{ID: "t", Service: "s", Address: "127.0.0.1:1", Slots: 48, ColdLeft: time.Minute})
+		is.Equal(h.targets.Choose(target.Want{Service: "s"}), nil)
+		time.Sleep(7 * time.Second)
+		is.True(h.targets.Choose(target.Want{Service: "s"}) != nil)
+	})
+}
+
+// Asking whether there is a choice uses nothing up.
+func TestLookingDoesNotCountAtAColdTarget(t *testing.T) {
+	is := is.New(t)
+	r := target.NewRegistry(target.Options{})
+	r.SetCold("s", target.ColdLimits{PerSecond: 1})
+	r.Put(target.Entry{ID: "t", Service: "s", Address: "127.0.0.1:1", Slots: 4, ColdLeft: time.Minute})
+	for range 3 {
+		is.True(r.HasChoice(target.Want{Service: "s"}))
+	}
+	is.True(r.Choose(target.Want{Service: "s"}) != nil)
+	is.True(!r.HasChoice(target.Want{Service: "s"}))
+}
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -41,11 +41,11 @@
 	Domain  string
 	Pool    *exchange.Pool
 
-	slots     int
-	state     State
-	listed    bool
-	leftAt    time.Time // when it was first seen draining or gone
-	coldUntil time.Time
+	slots  int
+	state  State
+	listed bool
+	leftAt time.Time // when it was first seen draining or gone
+	cold   cold
 
 	heard       atomic.Int64 // when it last sent anything, in Unix nanoseconds
 	busySince   time.Time    // when requests were first under way again
@@ -65,30 +65,41 @@
 	MaxIdle     int
 	UserTimeout time.Duration
 	OnDial      func()
+	// Elected says whether this host is one of up to count hosts that share a duty, and how
+	// many they are; nil: it is alone.
+	Elected func(duty string, count int) (hosts int, self bool)
 }
 
 // Registry holds all targets.
 type Registry struct {
 	opts Options
 
-	mu       sync.Mutex
-	targets  map[string]*Target
-	services map[string][]*Target
-	stats    map[string]*serviceStats
-	maxConns map[string]int // at one target, from this host
+	mu         sync.Mutex
+	targets    map[string]*Target
+	services   map[string][]*Target
+	stats      map[string]*serviceStats
+	maxConns   map[string]int        // at one target, from this host
+	coldLimits map[string]ColdLimits // by service
 }
 
 // NewRegistry makes an empty registry.
 func NewRegistry(opts Options) *Registry {
+	if opts.Elected == nil {
+		opts.Elected = alone
+	}
 	return &Registry{
-		opts:     opts,
-		targets:  map[string]*Target{},
-		services: map[string][]*Target{},
-		stats:    map[string]*serviceStats{},
-		maxConns: map[string]int{},
+		opts:       opts,
+		targets:    map[string]*Target{},
+		services:   map[string][]*Target{},
+		stats:      map[string]*serviceStats{},
+		maxConns:   map[string]int{},
+		coldLimits: map[string]ColdLimits{},
 	}
 }
 
+// alone is the share of a host without others in any duty.
+func alone(string, int) (hosts int, self bool) { return 1, true }
+
 // Put takes over an entry of the list.
 func (r *Registry) Put(e Entry) {
 	r.mu.Lock()
@@ -105,7 +116,7 @@
 	}
 	t.slots = max(e.Slots, 1)
 	if e.ColdLeft > 0 {
-		t.coldUntil = now.Add(e.ColdLeft)
+		t.coolFor(e.ColdLeft, now)
 	}
 	r.setState(t, true, e.State, now)
 }
