target, node: the evacuation of a failure domain

Now orders are read from the configuration's topic, so they come by the log, from other hosts and from copies at a start; a host knows them before a configuration is in force, so before it is ready. No way to a target leads to an evacuated one, not even the last. What is taken back is cold. Tests: log, other hosts (refused, silent), history gone, copy alone, gap, all domains, garbled and unknown ones.

--- a/router/node/config.go
+++ b/router/node/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	log "github.com/sirupsen/logrus"
 
@@ -23,6 +24,9 @@
 func (n *Node) configChanged(changes []replica.Change) {
 	var newest *configChange
 	for _, c := range changes {
+		if n.evacuationChanged(c) {
+			continue
+		}
 		if c.Record.Key != n.outside.ConfigKey || len(c.Record.Value) == 0 {
 			continue
 		}
@@ -41,6 +45,41 @@
 	}
 }
 
+// evacuationChanged puts an evacuation in force, or takes it back, if the record is one. It
+// is done before the configuration that came beside it is in force, so that a host is not
+// ready before it knows.
+func (n *Node) evacuationChanged(c replica.Change) bool {
+	rec := c.Record
+	if n.outside.DecodeEvacuation == nil {
+		return false
+	}
+	e, ok, err := n.outside.DecodeEvacuation(rec)
+	switch {
+	case !ok:
+		return false
+	case err != nil:
+		log.WithFields(log.Fields{"key": rec.Key, "offset": rec.Offset}).WithError(err).Error("evacuation can't be read and is ignored")
+	case e.InForce:
+		n.targets.Evacuate(e.Domain, n.evacuateOver(c.Gap))
+	default:
+		n.targets.EndEvacuation(e.Domain)
+	}
+	return true
+}
+
+// evacuatePart is the part of the time allowed over which the targets of an evacuated domain
+// leave. The rest is for the order's way to this host and for requests that are being sent.
+const evacuatePart = 0.5
+
+// evacuateOver is the time over which targets leave: none where the order may be older than
+// this host knows.
+func (n *Node) evacuateOver(gap bool) time.Duration {
+	if gap {
+		return 0
+	}
+	return time.Duration(evacuatePart * float64(settings.Milliseconds(n.newestSettings().Bounds.EvacuateMs)))
+}
+
 func (n *Node) applyConfigs(ctx context.Context) {
 	for {
 		select {
--- /dev/null
+++ b/router/node/evacuation_test.go
@@ -0,0 +1,108 @@
+package node
+
+import (
+	"testing"
+
+	"maststage.dev/router/eventlog"
+	"maststage.dev/standin/backend"
+	"maststage.dev/standin/memlog"
+)
+
+// only says whether the last calls of a host were all served by one target.
+func (f *testFleet) only(h *host, body string) bool {
+	for range 10 {
+		if f.call(h, "/r/x", "").body != body {
+			return false
+		}
+	}
+	return true
+}
+
+// evacuationFleet is a log with one target in each of two failure domains.
+func evacuationFleet(t *testing.T) *testFleet {
+	f := newFleet(t)
+	f.publish(config(1, plainRoute, ""))
+	f.backendIn("z1", "t1", backend.Behaviour{Body: "one"})
+	f.backendIn("z2", "t2", backend.Behaviour{Body: "two"})
+	return f
+}
+
+func TestEvacuationIsFollowedAndTakenBack(t *testing.T) {
+	f := evacuationFleet(t)
+	h := f.start(f.settings("h1"))
+	f.ready(h)
+	f.eventually("both serve", func() bool { return f.only(h, "one") }) // its own domain, one at a time
+	f.evacuate("z1", true)
+	f.eventually("the other domain serves", func() bool { return f.only(h, "two") })
+
+	// Of all domains nothing is left, and that is said at once.
+	f.evacuate("z2", true)
+	f.is.Equal(f.waitStatus(h, "/r/x", 503), 503)
+	f.evacuate("z1", false)
+	f.eventually("z1 serves again", func() bool { return f.only(h, "one") })
+
+	// What can't be read and what names no known domain changes nothing.
+	f.log.Put(eventlog.Partition{Topic: topicConfig}, evacuationPrefix+"z1", []byte("garbled"))
+	f.evacuate("elsewhere", true)
+	f.evacuate("z2", false)
+	f.eventually("both are back", func() bool { return h.targets.Evacuated() == 1 })
+	f.is.True(f.only(h, "one"))
+}
+
+// A host that the log turns away learns of evacuations and of their ends from others.
+func TestOthersTellOfEvacuations(t *testing.T) {
+	for name, fault := range map[string]memlog.Fault{"refused": {Refuse: true}, "silent": {Silent: true}} {
+		t.Run(name, func(t *testing.T) {
+			f := evacuationFleet(t)
+			a := f.start(f.settings("a"))
+			b := f.start(f.settings("b", a.cfg.Host.PeerListen))
+			f.ready(a)
+			f.ready(b)
+			f.log.SetFault("b", fault)
+			f.evacuate("z1", true)
+			f.eventually("b leaves the domain", func() bool { return f.only(b, "two") })
+			f.evacuate("z1", false)
+			f.eventually("b is back", func() bool { return f.only(b, "one") })
+		})
+	}
+}
+
+// A host that starts knows of evacuations before it is ready, also where the log's history
+// is gone or only a copy of the topic can be read.
+func TestStartingHostKnowsOfEvacuations(t *testing.T) {
+	config := eventlog.Partition{Topic: topicConfig}
+	for name, fault := range map[string]func(f *testFleet){
+		"log":             func(*testFleet) {},
+		"history gone":    func(f *testFleet) { f.log.Trim(config) },
+		"copy of a topic": func(f *testFleet) { f.log.SetPartitionFault(config, memlog.Fault{Refuse: true}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := evacuationFleet(t)
+			f.evacuate("z1", true)
+			a := f.start(f.settings("a"))
+			f.ready(a)
+			f.eventually("copies are written", func() bool {
+				_, ok := f.log.Get(eventlog.Partition{Topic: topicArchive}, topicConfig)
+				return ok
+			})
+			fault(f)
+			b := f.start(f.settings("b"))
+			f.ready(b)
+			f.is.True(f.only(b, "two"))
+		})
+	}
+}
+
+// An evacuation that ended while the log had forgotten its history ends here too.
+func TestEndOfAnEvacuationIsSeenInAGap(t *testing.T) {
+	f := evacuationFleet(t)
+	h := f.start(f.settings("h1"))
+	f.ready(h)
+	f.evacuate("z1", true)
+	f.eventually("the other domain serves", func() bool { return f.only(h, "two") })
+	f.log.SetFault("h1", memlog.Fault{Refuse: true})
+	f.evacuate("z1", false)
+	f.log.Trim(eventlog.Partition{Topic: topicConfig})
+	f.log.SetFault("h1", memlog.Fault{})
+	f.eventually("z1 serves again", func() bool { return f.only(h, "one") })
+}
--- a/router/node/harness_test.go
+++ b/router/node/harness_test.go
@@ -39,6 +39,8 @@
 	topicHosts   = "hosts"
 	topicBudgets = "budgets"
 	topicArchive = "copies"
+
+	evacuationPrefix = "evacuate/"
 )
 
 var headers = forward.Headers{
@@ -129,6 +131,13 @@
 			e := target.Entry{ID: id}
 			return e, json.Unmarshal(value, &e)
 		},
+		DecodeEvacuation: func(rec eventlog.Record) (e routing.Evacuation, ok bool, err error) {
+			domain, ok := strings.CutPrefix(rec.Key, evacuationPrefix)
+			if string(rec.Value) == "garbled" {
+				err = errors.New("garbled")
+			}
+			return routing.Evacuation{Domain: domain, InForce: len(rec.Value) > 0}, ok, err
+		},
 	}
 	n := New(cfg, outside, fmt.Sprint(incarnations.Add(1)))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -162,15 +171,30 @@
 	f.log.Put(eventlog.Partition{Topic: topicTargets}, e.ID, value)
 }
 
+// evacuate orders or takes back the evacuation of a failure domain.
+func (f *testFleet) evacuate(domain string, inForce bool) {
+	var value []byte
+	if inForce {
+		value = []byte("{}")
+	}
+	f.log.Put(eventlog.Partition{Topic: topicConfig}, evacuationPrefix+domain, value)
+}
+
 func (f *testFleet) unlist(id string) { f.log.Put(eventlog.Partition{Topic: topicTargets}, id, nil) }
 
 // backend starts a back end of the service s and lists it.
 func (f *testFleet) backend(id string, how backend.Behaviour) *backend.Backend {
+	f.t.Helper()
+	return f.backendIn("z1", id, how)
+}
+
+// backendIn is backend in a failure domain.
+func (f *testFleet) backendIn(domain, id string, how backend.Behaviour) *backend.Backend {
 	f.t.Helper()
 	b, err := backend.Start(id, names, func(backend.Run) backend.Behaviour { return how })
 	f.is.NoErr(err)
 	f.t.Cleanup(b.Close)
-	f.list(target.Entry{ID: id, Service: "s", Address: b.Address(), Domain: "z1", Slots: 4})
+	f.list(target.Entry{ID: id, Service: "s", Address: b.Address(), Domain: domain, Slots: 4})
 	return b
 }
 
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -42,6 +42,9 @@
 	ConfigKey    string
 	DecodeConfig func(value []byte) (*routing.Config, error)
 	DecodeTarget func(id string, value []byte) (target.Entry, error)
+	// DecodeEvacuation reads the records in the configuration's topic that order
+	// evacuations or take them back; ok is false for all others. nil: there are none.
+	DecodeEvacuation func(rec eventlog.Record) (e routing.Evacuation, ok bool, err error)
 	// ReadyPath is where the platform asks whether the host is ready.
 	ReadyPath string
 }
@@ -362,6 +365,7 @@
 		n.observer.Gauge(fmt.Sprintf("copy_end{topic=%q}", topic), func() float64 { return float64(c.End()) })
 		n.observer.Gauge(fmt.Sprintf("copy_age_seconds{topic=%q}", topic), func() float64 { return copyAge(c) })
 	}
+	n.observer.Gauge("domains_evacuated", func() float64 { return float64(n.targets.Evacuated()) })
 	n.observer.Gauge("config_version", func() float64 {
 		if c := n.handler.Config(); c != nil {
 			return float64(c.Version)
--- a/router/settings/sections.go
+++ b/router/settings/sections.go
@@ -51,6 +51,7 @@
 	RetryRatio   float64 `ini:"retry_ratio" default:"0.2"`   // arrivals beyond the first, for each request
 	RetrySlack   float64 `ini:"retry_slack" default:"20"`    // and so many more, of all hosts together
 	RetryWindowS float64 `ini:"retry_window_s" default:"10"` // in any span of this length
+	EvacuateMs   float64 `ini:"evacuate_ms" default:"0"`     // an evacuated failure domain gets nothing new after it
 	// A cold target gets at most cold_overrun times what it bears and cold_slack more, from
 	// all hosts together in any second.
 	ColdOverrun float64 `ini:"cold_overrun" default:"1"`
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -70,13 +70,14 @@
 
 // candidates lists the targets that may take the request: the ready ones that are
 // neither ejected, nor full, nor quiet; else the ready ones; else those that left a moment
-// ago. Cold ones that have enough are listed apart.
+// ago. Evacuated targets are never among them, nor are the cold ones that have enough,
+// which are listed apart.
 func (r *Registry) candidates(w Want, now time.Time) (usable, spared []*Target) {
 	all := r.services[w.Service]
 	good := make([]*Target, 0, len(all))
 	var ejected, leaving []*Target
 	for _, t := range all {
-		if w.Exclude[t.ID] {
+		if w.Exclude[t.ID] || r.evacuations[t.Domain].left(t.ID, now) {
 			continue
 		}
 		switch {
--- /dev/null
+++ b/router/target/evacuate_test.go
@@ -0,0 +1,94 @@
+package target
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestEvacuatedDomainGetsNothingNew(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry(entry("a1", "z1"), entry("a2", "z1"), entry("b", "z2"))
+	r.Evacuate("z1", 0)
+	is.Equal(chosen(r, Want{Service: "s"}, 6), map[string]int{"b": 6})
+	is.Equal(chosen(r, Want{Service: "s", Affinity: "p"}, 60), map[string]int{"b": 60})
+
+	// Not even as a last resort: where the rest was tried, is ejected or has left.
+	is.Equal(r.Choose(Want{Service: "s", Exclude: map[string]bool{"b": true}}), nil)
+	is.True(!r.HasChoice(Want{Service: "s", Exclude: map[string]bool{"b": true}}))
+	r.Remove("b")
+	is.Equal(chosen(r, Want{Service: "s"}, 1), map[string]int{"b": 1}) // it left a moment ago
+	r.Evacuate("z2", 0)
+	is.Equal(r.Choose(Want{Service: "s"}), nil)
+}
+
+func TestEvacuationsOverlap(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry(entry("a", "z1"), entry("b", "z2"))
+	r.Evacuate("z1", 0)
+	r.Evacuate("z2", 0)
+	r.Evacuate("z1", 0) // told again
+	is.Equal(r.Evacuated(), 2)
+	is.Equal(r.Choose(Want{Service: "s"}), nil)
+	r.EndEvacuation("z1")
+	is.Equal(chosen(r, Want{Service: "s"}, 3), map[string]int{"a": 3})
+	r.EndEvacuation("z1")
+	r.EndEvacuation("z2")
+	is.Equal(r.Evacuated(), 0)
+	is.True(chosen(r, Want{Service: "s"}, 20)["b"] > 5)
+}
+
+// A domain that no target of this host's list is in may get some later.
+func TestTargetsOfAnEvacuatedDomainAreListedLater(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry(entry("b", "z2"))
+	r.Evacuate("z1", 0)
+	r.Put(entry("a", "z1"))
+	is.Equal(chosen(r, Want{Service: "s"}, 6), map[string]int{"b": 6})
+}
+
+// Targets that rested come back cold, which their entries tell only later.
+func TestTargetsAreColdAfterAnEvacuation(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry(entry("a", "z1"))
+	r.SetCold("s", ColdLimits{PerSecond: 3, Lasts: time.Minute})
+	r.Evacuate("z1", 0)
+	r.EndEvacuation("z1")
+	is.Equal(chosen(r, Want{Service: "s"}, 3), map[string]int{"a": 1, "none": 2})
+}
+
+// The targets of a domain leave one after the other, at all hosts in the same order, and all
+// of them in time.
+func TestTargetsLeaveInTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var entries []Entry
+		for i := range 30 {
+			entries = append(entries, entry(fmt.Sprint("t", i), "z1"))
+		}
+		a, b := newRegistry(entries...), newRegistry(entries...)
+		for _, r := range []*Registry{a, b} {
+			r.Evacuate("z1", 2*time.Second)
+		}
+		before := len(entries)
+		for range 20 {
+			left := a.usable(Want{Service: "s"}, time.Now())
+			is.Equal(ids(left), ids(b.usable(Want{Service: "s"}, time.Now())))
+			is.True(before-len(left) <= 8) // few at a time
+			before = len(left)
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.Equal(len(a.usable(Want{Service: "s"}, time.Now())), 0)
+	})
+}
+
+func ids(targets []*Target) []string {
+	var list []string
+	for _, t := range targets {
+		list = append(list, t.ID)
+	}
+	return list
+}
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -74,12 +74,13 @@
 type Registry struct {
 	opts Options
 
-	mu         sync.Mutex
-	targets    map[string]*Target
-	services   map[string][]*Target
-	stats      map[string]*serviceStats
-	maxConns   map[string]int        // at one target, from this host
-	coldLimits map[string]ColdLimits // by service
+	mu          sync.Mutex
+	targets     map[string]*Target
+	services    map[string][]*Target
+	stats       map[string]*serviceStats
+	maxConns    map[string]int        // at one target, from this host
+	evacuations map[string]evacuation // by failure domain
+	coldLimits  map[string]ColdLimits // by service
 }
 
 // NewRegistry makes an empty registry.
@@ -88,12 +89,13 @@
 		opts.Elected = alone
 	}
 	return &Registry{
-		opts:       opts,
-		targets:    map[string]*Target{},
-		services:   map[string][]*Target{},
-		stats:      map[string]*serviceStats{},
-		maxConns:   map[string]int{},
-		coldLimits: map[string]ColdLimits{},
+		opts:        opts,
+		targets:     map[string]*Target{},
+		services:    map[string][]*Target{},
+		stats:       map[string]*serviceStats{},
+		maxConns:    map[string]int{},
+		evacuations: map[string]evacuation{},
+		coldLimits:  map[string]ColdLimits{},
 	}
 }
 
