prepaid: room for large requests is borrowed where a host has too little

Cause: a busy host without the log that had tokens for a request, but not for the largest of late, refused it and asked nobody: it lacked nothing by its own count. Ruled out: that nobody had tokens; loans that it asked for were answered. Now what lacks for the room is borrowed too; test with the load of one small request.

--- a/router/prepaid/loans.go
+++ b/router/prepaid/loans.go
@@ -100,6 +100,9 @@
 		return 0, false
 	}
 	missing = max(tokens-w.free, 0)
+	if !t.hasRoom(organisation, w, tokens) {
+		missing = max(w.room(now)-w.free, missing)
+	}
 	return missing, now.Sub(w.refused) < borrowPause && missing >= w.refusedFor
 }
 
--- a/router/prepaid/loans_test.go
+++ b/router/prepaid/loans_test.go
@@ -236,3 +236,28 @@
 	is.True(served[large] > 10)
 	is.True(served[small] > 10)
 }
+
+// A host that has enough for a request but not for the large ones borrows what they need, in
+// place of refusing small ones with tokens in its hands.
+func TestRoomForLargeRequestsIsBorrowed(t *testing.T) {
+	is := is.New(t)
+	var asked []int64
+	tr := New(Options{
+		Log: memlog.New().Host("a"), Topic: "budgets", Partitions: 1,
+		Timeout: 50 * time.Millisecond, Interval: 20 * time.Millisecond, Wait: 20 * time.Millisecond,
+		Hosts: func() int { return 20 }, Keepers: func(string) (int, bool) { return 1, true },
+		Borrow: func(_ context.Context, _ string, tokens int64) Loan {
+			asked = append(asked, tokens)
+			return Loan{Tokens: tokens, Answered: true}
+		},
+	})
+	tr.Configure(1, []Budget{{"org", 1_000_000}}, true)
+	w := tr.wallets["org"]
+	w.account, w.known, w.wanted, w.free = Account{Granted: 1_000_000, Limit: 1_000_000, Version: 1}, true, 50_000, 5_000
+	w.note(20_000, time.Now())
+	got, err := tr.Reserve(context.Background(), "org", 1_000)
+	is.NoErr(err)
+	is.Equal(got.Tokens(), int64(1_000))
+	is.Equal(len(asked), 1)
+	is.True(asked[0] > 10_000 && asked[0] <= 15_000) // the room fades while it waits
+}
