prepaid, fleet: hosts that missed versions learn which budgets were lowered

Cause: a host that took a configuration from others in place of the log can't know whether a limit was lowered in versions that it missed, so it spent nothing of budgets whose limit changed, nor borrowed, until the log was back. Ruled out: to spend without asking; a limit may have been higher in between, and others may hold what it gave. Hosts that saw every version now tell which lowered a limit; a host whose gap is filled tells others in turn. Left: a limit that is the same before and after the missed versions still counts as unchanged.

--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -20,10 +20,11 @@
 
 // Paths of the calls between hosts.
 const (
-	pathPull   = "/fleet/records"
-	pathLend   = "/fleet/lend"
-	pathRecall = "/fleet/recall"
-	pathGive   = "/fleet/give"
+	pathPull    = "/fleet/records"
+	pathLend    = "/fleet/lend"
+	pathRecall  = "/fleet/recall"
+	pathGive    = "/fleet/give"
+	pathHistory = "/fleet/history"
 )
 
 // maxCallBytes bounds a call's body.
@@ -162,6 +163,7 @@
 	mux.HandleFunc("POST "+pathLend, f.serveLend)
 	mux.HandleFunc("POST "+pathRecall, f.serveRecall)
 	mux.HandleFunc("POST "+pathGive, f.serveGive)
+	mux.HandleFunc("POST "+pathHistory, f.serveHistory)
 	return mux
 }
 
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -45,6 +45,8 @@
 	Recall func(id string) (tokens int64)
 	// Credit takes in tokens that another host gives, once for each gift.
 	Credit func(gift prepaid.Gift) bool
+	// History is what this host saw of the limits of budgets.
+	History func() prepaid.History
 	// OnPull counts the calls for what this host missed by their outcome, PullOK or
 	// PullFailed. nil: they are not counted.
 	OnPull func(outcome string)
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -176,10 +176,11 @@
 			n.outside.TargetsTopic: n.targetsCopy,
 			n.outside.HostsTopic:   n.hostsCopy,
 		},
-		Lend:   func(ctx context.Context, ask prepaid.LoanRequest) prepaid.Loan { return n.treasury.Lend(ctx, ask) },
-		Recall: func(id string) int64 { return n.treasury.Recall(id) },
-		Credit: func(gift prepaid.Gift) bool { return n.treasury.Credit(gift) },
-		OnPull: func(outcome string) { n.observer.Count(fmt.Sprintf("pulls_total{outcome=%q}", outcome)) },
+		Lend:    func(ctx context.Context, ask prepaid.LoanRequest) prepaid.Loan { return n.treasury.Lend(ctx, ask) },
+		Recall:  func(id string) int64 { return n.treasury.Recall(id) },
+		Credit:  func(gift prepaid.Gift) bool { return n.treasury.Credit(gift) },
+		History: func() prepaid.History { return n.treasury.History() },
+		OnPull:  func(outcome string) { n.observer.Count(fmt.Sprintf("pulls_total{outcome=%q}", outcome)) },
 	})
 }
 
@@ -211,16 +212,17 @@
 	b := n.cfg.Budgets
 	n.treasury = prepaid.New(prepaid.Options{
 		Log: n.outside.Log, Topic: n.outside.BudgetsTopic, Partitions: n.cfg.Log.Partitions,
-		Host:     n.cfg.Host.Name + "/" + incarnation,
-		Plan:     plan(n.cfg),
-		Timeout:  settings.Milliseconds(n.cfg.Log.TimeoutMs),
-		Interval: settings.Milliseconds(b.IntervalMs),
-		Wait:     settings.Milliseconds(b.WaitMs),
-		Hosts:    n.fleet.Size,
-		Keepers:  n.keepers,
-		Borrow:   n.fleet.Borrow,
-		GiveBack: n.fleet.GiveBack,
-		OnCall:   func(outcome string) { n.observer.Count(fmt.Sprintf("budget_appends_total{outcome=%q}", outcome)) },
+		Host:      n.cfg.Host.Name + "/" + incarnation,
+		Plan:      plan(n.cfg),
+		Timeout:   settings.Milliseconds(n.cfg.Log.TimeoutMs),
+		Interval:  settings.Milliseconds(b.IntervalMs),
+		Wait:      settings.Milliseconds(b.WaitMs),
+		Hosts:     n.fleet.Size,
+		Keepers:   n.keepers,
+		Borrow:    n.fleet.Borrow,
+		GiveBack:  n.fleet.GiveBack,
+		Histories: n.fleet.History,
+		OnCall:    func(outcome string) { n.observer.Count(fmt.Sprintf("budget_appends_total{outcome=%q}", outcome)) },
 	})
 }
 
--- a/router/prepaid/treasury.go
+++ b/router/prepaid/treasury.go
@@ -39,6 +39,9 @@
 	Borrow func(ctx context.Context, organisation string, tokens int64) Loan
 	// GiveBack gives idle tokens of a host that is no keeper to one; nil: never.
 	GiveBack func(ctx context.Context, organisation string, tokens int64) bool
+	// Histories asks another host, a different one each time, what it saw of the limits
+	// since a version; nil: none is asked.
+	Histories func(ctx context.Context, since int64) (h History, ok bool)
 	// OnCall counts calls to the log by outcome.
 	OnCall func(outcome string)
 }
@@ -55,6 +58,10 @@
 	gifts   *giftBook
 	nextOp  int64
 	closing bool
+
+	history History
+	gap     gap
+	gapped  chan struct{} // full: versions were missed
 }
 
 // New makes a treasury without budgets; Run serves it.
@@ -62,7 +69,8 @@
 	if opts.Again <= 0 {
 		opts.Again = defaultAgain
 	}
-	t := &Treasury{opts: opts, wallets: map[string]*wallet{}, changed: make(chan struct{}), loans: newLoanBook(), gifts: newGiftBook()}
+	t := &Treasury{opts: opts, wallets: map[string]*wallet{}, changed: make(chan struct{}), loans: newLoanBook(), gifts: newGiftBook(),
+		history: History{Lowered: map[string]int64{}}, gapped: make(chan struct{}, 1)}
 	for i := range max(opts.Partitions, 1) {
 		t.clerks = append(t.clerks, newClerk(t, i))
 	}
@@ -77,6 +85,7 @@
 	for _, c := range t.clerks {
 		all.Go(func() { c.run(ctx) })
 	}
+	all.Go(func() { t.fillGaps(ctx) })
 	all.Wait()
 }
 
@@ -93,9 +102,9 @@
 	Limit        int64
 }
 
-// Configure takes over the budgets of a configuration. gap says that versions
+// Configure takes over the budgets of a configuration. missed says that versions
 // may have been skipped before it.
-func (t *Treasury) Configure(version int64, budgets []Budget, gap bool) {
+func (t *Treasury) Configure(version int64, budgets []Budget, missed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, b := range budgets {
@@ -107,11 +116,19 @@
 		if version <= w.version {
 			continue
 		}
-		lowered := b.Limit < w.limit || gap && b.Limit != w.limit
-		if lowered && w.version > 0 {
-			w.verify = version
+		w.setLimit(b.Limit, version, missed)
+		if w.verify == version && w.unseen == 0 {
+			t.noteLowered(b.Organisation, version)
+		}
+	}
+	if version > t.history.UpTo {
+		t.noteVersion(version, missed)
+	}
+	if t.gap.until > 0 {
+		select {
+		case t.gapped <- struct{}{}:
+		default:
 		}
-		w.limit, w.version = b.Limit, version
 	}
 	for _, c := range t.clerks {
 		c.kick()
--- a/router/prepaid/wallet.go
+++ b/router/prepaid/wallet.go
@@ -57,6 +57,7 @@
 	version    int64 // of the newest configuration
 	limit      int64 // prepaid by that
 	verify     int64 // the account must be seen under this version or later before anything is spent
+	unseen     int64 // one more than verify was before the versions that were missed, which may have lowered the limit; 0: none
 	free       int64
 	reserved   int64
 	flows      Flows
@@ -78,6 +79,22 @@
 // current is the account under the newest limit that this host knows.
 func (w *wallet) current() Account { return w.account.Under(w.limit, w.version) }
 
+// setLimit takes over the limit of a newer version; missed says that versions before it may
+// have been skipped. Before a lowered budget is spent, the account must be seen under it.
+func (w *wallet) setLimit(limit, version int64, missed bool) {
+	switch {
+	case w.version == 0:
+	case limit < w.limit:
+		w.verify, w.unseen = version, 0
+	case missed && limit != w.limit:
+		if w.unseen == 0 {
+			w.unseen = w.verify + 1
+		}
+		w.verify = version
+	}
+	w.limit, w.version = limit, version
+}
+
 // spendable says whether the host may spend what it holds: it has seen the
 // account under the newest lowering of the limit, and hosts do not hold more than that.
 func (w *wallet) spendable() bool {
