--- a/router/prepaid/wallet.go
+++ b/router/prepaid/wallet.go
@@ -24,11 +24,14 @@
 	EvenPart, MostShares float64
 	// KeeperHorizon and KeeperPart take the place of Horizon and MostPart where few of many
 	// hosts hold a budget's tokens, for all to borrow: all of them together hold so much.
+	// The horizon bears an outage of 8 s in which 1.5 times as much is wanted, also where it
+	// finds a slice just above refillBelow; the part protects what dies with all hosts near
+	// a budget's end.
 	KeeperHorizon, KeeperPart float64
 }
 
 // DefaultPlan is what the measurements in docs/MEASUREMENTS.md chose.
-var DefaultPlan = Plan{Horizon: 11, FullSpan: 25, MostPart: 0.35, LeastPart: 0.02, EvenPart: 0.6, MostShares: 1, KeeperHorizon: 11, KeeperPart: 0.4}
+var DefaultPlan = Plan{Horizon: 11, FullSpan: 25, MostPart: 0.35, LeastPart: 0.02, EvenPart: 0.6, MostShares: 1, KeeperHorizon: 18, KeeperPart: 0.4}
 
 // part is the part of the unspent tokens that all hosts together may hold. It falls
 // with the third power of the time that the budget still lasts.
--- a/router/settings/sections.go
+++ b/router/settings/sections.go
@@ -84,7 +84,7 @@
 	LeastPart      float64 `ini:"least_part" default:"0.02"`     // near its end
 	EvenPart       float64 `ini:"even_part" default:"0.6"`       // of an even share of that, a host holds whatever its demand
 	MostShares     float64 `ini:"most_shares" default:"1"`       // even shares that a host holds at most
-	KeeperHorizonS float64 `ini:"keeper_horizon_s" default:"11"` // where few hosts of many hold a budget: they hold so much together
+	KeeperHorizonS float64 `ini:"keeper_horizon_s" default:"18"` // where few hosts of many hold a budget: they hold so much together
 	KeeperPart     float64 `ini:"keeper_part" default:"0.4"`     // of what is unspent they hold at most
 	IntervalMs     float64 `ini:"interval_ms" default:"400"`     // between looks at the accounts
 	WaitMs         float64 `ini:"wait_ms" default:"120"`         // a request waits so long for tokens
