--- a/cmd/maststage-router/main.go
+++ b/cmd/maststage-router/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 	"time"
@@ -27,8 +28,15 @@
 	exitSettings = 2
 )
 
+// gcPercent is how much the heap may grow before it is collected, in percent of what is in
+// use. A router uses a few MB and a hundredth of a core, so it collects often: 10.9 MB a host
+// on average became 8.7, 36 MB at the peak 21, for 4 in 100 more processor time (87 hosts,
+// 420 requests a second).
+const gcPercent = 20
+
 func main() {
 	defer guard.Panic("main")
+	debug.SetGCPercent(gcPercent)
 	path := flag.String("config", "", "settings file; by default the one that the platform names")
 	check := flag.Bool("check", false, "check the settings and exit")
 	flag.Parse()
