soak: failure domains are evacuated and taken back

Evacuations of one to three domains, up to all at once, in every second seed, drawn apart so that the other events of a seed stay what they were.

--- a/proofs/soak/checks_test.go
+++ b/proofs/soak/checks_test.go
@@ -31,6 +31,7 @@
 	}
 	w.checkSpend(runs)
 	w.checkLeaving(arrivals)
+	w.checkEvacuations(arrivals)
 	w.checkRetries(calls, arrivals)
 }
 
--- /dev/null
+++ b/proofs/soak/evacuate_test.go
@@ -0,0 +1,102 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"maststage.dev/platform/platformtest"
+)
+
+// evacuateKind is the kind of events that evacuate a failure domain and take it back. It is
+// not among strikes: the events of a seed stay what they were without it.
+const evacuateKind = "evacuate"
+
+// Figures of evacuations.
+const (
+	evacuateWithin = time.Second // an evacuated domain gets nothing new after it
+	evacuateEvery  = 2           // of so many seeds one has evacuations
+	mostEvacuated  = 3
+	domains        = 3
+	// An evacuation has to outlast the time allowed to be judged.
+	leastEvacuated = evacuateWithin + slack + time.Second
+	mostLonger     = 3 * time.Second
+)
+
+// evacuations draws the evacuations of a seed, apart from its other events. They are planned
+// work.
+func evacuations(seed uint64) []event {
+	random := rand.New(rand.NewPCG(seed, 4))
+	if random.IntN(evacuateEvery) != 0 {
+		return nil
+	}
+	events := make([]event, 1+random.IntN(mostEvacuated))
+	for i := range events {
+		events[i] = event{
+			at:     time.Duration(random.Int64N(int64(faultTime))),
+			length: leastEvacuated + time.Duration(random.Int64N(int64(mostLonger))),
+			kind:   evacuateKind, pick: random.IntN(domains),
+		}
+	}
+	return events
+}
+
+// evacuate orders an evacuation and takes it back. Of two of the same domain the second is
+// left out.
+func evacuate(w *world, e event) {
+	zone := fmt.Sprintf("z%d", e.pick%domains)
+	if !w.watch.beginEvacuation(zone) {
+		return
+	}
+	w.log.Put(platformtest.Operator, platformtest.EvacuationKey(zone), []byte("{}"))
+	w.watch.evacuated(zone)
+	time.Sleep(e.length)
+	w.watch.endEvacuation(zone)
+	w.log.Put(platformtest.Operator, platformtest.EvacuationKey(zone), nil)
+}
+
+// beginEvacuation says whether the domain is not evacuated yet.
+func (w *watch) beginEvacuation(zone string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range w.evacuations {
+		if e.what == zone && e.end.IsZero() {
+			return false
+		}
+	}
+	w.evacuations = append(w.evacuations, interval{what: zone, begin: time.Now()})
+	return true
+}
+
+// evacuated notes that the store has the order, which is when its time begins.
+func (w *watch) evacuated(zone string) { w.update(zone, func(e *interval) { e.begin = time.Now() }) }
+
+func (w *watch) endEvacuation(zone string) { w.update(zone, func(e *interval) { e.end = time.Now() }) }
+
+// update changes the evacuation of a domain that is in force.
+func (w *watch) update(zone string, change func(*interval)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range w.evacuations {
+		if e := &w.evacuations[i]; e.what == zone && e.end.IsZero() {
+			change(e)
+		}
+	}
+}
+
+// checkEvacuations: targets of an evacuated failure domain get nothing new after a while.
+func (w *world) checkEvacuations(arrivals map[string][]arrivalAt) {
+	w.watch.mu.Lock()
+	evacuations := w.watch.evacuations
+	w.watch.mu.Unlock()
+	for id, list := range arrivals {
+		for _, a := range list {
+			for _, e := range evacuations {
+				late := a.target.zone == e.what && a.at.Sub(e.begin) > evacuateWithin+slack && a.at.Before(e.end)
+				if late && w.watch.calm(e.begin, a.at) {
+					w.watch.violation("evacuation", "%s in %s got %s %v after the order", a.target.id, e.what, id, a.at.Sub(e.begin).Round(time.Millisecond))
+				}
+			}
+		}
+	}
+}
--- a/proofs/soak/faults_test.go
+++ b/proofs/soak/faults_test.go
@@ -73,8 +73,11 @@
 const hushKind = "hush"
 
 func strikeOf(kind string) strike {
-	if kind == hushKind {
+	switch kind {
+	case hushKind:
 		return hush
+	case evacuateKind:
+		return evacuate
 	}
 	return strikes[kind]
 }
--- a/proofs/soak/soak_test.go
+++ b/proofs/soak/soak_test.go
@@ -97,6 +97,7 @@
 	}
 	events := schedule(random)
 	events = append(events, hushes(seed, events)...)
+	events = append(events, evacuations(seed)...)
 	w := newWorld(t, hosts, seed)
 	if thin(seed) {
 		w.thinLinks()
--- a/proofs/soak/watch_test.go
+++ b/proofs/soak/watch_test.go
@@ -10,16 +10,17 @@
 
 // watch notes what callers and targets see, and the promises that were broken.
 type watch struct {
-	mu         sync.Mutex
-	calls      []call
-	arrivals   map[string][]arrivalAt // by request id
-	budgets    map[string]int64       // the most that an organisation was ever allowed
-	versions   map[int64]time.Time    // when each was published
-	newest     int64
-	faults     []interval
-	stops      []interval
-	wellAgain  time.Time           // all hosts serve again and know which targets left
-	violations map[string][]string // by promise
+	mu          sync.Mutex
+	calls       []call
+	arrivals    map[string][]arrivalAt // by request id
+	budgets     map[string]int64       // the most that an organisation was ever allowed
+	versions    map[int64]time.Time    // when each was published
+	newest      int64
+	faults      []interval
+	stops       []interval
+	evacuations []interval          // by failure domain, from the store's answer on
+	wellAgain   time.Time           // all hosts serve again and know which targets left
+	violations  map[string][]string // by promise
 }
 
 // arrivalAt is a request at a target.
--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -191,10 +191,10 @@
 	path := filepath.Join(h.world.dir, h.name+".ini")
 	text := fmt.Sprintf("[host]\nname = %s\ndomain = %s\nlisten = %s\nready_listen = %s\npeer_listen = %s\nseeds = %s\n"+
 		"[log]\naddress = %s\npartitions = %d\n"+
-		"[bounds]\ndrain_ms = %d\ngrace_s = %g\nretry_ratio = %g\nretry_slack = %d\nretry_window_s = %g\n"+
+		"[bounds]\ndrain_ms = %d\nevacuate_ms = %d\ngrace_s = %g\nretry_ratio = %g\nretry_slack = %d\nretry_window_s = %g\n"+
 		"[output]\nlines_per_second = 2000\nlevel = debug\naccount_s = %g\n",
 		h.name, h.zone, h.listen, h.ready, h.peers, h.world.seeds(), h.store.Address(), logPartitions,
-		drainWithin.Milliseconds(), graceTime.Seconds(), retryRatio, retrySlack, retryWindow.Seconds(), accountEvery.Seconds())
+		drainWithin.Milliseconds(), evacuateWithin.Milliseconds(), graceTime.Seconds(), retryRatio, retrySlack, retryWindow.Seconds(), accountEvery.Seconds())
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		h.world.t.Error(err)
 	}
