prepaid: hosts whose missed versions nobody saw ask less often; a guard for lapsed cold targets

Read again: a host whose missed versions no other saw (all of them, as after the log forgot its history) asked 20 times a second until the accounts told; the pause doubles up to 0.8 s now. Whether a cold target whose entry lapsed is offered without its bound was looked at: it is not, TestLeavingColdTargetIsSpared passes on the code before and stays as a guard.

--- a/router/prepaid/history.go
+++ b/router/prepaid/history.go
@@ -107,9 +107,13 @@
 	return true
 }
 
-// historyPause is the time between two hosts that are asked what they saw. A call takes a
-// few ms; the budgets of a gap are refused meanwhile.
-const historyPause = 50 * time.Millisecond
+// Pauses between two hosts that are asked what they saw. A call takes a few ms, and budgets
+// are refused meanwhile; where all hosts missed the same versions, as after the log forgot
+// its history, none can tell and the accounts themselves will.
+const (
+	historyPause     = 50 * time.Millisecond // before the second host; it doubles each time
+	mostHistoryPause = 800 * time.Millisecond
+)
 
 // fillGaps asks other hosts for missed versions until ctx ends.
 func (t *Treasury) fillGaps(ctx context.Context) {
@@ -122,7 +126,7 @@
 			return
 		case <-t.gapped:
 		}
-		for ctx.Err() == nil {
+		for pause := historyPause; ctx.Err() == nil; pause = min(2*pause, mostHistoryPause) {
 			g, waits := t.missed()
 			if !waits {
 				break
@@ -130,7 +134,7 @@
 			if h, ok := t.opts.Histories(ctx, g.after); ok && t.learn(h) {
 				break
 			}
-			wait.For(ctx, jitter(historyPause))
+			wait.For(ctx, jitter(pause))
 		}
 	}
 }
--- a/router/target/cold_test.go
+++ b/router/target/cold_test.go
@@ -142,3 +142,14 @@
 	is.True(r.Choose(target.Want{Service: "s"}) != nil)
 	is.True(!r.HasChoice(target.Want{Service: "s"}))
 }
+
+// A cold target whose entry lapsed is spared as well, though no other is left.
+func TestLeavingColdTargetIsSpared(t *testing.T) {
+	is := is.New(t)
+	r := target.NewRegistry(target.Options{DrainWithin: time.Minute})
+	r.SetCold("s", target.ColdLimits{PerSecond: 1})
+	r.Put(target.Entry{ID: "t", Service: "s", Address: "127.0.0.1:1", Slots: 4, ColdLeft: time.Minute})
+	r.Remove("t")
+	is.True(r.Choose(target.Want{Service: "s"}) != nil)
+	is.Equal(r.Choose(target.Want{Service: "s"}), nil)
+}
