fleet: room that a host keeps is not gathered in pieces

Traced: a keeper that kept room for large requests lent nothing to a small one and told what it could lend, and the borrower then gathered that in a piece. Without it TestKeptRoomIsNotGathered fails.

--- a/router/fleet/keepers.go
+++ b/router/fleet/keepers.go
@@ -215,7 +215,11 @@
 	case err == nil:
 		b.total.Tokens += got.Tokens
 		b.total.Answered = b.total.Answered || got.Keeper
-		b.free[address] = got.Free
+		// A host that had enough and lent nothing keeps room for larger requests: pieces
+		// gathered from it would let small ones take that room.
+		if got.Free < ask.Tokens {
+			b.free[address] = got.Free
+		}
 	case !notSent(err):
 		f.recalls.add(unanswered{address: address, id: ask.ID})
 	}
