forward, target, quarantine: lines tell which requests are alike and that a target ended

Now each request has a digest of organisation, method, host, path and body, a broken try asks by one connection whether its target's process is gone, and 'target ended' and 'broken by the target's end' tell it; the latter with digest, events and time of the run. Counter broken_by_ends_total. No decision uses it. Figures: a look takes one refused connection; where the target lives the connection is kept for a request.

--- a/router/exchange/pool.go
+++ b/router/exchange/pool.go
@@ -130,6 +130,16 @@
 	return &Conn{pool: p, nc: nc, reader: bufio.NewReaderSize(nc, readBuffer)}, nil
 }
 
+// Probe makes a new connection, which is kept for a request, and tells why that failed.
+func (p *Pool) Probe(ctx context.Context) error {
+	c, err := p.dial(ctx)
+	if err != nil {
+		return err
+	}
+	p.put(c)
+	return nil
+}
+
 // readBuffer is the size of a connection's read buffer in bytes.
 const readBuffer = 2048
 
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -17,6 +17,7 @@
 	"maststage.dev/router/metering"
 	"maststage.dev/router/overload"
 	"maststage.dev/router/prepaid"
+	"maststage.dev/router/quarantine"
 	"maststage.dev/router/retrybudget"
 	"maststage.dev/router/routing"
 	"maststage.dev/router/target"
@@ -34,6 +35,8 @@
 	Tried(t Try)
 	// Ended tells of a request's end.
 	Ended(e End)
+	// Broke tells of a try that broke off because its target ended.
+	Broke(b Break)
 }
 
 // Try is one try of a request at a target.
@@ -49,9 +52,21 @@
 	Err       error
 }
 
+// Break is a try that broke off because its target ended.
+type Break struct {
+	RequestID string
+	Digest    quarantine.Digest
+	Target    string
+	Service   string
+	Events    int           // that had come
+	Took      time.Duration // of the try
+	Ran       time.Duration // since its first event, 0: none had come
+}
+
 // End is how a request ended.
 type End struct {
 	RequestID     string
+	Digest        quarantine.Digest // zero: its body was not read
 	Route         string
 	Organisation  string
 	Service       string
@@ -125,6 +140,7 @@
 	id           string
 	head         []byte
 	body         []byte
+	digest       quarantine.Digest // of what is asked for
 	usage        usage
 	shared       string // affinity
 	resume       string // the caller's own last event id
@@ -174,7 +190,7 @@
 
 func (q *request) report(kind Kind, err error) {
 	e := &q.end
-	e.RequestID, e.Kind, e.Err = q.id, kind, err
+	e.RequestID, e.Digest, e.Kind, e.Err = q.id, q.digest, kind, err
 	e.Service, e.Tries = q.service, q.tries
 	e.Took = time.Since(q.arrived)
 	if q.route != nil {
@@ -235,6 +251,7 @@
 	if kind, err := q.readBody(); kind != OK {
 		return kind, err
 	}
+	q.digest = q.content().Digest()
 	q.head = h.commonHead(q.r, q.body)
 	q.resume = q.r.Header.Get(h.names.LastEventID)
 	h.opts.Retries.Of(q.service).Request(q.arrived)
--- a/router/forward/harness_test.go
+++ b/router/forward/harness_test.go
@@ -59,9 +59,10 @@
 
 // recorder keeps what the handler reports.
 type recorder struct {
-	mu    sync.Mutex
-	ends  []End
-	tries []Try
+	mu     sync.Mutex
+	ends   []End
+	tries  []Try
+	breaks []Break
 }
 
 func (r *recorder) Tried(t Try) {
@@ -76,6 +77,12 @@
 	r.ends = append(r.ends, e)
 }
 
+func (r *recorder) Broke(b Break) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.breaks = append(r.breaks, b)
+}
+
 // last waits for the end of the request.
 func (r *recorder) last(t *testing.T, id string) End {
 	t.Helper()
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -165,6 +165,7 @@
 		t.Pool.CloseIdle()
 	}
 	q.charge(c, res)
+	c.lookForEnd(res)
 	targets.End(t, c.work, c.judgement(res))
 	if res == notSent && !q.handler.opts.Overload.Overloaded(time.Now()) {
 		targets.DialFailed(t)
--- a/router/observe/observe.go
+++ b/router/observe/observe.go
@@ -15,6 +15,7 @@
 	"maststage.dev/router/forward"
 	"maststage.dev/router/logging"
 	"maststage.dev/router/prepaid"
+	"maststage.dev/router/quarantine"
 )
 
 // Observer implements forward.Observer.
@@ -66,6 +67,20 @@
 	}).WithError(t.Err).Info("try failed")
 }
 
+// Broke logs and counts a try that broke off because its target ended. Lines of the same
+// digest at several targets tell which request may have brought the ends about.
+func (o *Observer) Broke(b forward.Break) {
+	o.Count(fmt.Sprintf("broken_by_ends_total{service=%q}", b.Service))
+	entry, ok := allow(o.failures)
+	if !ok {
+		return
+	}
+	entry.WithFields(log.Fields{
+		"request": b.RequestID, "digest": b.Digest, "target": b.Target, "service": b.Service,
+		"events": b.Events, "took": b.Took.Round(time.Millisecond), "ran": b.Ran.Round(time.Millisecond),
+	}).Info("broken by the target's end")
+}
+
 // Ended logs and counts a request.
 func (o *Observer) Ended(e forward.End) {
 	labels := fmt.Sprintf("organisation=%q,service=%q", e.Organisation, e.Service)
@@ -88,6 +103,9 @@
 		"events": e.Events, "reserved": e.Reserved, "used": e.Used,
 		"first": e.First.Round(time.Millisecond), "took": e.Took.Round(time.Millisecond),
 	}
+	if e.Kind != forward.OK && e.Digest != (quarantine.Digest{}) {
+		fields["digest"] = e.Digest
+	}
 	addBudget(fields, e.Kind, e.Budget)
 	entry = entry.WithFields(fields)
 	if e.Err != nil {
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -54,6 +54,9 @@
 
 	health health
 	stall  stall
+
+	check *endCheck // the newest look at whether it has ended
+	ended bool      // its process has ended without having left
 }
 
 // Options configure a Registry.
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -37,6 +37,7 @@
 	CrossedFirst bool          // send another request's answer first
 	NoStamp      bool          // leave the signature out
 	EarlyAnswer  bool          // answer before the body is read
+	Crash        bool          // end after Delay, with all that is under way
 }
 
 // Run is one request that the backend began to work on.
@@ -61,6 +62,8 @@
 	runs     []*Run
 	arrivals int
 	conns    map[net.Conn]bool
+	ended    chan struct{} // closed at the end
+	once     sync.Once
 }
 
 // Start starts a backend on a free port of 127.0.0.1.
@@ -69,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Backend{ID: id, names: names, behave: behave, listener: listener, conns: map[net.Conn]bool{}}
+	b := &Backend{ID: id, names: names, behave: behave, listener: listener, conns: map[net.Conn]bool{}, ended: make(chan struct{})}
 	go b.accept()
 	return b, nil
 }
@@ -109,9 +112,13 @@
 	return len(b.conns)
 }
 
+// Done is closed when the backend has ended.
+func (b *Backend) Done() <-chan struct{} { return b.ended }
+
 // Close ends the backend and all its connections.
 func (b *Backend) Close() {
 	_ = b.listener.Close()
+	b.once.Do(func() { close(b.ended) })
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for c := range b.conns {
@@ -128,10 +135,22 @@
 		b.mu.Lock()
 		b.conns[c] = true
 		b.mu.Unlock()
+		if b.isDone() {
+			_ = c.Close() // it came as the backend ended
+		}
 		go b.serve(c)
 	}
 }
 
+func (b *Backend) isDone() bool {
+	select {
+	case <-b.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 func (b *Backend) serve(c net.Conn) {
 	defer func() {
 		_ = c.Close()
@@ -206,6 +225,10 @@
 	if !b.pause(run, gone, how.Delay) {
 		return false
 	}
+	if how.Crash {
+		b.Close()
+		return false
+	}
 	if how.CrossedFirst {
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: other\r\n%s: s\r\nContent-Length: 5\r\n\r\nother", b.names.RequestID, b.names.Stamp)
 	}
