quarantine: tests wait for what they read

Cause: go test -race found that two tests read what goroutines of theirs had written, ordered by virtual time only. The product is not concerned.

--- a/router/quarantine/guard_test.go
+++ b/router/quarantine/guard_test.go
@@ -57,7 +57,13 @@
 	for _, target := range []string{"a", "b", "c"} {
 		l.Broke(Report{Digest: d, Organisation: "o", Service: "s", RequestID: "r-" + target, Target: target, Young: true})
 	}
-	time.Sleep(time.Second)
+	settle(time.Second)
+}
+
+// settle lets virtual time pass and waits for what happens in it.
+func settle(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
 }
 
 func TestEntryIsToldAndLasts(t *testing.T) {
@@ -66,7 +72,7 @@
 		l := newLonely()
 		l.failing = 3
 		l.accuseOf(guilty)
-		time.Sleep(5 * time.Second)
+		settle(5 * time.Second)
 		is.True(l.Held(guilty))
 		is.Equal(l.held, []Digest{guilty})
 		is.Equal(len(l.notices), 1)
@@ -103,7 +109,7 @@
 		l.accuseOf(guilty)
 		is.True(l.Held(guilty))
 		l.Whole(guilty)
-		time.Sleep(time.Second)
+		settle(time.Second)
 		is.True(!l.Held(guilty))
 		is.True(l.notices[len(l.notices)-1].Lifted)
 		is.Equal(len(l.records[len(l.records)-1].Value), 0) // its record is deleted
@@ -117,7 +123,7 @@
 		l := newLonely()
 		l.Whole(guilty)
 		l.Notice(Notice{Entry: Entry{Digest: guilty}})
-		time.Sleep(time.Second)
+		settle(time.Second)
 		is.True(!l.Held(guilty))
 		is.Equal(len(l.notices), 1)
 		is.True(l.notices[0].Lifted)
@@ -134,7 +140,7 @@
 		is.True(!l.Held(guilty))
 		// It counts anew.
 		l.Broke(Report{Digest: guilty, Target: "d", Young: true})
-		time.Sleep(time.Second)
+		settle(time.Second)
 		is.True(!l.Held(guilty))
 	})
 }
