forward, target: only a whole success clears a request; ends are seen though bytes still come

Cause: read with the mend in hand. A failure that a target tells before the run (a deadline over in its queue) cleared a request for good, and so did an answer without a length, which ends as its target does. And a target counted as alive if other requests still read bytes that were on their way at its end.

--- a/router/forward/ends.go
+++ b/router/forward/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -20,6 +21,14 @@
 	return c
 }
 
+// provesARun says whether an answer, if it comes to its end, proves that its target ran the
+// request and lived. A failure may have been told before the run, and without a length the
+// target's end looks like the end of the answer.
+func provesARun(resp *http.Response) bool {
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	return framed && resp.StatusCode < http.StatusMultipleChoices
+}
+
 // Figures of the look at whether a target has ended.
 const (
 	endLook = time.Second
--- a/router/forward/ends_test.go
+++ b/router/forward/ends_test.go
@@ -87,6 +87,30 @@
 	b.is.Equal(b.arrivals(), 1)
 }
 
+// Only a whole success clears a request: a failure may come before the run, and an answer
+// without a length ends as its target does.
+func TestWhatClearsARequest(t *testing.T) {
+	for name, c := range map[string]struct {
+		how     backend.Behaviour
+		cleared bool
+	}{
+		"whole":     {backend.Behaviour{Events: 3}, true},
+		"failure":   {backend.Behaviour{Status: 504, Body: "late"}, false},
+		"no length": {backend.Behaviour{Events: 3, NoLength: true}, false},
+		"cut":       {backend.Behaviour{Events: 3, BreakAfter: 2}, false},
+		"refused":   {backend.Behaviour{Refuse: true}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.add("t", "engine", c.how)
+			b.do(b.request("POST", "/once/x", "body"))
+			d := quarantine.Content{Organisation: "org", Method: "POST", Host: "a.example", URI: "/once/x", Body: []byte("body")}.Digest()
+			b.recorder.last(t, "r1")
+			b.is.Equal(b.guard.IsCleared(d), c.cleared)
+		})
+	}
+}
+
 // A stream that had run for a while as its target ended has the try for free: it goes on at
 // a fourth target though its route allows three.
 func TestEndsOfTargetsCostAStreamNoTry(t *testing.T) {
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -174,7 +174,7 @@
 	}
 	q.charge(c, res)
 	c.lookForEnd(res)
-	if res == delivered || res == errored {
+	if res == delivered && c.whole {
 		q.handler.opts.Quarantine.Whole(q.digest)
 	}
 	targets.End(t, c.work, c.judgement(res))
@@ -202,6 +202,7 @@
 	status  int
 	resumed string
 	silence *silence
+	whole   bool   // a success whose end could not be mistaken
 	begun   func() // ends the note that the try waits for its first event
 }
 
@@ -355,6 +356,7 @@
 		return refused, fmt.Errorf("target: %s, not run", resp.Status)
 	}
 	c.answered()
+	c.whole = provesARun(resp)
 	if resp.Header.Get(names.Stamp) == "" {
 		c.conn.Done(false)
 		return broken, fmt.Errorf("target: %s without its signature", resp.Status)
--- a/router/target/ended.go
+++ b/router/target/ended.go
@@ -29,11 +29,12 @@
 // Ended says whether a target's process has ended, after something broke off there: nobody
 // takes connections at its address any more. It asks by a new connection, which is kept for
 // requests if it is made. A connection that broke alone, a cut or an overrun link don't
-// look so, nor does a target that was known to leave, whose end is planned.
+// look so, nor does a target that was known to leave, whose end is planned. What other
+// requests still read says nothing: it may have been on its way at the end.
 func (r *Registry) Ended(ctx context.Context, t *Target) bool {
 	check, own := r.endCheckOf(t)
 	if own {
-		check.ended = r.lookForEnd(ctx, t, check.began)
+		check.ended = r.lookForEnd(ctx, t)
 		close(check.done)
 	}
 	select {
@@ -57,14 +58,13 @@
 }
 
 // lookForEnd asks the target's address, and notes an end.
-func (r *Registry) lookForEnd(ctx context.Context, t *Target, began time.Time) bool {
+func (r *Registry) lookForEnd(ctx context.Context, t *Target) bool {
 	dial, cancel := context.WithTimeout(ctx, endDial)
 	defer cancel()
 	refused := errors.Is(t.Pool.Probe(dial), syscall.ECONNREFUSED)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	alive := time.Unix(0, t.heard.Load()).After(began)
-	if !refused || alive || !t.leftAt.IsZero() {
+	if !refused || !t.leftAt.IsZero() {
 		return false
 	}
 	t.ended = true
