--- a/proofs/soak/callers_test.go
+++ b/proofs/soak/callers_test.go
@@ -107,7 +107,7 @@
 
 // request builds the request of a call.
 func (c *call) request(ctx context.Context, random *rand.Rand) *http.Request {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.host.listen+c.path+c.id, strings.NewReader(sentBody(c.id)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.host.listen+c.uri(), strings.NewReader(c.content()))
 	if err != nil {
 		panic(err)
 	}
@@ -118,13 +118,28 @@
 	if c.tenant != "" {
 		req.Header.Set(names.Key, keyOf(c.tenant))
 	}
-	if c.path == streamPath {
+	if c.path == streamPath || isDeadly(c.path) {
 		req.Header.Set(names.Usage, fmt.Sprintf("%d,%d", tokensIn, mostOut))
 		req.Header.Set(names.PromptParts, fmt.Sprintf("a%d:30,%x:10", random.IntN(5), random.Uint32()))
 	}
 	return req
 }
 
+// uri and content are what a call asks for: a deadly request is the same each time.
+func (c *call) uri() string {
+	if isDeadly(c.path) {
+		return c.path
+	}
+	return c.path + c.id
+}
+
+func (c *call) content() string {
+	if isDeadly(c.path) {
+		return "the same"
+	}
+	return sentBody(c.id)
+}
+
 // sentBody is the body of a request.
 func sentBody(id string) string { return "body of " + id }
 
--- a/proofs/soak/checks_test.go
+++ b/proofs/soak/checks_test.go
@@ -18,6 +18,9 @@
 	known := map[string]call{}
 	for _, c := range calls {
 		known[c.id] = c
+		if isDeadly(c.path) {
+			continue
+		}
 		w.checkAnswer(c)
 		w.checkOnce(c, runs[c.id])
 		w.checkPlannedStop(c, len(arrivals[c.id]) > 0)
@@ -40,6 +43,9 @@
 	runs := map[string][]backend.Run{}
 	for _, s := range w.allTargets() {
 		for _, run := range s.Runs() {
+			if isDeadly(run.URI) {
+				continue
+			}
 			runs[run.ID] = append(runs[run.ID], run)
 		}
 	}
@@ -156,7 +162,7 @@
 	requests, repeats := map[string][]time.Time{}, map[string][]time.Time{}
 	for _, c := range calls {
 		service := plainService
-		if c.path == streamPath {
+		if c.path == streamPath || isDeadly(c.path) {
 			service = engineService
 		}
 		requests[service] = append(requests[service], c.started)
--- a/proofs/soak/config_test.go
+++ b/proofs/soak/config_test.go
@@ -41,6 +41,7 @@
 		Version: 1,
 		Routes: []platformtest.Route{
 			route(streamPath, "streaming", engineService, 3),
+			route(deadlyPath, "streaming", engineService, 3),
 			route(safePath, "safe", plainService, 3),
 			route(unsafePath, "unsafe", plainService, 3),
 		},
--- a/proofs/soak/faults_test.go
+++ b/proofs/soak/faults_test.go
@@ -78,6 +78,8 @@
 		return hush
 	case evacuateKind:
 		return evacuate
+	case deadlyKind:
+		return deadly
 	}
 	return strikes[kind]
 }
--- a/proofs/soak/soak_test.go
+++ b/proofs/soak/soak_test.go
@@ -98,6 +98,7 @@
 	events := schedule(random)
 	events = append(events, hushes(seed, events)...)
 	events = append(events, evacuations(seed)...)
+	events = append(events, deadlies(seed, events)...)
 	w := newWorld(t, hosts, seed)
 	if thin(seed) {
 		w.thinLinks()
@@ -118,15 +119,17 @@
 	}
 	w.play(ctx, events)
 	w.recovered()
+	w.checkDeadly(events)
 	stop()
 	traffic.Wait()
+	w.endReplacing()
 }
 
 // report tells of broken promises and keeps the logs of hosts.
 func (w *world) report(seed uint64, events []event) {
 	w.watch.mu.Lock()
 	defer w.watch.mu.Unlock()
-	w.t.Logf("seed %d: %d hosts, thin links %v, %d events, %d requests", seed, len(w.hosts), thin(seed), len(events), len(w.watch.calls))
+	w.t.Logf("seed %d: %d hosts, thin links %v, %d events, %d requests, %d runs of deadly ones", seed, len(w.hosts), thin(seed), len(events), len(w.watch.calls), w.watch.deadly)
 	if len(w.watch.violations) == 0 {
 		return
 	}
--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -54,6 +54,9 @@
 
 	thin bool // hosts have thin links, and the configuration is large
 
+	replacing sync.WaitGroup // of targets that ended
+	over      bool           // no target is replaced any more
+
 	publishing sync.Mutex // held while a configuration waits to be published
 
 	mu      sync.Mutex
@@ -332,6 +335,7 @@
 	w.targets = append(w.targets, s)
 	w.mu.Unlock()
 	w.list(s, platformtest.Ready)
+	go w.replace(s)
 }
 
 // list writes a target's entry.
@@ -350,6 +354,9 @@
 
 // behaviour notes an arrival and says how the target answers it.
 func (w *world) behaviour(s *targetState, run backend.Run) backend.Behaviour {
+	if isDeadly(run.URI) {
+		return w.endDeadly()
+	}
 	w.watch.arrival(s, run)
 	b := backend.Behaviour{Delay: plainDelay, Body: wholeBody(run.ID)}
 	if s.service == engineService {
--- a/standin/faultlink/faultlink.go
+++ b/standin/faultlink/faultlink.go
@@ -66,7 +66,7 @@
 		t.Fatal(err)
 	}
 	l := &Link{opts: opts, listener: listener, fault: map[int]Fault{}, conns: map[*conn]bool{}}
-	t.Cleanup(l.close)
+	t.Cleanup(l.Close)
 	go l.accept()
 	return l
 }
@@ -126,7 +126,8 @@
 	return list
 }
 
-func (l *Link) close() {
+// Close ends the link and its connections, as if nobody listened any more.
+func (l *Link) Close() {
 	_ = l.listener.Close()
 	for _, c := range l.open() {
 		c.close()
