platform, target, prepaid: entries of other writers name no target, lives under one id are told apart

Cause: decodeServer took every state but draining for ready and missed fields as zero, an unreadable entry left the one before in force, an id meant one life for ever, and an empty document was an account of which nothing was granted. Ruled out: relying on the last good entry of an id (docs/design).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES = $(MODULES:%=./%/...)
 STATICCHECK = honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
-.PHONY: build test fuzz soak lint run bench capacity refusals clean
+.PHONY: build test fuzz fuzz-decoders soak lint run bench capacity refusals clean
 
 build: ## the programs, into bin/
 	go build -o bin/ ./cmd/... ./standin/cmd/... ./load/cmd/...
@@ -20,6 +20,15 @@
 	go test -count=1 -timeout 30m -skip '^($(RED))$$' $(PLAIN)
 	@echo "known red, not run:"; cat KNOWN-RED.txt
 
+# Decoders of what others write, each with its fuzz test, and how long CI fuzzes each.
+DECODERS = platform:FuzzDecodeServer platform:FuzzDecodeConfig platform:FuzzDecodeEvacuation router/prepaid:FuzzDecodeAccount
+DECODETIME ?= 4s
+
+fuzz-decoders: ## bytes of other writers, each decoder for DECODETIME
+	@for d in $(DECODERS); do \
+		go test ./$${d%%:*} -run '^$$' -fuzz "^$${d##*:}$$" -fuzztime $(DECODETIME) || exit 1; \
+	done
+
 FUZZTIME ?= 60
 fuzz: ## the fuzzed packages with fresh seeds for FUZZTIME seconds
 	@end=$$(( $$(date +%s) + $(FUZZTIME) )); \
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -123,6 +123,10 @@
 			log.WithField("peer", name).WithError(err).Error("announcement can't be read")
 			continue
 		}
+		if h.Name != name {
+			log.WithField("peer", name).Error("announcement of another name is ignored")
+			continue
+		}
 		if old, had := f.hosts[name]; !had || old.host.Incarnation != h.Incarnation {
 			log.WithFields(log.Fields{"peer": name, "incarnation": h.Incarnation, "address": h.Address}).Info("host joined")
 		}
--- a/router/forward/ends.go
+++ b/router/forward/ends.go
@@ -67,7 +67,7 @@
 func (c *call) brokeOff(now time.Time) Break {
 	q := c.request
 	b := Break{
-		RequestID: q.id, Digest: q.digest, Target: c.target.ID, Service: q.service,
+		RequestID: q.id, Digest: q.digest, Target: q.handler.opts.Targets.Incarnation(c.target).String(), Service: q.service,
 		Events: c.events, Took: now.Sub(c.started),
 	}
 	if c.events > 0 {
--- a/router/node/config.go
+++ b/router/node/config.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	log "github.com/sirupsen/logrus"
@@ -188,9 +190,28 @@
 		}
 		entry, err := n.outside.DecodeTarget(id, c.Record.Value)
 		if err != nil {
-			log.WithField("target", id).WithError(err).Error("entry of the list of targets can't be read")
+			n.ignoreEntry(id, err)
 			continue
 		}
 		n.targets.Put(entry)
 	}
 }
+
+// ignoredEntryLines bounds the lines a second about entries that name no target.
+const ignoredEntryLines = 2
+
+// ignoreEntry takes the target of an entry that names none to use out of the choice, if
+// there is one of this id, until a whole entry comes. The one before is not relied on: it may have
+// been overwritten together with the target's own word that it leaves.
+func (n *Node) ignoreEntry(id string, err error) {
+	n.targets.Remove(id)
+	fault := target.FaultUnreadable
+	var entry *target.EntryError
+	if errors.As(err, &entry) {
+		fault = entry.Fault
+	}
+	n.observer.Count(fmt.Sprintf("target_entries_ignored_total{fault=%q}", fault))
+	if ok, skipped := n.ignored.Allow(time.Now()); ok {
+		log.WithFields(log.Fields{"target": id, "fault": fault, "skipped": skipped}).WithError(err).Warn("entry of the list names no target")
+	}
+}
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -18,6 +18,7 @@
 	"maststage.dev/router/eventlog"
 	"maststage.dev/router/fleet"
 	"maststage.dev/router/forward"
+	"maststage.dev/router/logging"
 	"maststage.dev/router/metering"
 	"maststage.dev/router/observe"
 	"maststage.dev/router/overload"
@@ -65,6 +66,7 @@
 	overload *overload.Monitor
 	guard    *quarantine.Guard
 	accounts *accounts
+	ignored  *logging.Limiter // of lines about entries that name no target
 
 	configCopy, targetsCopy, hostsCopy *replica.Replica
 
@@ -85,6 +87,7 @@
 		observer: observe.New(cfg.Output.LinesPerSecond),
 		overload: overload.New(),
 		accounts: newAccounts(incarnation),
+		ignored:  logging.NewLimiter(ignoredEntryLines),
 		started:  time.Now(),
 		stopping: make(chan struct{}),
 		changed:  make(chan struct{}, 1),
@@ -149,6 +152,9 @@
 	n.hostsCopy = copyOf(n.outside.HostsTopic, hostsPace, n.hostsChanged)
 }
 
+// noTarget is the meaning of an entry that names no target to use.
+type noTarget struct{}
+
 // targetMeaning is what counts of an entry of the list: most records are heartbeats,
 // which change nothing.
 func (n *Node) targetMeaning(rec eventlog.Record) any {
@@ -157,7 +163,7 @@
 	}
 	entry, err := n.outside.DecodeTarget(rec.Key, rec.Value)
 	if err != nil {
-		return nil
+		return noTarget{}
 	}
 	return entry
 }
--- a/router/prepaid/account.go
+++ b/router/prepaid/account.go
@@ -10,6 +10,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 )
 
@@ -37,12 +38,19 @@
 	return data
 }
 
+// ErrNoAccount means that a document is no account: without writer and version it may be anything,
+// and an empty one would say that all tokens are there to be taken.
+var ErrNoAccount = errors.New("account: writer and version are missing, or what was granted is negative")
+
 // DecodeAccount reads what Encode wrote.
 func DecodeAccount(data []byte) (Account, error) {
 	var a Account
 	if err := json.Unmarshal(data, &a); err != nil {
 		return a, fmt.Errorf("account: %w", err)
 	}
+	if a.Writer == "" && a.Version <= 0 || a.Granted < 0 {
+		return Account{}, ErrNoAccount
+	}
 	return a, nil
 }
 
--- a/router/prepaid/append.go
+++ b/router/prepaid/append.go
@@ -169,7 +169,8 @@
 		for _, rec := range page.Records {
 			account, err := DecodeAccount(rec.Value)
 			if err != nil {
-				log.WithField("key", rec.Key).WithError(err).Error("account can't be read")
+				log.WithField("key", rec.Key).WithError(err).Error("account can't be read; nothing is taken from it")
+				c.lock(rec.Key, rec.Offset)
 				continue
 			}
 			c.see(rec.Key, account, rec.Offset)
@@ -183,6 +184,22 @@
 	return nil
 }
 
+// lock notes that the newest record of an account can't be read. What was granted before is
+// not known then, so nothing may be taken until a host that knows writes the account again.
+func (c *clerk) lock(organisation string, offset int64) {
+	t := c.treasury
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.wallets[organisation]
+	if w == nil {
+		w = &wallet{}
+		t.wallets[organisation] = w
+	}
+	if !w.known || offset > w.offset {
+		w.unreadable = true
+	}
+}
+
 // see takes in a record of an account.
 func (c *clerk) see(organisation string, a Account, offset int64) {
 	t := c.treasury
@@ -196,7 +213,7 @@
 	if w.known && offset <= w.offset {
 		return
 	}
-	w.account, w.known, w.offset = a, true, offset
+	w.account, w.known, w.offset, w.unreadable = a, true, offset, false
 	w.noteFlow(time.Now())
 	t.wake()
 }
--- a/router/prepaid/clerk.go
+++ b/router/prepaid/clerk.go
@@ -291,7 +291,7 @@
 	defer t.mu.Unlock()
 	var orders []order
 	for organisation, w := range t.wallets {
-		if t.clerkOf(organisation) != c {
+		if t.clerkOf(organisation) != c || w.unreadable {
 			continue
 		}
 		change := t.change(organisation, w)
--- a/router/prepaid/wallet.go
+++ b/router/prepaid/wallet.go
@@ -56,6 +56,7 @@
 type wallet struct {
 	account    Account
 	known      bool // account was read from the log
+	unreadable bool // its newest record is not an account
 	offset     int64
 	version    int64 // of the newest configuration
 	limit      int64 // prepaid by that
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -69,7 +69,7 @@
 }
 
 // candidates lists the targets that may take the request: the ready ones that are
-// neither ejected, nor full, nor quiet; else the ready ones; else those that left a moment
+// neither ejected, nor full, nor quiet, nor ended; else the ready ones; else those that left a moment
 // ago. Evacuated targets are never among them, nor are the cold ones that have enough,
 // which are listed apart.
 func (r *Registry) candidates(w Want, now time.Time) (usable, spared []*Target) {
@@ -87,7 +87,7 @@
 			if now.Sub(t.leftAt) < r.opts.DrainWithin {
 				leaving = append(leaving, t)
 			}
-		case now.Before(t.health.until) || now.Before(t.health.shedUntil) || t.quiet(now):
+		case now.Before(t.health.until) || now.Before(t.health.shedUntil) || t.quiet(now) || t.gone(now):
 			ejected = append(ejected, t)
 		default:
 			good = append(good, t)
--- a/router/target/ended.go
+++ b/router/target/ended.go
@@ -26,6 +26,13 @@
 	endCheckAge = 50 * time.Millisecond
 )
 
+// gonePause is how long a target that ended is passed over. Its entry is gone by then, or
+// tells of another life: an entry lapses after three heartbeats of about a second.
+const gonePause = 4 * time.Second
+
+// gone says whether the target ended a moment ago.
+func (t *Target) gone(now time.Time) bool { return t.ended && now.Sub(t.endedAt) < gonePause }
+
 // Ended says whether a target's process has ended, after something broke off there: nobody
 // takes connections at its address any more. It asks by a new connection, which is kept for
 // requests if it is made. A connection that broke alone, a cut or an overrun link don't
@@ -67,7 +74,7 @@
 	if !refused || !t.leftAt.IsZero() {
 		return false
 	}
-	t.ended = true
+	t.ended, t.endedAt = true, time.Now()
 	log.WithFields(log.Fields{
 		"target": t.ID, "service": t.Service, "address": t.Address, "outstanding": t.outstanding,
 	}).Warn("target ended")
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -12,26 +12,6 @@
 	"maststage.dev/router/exchange"
 )
 
-// State is what a target says of itself in the list.
-type State int
-
-// The states.
-const (
-	Ready State = iota
-	Draining
-)
-
-// Entry is a target as the platform lists it.
-type Entry struct {
-	ID       string
-	Service  string
-	Address  string // IP:port
-	Domain   string // failure domain
-	Slots    int
-	State    State
-	ColdLeft time.Duration // how much longer it is slow from its start
-}
-
 // Target is one incarnation of a back end as this host sees it. Its fields are
 // guarded by the registry's lock, but for ID, Service, Address, Domain and Pool.
 type Target struct {
@@ -42,6 +22,7 @@
 	Pool    *exchange.Pool
 
 	slots  int
+	life   Incarnation
 	state  State
 	listed bool
 	leftAt time.Time // when it was first seen draining or gone
@@ -55,8 +36,9 @@
 	health health
 	stall  stall
 
-	check *endCheck // the newest look at whether it has ended
-	ended bool      // its process has ended without having left
+	check   *endCheck // the newest look at whether it has ended
+	ended   bool      // its process has ended without having left
+	endedAt time.Time
 }
 
 // Options configure a Registry.
@@ -111,13 +93,16 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	t := r.targets[e.ID]
-	if t != nil && (t.Address != e.Address || t.Service != e.Service) {
+	if t != nil && (t.Address != e.Address || t.Service != e.Service || t.life.another(e.Incarnation())) {
 		r.drop(t)
 		t = nil
 	}
 	if t == nil {
 		t = r.add(e)
-		log.WithFields(log.Fields{"target": e.ID, "service": e.Service, "address": e.Address, "domain": e.Domain}).Info("target listed")
+		log.WithFields(log.Fields{"target": e.Incarnation(), "service": e.Service, "address": e.Address, "domain": e.Domain}).Info("target listed")
+	}
+	if !e.Born.IsZero() {
+		t.life = e.Incarnation()
 	}
 	t.slots = max(e.Slots, 1)
 	if e.ColdLeft > 0 {
@@ -126,7 +111,15 @@
 	r.setState(t, true, e.State, now)
 }
 
-// Remove notes that a target is no longer listed.
+// Incarnation is the life of a target that its newest entry told of.
+func (r *Registry) Incarnation(t *Target) Incarnation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return t.life
+}
+
+// Remove notes that a target is no longer listed, or that its newest entry names none to use:
+// what it has under way goes on. One that was leaving goes on leaving.
 func (r *Registry) Remove(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -151,7 +144,7 @@
 
 func (r *Registry) add(e Entry) *Target {
 	t := &Target{
-		ID: e.ID, Service: e.Service, Address: e.Address, Domain: e.Domain, slots: max(e.Slots, 1),
+		ID: e.ID, Service: e.Service, Address: e.Address, Domain: e.Domain, slots: max(e.Slots, 1), life: e.Incarnation(),
 		Pool: exchange.NewPool(exchange.Options{
 			Address: e.Address, DialTimeout: r.opts.DialTimeout, IdleTimeout: r.opts.IdleTimeout,
 			MaxIdle: r.opts.MaxIdle, UserTimeout: r.opts.UserTimeout, OnDial: r.opts.OnDial,
