suspend, node: a host that was suspended asks anew before it serves

Cause: the steady clock does not count a suspension, and all beliefs of a host are dated by it, so that after one it serves by a configuration, a list of targets and duties that are older than it thinks.

--- a/router/fleet/elect.go
+++ b/router/fleet/elect.go
@@ -28,3 +28,31 @@
 	}
 	return hosts, keeper.Is(duty, f.opts.Self.Name, others, hosts)
 }
+
+// Resumed tells that this host was suspended, unnoticed by its clock: others may have
+// forgotten it and taken its place. It takes no part in duties until it has announced itself and
+// settled again.
+func (f *Fleet) Resumed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.started = time.Now()
+	f.announced = time.Time{}
+	select {
+	case f.announceNow <- struct{}{}:
+	default:
+	}
+}
+
+// PulledSince says whether another host has told this one how far it knows the topics, asked
+// after a moment.
+func (f *Fleet) PulledSince(t time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pulled.After(t)
+}
+
+func (f *Fleet) notePulled(asked time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pulled = asked
+}
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -14,7 +14,6 @@
 
 	log "github.com/sirupsen/logrus"
 
-	"maststage.dev/lib/wait"
 	"maststage.dev/router/eventlog"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/quarantine"
@@ -82,7 +81,9 @@
 	silent map[string]time.Time // addresses that did not answer, and when
 	parts  map[string]float64   // of all prepaid tokens, by organisation
 
-	announced time.Time // when the log last took this host's announcement
+	announced   time.Time     // when the log last took this host's announcement
+	announceNow chan struct{} // it is to be announced at once
+	pulled      time.Time     // when the newest pull was asked that was answered
 
 	othersThen []string // names of the other hosts, as of othersAt
 	othersAt   time.Time
@@ -98,6 +99,7 @@
 	return &Fleet{
 		opts: opts, calls: calls, recalls: newRecaller(calls, opts.Self.Name+"/"+opts.Self.Incarnation),
 		started: time.Now(), announced: time.Now(), seeds: opts.Seeds, hosts: map[string]known{}, silent: map[string]time.Time{},
+		announceNow: make(chan struct{}, 1),
 	}
 }
 
@@ -170,7 +172,17 @@
 		if err := f.write(ctx, self); err != nil {
 			pause = min(pause, announceRetry)
 		}
-		wait.For(ctx, pause/2+rand.N(pause))
+		f.untilAnnounce(ctx, pause/2+rand.N(pause))
+	}
+}
+
+// untilAnnounce waits for the next announcement.
+func (f *Fleet) untilAnnounce(ctx context.Context, pause time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, pause)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-f.announceNow:
 	}
 }
 
--- a/router/fleet/pull.go
+++ b/router/fleet/pull.go
@@ -146,6 +146,7 @@
 // over a full link take twice as long, and so may outlast what makes them useful.
 func (p *puller) pullAt(ctx context.Context, address string, topics map[string]int64) error {
 	calls := p.fleet.calls
+	asked := time.Now()
 	var ends pullResponse
 	if err := calls.fetch(ctx, address, pathPull, pullRequest{From: topics, EndsOnly: true}, &ends); err != nil {
 		return err
@@ -157,6 +158,7 @@
 	defer p.fetching.Unlock()
 	missing := p.fleet.behind(ends)
 	if len(missing) == 0 {
+		p.fleet.notePulled(asked)
 		return nil
 	}
 	var got pullResponse
@@ -166,7 +168,11 @@
 	p.mu.Lock()
 	p.last = address
 	p.mu.Unlock()
-	return p.fleet.merge(address, missing, got)
+	if err := p.fleet.merge(address, missing, got); err != nil {
+		return err
+	}
+	p.fleet.notePulled(asked)
+	return nil
 }
 
 // merge takes over the records of the topics that another host was asked for.
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -109,8 +109,10 @@
 	Observer   Observer
 	// Leaving says that callers are to use other hosts: connections are to be closed.
 	Leaving func() bool
-	// Takes says whether a new request may begin.
-	Takes func(streaming bool) bool
+	// Takes says whether a request that arrived may begin. It may wait a little for that.
+	Takes func(ctx context.Context, arrived time.Time, streaming bool) bool
+	// Lost is how long the host was suspended in all; nil: never.
+	Lost func() time.Duration
 }
 
 // Handler serves callers.
@@ -146,7 +148,8 @@
 	r            *http.Request
 	ctx          context.Context // ends with the caller's connection
 	arrived      time.Time
-	limit        time.Time // when the last answer is due
+	limit        time.Time     // when the last answer is due
+	lostBefore   time.Duration // the host was suspended so long before the request came
 	config       *routing.Config
 	route        *routing.Route
 	organisation *routing.Organisation
@@ -182,7 +185,7 @@
 	if h.opts.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	q := &request{handler: h, w: w, r: r, ctx: r.Context(), arrived: time.Now(), excluded: map[string]bool{}}
+	q := &request{handler: h, w: w, r: r, ctx: r.Context(), arrived: time.Now(), lostBefore: h.lost(), excluded: map[string]bool{}}
 	q.serve()
 }
 
@@ -255,7 +258,7 @@
 	if kind := q.authenticate(); kind != OK {
 		return kind, nil
 	}
-	if !h.opts.Takes(q.route.Kind == routing.Streaming) {
+	if !h.opts.Takes(q.ctx, q.arrived, q.route.Kind == routing.Streaming) {
 		return Stopping, nil
 	}
 	if !h.opts.Overload.Admit(q.arrived) {
@@ -312,7 +315,16 @@
 	if q.limit.IsZero() {
 		return 0, false
 	}
-	return time.Until(q.limit), true
+	return time.Until(q.limit) - (q.handler.lost() - q.lostBefore), true
+}
+
+// lost is how long the host was suspended in all: callers went on waiting meanwhile, though the
+// clock stood.
+func (h *Handler) lost() time.Duration {
+	if h.opts.Lost == nil {
+		return 0
+	}
+	return h.opts.Lost()
 }
 
 func (q *request) readBody() (Kind, error) {
--- a/router/node/harness_test.go
+++ b/router/node/harness_test.go
@@ -22,6 +22,7 @@
 	"maststage.dev/router/forward"
 	"maststage.dev/router/routing"
 	"maststage.dev/router/settings"
+	"maststage.dev/router/suspend"
 	"maststage.dev/router/target"
 	"maststage.dev/standin/backend"
 	"maststage.dev/standin/memlog"
@@ -120,6 +121,11 @@
 var incarnations atomic.Int64
 
 func (f *testFleet) start(cfg *settings.Settings) *host {
+	f.t.Helper()
+	return f.startWith(cfg, suspend.System())
+}
+
+func (f *testFleet) startWith(cfg *settings.Settings, clocks suspend.Clocks) *host {
 	f.t.Helper()
 	outside := Outside{
 		Log: f.log.Host(cfg.Host.Name), Headers: headers,
@@ -139,7 +145,7 @@
 			return routing.Evacuation{Domain: domain, InForce: len(rec.Value) > 0}, ok, err
 		},
 	}
-	n := New(cfg, outside, fmt.Sprint(incarnations.Add(1)))
+	n := newWith(cfg, outside, fmt.Sprint(incarnations.Add(1)), clocks)
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &host{Node: n, name: cfg.Host.Name, done: make(chan struct{}), kill: cancel}
 	go func() {
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -28,6 +28,7 @@
 	"maststage.dev/router/retrybudget"
 	"maststage.dev/router/routing"
 	"maststage.dev/router/settings"
+	"maststage.dev/router/suspend"
 	"maststage.dev/router/target"
 )
 
@@ -65,6 +66,8 @@
 	retries  *retrybudget.Set
 	overload *overload.Monitor
 	guard    *quarantine.Guard
+	watch    *suspend.Watch
+	woke     atomic.Pointer[wake] // from the newest suspension
 	accounts *accounts
 	ignored  *logging.Limiter // of lines about entries that name no target
 
@@ -82,6 +85,11 @@
 
 // New puts a node together; Run starts it.
 func New(cfg *settings.Settings, outside Outside, incarnation string) *Node {
+	return newWith(cfg, outside, incarnation, suspend.System())
+}
+
+// newWith is New with clocks of the caller's.
+func newWith(cfg *settings.Settings, outside Outside, incarnation string, clocks suspend.Clocks) *Node {
 	n := &Node{
 		cfg: cfg, latest: cfg, outside: outside,
 		observer: observe.New(cfg.Output.LinesPerSecond),
@@ -111,8 +119,9 @@
 	n.handler = forward.New(forward.Options{
 		Names: outside.Headers, Targets: n.targets, Budgets: n.treasury, Retries: n.retries,
 		Meter: metering.New(), Overload: n.overload, Quarantine: n.guard,
-		Observer: n.observer, Leaving: n.leaving, Takes: n.Takes,
+		Observer: n.observer, Leaving: n.leaving, Takes: n.admits, Lost: n.lost,
 	})
+	n.watch = suspend.New(clocks, n.resumed)
 	n.gauges()
 	return n
 }
@@ -125,6 +134,9 @@
 	return n.fleet.Size()
 }
 
+// lost is how long the host was suspended in all.
+func (n *Node) lost() time.Duration { return n.watch.Lost() }
+
 // drainPart is the part of the time allowed in which a leaving target may still
 // be chosen when no other is left.
 func drainPart(d time.Duration) time.Duration { return d / 2 }
@@ -283,6 +295,7 @@
 	guard.Go("fleet", func() { n.fleet.Run(ctx) })
 	guard.Go("treasury", func() { n.treasury.Run(ctx) })
 	guard.Go("quarantine", func() { n.guard.Run(ctx) })
+	guard.Go("suspensions", func() { n.watch.Run(ctx) })
 	guard.Go("housekeeping", func() { n.housekeeping(ctx) })
 	tellLast := n.tellAccounts(ctx)
 	select {
@@ -347,7 +360,7 @@
 
 // Ready says whether the host takes new connections.
 func (n *Node) Ready() bool {
-	return !n.leaving() && n.handler.Config() != nil && n.targetsCopy.Loaded() && n.knowsQuarantine()
+	return !n.leaving() && n.handler.Config() != nil && n.targetsCopy.Loaded() && n.knowsQuarantine() && !n.catchingUp()
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/router/replica/replica.go
+++ b/router/replica/replica.go
@@ -64,8 +64,10 @@
 	end     int64 // all records below are known
 	dropped int64 // deleted keys below it may be forgotten
 	loaded  bool
-	behind  bool      // the log's last answer left records out
-	contact time.Time // of the log's answer that the copy rests on
+	behind  bool               // the log's last answer left records out
+	contact time.Time          // of the log's answer that the copy rests on
+	asked   time.Time          // when the newest question was asked that was answered
+	restart context.CancelFunc // ends the question under way
 	up      bool
 	called  bool // the log was called at least once
 }
@@ -87,11 +89,12 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		started := time.Now()
-		age, err := r.step(ctx)
+		age, err := r.askOnce(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		r.noteContact(age, err)
+		r.noteAsked(started.Add(-age), err)
 		pause := r.opts.Pace - time.Since(started)
 		if err != nil {
 			pause = backoff
@@ -103,6 +106,32 @@
 	}
 }
 
+// askOnce is a step that Refresh may end.
+func (r *Replica) askOnce(ctx context.Context) (age time.Duration, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.mu.Lock()
+	r.restart = cancel
+	r.mu.Unlock()
+	return r.step(ctx)
+}
+
+// Refresh ends the question under way, so that a new one is asked soon.
+func (r *Replica) Refresh() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.restart != nil {
+		r.restart()
+	}
+}
+
+// AskedSince says whether a question that was asked after a moment has been answered.
+func (r *Replica) AskedSince(t time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asked.After(t)
+}
+
 const (
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 400 * time.Millisecond
@@ -279,6 +308,15 @@
 	}
 }
 
+// noteAsked notes the moment that an answer tells of.
+func (r *Replica) noteAsked(at time.Time, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil {
+		r.asked = at
+	}
+}
+
 func (r *Replica) noteContact(age time.Duration, err error) {
 	r.mu.Lock()
 	if err == nil {
--- /dev/null
+++ b/router/suspend/suspend_test.go
@@ -0,0 +1,71 @@
+package suspend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// hands are clocks that the test moves.
+type hands struct{ steady, boot time.Duration }
+
+func (h *hands) clocks() Clocks {
+	return Clocks{Steady: func() time.Duration { return h.steady }, Boot: func() time.Duration { return h.boot }}
+}
+
+func (h *hands) run(d time.Duration)     { h.steady += d; h.boot += d }
+func (h *hands) suspend(d time.Duration) { h.boot += d }
+
+func TestSuspensionIsTold(t *testing.T) {
+	is := is.New(t)
+	h := &hands{boot: time.Hour}
+	var told []time.Duration
+	w := New(h.clocks(), func(lost time.Duration) { told = append(told, lost) })
+	h.run(time.Minute)
+	w.Look()
+	is.Equal(len(told), 0)
+	h.suspend(10 * time.Second)
+	w.Look()
+	w.Look()
+	is.Equal(told, []time.Duration{10 * time.Second})
+	h.run(time.Second)
+	h.suspend(Least / 2) // too short
+	w.Look()
+	is.Equal(len(told), 1)
+	h.suspend(Least / 2) // but they add up
+	w.Look()
+	is.Equal(len(told), 2)
+	is.Equal(w.Lost(), 10*time.Second+Least)
+}
+
+// The first request after a suspension notices it, by the time of day. A time of day that was
+// set is no suspension, in either direction.
+func TestRequestNoticesIt(t *testing.T) {
+	is := is.New(t)
+	h := &hands{}
+	told := 0
+	w := New(h.clocks(), func(time.Duration) { told++ })
+	w.arrived(0)
+	w.arrived(time.Hour)
+	w.arrived(0)
+	is.Equal(told, 0)
+	h.suspend(time.Minute)
+	w.arrived(Least / 2) // the time of day may be off by so much
+	is.Equal(told, 0)
+	w.arrived(time.Minute)
+	is.Equal(told, 1)
+	w.Arrived(time.Now())
+	is.Equal(told, 1)
+}
+
+func TestSystemClocksAgree(t *testing.T) {
+	is := is.New(t)
+	c := System()
+	boot := c.Boot()
+	is.True(boot > 0)
+	time.Sleep(20 * time.Millisecond)
+	is.True(c.Boot()-boot >= 20*time.Millisecond)
+	w := New(c, func(lost time.Duration) { t.Errorf("suspended for %v", lost) })
+	w.Look()
+}
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -206,6 +206,16 @@
 	}
 }
 
+// CloseIdle closes the connections to all targets that carry no request: after a suspension
+// their other ends may have gone long ago.
+func (r *Registry) CloseIdle() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.targets {
+		t.Pool.CloseIdle()
+	}
+}
+
 // Count tells how many targets of a service are ready.
 func (r *Registry) Count(service string) (ready int) {
 	r.mu.Lock()
