--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -41,61 +41,6 @@
 	Whole(d quarantine.Digest)
 }
 
-// Observer is told of decisions and ends; it must not block.
-type Observer interface {
-	// Tried tells of one try at a target.
-	Tried(t Try)
-	// Ended tells of a request's end.
-	Ended(e End)
-	// Broke tells of a try that broke off because its target ended.
-	Broke(b Break)
-}
-
-// Try is one try of a request at a target.
-type Try struct {
-	RequestID string
-	Number    int
-	Target    string
-	Domain    string
-	Result    string
-	Status    int
-	Resumed   string // the event behind which the stream went on
-	Took      time.Duration
-	Err       error
-}
-
-// Break is a try that broke off because its target ended.
-type Break struct {
-	RequestID string
-	Digest    quarantine.Digest
-	Target    string
-	Service   string
-	Events    int           // that had come
-	Took      time.Duration // of the try
-	Ran       time.Duration // since its first event, 0: none had come
-}
-
-// End is how a request ended.
-type End struct {
-	RequestID     string
-	Digest        quarantine.Digest // zero: its body was not read
-	Route         string
-	Organisation  string
-	Service       string
-	ConfigVersion int64
-	Kind          Kind
-	Status        int
-	Tries         int
-	Target        string // the last one
-	Events        int
-	Reserved      int64
-	Used          int64
-	Budget        prepaid.Holding // as seen when the request was refused for it
-	First         time.Duration   // until the answer began
-	Took          time.Duration
-	Err           error
-}
-
 // Options configure a Handler.
 type Options struct {
 	Names    Headers
--- /dev/null
+++ b/router/node/gauges.go
@@ -0,0 +1,39 @@
+package node
+
+import (
+	"fmt"
+	"time"
+
+	"maststage.dev/router/replica"
+)
+
+// gauges tells what the node's duties hold, read when the metrics are.
+func (n *Node) gauges() {
+	n.observer.Holdings(n.treasury.Holdings)
+	n.observer.Gauge("open_requests", func() float64 { return float64(n.handler.Open()) })
+	n.observer.Gauge("hosts", func() float64 { return float64(n.fleet.Size()) })
+	n.observer.Gauge("targets_ready", func() float64 { return float64(n.targets.Total()) })
+	for topic, c := range map[string]*replica.Replica{
+		n.outside.ConfigTopic: n.configCopy, n.outside.TargetsTopic: n.targetsCopy, n.outside.HostsTopic: n.hostsCopy,
+	} {
+		n.observer.Gauge(fmt.Sprintf("copy_end{topic=%q}", topic), func() float64 { return float64(c.End()) })
+		n.observer.Gauge(fmt.Sprintf("copy_age_seconds{topic=%q}", topic), func() float64 { return copyAge(c) })
+	}
+	n.observer.Gauge("quarantine_entries", func() float64 { return float64(n.guard.Len()) })
+	n.observer.Gauge("domains_evacuated", func() float64 { return float64(n.targets.Evacuated()) })
+	n.observer.Gauge("config_version", func() float64 {
+		if c := n.handler.Config(); c != nil {
+			return float64(c.Version)
+		}
+		return 0
+	})
+}
+
+// copyAge is the time in seconds since the log last told of a topic, -1 if it never did.
+func copyAge(c *replica.Replica) float64 {
+	_, contact := c.Up()
+	if contact.IsZero() {
+		return -1
+	}
+	return time.Since(contact).Seconds()
+}
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -3,9 +3,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -308,50 +306,6 @@
 	return nil
 }
 
-// listen opens all addresses.
-func (n *Node) listen() error {
-	h := n.cfg.Host
-	n.server = n.callerServer()
-	ready := http.NewServeMux()
-	ready.HandleFunc("GET "+n.outside.ReadyPath, n.serveReady)
-	if err := n.serve(n.server, h.Listen, "callers"); err != nil {
-		return err
-	}
-	if err := n.serveAux(h.ReadyListen, "ready", ready); err != nil {
-		return err
-	}
-	if err := n.serveAux(h.PeerListen, "hosts", n.fleet.Handler()); err != nil {
-		return err
-	}
-	if h.MetricsListen == "" {
-		return nil
-	}
-	return n.serveAux(h.MetricsListen, "metrics", n.observer.Handler())
-}
-
-// auxTimeout bounds the requests of other hosts and of the platform.
-const auxTimeout = 10 * time.Second
-
-func (n *Node) serveAux(address, what string, handler http.Handler) error {
-	s := &http.Server{Handler: handler, ReadTimeout: auxTimeout, IdleTimeout: auxTimeout}
-	n.aux = append(n.aux, s)
-	return n.serve(s, address, what)
-}
-
-func (n *Node) serve(s *http.Server, address, what string) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return fmt.Errorf("listening for %s: %w", what, err)
-	}
-	log.WithFields(log.Fields{"for": what, "address": address}).Info("listening")
-	guard.Go(what+" server", func() {
-		if err := s.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-			log.WithField("for", what).WithError(err).Error("server ended")
-		}
-	})
-	return nil
-}
-
 // Draining says whether a planned stop has begun.
 func (n *Node) Draining() bool { return n.stopBegan.Load() != nil }
 
@@ -382,33 +336,3 @@
 		}
 	}
 }
-
-func (n *Node) gauges() {
-	n.observer.Holdings(n.treasury.Holdings)
-	n.observer.Gauge("open_requests", func() float64 { return float64(n.handler.Open()) })
-	n.observer.Gauge("hosts", func() float64 { return float64(n.fleet.Size()) })
-	n.observer.Gauge("targets_ready", func() float64 { return float64(n.targets.Total()) })
-	for topic, c := range map[string]*replica.Replica{
-		n.outside.ConfigTopic: n.configCopy, n.outside.TargetsTopic: n.targetsCopy, n.outside.HostsTopic: n.hostsCopy,
-	} {
-		n.observer.Gauge(fmt.Sprintf("copy_end{topic=%q}", topic), func() float64 { return float64(c.End()) })
-		n.observer.Gauge(fmt.Sprintf("copy_age_seconds{topic=%q}", topic), func() float64 { return copyAge(c) })
-	}
-	n.observer.Gauge("quarantine_entries", func() float64 { return float64(n.guard.Len()) })
-	n.observer.Gauge("domains_evacuated", func() float64 { return float64(n.targets.Evacuated()) })
-	n.observer.Gauge("config_version", func() float64 {
-		if c := n.handler.Config(); c != nil {
-			return float64(c.Version)
-		}
-		return 0
-	})
-}
-
-// copyAge is the time in seconds since the log last told of a topic, -1 if it never did.
-func copyAge(c *replica.Replica) float64 {
-	_, contact := c.Up()
-	if contact.IsZero() {
-		return -1
-	}
-	return time.Since(contact).Seconds()
-}
