forward: a try's note ends before its connection may be used again

Cause: read in the diff. The note that a try waits for its answer, by which tries of a request that comes into quarantine are taken back, ended some microseconds after its connection was back in the pool.

--- a/router/forward/charge.go
+++ b/router/forward/charge.go
@@ -18,7 +18,6 @@
 	now := time.Now()
 	if c.events == 0 {
 		c.first = now
-		c.begun()
 	} else {
 		q := c.request
 		q.handler.opts.Targets.Paused(c.target, now.Sub(c.last), routing.Milliseconds(q.route.GapTargetMs))
--- a/router/forward/ends.go
+++ b/router/forward/ends.go
@@ -101,7 +101,8 @@
 }
 
 // waits are the tries that wait for the beginning of an answer, so that those of a request
-// that comes into quarantine can be taken back: a target may not have begun to run them.
+// that comes into quarantine can be taken back: a target may not have begun to run them. A
+// note ends before its connection may carry another request.
 type waits struct {
 	mu    sync.Mutex
 	conns map[quarantine.Digest][]*exchange.Conn
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -203,7 +203,7 @@
 	resumed string
 	silence *silence
 	whole   bool   // a success whose end could not be mistaken
-	begun   func() // ends the note that the try waits for its first event
+	begun   func() // ends the note that the try waits for its answer
 }
 
 // wentSilent says whether nothing came on a connection that had carried answers before. It
@@ -350,6 +350,7 @@
 	q := c.request
 	names := q.handler.names
 	c.status = resp.StatusCode
+	c.begun()
 	if resp.Header.Get(names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
 		q.ran--
 		c.finish(resp)
