--- a/router/replica/replica.go
+++ b/router/replica/replica.go
@@ -212,11 +212,12 @@
 }
 
 // MergeNewest takes over the newest records of keys from another host's copy, of
-// which all records below end are known. Older records of the same keys are skipped.
+// which all records below end are known. Older records of the same keys are skipped, and so are
+// those of keys that this copy would know if they had not been deleted.
 func (r *Replica) MergeNewest(records []eventlog.Record, end int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changes := r.take(records, true)
+	changes := r.take(r.withoutDeleted(records), true)
 	if end > r.end {
 		r.end = end
 	}
@@ -224,6 +225,22 @@
 	r.tell(changes)
 }
 
+// withoutDeleted leaves out the records below the end of this copy whose keys it does not have:
+// it knows all records below, so those were deleted. A copy that was read whole keeps no
+// tombstones of what was gone by then.
+func (r *Replica) withoutDeleted(records []eventlog.Record) []eventlog.Record {
+	if !r.loaded {
+		return records
+	}
+	kept := make([]eventlog.Record, 0, len(records))
+	for _, rec := range records {
+		if _, had := r.records[rec.Key]; had || rec.Offset >= r.end {
+			kept = append(kept, rec)
+		}
+	}
+	return kept
+}
+
 // Merge takes over records that were read from offset from on; all records below
 // end are then known.
 func (r *Replica) Merge(records []eventlog.Record, end, from int64) {
--- a/router/replica/replica_test.go
+++ b/router/replica/replica_test.go
@@ -304,3 +304,26 @@
 	_, ok = r.Since(r.End())
 	is.True(ok)
 }
+
+// What another host's older copy still has and the log had deleted before this copy read it
+// does not come back: a host that starts asks the log and other hosts at the same time.
+func TestDeletedRecordsDoNotComeBackFromOthers(t *testing.T) {
+	is := is.New(t)
+	l := memlog.New()
+	l.Put(part, "gone", []byte("1"))
+	l.Put(part, "kept", []byte("1"))
+	other := follow(t, l, "other")
+	until.True(t, "the other copy has both", func() bool { return other.End() == 2 })
+	old, ok := other.Since(0)
+	is.True(ok)
+	l.Put(part, "gone", nil)
+	f := follow(t, l, "f")
+	until.True(t, "the log is read", func() bool { return f.End() == 3 })
+	f.MergeNewest(old.Records, old.End)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.changes {
+		is.True(c.Record.Key != "gone")
+	}
+	is.Equal(f.End(), int64(3))
+}
