--- a/router/quarantine/fleet_test.go
+++ b/router/quarantine/fleet_test.go
@@ -47,6 +47,7 @@
 	t        *testing.T
 	counting int // hosts that count the ends under a request
 	logAway  bool
+	asleep   bool // hosts that are cut off stand still, and send nothing
 
 	mu      sync.Mutex
 	hosts   []*simHost
@@ -227,6 +228,9 @@
 		return
 	}
 	now := time.Now()
+	if f.asleep && h.cut(now) {
+		return
+	}
 	f.mu.Lock()
 	place := rand.IntN(len(f.targets))
 	if now.Before(f.targets[place]) {
@@ -292,21 +296,24 @@
 	}
 }
 
-// The same with a third of the hosts cut off as it begins, with the log away, with both,
-// and with hosts that start in the middle: those that come back or start learn it from the
+// The same with a third of the hosts cut off or suspended as it begins, with the log away, and
+// with hosts that start in the middle: those that come back or start learn it from the
 // log or from others before they are in touch.
 func TestFleetStopsItThroughFaults(t *testing.T) {
 	for _, c := range []struct {
-		name       string
-		cut, away  bool
-		joinsLater bool
-	}{{"a third cut off", true, false, false}, {"log away", false, true, false}, {"hosts start later", false, false, true}, {"cut off, and hosts start later", true, false, true}} {
+		name              string
+		cut, asleep, away bool
+		joinsLater        bool
+	}{
+		{name: "a third cut off", cut: true}, {name: "a third suspended", cut: true, asleep: true}, {name: "log away", away: true},
+		{name: "hosts start later", joinsLater: true}, {name: "cut off, and hosts start later", cut: true, joinsLater: true},
+	} {
 		for seed := range 5 {
 			t.Run(fmt.Sprintf("%s %d", c.name, seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					ctx, stop := context.WithCancel(context.Background())
 					f := newSimFleet(t, 60, 3)
-					f.logAway = c.away
+					f.logAway, f.asleep = c.away, c.asleep
 					now := time.Now()
 					if c.cut {
 						for _, h := range f.hosts[:20] {
