forward, node: a host that catches up after a suspension says so

Cause: read in the diff; its refusals were logged as those of a host that stops. Now kind catching_up, the same status and time to come back.

--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -54,8 +54,9 @@
 	Observer   Observer
 	// Leaving says that callers are to use other hosts: connections are to be closed.
 	Leaving func() bool
-	// Takes says whether a request that arrived may begin. It may wait a little for that.
-	Takes func(ctx context.Context, arrived time.Time, streaming bool) bool
+	// Takes says whether a request that arrived may begin: OK, or why not. It may wait a
+	// little for that.
+	Takes func(ctx context.Context, arrived time.Time, streaming bool) Kind
 	// Lost is how long the host was suspended in all; nil: never.
 	Lost func() time.Duration
 }
@@ -203,8 +204,8 @@
 	if kind := q.authenticate(); kind != OK {
 		return kind, nil
 	}
-	if !h.opts.Takes(q.ctx, q.arrived, q.route.Kind == routing.Streaming) {
-		return Stopping, nil
+	if kind := h.opts.Takes(q.ctx, q.arrived, q.route.Kind == routing.Streaming); kind != OK {
+		return kind, nil
 	}
 	if !h.opts.Overload.Admit(q.arrived) {
 		return HostBusy, nil
--- a/router/forward/harness_test.go
+++ b/router/forward/harness_test.go
@@ -157,7 +157,7 @@
 		Quarantine: b.guard,
 		Names:      testHeaders, Targets: b.targets, Budgets: b.budgets, Observer: b.recorder, Meter: b.meter, Overload: b.overload,
 		Retries: retrybudget.NewSet(retrybudget.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, one, time.Time{}),
-		Leaving: func() bool { return b.draining.Load() || b.overload.Out(time.Now()) }, Takes: func(context.Context, time.Time, bool) bool { return b.takes.Load() },
+		Leaving: func() bool { return b.draining.Load() || b.overload.Out(time.Now()) }, Takes: b.mayBegin,
 	})
 	b.configure(testConfig)
 	b.server = httptest.NewServer(b.handler)
@@ -165,6 +165,14 @@
 	return b
 }
 
+// mayBegin says whether requests may begin, as a host that stops does.
+func (b *bench) mayBegin(context.Context, time.Time, bool) Kind {
+	if b.takes.Load() {
+		return OK
+	}
+	return Stopping
+}
+
 func (b *bench) configure(text string) {
 	b.t.Helper()
 	config, err := routing.Parse([]byte(text))
--- a/router/forward/outcome.go
+++ b/router/forward/outcome.go
@@ -21,6 +21,7 @@
 	OverBudget   Kind = "over_budget"   // larger than the whole budget
 	BudgetWait   Kind = "budget_wait"   // no tokens within reach now
 	Stopping     Kind = "stopping"      // this host ends too soon to take it
+	CatchingUp   Kind = "catching_up"   // this host was suspended and does not know yet what it missed
 	HostBusy     Kind = "host_busy"     // this host's own link or processor is overloaded
 	NoTarget     Kind = "no_target"     // no target could be tried
 	Overloaded   Kind = "overloaded"    // the targets tried said that they did not run it
@@ -51,6 +52,7 @@
 	OverBudget:   {http.StatusPaymentRequired, 0},
 	BudgetWait:   {http.StatusServiceUnavailable, 5 * time.Second},
 	Stopping:     {http.StatusServiceUnavailable, 50 * time.Millisecond},
+	CatchingUp:   {http.StatusServiceUnavailable, 50 * time.Millisecond},
 	HostBusy:     {http.StatusServiceUnavailable, overload.Rebalance},
 	NoTarget:     {http.StatusServiceUnavailable, 200 * time.Millisecond},
 	Overloaded:   {http.StatusServiceUnavailable, 100 * time.Millisecond},
--- a/router/node/suspend.go
+++ b/router/node/suspend.go
@@ -8,6 +8,7 @@
 	log "github.com/sirupsen/logrus"
 
 	"maststage.dev/lib/wait"
+	"maststage.dev/router/forward"
 	"maststage.dev/router/replica"
 )
 
@@ -74,14 +75,21 @@
 	return true
 }
 
-// admits says whether a new request may begin. One that comes while the host catches up waits
-// for that, which takes a few milliseconds where the log answers: it is served by what holds now.
-func (n *Node) admits(ctx context.Context, arrived time.Time, streaming bool) bool {
+// admits says whether a new request may begin, or why not. One that comes while the host
+// catches up waits for that, which takes a few milliseconds where the log answers: it is served
+// by what holds now.
+func (n *Node) admits(ctx context.Context, arrived time.Time, streaming bool) forward.Kind {
 	n.watch.Arrived(arrived)
 	for n.catchingUp() && ctx.Err() == nil && time.Since(arrived) < catchUpWait {
 		wait.For(ctx, catchUpLook)
 	}
-	return !n.catchingUp() && n.Takes(streaming)
+	switch {
+	case n.catchingUp():
+		return forward.CatchingUp
+	case !n.Takes(streaming):
+		return forward.Stopping
+	}
+	return forward.OK
 }
 
 // catchUpWait is how long a request waits for that; then it is told to use another host.
