replica, fleet, target: a copy that was read whole tells all; what is first seen leaving is no last resort

First, a reader of the list that had started a moment after a deletion knew no tombstone of it and told hosts of its failure domain what changed as if that were all; they kept the target for good. Second, a host that had just started took a target that had been leaving for seconds as its last resort. Tests first: replica TestCopyReadWholeTellsOfEarlierDeletions, target TestTargetFirstSeenLeavingIsNeverChosen failed.

--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -48,18 +48,19 @@
 type topicPart struct {
 	Packed []byte `json:"packed,omitempty"` // the records, by recordpack
 	End    int64  `json:"end"`
-	AgeMs  int64  `json:"age_ms"` // since the log told of them
+	AgeMs  int64  `json:"age_ms"`          // since the log told of them
+	Whole  bool   `json:"whole,omitempty"` // these are all records that there are
 }
 
 func newTopicPart(changed replica.Part) (topicPart, error) {
 	packed, err := recordpack.Pack(changed.Records)
-	return topicPart{Packed: packed, End: changed.End, AgeMs: changed.Age.Milliseconds()}, err
+	return topicPart{Packed: packed, End: changed.End, AgeMs: changed.Age.Milliseconds(), Whole: changed.Whole}, err
 }
 
 // part turns a part of an answer into that of a copy.
 func (p topicPart) part() (replica.Part, error) {
 	records, err := recordpack.Unpack(p.Packed)
-	return replica.Part{Records: records, End: p.End, Age: time.Duration(p.AgeMs) * time.Millisecond}, err
+	return replica.Part{Records: records, End: p.End, Age: time.Duration(p.AgeMs) * time.Millisecond, Whole: p.Whole}, err
 }
 
 type lendRequest struct {
@@ -191,11 +192,7 @@
 			answer.Topics[topic] = topicPart{End: c.End()}
 			continue
 		}
-		changed, ok := c.Since(from)
-		if !ok {
-			continue
-		}
-		part, err := newTopicPart(changed)
+		part, err := newTopicPart(c.PartFrom(from))
 		if err != nil {
 			log.WithField("topic", topic).WithError(err).Error("records can't be packed for another host")
 			continue
--- a/router/replica/replica.go
+++ b/router/replica/replica.go
@@ -30,6 +30,9 @@
 	Records []eventlog.Record
 	End     int64         // all records below are known
 	Age     time.Duration // since the log told of them
+	// Whole says that these are all records that there are: what is not among them was
+	// deleted.
+	Whole bool
 }
 
 // Options configure a Replica.
@@ -62,7 +65,7 @@
 	mu      sync.Mutex
 	records map[string]known
 	end     int64 // all records below are known
-	dropped int64 // deleted keys below it may be forgotten
+	dropped int64 // deleted keys below it may be forgotten, or were never known
 	loaded  bool
 	behind  bool               // the log's last answer left records out
 	contact time.Time          // of the log's answer that the copy rests on
@@ -148,7 +151,7 @@
 	}
 	if r.opts.Relay != nil {
 		if part, ok := r.opts.Relay(ctx, from); ok {
-			r.MergeNewest(part.Records, part.End)
+			r.MergePart(part)
 			return part.Age, nil
 		}
 	}
@@ -211,6 +214,20 @@
 	return nil
 }
 
+// MergePart takes over what another host's copy tells.
+func (r *Replica) MergePart(part Part) {
+	if !part.Whole {
+		r.MergeNewest(part.Records, part.End)
+		return
+	}
+	r.mu.Lock()
+	newer := !r.loaded || part.End > r.end
+	r.mu.Unlock()
+	if newer {
+		r.replace(part.Records, part.End)
+	}
+}
+
 // MergeNewest takes over the newest records of keys from another host's copy, of
 // which all records below end are known. Older records of the same keys are skipped, and so are
 // those of keys that this copy would know if they had not been deleted.
@@ -218,6 +235,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	changes := r.take(r.withoutDeleted(records), true)
+	r.noteWhole(end)
 	if end > r.end {
 		r.end = end
 	}
@@ -225,6 +243,14 @@
 	r.tell(changes)
 }
 
+// noteWhole notes, as the copy is first filled, that it knows nothing of what was deleted below
+// an offset.
+func (r *Replica) noteWhole(end int64) {
+	if !r.loaded {
+		r.dropped = max(r.dropped, end)
+	}
+}
+
 // withoutDeleted leaves out the records below the end of this copy whose keys it does not have:
 // it knows all records below, so those were deleted. A copy that was read whole keeps no
 // tombstones of what was gone by then.
@@ -269,6 +295,7 @@
 		}
 	}
 	changes := r.take(records, true)
+	r.dropped = max(r.dropped, end)
 	if end > r.end {
 		r.end = end
 	}
@@ -395,3 +422,14 @@
 	}
 	return part, offset == 0 || offset >= r.dropped
 }
+
+// PartFrom gives what another host lacks that knows all records below an offset: what changed
+// since, or all records if this copy may have forgotten some of the changes.
+func (r *Replica) PartFrom(offset int64) Part {
+	if part, ok := r.Since(offset); ok {
+		return part
+	}
+	part, _ := r.Since(0)
+	part.Whole = true
+	return part
+}
--- a/router/replica/replica_test.go
+++ b/router/replica/replica_test.go
@@ -327,3 +327,29 @@
 	}
 	is.Equal(f.End(), int64(3))
 }
+
+// A copy that was read whole after a key was deleted has no tombstone of it. It must not tell a
+// host that knows the key what changed as if that were all: the host would keep the key for ever.
+func TestCopyReadWholeTellsOfEarlierDeletions(t *testing.T) {
+	is := is.New(t)
+	l := memlog.New()
+	l.Put(part, "gone", []byte("1"))
+	l.Put(part, "kept", []byte("1"))
+	older := follow(t, l, "older")
+	until.True(t, "the older copy has both", func() bool { return older.End() == 2 })
+	l.SetFault("older", memlog.Fault{Refuse: true})
+	l.Put(part, "new", []byte("1"))
+	l.Put(part, "gone", nil)
+	fresh := follow(t, l, "fresh")
+	until.True(t, "the fresh copy is read", func() bool { return fresh.End() == 4 })
+	_, ok := fresh.Since(2)
+	is.True(!ok)
+	older.MergePart(fresh.PartFrom(2))
+	is.Equal(older.End(), int64(4))
+	older.mu.Lock()
+	defer older.mu.Unlock()
+	last := older.changes[len(older.changes)-1]
+	is.Equal(len(older.records["gone"].Value), 0)
+	is.Equal(string(older.records["new"].Value), "1")
+	is.True(last.Record.Key == "gone" || last.Record.Key == "new")
+}
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -136,12 +136,20 @@
 	case is:
 		t.leftAt = time.Time{}
 		t.Pool.Reopen() // its entry had lapsed and is back
-	case was || t.leftAt.IsZero():
-		t.leftAt = now
-		log.WithFields(log.Fields{"target": t.ID, "service": t.Service, "listed": listed}).Info("target leaves")
+	case was:
+		t.leaves(now)
+	case t.leftAt.IsZero():
+		// First seen as it leaves: since when is not known, so it is no last resort.
+		t.leaves(now.Add(-r.opts.DrainWithin))
 	}
 }
 
+// leaves notes since when a target leaves.
+func (t *Target) leaves(since time.Time) {
+	t.leftAt = since
+	log.WithFields(log.Fields{"target": t.ID, "service": t.Service, "listed": t.listed}).Info("target leaves")
+}
+
 func (r *Registry) add(e Entry) *Target {
 	t := &Target{
 		ID: e.ID, Service: e.Service, Address: e.Address, Domain: e.Domain, slots: max(e.Slots, 1), life: e.Incarnation(),
--- a/router/target/target_test.go
+++ b/router/target/target_test.go
@@ -266,3 +266,12 @@
 	is.Equal(r.Count("s"), 1)
 	is.Equal(r.targets["t2"], nil)
 }
+
+// A host that starts does not know how long a target has been leaving: it is no last resort.
+func TestTargetFirstSeenLeavingIsNeverChosen(t *testing.T) {
+	is := is.New(t)
+	leaving := entry("a", "z1")
+	leaving.State = Draining
+	r := newRegistry(leaving)
+	is.True(r.Choose(Want{Service: "s"}) == nil)
+}
