--- a/router/node/crash_test.go
+++ b/router/node/crash_test.go
@@ -248,6 +248,7 @@
 	f.is.True(own > 50 && hot > 50)
 	f.is.Equal(ownWhole, own)
 	f.is.Equal(hotWhole, hot)
+	f.is.Equal(traffic.refusals(hotPath), 0)
 }
 
 // stopped sends the request at each host: none reaches a target, and all are told that it
