soak: a test that ends early starts no targets any more

What ended the test is not known: the only ways are addresses of the world that can't be listened on.

--- a/proofs/soak/deadly_test.go
+++ b/proofs/soak/deadly_test.go
@@ -95,7 +95,15 @@
 	s.way.Close()
 	time.Sleep(deadlyBack)
 	w.log.Put(platformtest.Servers, s.id, nil)
-	w.addTarget(s.service)
+	if !w.isOver() {
+		w.addTarget(s.service)
+	}
+}
+
+func (w *world) isOver() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.over
 }
 
 func (w *world) beginReplacing() bool {
--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -329,7 +329,10 @@
 		return
 	}
 	s.Backend = b
-	w.t.Cleanup(b.Close)
+	w.t.Cleanup(func() {
+		w.endReplacing() // also if the test ended early
+		b.Close()
+	})
 	s.way = faultlink.Open(w.t, faultlink.Options{Listen: w.address(targetLinkPart, number), To: b.Address()})
 	w.mu.Lock()
 	w.targets = append(w.targets, s)
