replica: a copy that is refreshed asks at once, also where it rests

Cause: read in the diff. Refresh ended the question under way and not the pause between two; the hosts' topic rests for 3 s, so a host that woke from a suspension was not ready for up to 3 s though the log answered. Tests first: replica TestRefreshEndsThePause failed (no question in 10 s at a pace of a minute), and node TestSuspendedHostCatchesUpFirst, which now asks for a second, failed.

--- a/router/node/suspend_test.go
+++ b/router/node/suspend_test.go
@@ -51,7 +51,9 @@
 	f.is.True(!h.Ready())
 	f.is.Equal(f.call(h, "/r/x", "k1").status, http.StatusServiceUnavailable) // not by the old key
 	f.log.SetFault(h.name, memlog.Fault{})
+	back := time.Now()
 	f.eventually("it serves by what holds now", func() bool { return f.call(h, "/r/x", "k2").body == "two" })
+	f.is.True(time.Since(back) < time.Second) // not only as the hosts' topic is due
 	f.is.True(h.Ready())
 	f.is.Equal(f.call(h, "/r/x", "k1").status, http.StatusUnauthorized)
 	f.is.Equal(old.Arrivals(), before)
--- a/router/replica/replica.go
+++ b/router/replica/replica.go
@@ -70,7 +70,7 @@
 	behind  bool               // the log's last answer left records out
 	contact time.Time          // of the log's answer that the copy rests on
 	asked   time.Time          // when the newest question was asked that was answered
-	restart context.CancelFunc // ends the question under way
+	restart context.CancelFunc // ends the question under way, or the pause after it
 	up      bool
 	called  bool // the log was called at least once
 }
@@ -105,21 +105,34 @@
 		} else {
 			backoff = minBackoff
 		}
-		wait.For(ctx, pause)
+		r.rest(ctx, pause)
 	}
 }
 
-// askOnce is a step that Refresh may end.
-func (r *Replica) askOnce(ctx context.Context) (age time.Duration, err error) {
-	ctx, cancel := context.WithCancel(ctx)
+// rest is a pause that Refresh may end.
+func (r *Replica) rest(ctx context.Context, pause time.Duration) {
+	ctx, cancel := r.restartable(ctx)
 	defer cancel()
+	wait.For(ctx, pause)
+}
+
+// restartable gives a context that Refresh ends.
+func (r *Replica) restartable(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.restart = cancel
-	r.mu.Unlock()
+	return ctx, cancel
+}
+
+// askOnce is a step that Refresh may end.
+func (r *Replica) askOnce(ctx context.Context) (age time.Duration, err error) {
+	ctx, cancel := r.restartable(ctx)
+	defer cancel()
 	return r.step(ctx)
 }
 
-// Refresh ends the question under way, so that a new one is asked soon.
+// Refresh ends the question under way, or the pause after it, so that a new one is asked soon.
 func (r *Replica) Refresh() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/router/replica/replica_test.go
+++ b/router/replica/replica_test.go
@@ -353,3 +353,27 @@
 	is.Equal(string(older.records["new"].Value), "1")
 	is.True(last.Record.Key == "gone" || last.Record.Key == "new")
 }
+
+// A copy that is to be refreshed asks at once, also where it rests between two questions.
+func TestRefreshEndsThePause(t *testing.T) {
+	is := is.New(t)
+	l := memlog.New()
+	l.Put(part, "k", []byte("1"))
+	r := New(Options{Log: l.Host("h"), Partition: part, LongPoll: 10 * time.Millisecond, Slack: 100 * time.Millisecond, Pace: time.Minute})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	until.True(t, "it has asked once", r.Loaded)
+	time.Sleep(50 * time.Millisecond) // it rests
+	began := time.Now()
+	r.Refresh()
+	until.True(t, "it has asked again", func() bool { return r.AskedSince(began) })
+	is.True(time.Since(began) < time.Second)
+}
