--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -25,7 +25,7 @@
 
 // Budgets reserves tokens; *prepaid.Treasury does.
 type Budgets interface {
-	Reserve(ctx context.Context, organisation string, tokens int64) (*prepaid.Reservation, error)
+	ReserveFor(ctx context.Context, q prepaid.Request) (*prepaid.Reservation, error)
 	Holding(organisation string) (prepaid.Holding, bool)
 }
 
@@ -323,7 +323,9 @@
 	if !ok {
 		return BadRequest, errors.New("the request does not say how many tokens it needs at most")
 	}
-	reserved, err := q.handler.opts.Budgets.Reserve(q.ctx, q.organisation.Name, u.in+u.out)
+	reserved, err := q.handler.opts.Budgets.ReserveFor(q.ctx, prepaid.Request{
+		Organisation: q.organisation.Name, Tokens: u.in + u.out, Priority: q.route.Priority,
+	})
 	switch {
 	case err == nil:
 		q.reserved = reserved
--- a/router/forward/harness_test.go
+++ b/router/forward/harness_test.go
@@ -50,11 +50,11 @@
 	err      error
 }
 
-func (f *fakeBudgets) Reserve(ctx context.Context, organisation string, tokens int64) (*prepaid.Reservation, error) {
+func (f *fakeBudgets) ReserveFor(ctx context.Context, q prepaid.Request) (*prepaid.Reservation, error) {
 	if f.err != nil {
 		return nil, f.err
 	}
-	return f.treasury.Reserve(ctx, organisation, tokens)
+	return f.treasury.ReserveFor(ctx, q)
 }
 
 func (f *fakeBudgets) Holding(string) (prepaid.Holding, bool) { return prepaid.Holding{}, false }
--- a/router/prepaid/treasury.go
+++ b/router/prepaid/treasury.go
@@ -143,9 +143,22 @@
 	settled      bool
 }
 
-// Reserve sets tokens aside, waiting for a slice if need be. The error is
-// ErrNever, ErrEmpty or that of ctx. A organisation without a budget has no limit.
+// Request is what a request asks of its organisation's budget.
+type Request struct {
+	Organisation string
+	Tokens       int64 // at most
+	Priority     int   // of its route, 0 is the most urgent
+}
+
+// Reserve is ReserveFor of a request of the most urgent kind.
 func (t *Treasury) Reserve(ctx context.Context, organisation string, tokens int64) (*Reservation, error) {
+	return t.ReserveFor(ctx, Request{Organisation: organisation, Tokens: tokens})
+}
+
+// ReserveFor sets a request's tokens aside, waiting for a slice if need be. The error is
+// ErrNever, ErrEmpty or that of ctx. A organisation without a budget has no limit.
+func (t *Treasury) ReserveFor(ctx context.Context, q Request) (*Reservation, error) {
+	organisation, tokens := q.Organisation, q.Tokens
 	if got, err := t.try(organisation, tokens); got != nil || err != nil {
 		return got, err
 	}
