fleet: a test of what callers get after the loss of all hosts, failing

All hosts die at a drawn moment with budgets near their end, on the product's own treasuries and loans in virtual time, 6 to 300 hosts, three seeds each.

--- /dev/null
+++ b/router/fleet/loss_test.go
@@ -0,0 +1,174 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"maststage.dev/router/prepaid"
+	"maststage.dev/standin/memlog"
+)
+
+// lossFleet is a fleet whose hosts all die at once and come back.
+type lossFleet struct {
+	t       *testing.T
+	all     []Host
+	log     *memlog.Log
+	limits  map[string]int64
+	budgets []prepaid.Budget
+
+	treasuries []*prepaid.Treasury
+	cancel     context.CancelFunc
+	running    sync.WaitGroup
+}
+
+// start starts all hosts anew; nothing of an earlier start is left but the log.
+func (l *lossFleet) start(incarnation int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	l.cancel, l.treasuries = cancel, nil
+	calls := inProcess{}
+	for _, self := range l.all {
+		f := newFleet(self)
+		f.calls.http.Transport = calls
+		announced(f, l.all...)
+		f.SetParts(partsOf(l.limits))
+		tr := prepaid.New(prepaid.Options{
+			Log: l.log.Host(self.Name), Topic: "b", Partitions: 4, Host: fmt.Sprintf("%s/%d", self.Name, incarnation),
+			Plan: prepaid.DefaultPlan, Timeout: time.Second, Interval: 400 * time.Millisecond, Wait: 150 * time.Millisecond,
+			Hosts: f.Size, Keepers: f.Keepers, Borrow: f.Borrow, GiveBack: f.GiveBack,
+		})
+		f.opts.Lend, f.opts.Recall, f.opts.Credit = tr.Lend, tr.Recall, tr.Credit
+		calls[self.Address] = f.Handler()
+		tr.Configure(1, l.budgets, true)
+		l.treasuries = append(l.treasuries, tr)
+		l.running.Go(func() { tr.Run(ctx) })
+	}
+}
+
+// kind is a kind of request, with its share of all requests.
+type kind struct {
+	name     string
+	share    float64
+	tokens   float64 // mean; 0: it needs none
+	priority int
+}
+
+// Two users' kinds of requests. Plain services need no tokens, but half of what is asked of them
+// is refused, as where half of their targets are evacuated or new.
+var kinds = []kind{
+	{"long document", 0.18, 12_500, 0},
+	{"short question", 0.29, 1_100, 1},
+	{"check", 0.27, 2_400, 2},
+	{"plain service", 0.26, 0, 0},
+}
+
+func draw(r *rand.Rand) kind {
+	at := r.Float64()
+	for _, k := range kinds {
+		if at -= k.share; at < 0 {
+			return k
+		}
+	}
+	return kinds[len(kinds)-1]
+}
+
+// tally counts requests of one span.
+type tally struct{ asked, served atomic.Int64 }
+
+// serve lets one request come to a host, which works on it for a while.
+func (l *lossFleet) serve(r *rand.Rand, organisation string, counts *tally) {
+	k := draw(r)
+	counts.asked.Add(1)
+	if k.tokens == 0 {
+		if r.Float64() < 0.5 {
+			counts.served.Add(1)
+		}
+		return
+	}
+	tr := l.treasuries[r.IntN(len(l.treasuries))]
+	tokens := int64(k.tokens * (0.4 + 1.2*r.Float64()))
+	took := time.Duration((0.2 + r.Float64()) * float64(time.Second))
+	l.running.Go(func() {
+		res, err := tr.ReserveFor(context.Background(), prepaid.Request{Organisation: organisation, Tokens: tokens, Priority: k.priority})
+		if err != nil {
+			return
+		}
+		time.Sleep(took)
+		res.Settle(tokens * 9 / 10)
+		counts.served.Add(1)
+	})
+}
+
+// traffic sends requests at a rate for a time.
+func (l *lossFleet) traffic(r *rand.Rand, rate float64, span time.Duration, counts *tally) {
+	const organisations = 10
+	end := time.Now().Add(span)
+	for time.Now().Before(end) {
+		// A few organisations are large.
+		organisation := fmt.Sprintf("org%d", min(r.IntN(organisations), r.IntN(organisations)))
+		l.serve(r, organisation, counts)
+		time.Sleep(time.Duration(r.ExpFloat64() / rate * float64(time.Second)))
+	}
+}
+
+// All hosts lose power with tokens in hand, which are gone, and no more come: the budgets end
+// some seconds after the hosts are back, half a minute before the next top-up. On seven days that
+// were played so, all that was left went to whoever came first, nine tenths of it to long
+// documents of 12,000 tokens each, and then three of four callers were refused: of 342 requests
+// sent later than 12 s after the return 80 were served, 77 of 322, 285 of 1,310, 277 of 1,211.
+// The aim is that at least a quarter is served, though half of what is asked of plain services
+// is refused for reasons of its own.
+func TestCallersAreServedAfterTheLossOfAllHosts(t *testing.T) {
+	for _, size := range []int{6, 8, 30, 87, 300} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%d hosts/%d", size, seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { lossOfAllHosts(t, size, seed) })
+			})
+		}
+	}
+}
+
+func lossOfAllHosts(t *testing.T, size int, seed uint64) {
+	const (
+		recovery = 12 * time.Second // after the return, from which on the quarter counts
+		rest     = 10 * time.Second // until the next top-up
+	)
+	r := rand.New(rand.NewPCG(seed, uint64(size)))
+	rate := min(12*float64(size), 400)
+	before := time.Duration((25 + 10*r.Float64()) * float64(time.Second))
+	// The budgets end within some seconds of the return, some of them before the loss.
+	lasts := before.Seconds() + 8*r.Float64()
+	flow := 0.0
+	for _, k := range kinds {
+		flow += k.share * k.tokens * rate
+	}
+	l := &lossFleet{t: t, all: hosts(size, 4), log: memlog.New(), limits: map[string]int64{}}
+	for i := range 10 {
+		part := float64(2*(10-i)-1) / 100 // of the traffic
+		l.limits[fmt.Sprintf("org%d", i)] = int64(part * flow * lasts * (0.9 + 0.3*r.Float64()))
+	}
+	for organisation, limit := range l.limits {
+		l.budgets = append(l.budgets, prepaid.Budget{Organisation: organisation, Limit: limit})
+	}
+	var early, late tally
+	l.start(1)
+	l.traffic(r, rate, before, &early)
+	l.cancel()
+	time.Sleep(1500 * time.Millisecond)
+	l.start(2)
+	l.traffic(r, rate, recovery, &early)
+	l.traffic(r, rate, rest, &late)
+	time.Sleep(3 * time.Second)
+	l.cancel()
+	l.running.Wait()
+	time.Sleep(3 * time.Second) // calls between hosts end
+	t.Logf("later than %v after the return %d of %d served; before %d of %d", recovery, late.served.Load(), late.asked.Load(), early.served.Load(), early.asked.Load())
+	is.New(t).True(4*late.served.Load() >= late.asked.Load())
+}
