prepaid, fleet: after the loss of all hosts what is left serves most callers

Cause: a tenth of all budgets dies with the hosts, and what is left went to whoever came first, nine tenths of it to requests of 12,000 tokens.

Mend: hosts tell the loss of all from the announcements that outlive them (fleet.AllLost). Until a budget is topped up, or for half a minute, a request gives way to those that cost at most half as much, by tokens and urgency, once what is unspent does not last for them; large ones still get a tenth. Keepers hold less near a budget's end.

--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -69,12 +69,15 @@
 	Tokens       int64  `json:"tokens"` // needed
 	FreeOnly     bool   `json:"free_only,omitempty"`
 	Partly       bool   `json:"partly,omitempty"`
+	// Cost is that of the request (prepaid.Request); absent: not known.
+	Cost float64 `json:"cost,omitempty"`
 }
 
 type lendResponse struct {
 	Tokens int64 `json:"tokens"`
-	Keeper bool  `json:"keeper"` // the lender takes slices of the budget from the log
-	Free   int64 `json:"free"`   // what it could still lend
+	Keeper bool  `json:"keeper"`         // the lender takes slices of the budget from the log
+	Free   int64 `json:"free"`           // what it could still lend
+	Kept   bool  `json:"kept,omitempty"` // it keeps the last tokens for smaller requests
 }
 
 // recallRequest names loans that their borrower got no answer to and never uses.
@@ -207,8 +210,8 @@
 	if !read(w, r, &ask) {
 		return
 	}
-	loan := f.opts.Lend(r.Context(), prepaid.LoanRequest{ID: ask.ID, Organisation: ask.Organisation, Tokens: ask.Tokens, FreeOnly: ask.FreeOnly, Partly: ask.Partly})
-	write(w, lendResponse{Tokens: loan.Tokens, Keeper: loan.Answered, Free: loan.Free})
+	loan := f.opts.Lend(r.Context(), prepaid.LoanRequest{ID: ask.ID, Organisation: ask.Organisation, Tokens: ask.Tokens, Cost: ask.Cost, FreeOnly: ask.FreeOnly, Partly: ask.Partly})
+	write(w, lendResponse{Tokens: loan.Tokens, Keeper: loan.Answered, Free: loan.Free, Kept: loan.Kept})
 }
 
 func (f *Fleet) serveRecall(w http.ResponseWriter, r *http.Request) {
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -65,6 +65,7 @@
 type known struct {
 	host Host
 	seen time.Time // when its announcement last changed
+	told bool      // it announced itself since this host first heard of it
 }
 
 // Fleet is this host's view of the hosts.
@@ -87,6 +88,11 @@
 
 	othersThen []string // names of the other hosts, as of othersAt
 	othersAt   time.Time
+
+	born     time.Time // when this host started
+	lost     bool      // an earlier incarnation of this host ended without leaving
+	lostThen bool      // all hosts were lost, as of lostAt
+	lostAt   time.Time
 }
 
 // forgetAfter is how long a host counts without a new announcement. It is long:
@@ -98,7 +104,7 @@
 	calls := newClient(opts.Timeout)
 	return &Fleet{
 		opts: opts, calls: calls, recalls: newRecaller(calls, opts.Self.Name+"/"+opts.Self.Incarnation),
-		started: time.Now(), announced: time.Now(), seeds: opts.Seeds, hosts: map[string]known{}, silent: map[string]time.Time{},
+		started: time.Now(), announced: time.Now(), born: time.Now(), seeds: opts.Seeds, hosts: map[string]known{}, silent: map[string]time.Time{},
 		announceNow: make(chan struct{}, 1),
 	}
 }
@@ -129,10 +135,14 @@
 			log.WithField("peer", name).Error("announcement of another name is ignored")
 			continue
 		}
-		if old, had := f.hosts[name]; !had || old.host.Incarnation != h.Incarnation {
+		if name == f.opts.Self.Name && h.Incarnation != f.opts.Self.Incarnation {
+			f.lost = true
+		}
+		old, had := f.hosts[name]
+		if !had || old.host.Incarnation != h.Incarnation {
 			log.WithFields(log.Fields{"peer": name, "incarnation": h.Incarnation, "address": h.Address}).Info("host joined")
 		}
-		f.hosts[name] = known{host: h, seen: time.Now()}
+		f.hosts[name] = known{host: h, seen: time.Now(), told: had}
 	}
 }
 
--- a/router/fleet/fleet_test.go
+++ b/router/fleet/fleet_test.go
@@ -218,21 +218,21 @@
 	for _, p := range peers {
 		f.seeds = append(f.seeds, p.address())
 	}
-	loan := f.Borrow(context.Background(), "org", 50)
+	loan := f.Borrow(context.Background(), "org", 50, 0)
 	is.Equal(loan, prepaid.Loan{Tokens: 50, Answered: true})
 	asked := int64(0)
 	for _, p := range peers {
 		asked += p.asked.Load()
 	}
 	is.Equal(asked, int64(2))
-	is.Equal(f.Borrow(context.Background(), "org", 500).Tokens, int64(90))
+	is.Equal(f.Borrow(context.Background(), "org", 500, 0).Tokens, int64(90))
 }
 
 func TestBorrowFromNobody(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(Host{Name: "self"})
 	f.seeds = []string{"127.0.0.1:1"}
-	is.Equal(f.Borrow(context.Background(), "org", 50), prepaid.Loan{})
+	is.Equal(f.Borrow(context.Background(), "org", 50, 0), prepaid.Loan{})
 }
 
 // A loan whose answer comes too late is recalled, again and again until the lender
@@ -266,7 +266,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go f.recalls.run(ctx)
-	is.Equal(f.Borrow(ctx, "org", 50), prepaid.Loan{})
+	is.Equal(f.Borrow(ctx, "org", 50, 0), prepaid.Loan{})
 	id := <-recalled
 	is.Equal(id, lent.Load())
 	is.True(refused.Load())
--- a/router/fleet/keepers.go
+++ b/router/fleet/keepers.go
@@ -167,29 +167,35 @@
 )
 
 // Borrow asks the keepers of the budget, or in a small fleet all hosts, one after
-// the other, until they lent enough. A loan without an answer is recalled.
-func (f *Fleet) Borrow(ctx context.Context, organisation string, tokens int64) prepaid.Loan {
+// the other, until they lent enough, for a request of a cost. A loan without an answer is
+// recalled.
+func (f *Fleet) Borrow(ctx context.Context, organisation string, tokens int64, cost float64) prepaid.Loan {
 	if lenders := f.lenders(organisation); lenders != nil {
-		return f.borrowFrom(ctx, lenders, keeperTimeout, organisation, tokens)
+		return f.borrowFrom(ctx, lenders, keeperTimeout, organisation, tokens, cost)
 	}
-	return f.borrowFrom(ctx, f.addresses(), borrowTimeout, organisation, tokens)
+	return f.borrowFrom(ctx, f.addresses(), borrowTimeout, organisation, tokens, cost)
 }
 
-// borrowFrom asks hosts in their order. Once a keeper answered, the others are asked only
-// for what they have. Where none has enough and together they have, it is gathered.
-func (f *Fleet) borrowFrom(ctx context.Context, addresses []string, timeout time.Duration, organisation string, tokens int64) prepaid.Loan {
+// borrowFrom asks hosts in their order. Once a keeper answered, the others are asked only for
+// what they have; none is asked any more once a keeper keeps its tokens for smaller requests.
+// Where none has enough and together they have, it is gathered.
+func (f *Fleet) borrowFrom(ctx context.Context, addresses []string, timeout time.Duration, organisation string, tokens int64, cost float64) prepaid.Loan {
 	b := borrowing{fleet: f, timeout: timeout, organisation: organisation, free: map[string]int64{}}
 	addresses = addresses[:min(len(addresses), borrowFrom)]
 	for _, address := range addresses {
-		if b.total.Tokens >= tokens || ctx.Err() != nil {
+		if b.total.Tokens >= tokens || b.total.Kept || ctx.Err() != nil {
 			break
 		}
-		b.ask(ctx, address, lendRequest{Tokens: tokens - b.total.Tokens, FreeOnly: b.total.Answered})
+		ask := lendRequest{Tokens: tokens - b.total.Tokens, FreeOnly: b.total.Answered}
+		if !ask.FreeOnly {
+			ask.Cost = cost // one keeper decides whether the request gives way
+		}
+		b.ask(ctx, address, ask)
 	}
-	if b.canGather(tokens) {
+	if !b.total.Kept && b.canGather(tokens) {
 		b.gather(ctx, addresses, tokens)
 	}
-	log.WithFields(log.Fields{"organisation": organisation, "wanted": tokens, "got": b.total.Tokens, "answered": b.total.Answered}).Debug("borrowed from other hosts")
+	log.WithFields(log.Fields{"organisation": b.organisation, "wanted": tokens, "got": b.total.Tokens, "answered": b.total.Answered, "kept": b.total.Kept}).Debug("borrowed from other hosts")
 	return b.total
 }
 
@@ -215,6 +221,7 @@
 	case err == nil:
 		b.total.Tokens += got.Tokens
 		b.total.Answered = b.total.Answered || got.Keeper
+		b.total.Kept = b.total.Kept || got.Kept
 		// A host that had enough and lent nothing keeps room for larger requests: pieces
 		// gathered from it would let small ones take that room.
 		if got.Free < ask.Tokens {
--- a/router/fleet/room_test.go
+++ b/router/fleet/room_test.go
@@ -38,7 +38,7 @@
 			var asked atomic.Int64
 			f := New(Options{Self: Host{Name: "a", Incarnation: "1"}, Timeout: time.Second})
 			addresses := []string{lender(t, c.free, &asked), lender(t, c.free, &asked)}
-			loan := f.borrowFrom(context.Background(), addresses, time.Second, "org", 1_000)
+			loan := f.borrowFrom(context.Background(), addresses, time.Second, "org", 1_000, 0)
 			is.Equal(loan.Tokens, int64(0))
 			is.Equal(asked.Load(), c.calls)
 		})
--- a/router/fleet/silent_test.go
+++ b/router/fleet/silent_test.go
@@ -24,7 +24,7 @@
 	t.Cleanup(server.Close)
 	link := faultlink.Open(t, faultlink.Options{Listen: "127.0.0.1:0", To: server.Listener.Addr().String()})
 	borrower := New(Options{Self: Host{Name: "borrower"}, Timeout: time.Second, Seeds: []string{link.Address()}})
-	borrow := func() int64 { return borrower.Borrow(context.Background(), "org", 10).Tokens }
+	borrow := func() int64 { return borrower.Borrow(context.Background(), "org", 10, 0).Tokens }
 	slow := link.Strike(faultlink.Fault{Delay: 10 * time.Millisecond}) // so that calls overlap
 	var all sync.WaitGroup
 	for range 4 {
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -245,6 +245,7 @@
 		Borrow:    n.fleet.Borrow,
 		GiveBack:  n.fleet.GiveBack,
 		Histories: n.fleet.History,
+		AllLost:   n.fleet.AllLost,
 		OnCall:    func(outcome string) { n.observer.Count(fmt.Sprintf("budget_appends_total{outcome=%q}", outcome)) },
 	})
 }
--- a/router/prepaid/loans.go
+++ b/router/prepaid/loans.go
@@ -17,6 +17,8 @@
 	ID           string
 	Organisation string
 	Tokens       int64 // needed
+	// Cost is that of the request that the loan is for; 0: not known, it never gives way.
+	Cost float64
 	// FreeOnly asks for what the host has; else it takes a slice for the loan if need be,
 	// and is a keeper of the budget from then on.
 	FreeOnly bool
@@ -32,6 +34,9 @@
 	Answered bool
 	// Free is what the lender could still lend, where it lent too little.
 	Free int64
+	// Kept means that a keeper keeps the last tokens for smaller requests; nobody else needs
+	// to be asked.
+	Kept bool
 }
 
 // Figures of loans.
@@ -73,7 +78,8 @@
 }
 
 // borrow asks other hosts for what the wallet lacks.
-func (t *Treasury) borrow(organisation string, tokens int64) (got *Reservation, answered bool, err error) {
+func (t *Treasury) borrow(q Request) (got *Reservation, answered bool, err error) {
+	organisation, tokens := q.Organisation, q.Tokens
 	if t.opts.Borrow == nil {
 		return nil, false, nil
 	}
@@ -83,8 +89,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), borrowWait)
 	defer cancel()
-	loan := t.opts.Borrow(ctx, organisation, missing)
+	loan := t.opts.Borrow(ctx, organisation, missing, q.cost())
 	t.takeLoan(organisation, missing, loan)
+	if loan.Kept {
+		return nil, true, ErrKept
+	}
 	got, err = t.try(organisation, tokens)
 	return got, loan.Answered, err
 }
@@ -138,6 +147,9 @@
 	if ctx.Err() != nil {
 		return Loan{}
 	}
+	if keeper && t.shed(ask.Organisation, ask.Cost, ask.Tokens) {
+		return Loan{Answered: true, Kept: true}
+	}
 	if lent := t.lendFree(ask, keeper); lent >= ask.Tokens || !keeper || ask.FreeOnly {
 		return Loan{Tokens: lent, Answered: keeper}
 	}
--- a/router/prepaid/loans_test.go
+++ b/router/prepaid/loans_test.go
@@ -18,7 +18,7 @@
 	is := is.New(t)
 	h := newHosts(t, 2)
 	a, _ := h.start("a", nil)
-	b, _ := h.start("b", func(ctx context.Context, organisation string, n int64) Loan {
+	b, _ := h.start("b", func(ctx context.Context, organisation string, n int64, _ float64) Loan {
 		return a.Lend(ctx, LoanRequest{Organisation: organisation, Tokens: n})
 	})
 	for _, tr := range []*Treasury{a, b} {
@@ -106,7 +106,7 @@
 		Timeout: 50 * time.Millisecond, Interval: 20 * time.Millisecond, Wait: 100 * time.Millisecond,
 		Hosts:   func() int { return 20 },
 		Keepers: func(string) (int, bool) { return 1, false },
-		Borrow: func(ctx context.Context, organisation string, n int64) Loan {
+		Borrow: func(ctx context.Context, organisation string, n int64, _ float64) Loan {
 			return keeper.Lend(ctx, LoanRequest{Organisation: organisation, Tokens: n})
 		},
 		GiveBack: func(_ context.Context, organisation string, n int64) bool {
@@ -163,7 +163,7 @@
 		Timeout: 50 * time.Millisecond, Interval: 20 * time.Millisecond, Wait: 100 * time.Millisecond,
 		Hosts:   func() int { return 20 },
 		Keepers: func(string) (int, bool) { return 1, false },
-		Borrow:  func(context.Context, string, int64) Loan { return Loan{} },
+		Borrow:  func(context.Context, string, int64, float64) Loan { return Loan{} },
 	})
 	tr.Configure(1, []Budget{{"org", 1000}}, true)
 	is.Equal(spend(tr, "org", 10, 200), int64(1000))
@@ -180,7 +180,7 @@
 		Timeout: 50 * time.Millisecond, Interval: 20 * time.Millisecond, Wait: 100 * time.Millisecond,
 		Hosts:   func() int { return 20 },
 		Keepers: func(string) (int, bool) { return 1, false },
-		Borrow: func(context.Context, string, int64) Loan {
+		Borrow: func(context.Context, string, int64, float64) Loan {
 			asked.Add(1)
 			return Loan{Answered: true}
 		},
@@ -246,7 +246,7 @@
 		Log: memlog.New().Host("a"), Topic: "budgets", Partitions: 1,
 		Timeout: 50 * time.Millisecond, Interval: 20 * time.Millisecond, Wait: 20 * time.Millisecond,
 		Hosts: func() int { return 20 }, Keepers: func(string) (int, bool) { return 1, true },
-		Borrow: func(_ context.Context, _ string, tokens int64) Loan {
+		Borrow: func(_ context.Context, _ string, tokens int64, _ float64) Loan {
 			asked = append(asked, tokens)
 			return Loan{Tokens: tokens, Answered: true}
 		},
--- a/router/prepaid/treasury.go
+++ b/router/prepaid/treasury.go
@@ -35,13 +35,17 @@
 	// Keepers says how many hosts take slices of a budget from the log, and whether
 	// this host is one of them; the others borrow. nil: all hosts are.
 	Keepers func(organisation string) (count int, self bool)
-	// Borrow asks other hosts for so many tokens; nil: no other host is asked.
-	Borrow func(ctx context.Context, organisation string, tokens int64) Loan
+	// Borrow asks other hosts for so many tokens for a request of a cost; nil: no other
+	// host is asked.
+	Borrow func(ctx context.Context, organisation string, tokens int64, cost float64) Loan
 	// GiveBack gives idle tokens of a host that is no keeper to one; nil: never.
 	GiveBack func(ctx context.Context, organisation string, tokens int64) bool
 	// Histories asks another host, a different one each time, what it saw of the limits
 	// since a version; nil: none is asked.
 	Histories func(ctx context.Context, since int64) (h History, ok bool)
+	// AllLost says whether all hosts were lost, so that what is left of the budgets has to
+	// last until they are topped up; nil: it always has to.
+	AllLost func() bool
 	// OnCall counts calls to the log by outcome.
 	OnCall func(outcome string)
 }
@@ -156,15 +160,18 @@
 }
 
 // ReserveFor sets a request's tokens aside, waiting for a slice if need be. The error is
-// ErrNever, ErrEmpty or that of ctx. A organisation without a budget has no limit.
+// ErrNever, ErrEmpty, ErrKept or that of ctx. A organisation without a budget has no limit.
 func (t *Treasury) ReserveFor(ctx context.Context, q Request) (*Reservation, error) {
 	organisation, tokens := q.Organisation, q.Tokens
+	if t.shed(organisation, q.cost(), tokens) {
+		return nil, ErrKept
+	}
 	if got, err := t.try(organisation, tokens); got != nil || err != nil {
 		return got, err
 	}
 	keeper := t.keeper(organisation)
 	if !keeper {
-		got, answered, err := t.borrow(organisation, tokens)
+		got, answered, err := t.borrow(q)
 		if got != nil || err != nil {
 			return got, err
 		}
@@ -176,7 +183,7 @@
 	if !errors.Is(err, ErrEmpty) || !keeper {
 		return got, err
 	}
-	got, _, err = t.borrow(organisation, tokens)
+	got, _, err = t.borrow(q)
 	if got == nil && err == nil {
 		err = ErrEmpty
 	}
--- a/router/prepaid/wallet.go
+++ b/router/prepaid/wallet.go
@@ -78,6 +78,8 @@
 	demandAt time.Time
 	largest  float64 // of the recent requests that began
 	turned   turnedAway
+	shed     shedder
+	ration   ration
 }
 
 // current is the account under the newest limit that this host knows.
@@ -204,6 +206,8 @@
 	hold := p.KeeperPart * unspent
 	horizon := p.KeeperHorizon
 	if flow > 0 {
+		// Near the budget's end an outage delays, and a death takes away for good.
+		hold *= min(unspent/flow/horizon, 1)
 		horizon = min(horizon, hold/flow)
 	}
 	want := min(w.demand*horizon+w.largest, hold)
