proofs: a test of an answer that is taken up from a silent owner, failing

All hosts but the entry host stand still for 2.2 s as a caller takes its stream up again. On the code as it is the entry host gives the owner up after 1.5 s without a word and runs the request itself, or tells its caller 'unknown'.

--- a/proofs/answers_test.go
+++ b/proofs/answers_test.go
@@ -71,6 +71,48 @@
 	}
 }
 
+// A caller takes an answer up again while the host that owns the run says nothing for 2.2 s, as
+// one that gets no processor. The entry host gave an owner up after 1.5 s without a word, passed
+// over those that it had not heard of for as long, and had the next replica run the stream a
+// second time: 4 of 6 answers, each right to the byte and billed once. "taken up ... in" showed
+// 1.6 to 2.4 s for them and under 0.5 s for all others. Silence is no end: as long as the fleet
+// counts the owner as a member, the run that the caller has a part of goes on there.
+func TestAnswerTakenUpFromSilentOwner(t *testing.T) {
+	const silence = 2200 * time.Millisecond
+	is := is.New(t)
+	f := sixHosts(t, engines(10*time.Millisecond), "")
+	f.Apply(declarations(plenty))
+	for first := range f.Hosts {
+		id := fmt.Sprint("silent-", first)
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		a := fleet.Stream(ctx, http.DefaultClient, f.Hosts[first].Listen, fleet.Ask{Key: key, ID: id, Class: "chat", Input: []byte("q"), MaxTokens: 60})
+		cancel()
+		is.True(!a.Whole)
+		entry := (first + 1) % 6
+		for i := range f.Hosts {
+			if i != entry {
+				f.Freeze(i)
+			}
+		}
+		thaw := time.AfterFunc(silence, func() {
+			for i := range f.Hosts {
+				if i != entry {
+					f.Thaw(i)
+				}
+			}
+		})
+		began := time.Now()
+		b := f.Do(entry, fleet.Ask{Key: key, ID: id, Class: "chat", Input: []byte("q"), MaxTokens: 60, Attempt: 2, ResumeFrom: a.Chunks})
+		t.Logf("taken up behind chunk %d in %v", a.Chunks, time.Since(began))
+		time.Sleep(time.Until(began.Add(silence + 500*time.Millisecond)))
+		thaw.Stop()
+		is.NoErr(b.Err)
+		is.True(b.Whole)
+		is.Equal(string(a.Data)+string(b.Data), string(want("chat", id, nil, 60)))
+		is.Equal(f.Runs(account)["org/"+id], 1)
+	}
+}
+
 // Entry hosts and owners die under open streams; callers take them up again.
 func TestAnswersWhenHostsDie(t *testing.T) {
 	is := is.New(t)
