entry, run: a host that says nothing is not an owner that ended

Symptom: a stream runs twice as its caller takes it up at another host (TestAnswerTakenUpElsewhere, known red; TestAnswerTakenUpFromSilentOwner brings it about each time). Two causes, each named by runs of that test: the entry host gives an owner up after 1.5 s without a word, or as its connection fails, and the next replica runs the stream; with that mended it still ran twice, after 2.55 to 2.64 s: the owner, awake again, takes the time in which it stood still for silence of its target (2 s) and goes on at the other one. An owner that is evicted while it stands still may still run beside the next one: the view decides that, not a time-out.

--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -20,8 +20,13 @@
 )
 
 const (
-	maxHops     = 8 // hosts tried for one request
-	acceptWait  = 1500 * time.Millisecond
+	maxHops    = 8                       // hosts tried for one request
+	acceptWait = 1500 * time.Millisecond // for the first word of a host that may take a request on
+	// resumeWait is how long a host that owns a run is waited for while the fleet counts it as
+	// a member: the caller has a part of that run, and at another host it would run again. A
+	// host that died has been evicted by then: 1.5 s of silence, a round of heartbeats, an
+	// append to the log. In the minority of a cut nobody is evicted, and the wait ends here.
+	resumeWait  = 6 * time.Second
 	againPause  = 50 * time.Millisecond
 	maxRedirect = 3
 )
@@ -66,7 +71,7 @@
 // Forward gets req run and passes the answer on. The error says truly whether
 // the request may have been run.
 func (r *Router) Forward(ctx context.Context, req *peerv1.ExecuteRequest, leaving <-chan struct{}, send func(*peerv1.ExecuteResponse) error) error {
-	f := &forwarding{router: r, req: req, leaving: leaving, send: send, maybe: req.Attempt > 1, tried: map[string]bool{}, refusals: map[string]*errkind.Error{}}
+	f := &forwarding{router: r, req: req, leaving: leaving, send: send, began: time.Now(), maybe: req.Attempt > 1, tried: map[string]bool{}, refusals: map[string]*errkind.Error{}}
 	return f.run(ctx)
 }
 
@@ -76,6 +81,7 @@
 	req      *peerv1.ExecuteRequest
 	leaving  <-chan struct{}
 	send     func(*peerv1.ExecuteResponse) error
+	began    time.Time
 	maybe    bool // an earlier attempt may have run it
 	tried    map[string]bool
 	next     string // incarnation to go to, by redirect
@@ -85,7 +91,7 @@
 }
 
 func (f *forwarding) run(ctx context.Context) error {
-	for range maxHops {
+	for hops := 0; hops < maxHops; hops++ {
 		m, ok := f.pick()
 		if !ok {
 			break
@@ -114,6 +120,10 @@
 			f.last = o.refused
 			f.refusals[m.Incarnation] = o.refused
 			f.tried[m.Incarnation] = true
+		case f.waitsFor(m):
+			hops--
+			f.maybe = f.maybe || o.sent
+			wait.For(ctx, againPause)
 		default:
 			f.maybe = f.maybe || o.sent
 			f.tried[m.Incarnation] = true
@@ -154,8 +164,27 @@
 	return nil
 }
 
+// resumes says whether the caller has a part of the answer, so that a run of the request is at
+// its owner.
+func (f *forwarding) resumes() bool { return f.req.ResumeFrom > 0 }
+
+// waitsFor says whether a host that was lost is asked again, since it is a member and may own
+// the run.
+func (f *forwarding) waitsFor(m view.Member) bool {
+	_, live := f.router.store.Member(m.Incarnation)
+	return live && f.resumes() && time.Since(f.began) < resumeWait
+}
+
+// firstWordWait is how long a host may say nothing before it is given up.
+func (f *forwarding) firstWordWait() time.Duration {
+	if f.resumes() {
+		return max(resumeWait-time.Since(f.began), acceptWait)
+	}
+	return acceptWait
+}
+
 // pick gives the next host to try: the one redirected to, or the first replica
-// that was not tried, those in doubt last.
+// that was not tried; those in doubt last, but for a run that is at its owner.
 func (f *forwarding) pick() (view.Member, bool) {
 	if f.next != "" {
 		m, ok := f.router.store.Member(f.next)
@@ -169,7 +198,7 @@
 		if f.tried[m.Incarnation] {
 			continue
 		}
-		if f.router.silent(m.Incarnation) {
+		if !f.resumes() && f.router.silent(m.Incarnation) {
 			if doubtful == nil {
 				doubtful = &members[i]
 			}
@@ -205,21 +234,16 @@
 }
 
 // remote follows another host's answer. A host that does not take the request
-// on in good time is given up; it may have begun nevertheless.
+// on in good time is given up, and one that is no member any more at once; it may have begun
+// nevertheless.
 func (f *forwarding) remote(ctx context.Context, m view.Member, req *peerv1.ExecuteRequest, o *outcome) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	late := time.AfterFunc(acceptWait, cancel)
+	late := time.AfterFunc(f.firstWordWait(), cancel)
 	defer late.Stop()
 	done := make(chan struct{})
 	defer close(done)
-	guard.Go("stream mover", func() {
-		select {
-		case <-f.leaving:
-			cancel()
-		case <-done:
-		}
-	})
+	guard.Go("stream mover", func() { f.untilMoved(m, done, cancel) })
 	client, err := f.router.peers.Client(m.Address)
 	if err != nil {
 		o.lost = err
@@ -244,6 +268,26 @@
 	}
 }
 
+// untilMoved cancels a call to a host once this one leaves or that one is no member any more,
+// unless the call is done before.
+func (f *forwarding) untilMoved(m view.Member, done <-chan struct{}, cancel context.CancelFunc) {
+	for {
+		changed := f.router.store.Changed()
+		if _, live := f.router.store.Member(m.Incarnation); !live && f.resumes() {
+			cancel()
+			return
+		}
+		select {
+		case <-f.leaving:
+			cancel()
+			return
+		case <-done:
+			return
+		case <-changed:
+		}
+	}
+}
+
 // leaves says whether streams are to be taken up again at another entry host.
 func (f *forwarding) leaves() bool {
 	select {
--- a/daemon/run/generate.go
+++ b/daemon/run/generate.go
@@ -17,6 +17,10 @@
 	prefixBytes = 256 // of a prompt, hashed to find a target that has it cached
 	gapFactor   = 8   // times the mean gap between tokens is silence
 	tokenRing   = 64
+	// silenceSteps is in how many steps a target's silence is counted. A time in which this
+	// host itself stood still counts as one of them: it is no silence of the target, and the
+	// stream that lies in the connection would be run again elsewhere.
+	silenceSteps = 8
 )
 
 func prefixHash(input []byte) uint64 {
@@ -113,8 +117,9 @@
 	limit := j.engine.watch.FirstToken
 	begun := time.Now()
 	last := begun
-	silence := time.NewTimer(limit)
-	defer silence.Stop()
+	step := time.NewTimer(limit / silenceSteps)
+	defer step.Stop()
+	steps := 0
 	for {
 		select {
 		case m := <-s.ring:
@@ -125,11 +130,15 @@
 			now := time.Now()
 			j.gap(now, last)
 			last = now
-			silence.Reset(s.patience(begun, now))
+			limit, steps = s.patience(begun, now), 0
+			step.Reset(limit / silenceSteps)
 		case err := <-s.failed:
 			return s.drain(err, begun)
-		case <-silence.C:
-			return try{verdict: broken, err: errkind.New(errkind.TargetFailed, "silent for %v", time.Since(last))}
+		case <-step.C:
+			if steps++; steps >= silenceSteps {
+				return try{verdict: broken, err: errkind.New(errkind.TargetFailed, "silent for %v", time.Since(last))}
+			}
+			step.Reset(limit / silenceSteps)
 		case <-ctx.Done():
 			return try{verdict: broken, err: ctx.Err()}
 		}
