fleet: the loss of all hosts is told by the age of the topic

They had announced themselves before they read the topic, so that their own earlier announcement, the evidence until now, was gone; and a host that was killed in the first seconds of a fleet took all for lost. The topic's age tells instead: a new one has few records for each host. What others hold is not guessed from what this host holds any more: eight times a slice that a host had just taken let large requests through.

--- a/router/fleet/alllost_test.go
+++ b/router/fleet/alllost_test.go
@@ -1,12 +1,16 @@
 package fleet
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"maststage.dev/router/eventlog"
+	"maststage.dev/router/replica"
 )
 
 // beat is the announcement of a host of some incarnation, its n-th.
@@ -14,50 +18,69 @@
 	return Host{Name: fmt.Sprintf("h%d", i), Incarnation: incarnation, Address: fmt.Sprintf("10.0.0.%d:1", i), Domain: "z0", Beat: n}
 }
 
+// heard tells a fleet of announcements, of which the last has an offset in the topic.
+func heard(f *Fleet, end int64, hosts ...Host) {
+	var changes []replica.Change
+	for i, h := range hosts {
+		value, err := json.Marshal(h)
+		if err != nil {
+			panic(err)
+		}
+		offset := end - int64(len(hosts)-1-i)
+		changes = append(changes, replica.Change{Record: eventlog.Record{Key: h.Name, Value: value, Offset: offset}})
+	}
+	f.Changed(changes)
+}
+
 // A host that starts anew tells the loss of all hosts from its own loss, from the begin of a
-// fleet, from a planned stop and from the loss of half of the hosts.
+// fleet and from the loss of half of the hosts.
 func TestLossOfAllHostsIsTold(t *testing.T) {
 	type list = []Host
-	before := list{beat(1, "old", 9), beat(2, "old", 8), beat(3, "old", 9), beat(4, "old", 7)}
-	anew := list{beat(1, "new", 1), beat(2, "new", 1), beat(3, "new", 1), beat(4, "new", 1)}
+	before := list{beat(0, "old", 9), beat(1, "old", 9), beat(2, "old", 8), beat(3, "old", 9), beat(4, "old", 7)}
+	anew := list{beat(0, "new", 1), beat(1, "new", 1), beat(2, "new", 1), beat(3, "new", 1), beat(4, "new", 1)}
+	begun := list{beat(0, "new", 1), beat(1, "old", 2), beat(2, "old", 2), beat(3, "old", 1), beat(4, "old", 2)}
 	for name, c := range map[string]struct {
-		found, then list
-		lost        bool
+		found list  // when the topic is read first
+		end   int64 // its newest record then
+		then  list
+		lost  bool
 	}{
-		"all were lost":            {append(list{beat(0, "old", 9)}, before...), anew, true},
-		"one has not come back":    {append(list{beat(0, "old", 9)}, before...), anew[:3], true},
-		"the others did not yet":   {append(list{beat(0, "old", 9)}, before...), nil, false},
-		"one lives on":             {append(list{beat(0, "old", 9)}, before...), append(list{beat(4, "old", 8)}, anew[:3]...), false},
-		"half were lost":           {append(list{beat(0, "old", 9)}, before...), anew[:2], false},
-		"this host alone was lost": {append(list{beat(0, "old", 9)}, before...), list{beat(1, "old", 10)}, false},
-		"a planned stop":           {before, anew, false},
-		"a new fleet":              {nil, anew, false},
+		"all were lost":                   {before, 70, anew, true},
+		"this host was the last to start": {anew, 75, anew[:1], true},
+		"one has not come back":           {before, 70, anew[:4], true},
+		"the others did not yet":          {before, 70, anew[:1], false},
+		"one lives on":                    {before, 70, append(list{beat(4, "old", 8)}, anew[:4]...), false},
+		"half were lost":                  {before, 70, anew[:3], false},
+		"this host alone was lost":        {before, 70, list{beat(0, "new", 1), beat(1, "old", 10)}, false},
+		"a new fleet":                     {nil, 0, anew, false},
+		"the last of a new fleet":         {anew, 4, anew[:1], false},
+		"lost alone in a new fleet":       {begun, 9, begun[:1], false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				f := New(Options{Self: beat(0, "new", 0), Timeout: time.Second, Announce: 8 * time.Second})
-				announced(f, c.found...)
-				is.True(!f.AllLost()) // nobody has begun anew yet
+				heard(f, c.end, c.found...)
 				time.Sleep(time.Second)
-				announced(f, beat(0, "new", 1))
-				announced(f, c.then...)
+				heard(f, c.end+10, c.then...)
 				is.Equal(f.AllLost(), c.lost)
 			})
 		})
 	}
 }
 
-// Once told, the loss stays told as the hosts go on.
+// Once told, the loss stays told as the hosts go on; and a new fleet that goes on was not lost.
 func TestLossOfAllHostsStaysTold(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		f := New(Options{Self: beat(0, "new", 0), Timeout: time.Second, Announce: 8 * time.Second})
-		announced(f, beat(0, "old", 9), beat(1, "old", 9), beat(2, "old", 9))
-		for n := range int64(10) {
-			time.Sleep(4 * time.Second) // no host announces itself more often
-			announced(f, beat(1, "new", n+1), beat(2, "new", n+1))
-			is.True(f.AllLost())
-		}
-	})
+	for end, lost := range map[int64]bool{70: true, 3: false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			f := New(Options{Self: beat(0, "new", 0), Timeout: time.Second, Announce: 8 * time.Second})
+			heard(f, end, beat(0, "old", 9), beat(1, "old", 9), beat(2, "old", 9))
+			for n := range int64(10) {
+				time.Sleep(4 * time.Second) // no host announces itself more often
+				heard(f, end+3*(n+1), beat(1, "new", n+1), beat(2, "new", n+1))
+				is.Equal(f.AllLost(), lost)
+			}
+		})
+	}
 }
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -63,9 +63,10 @@
 
 // known is what this host knows of another.
 type known struct {
-	host Host
-	seen time.Time // when its announcement last changed
-	told bool      // it announced itself since this host first heard of it
+	host  Host
+	seen  time.Time // when its announcement last changed
+	young bool      // it had begun with this host or later when this one first heard of it
+	told  bool      // it announced itself again since then
 }
 
 // Fleet is this host's view of the hosts.
@@ -90,7 +91,8 @@
 	othersAt   time.Time
 
 	born     time.Time // when this host started
-	lost     bool      // an earlier incarnation of this host ended without leaving
+	read     bool      // the topic was read
+	before   int64     // records of the topic when it was read first
 	lostThen bool      // all hosts were lost, as of lostAt
 	lostAt   time.Time
 }
@@ -114,6 +116,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.othersAt = time.Time{}
+	f.noteFirst(changes)
 	for _, c := range changes {
 		name := c.Record.Key
 		if strings.HasPrefix(name, quarantine.KeyPrefix) {
@@ -135,14 +138,12 @@
 			log.WithField("peer", name).Error("announcement of another name is ignored")
 			continue
 		}
-		if name == f.opts.Self.Name && h.Incarnation != f.opts.Self.Incarnation {
-			f.lost = true
-		}
 		old, had := f.hosts[name]
-		if !had || old.host.Incarnation != h.Incarnation {
+		again := had && old.host.Incarnation == h.Incarnation
+		if !again {
 			log.WithFields(log.Fields{"peer": name, "incarnation": h.Incarnation, "address": h.Address}).Info("host joined")
 		}
-		f.hosts[name] = known{host: h, seen: time.Now(), told: had}
+		f.hosts[name] = known{host: h, seen: time.Now(), young: again && old.young || !again && h.Beat <= f.mostBeats(time.Now()), told: again}
 	}
 }
 
--- a/router/prepaid/shed.go
+++ b/router/prepaid/shed.go
@@ -157,8 +157,8 @@
 	if !t.rations(organisation, w, now) {
 		return false
 	}
-	// The others hold as much as this host, as far as it knows.
-	unspent := float64(w.current().Left()) + float64(w.free)*float64(max(count, 1))
+	// What others hold is not known, and near a budget's end it is little.
+	unspent := float64(w.current().Left() + w.free)
 	span := max(toppedUpIn-now.Sub(w.ration.since).Seconds(), leastSpan)
 	return w.shed.sheds(cost, tokens, unspent, w.part(count, now), span, now)
 }
