daemon/node: a read of the log ends by silence, not by how long it takes

Cause: a fixed limit on the whole answer, begun anew at the same entry. Mend: the same limits by silence as the router has (patience), through a transport that notes progress; 30 s at most. The state that hosts read from each other at their start keeps its limit of 10 s on the whole (gRPC tells no progress): 1.5 MB at 150 KB a second.

--- a/daemon/node/links.go
+++ b/daemon/node/links.go
@@ -18,11 +18,15 @@
 	"maststage.dev/daemon/settings"
 	"maststage.dev/fold/view"
 	"maststage.dev/lib/guard"
+	"maststage.dev/lib/patience"
 )
 
 const (
 	stateTimeout = 10 * time.Second
-	borrowPeers  = 6 // most hosts asked for one loan
+	// longestRead bounds a read of the log whose bytes keep coming: 500 entries over a thin
+	// link. It would begin at the same entry again.
+	longestRead = 30 * time.Second
+	borrowPeers = 6 // most hosts asked for one loan
 )
 
 // platform reaches the platform's log, for appends through another host if
@@ -39,11 +43,11 @@
 
 // webClient makes calls to the platform and to targets.
 func webClient(cfg *settings.Settings) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: patience.Transport(&http.Transport{
 		MaxIdleConnsPerHost: maxConns,
 		IdleConnTimeout:     time.Minute,
 		DialContext:         (&net.Dialer{Timeout: cfg.Platform.Timeout}).DialContext,
-	}}
+	})}
 }
 
 // Append appends to the log. An error leaves open whether it took effect.
@@ -75,7 +79,8 @@
 
 // Read reads the log.
 func (p *platform) Read(ctx context.Context, from uint64, max uint32, wait time.Duration) (*platformv1.ReadResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+p.node.cfg.Platform.Timeout)
+	timeout := p.node.cfg.Platform.Timeout
+	ctx, cancel := patience.New(ctx, patience.Limits{First: wait + timeout, Silence: timeout, Most: wait + longestRead})
 	defer cancel()
 	r, err := p.log.Read(ctx, connect.NewRequest(&platformv1.ReadRequest{
 		From: from, Max: max, WaitMs: uint32(wait.Milliseconds()),
--- a/lib/patience/patience.go
+++ b/lib/patience/patience.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 )
 
@@ -68,3 +69,23 @@
 	}
 	return n, err
 }
+
+// Transport makes the bodies of answers note progress in contexts of New.
+func Transport(base http.RoundTripper) http.RoundTripper { return transport{base} }
+
+type transport struct{ base http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.base.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = body{Reader: Reader(r.Context(), resp.Body), Closer: resp.Body}
+	return resp, nil
+}
+
+type body struct {
+	io.Reader
+	io.Closer
+}
