entry: an owner whose process is gone is not waited for

Read in the diff: a stream that breaks on its way has a part delivered, too, so that the death of its owner held it up until the eviction, some 2 s.

--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -120,9 +120,9 @@
 			f.last = o.refused
 			f.refusals[m.Incarnation] = o.refused
 			f.tried[m.Incarnation] = true
-		case f.waitsFor(m):
-			hops--
-			f.maybe = f.maybe || o.sent
+		case o.sent && f.waitsFor(m):
+			f.maybe = true
+			hops-- // the same host again
 			wait.For(ctx, againPause)
 		default:
 			f.maybe = f.maybe || o.sent
@@ -169,7 +169,8 @@
 func (f *forwarding) resumes() bool { return f.req.ResumeFrom > 0 }
 
 // waitsFor says whether a host that was lost is asked again, since it is a member and may own
-// the run.
+// the run. Where not even a connection could be made it is not: its process is gone, or a cut
+// lies between, which nobody can tell from here.
 func (f *forwarding) waitsFor(m view.Member) bool {
 	_, live := f.router.store.Member(m.Incarnation)
 	return live && f.resumes() && time.Since(f.began) < resumeWait
