node: the budgets see each configuration that was read, also those never in force

A host that reads several versions at once, as after an outage, puts the newest in force and dropped the others, though it held them: its budgets took that for missed versions. It now shows them each version in order. What waits is bounded; what is dropped is a gap, as before.

node TestLimitsOfSkippedVersionsAreSeen failed before (its history began at version 3, not 1).

--- a/router/node/config.go
+++ b/router/node/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	log "github.com/sirupsen/logrus"
@@ -18,13 +19,49 @@
 // configChange is a configuration that was read and is not in force yet.
 type configChange struct {
 	value []byte
-	gap   bool
+	gap   bool // versions before it may have been missed
 }
 
-// configChanged notes the newest configuration; it is decoded elsewhere, so that
-// the copy of the log is not held up.
+// configQueue holds the configurations that were read and are not in force yet, oldest first.
+// Only the newest of them is put in force, but budgets see the limits of each: a limit that was
+// raised and set back between two versions let others take tokens.
+type configQueue struct {
+	mu      sync.Mutex
+	waiting []configChange
+	bytes   int
+}
+
+// maxWaitingConfigBytes bounds the configurations that wait: what the log sends at once, and
+// what comes while that is decoded.
+const maxWaitingConfigBytes = 2 << 20
+
+// add takes a configuration in. The oldest ones are dropped where they are too many, and
+// what follows them counts as a gap.
+func (q *configQueue) add(change configChange) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.waiting = append(q.waiting, change)
+	q.bytes += len(change.value)
+	for q.bytes > maxWaitingConfigBytes && len(q.waiting) > 1 {
+		q.bytes -= len(q.waiting[0].value)
+		q.waiting = q.waiting[1:]
+		q.waiting[0].gap = true
+	}
+}
+
+// takeAll empties the queue.
+func (q *configQueue) takeAll() []configChange {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	waiting := q.waiting
+	q.waiting, q.bytes = nil, 0
+	return waiting
+}
+
+// configChanged notes new configurations; they are decoded elsewhere, so that the copy of the
+// log is not held up.
 func (n *Node) configChanged(changes []replica.Change) {
-	var newest *configChange
+	added := false
 	for _, c := range changes {
 		if n.evacuationChanged(c) {
 			continue
@@ -32,15 +69,12 @@
 		if c.Record.Key != n.outside.ConfigKey || len(c.Record.Value) == 0 {
 			continue
 		}
-		// What was not in force yet is skipped, and so counts as a gap.
-		newest = &configChange{value: c.Record.Value, gap: c.Gap || newest != nil}
+		n.pending.add(configChange{value: c.Record.Value, gap: c.Gap})
+		added = true
 	}
-	if newest == nil {
+	if !added {
 		return
 	}
-	if n.pending.Swap(newest) != nil {
-		newest.gap = true
-	}
 	select {
 	case n.changed <- struct{}{}:
 	default:
@@ -89,32 +123,55 @@
 			return
 		case <-n.changed:
 		}
-		if change := n.pending.Swap(nil); change != nil {
-			n.applyConfig(change)
+		n.applyPending(n.pending.takeAll())
+	}
+}
+
+// readConfig is a configuration that was decoded.
+type readConfig struct {
+	config  *routing.Config
+	bytes   int
+	skipped int  // configurations that came right before it and were never in force
+	gap     bool // others before it may have been missed
+}
+
+// applyPending shows the budgets each configuration, in order, and puts the newest in force. One
+// that can't be read is a gap before the next: others may have read it.
+func (n *Node) applyPending(changes []configChange) {
+	var newest readConfig
+	unread := false
+	for i, change := range changes {
+		config, err := n.outside.DecodeConfig(change.value)
+		if err != nil {
+			log.WithError(err).Error("configuration can't be read; the present one stays in force")
+			unread = true
+			continue
+		}
+		gap := change.gap || unread
+		unread = false
+		n.treasury.Configure(config.Version, budgets(config), gap)
+		if newest.config == nil || config.Version > newest.config.Version {
+			newest = readConfig{config: config, bytes: len(change.value), skipped: i, gap: gap}
 		}
 	}
+	if newest.config != nil {
+		n.applyConfig(newest)
+	}
 }
 
 // applyConfig puts a configuration in force unless it is older than the present one.
-func (n *Node) applyConfig(change *configChange) {
-	config, err := n.outside.DecodeConfig(change.value)
-	if err != nil {
-		log.WithError(err).Error("configuration can't be read; the present one stays in force")
-		return
-	}
-	old := n.handler.Config()
+func (n *Node) applyConfig(read readConfig) {
+	config, old := read.config, n.handler.Config()
 	if old != nil && config.Version <= old.Version {
 		return
 	}
-	list := budgets(config)
-	n.treasury.Configure(config.Version, list, change.gap)
-	n.fleet.SetParts(parts(list))
+	n.fleet.SetParts(parts(budgets(config)))
 	n.setCold(config, n.newestSettings().Bounds)
 	n.handler.Configure(config)
 	n.shareConnections()
 	fields := log.Fields{
 		"version": config.Version, "routes": len(config.Routes), "organisations": len(config.Organisations),
-		"bytes": len(change.value), "gap": change.gap,
+		"bytes": read.bytes, "skipped": read.skipped, "gap": read.gap,
 	}
 	if old != nil {
 		fields["before"] = old.Version
--- a/router/node/config_test.go
+++ b/router/node/config_test.go
@@ -1,10 +1,13 @@
 package node
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"maststage.dev/standin/backend"
 	"maststage.dev/standin/memlog"
 )
@@ -78,3 +81,51 @@
 	}
 	f.is.True(h.Ready())
 }
+
+// The log hands out three versions at once, as after an outage: the second doubles a budget and
+// the third sets it back. Only the third comes into force, but the budget must know of both, or
+// this host and all others that read the same would have to ask or to wait for the account.
+func TestLimitsOfSkippedVersionsAreSeen(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.backend("b1", backend.Behaviour{})
+	f.publish(limitConfig(1, 1000))
+	a := f.start(f.settings("a"))
+	f.ready(a)
+
+	f.log.SetFault("a", memlog.Fault{Refuse: true})
+	f.eventually("the log is away", func() bool { up, _ := a.configCopy.Up(); return !up })
+	f.publish(limitConfig(2, 2000))
+	f.publish(limitConfig(3, 1000))
+	f.log.SetFault("a", memlog.Fault{})
+	f.eventually("the newest version is in force", func() bool { return a.handler.Config().Version == 3 })
+	history := a.treasury.History()
+	is.Equal(history.Since, int64(1)) // nothing was missed
+	is.Equal(history.Lowered["o"], int64(3))
+}
+
+// limitConfig is a configuration in which the organisation o has a budget.
+func limitConfig(version, limit int) string {
+	return config(version, plainRoute, fmt.Sprintf(`,"organisations":[{"name":"o","keys":["k"],"prepaid":%d}]`, limit))
+}
+
+// Configurations that come faster than they are decoded are dropped from the oldest on, and the
+// budgets are told of the gap.
+func TestConfigurationsThatWaitAreBounded(t *testing.T) {
+	is := is.New(t)
+	var q configQueue
+	large := make([]byte, maxWaitingConfigBytes/2)
+	q.add(configChange{value: large})
+	q.add(configChange{value: large})
+	is.Equal(len(q.takeAll()), 2)
+	for range 3 {
+		q.add(configChange{value: large})
+	}
+	waiting := q.takeAll()
+	is.Equal(len(waiting), 2)
+	is.True(waiting[0].gap)
+	is.True(!waiting[1].gap)
+	is.Equal(len(q.takeAll()), 0)
+	q.add(configChange{value: make([]byte, 2*maxWaitingConfigBytes)})
+	is.Equal(len(q.takeAll()), 1) // the newest is always kept
+}
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -73,7 +73,7 @@
 
 	server    *http.Server
 	aux       []*http.Server // ready, peers, metrics
-	pending   atomic.Pointer[configChange]
+	pending   configQueue
 	started   time.Time
 	changed   chan struct{}             // a configuration is pending
 	stopBegan atomic.Pointer[time.Time] // set by a planned stop
