prepaid: missed versions count as ones that may have raised a limit

A limit that was the same before and after missed versions counted as unchanged. Others may have taken tokens under a higher one in between, so that hosts together held more than the limit and spent it (TestMissedVersionsThatRaisedABudgetAndSetItBack, unchanged, failed each time; 20,000 checks of TestLoweredBudgetsAreNeverSpentUnseen, whose model now holds hosts against all versions, pass).

--- a/router/prepaid/history_test.go
+++ b/router/prepaid/history_test.go
@@ -128,7 +128,7 @@
 type fleetOfLimits struct {
 	limits []int64 // by version, from 1
 	hosts  []*Treasury
-	seen   [][]int64 // the limits by version as each host may take them to be
+	seen   [][]int64 // the limits up to each host's version, read or missed
 }
 
 func newFleetOfLimits(hosts int) *fleetOfLimits {
@@ -141,8 +141,7 @@
 	return f
 }
 
-// read gives a host the next version, or the newest one without those between. A limit that
-// is the same on both sides of what was missed counts as unchanged.
+// read gives a host the next version, or the newest one without those between.
 func (f *fleetOfLimits) read(host int, newest bool) {
 	seen := f.seen[host]
 	if len(seen) == len(f.limits) {
@@ -152,16 +151,8 @@
 	if newest {
 		next = len(f.limits) - 1
 	}
-	limit := f.limits[next]
-	for v := len(seen); v < next; v++ {
-		if limit == seen[len(seen)-1] {
-			f.seen[host] = append(f.seen[host], limit)
-		} else {
-			f.seen[host] = append(f.seen[host], f.limits[v])
-		}
-	}
-	f.seen[host] = append(f.seen[host], limit)
-	f.hosts[host].Configure(int64(next+1), []Budget{{"org", limit}}, newest)
+	f.seen[host] = append(seen, f.limits[len(seen):next+1]...)
+	f.hosts[host].Configure(int64(next+1), []Budget{{"org", f.limits[next]}}, newest)
 }
 
 // unsafe says whether hosts together may hold more than a host's newest limit: there was a
--- a/router/prepaid/wallet.go
+++ b/router/prepaid/wallet.go
@@ -86,13 +86,14 @@
 func (w *wallet) current() Account { return w.account.Under(w.limit, w.version) }
 
 // setLimit takes over the limit of a newer version; missed says that versions before it may
-// have been skipped. Before a lowered budget is spent, the account must be seen under it.
+// have been skipped, and one of them may have raised the limit, also where it is the same
+// before and after. Before a lowered budget is spent, the account must be seen under it.
 func (w *wallet) setLimit(limit, version int64, missed bool) {
 	switch {
 	case w.version == 0:
 	case limit < w.limit:
 		w.verify, w.unseen = version, 0
-	case missed && limit != w.limit:
+	case missed:
 		if w.unseen == 0 {
 			w.unseen = w.verify + 1
 		}
