target, forward: serve requests only in the regions that are allowed

A route or an organisation may name regions. The router knew none: each request could go to any target. Now one filter before all other reasons of the choice keeps first tries, repeats, resumed streams and prompts with shared parts within the regions that both allow, by the configuration of the request's arrival and by the newest.

--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -196,8 +196,7 @@
 	if q.config == nil {
 		return NoConfig, nil
 	}
-	path, _, _ := strings.Cut(q.r.RequestURI, "?")
-	q.route = q.config.Match(q.r.Host, path)
+	q.route = q.config.Match(q.r.Host, q.path())
 	if q.route == nil {
 		return NoRoute, nil
 	}
@@ -210,6 +209,9 @@
 	if !h.opts.Overload.Admit(q.arrived) {
 		return HostBusy, nil
 	}
+	if q.regions().None() {
+		return NoRegion, nil
+	}
 	q.service = q.route.Pick(rand.Float64())
 	if s := q.config.Service(q.service); s != nil {
 		q.engine = s.Engine
@@ -228,6 +230,12 @@
 	return q.reserve()
 }
 
+// path is the one on the wire, without its query.
+func (q *request) path() string {
+	path, _, _ := strings.Cut(q.r.RequestURI, "?")
+	return path
+}
+
 func (q *request) authenticate() Kind {
 	if key := q.r.Header.Get(q.handler.names.Key); key != "" {
 		q.organisation = q.config.ByKey(key)
@@ -238,6 +246,21 @@
 	return OK
 }
 
+// regions is where the request may be served, by the configuration that it came under and by the
+// newest one: what waits or is tried again leaves a region that was closed meanwhile.
+func (q *request) regions() routing.Regions {
+	regions := q.config.Regions(q.route, q.organisation)
+	newest := q.handler.config.Load()
+	if newest == q.config {
+		return regions
+	}
+	var organisation *routing.Organisation
+	if q.organisation != nil {
+		organisation = newest.Organisation(q.organisation.Name)
+	}
+	return regions.And(newest.Regions(newest.Match(q.r.Host, q.path()), organisation))
+}
+
 // callerMargin is kept free before a caller's deadline for the last answer's way.
 const callerMargin = 25 * time.Millisecond
 
--- a/router/forward/outcome.go
+++ b/router/forward/outcome.go
@@ -24,6 +24,7 @@
 	CatchingUp   Kind = "catching_up"   // this host was suspended and does not know yet what it missed
 	HostBusy     Kind = "host_busy"     // this host's own link or processor is overloaded
 	NoTarget     Kind = "no_target"     // no target could be tried
+	NoRegion     Kind = "no_region"     // the regions allowed to route and organisation have none in common
 	Overloaded   Kind = "overloaded"    // the targets tried said that they did not run it
 	Quarantined  Kind = "quarantined"   // it crashes the targets that run it; this try was not sent
 	TargetFailed Kind = "target_failed" // it may have run, and no whole answer came
@@ -39,9 +40,9 @@
 	after  time.Duration // when to come back, 0: not said
 }
 
-// quarantinedAfter tells callers not to come back: an operator has to look at the request
-// first. It is longer than any caller waits for an answer.
-const quarantinedAfter = time.Hour
+// operatorAfter tells callers not to come back: an operator has to look at the request or at the
+// configuration first. It is longer than any caller waits for an answer.
+const operatorAfter = time.Hour
 
 var answers = map[Kind]answer{
 	NoConfig:     {http.StatusServiceUnavailable, 500 * time.Millisecond},
@@ -55,8 +56,9 @@
 	CatchingUp:   {http.StatusServiceUnavailable, 50 * time.Millisecond},
 	HostBusy:     {http.StatusServiceUnavailable, overload.Rebalance},
 	NoTarget:     {http.StatusServiceUnavailable, 200 * time.Millisecond},
+	NoRegion:     {http.StatusServiceUnavailable, operatorAfter},
 	Overloaded:   {http.StatusServiceUnavailable, 100 * time.Millisecond},
-	Quarantined:  {http.StatusServiceUnavailable, quarantinedAfter},
+	Quarantined:  {http.StatusServiceUnavailable, operatorAfter},
 	TargetFailed: {http.StatusBadGateway, 0},
 	Timeout:      {http.StatusGatewayTimeout, 0},
 	TimeoutUnrun: {http.StatusServiceUnavailable, 100 * time.Millisecond},
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -60,6 +60,9 @@
 		if q.handler.opts.Quarantine.Held(q.digest) {
 			return q.giveUp(Quarantined, last)
 		}
+		if q.regions().None() {
+			return q.giveUp(NoRegion, last)
+		}
 		t := q.choose(q.excluded)
 		if t == nil {
 			return q.giveUp(NoTarget, errors.Join(last, errors.New("no target is left")))
@@ -100,8 +103,8 @@
 		return TargetFailed, err
 	case kind == Timeout:
 		return TimeoutUnrun, err
-	case kind == Quarantined:
-		return Quarantined, err
+	case kind == Quarantined, kind == NoRegion:
+		return kind, err
 	case q.tries > 0:
 		return Overloaded, err
 	}
@@ -158,6 +161,7 @@
 func (q *request) want(excluded map[string]bool) target.Want {
 	return target.Want{
 		Service: q.service, Affinity: sharedParts(q.shared), Work: float64(q.usage.in), Exclude: excluded,
+		Regions: q.regions(),
 	}
 }
 
--- a/router/node/reload.go
+++ b/router/node/reload.go
@@ -31,6 +31,7 @@
 	n.retries.SetLimits(retryLimits(fresh))
 	n.treasury.SetPlan(plan(fresh))
 	n.fleet.SetSeeds(fresh.Host.Seeds)
+	n.targets.SetRegions(fresh.Host.RegionOf())
 	n.targets.SetDrainWithin(drainPart(settings.Milliseconds(fresh.Bounds.DrainMs)))
 	if config := n.handler.Config(); config != nil {
 		n.setCold(config, fresh.Bounds)
--- a/router/routing/config.go
+++ b/router/routing/config.go
@@ -34,6 +34,7 @@
 	byOrganisation map[string]*Organisation
 	byService      map[string]*Service
 	maxRank        int
+	restricted     bool // some route or organisation names regions
 }
 
 // Route maps a host and a path prefix to a service. Times are milliseconds.
@@ -52,6 +53,8 @@
 	Public          bool     `json:"public"` // needs no key
 	Resumable       bool     `json:"resumable"`
 	Sticky          bool     `json:"sticky"` // prompts share parts
+	// AllowedRegions are the only regions in which its requests may be served; empty: any.
+	AllowedRegions []string `json:"allowed_regions"`
 }
 
 // Weight is one part of a weighted split.
@@ -95,6 +98,8 @@
 	Priority int      `json:"priority"` // 0 is the most urgent
 	// Prepaid is the most tokens that the organisation may use; nil: no limit.
 	Prepaid *int64 `json:"prepaid"`
+	// AllowedRegions are the only regions in which its requests may be served; empty: any.
+	AllowedRegions []string `json:"allowed_regions"`
 }
 
 // Milliseconds turns a configured number into a duration.
@@ -142,6 +147,7 @@
 	for i := range c.Organisations {
 		organisation := &c.Organisations[i]
 		c.byOrganisation[organisation.Name] = organisation
+		c.restricted = c.restricted || len(organisation.AllowedRegions) > 0
 		for _, key := range organisation.Keys {
 			c.byKey[key] = organisation
 		}
@@ -153,6 +159,7 @@
 		}
 		host := strings.ToLower(route.Host)
 		c.byHost[host] = append(c.byHost[host], route)
+		c.restricted = c.restricted || len(route.AllowedRegions) > 0
 		c.maxRank = max(c.maxRank, route.Priority)
 	}
 	for _, routes := range c.byHost {
--- a/router/settings/sections.go
+++ b/router/settings/sections.go
@@ -1,11 +1,15 @@
 package settings
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+)
 
 // Host says what this host is and where it listens. Addresses are IP:port.
 type Host struct {
 	Name          string   `ini:"name"`
 	Domain        string   `ini:"domain"`                    // failure domain
+	Regions       []string `ini:"regions" default:""`        // of the failure domains, each as domain=region
 	Listen        string   `ini:"listen"`                    // callers
 	ReadyListen   string   `ini:"ready_listen"`              // who asks whether this host is ready
 	PeerListen    string   `ini:"peer_listen"`               // other hosts
@@ -24,9 +28,28 @@
 	if h.MetricsListen != "" {
 		return checkAddress("host", "metrics_listen", h.MetricsListen)
 	}
+	return h.checkRegions()
+}
+
+func (h Host) checkRegions() error {
+	for _, entry := range h.Regions {
+		if domain, region, ok := strings.Cut(entry, "="); !ok || domain == "" || region == "" {
+			return bad("host", "regions", entry, "is not a failure domain and its region such as a1=north")
+		}
+	}
 	return nil
 }
 
+// RegionOf gives the region of each failure domain.
+func (h Host) RegionOf() map[string]string {
+	regions := make(map[string]string, len(h.Regions))
+	for _, entry := range h.Regions {
+		domain, region, _ := strings.Cut(entry, "=")
+		regions[domain] = region
+	}
+	return regions
+}
+
 // Log says how the shared log is reached. Times are milliseconds.
 type Log struct {
 	Address     string  `ini:"address"`
--- a/router/settings/settings_test.go
+++ b/router/settings/settings_test.go
@@ -18,6 +18,7 @@
 ready_listen = 10.0.0.1:81
 peer_listen = 10.0.0.1:82
 seeds = 10.0.0.1:82, 10.0.0.2:82
+regions = z1=north,z2=south
 [log]
 address = 10.0.0.9:90
 partitions =
@@ -37,6 +38,7 @@
 	s, err := load(t, good)
 	is.NoErr(err)
 	is.Equal(s.Host.Seeds, []string{"10.0.0.1:82", "10.0.0.2:82"})
+	is.Equal(s.Host.RegionOf(), map[string]string{"z1": "north", "z2": "south"})
 	is.Equal(s.Log.Partitions, 12) // a key without a value counts as not set
 	is.Equal(s.Bounds.RetryRatio, 0.2)
 	is.Equal(s.Host.MetricsListen, "")
@@ -50,6 +52,7 @@
 		{"unknown section", "[log]", "[lag]\nx=1\n[log]", "section [lag]: not known"},
 		{"bad address", "10.0.0.1:81", "localhost:81", `section [host]: key "ready_listen": "localhost:81" is not an address`},
 		{"bad number", "partitions =", "partitions = many", `section [log]: key "partitions": "many" is not a whole number`},
+		{"domain without a region", "z2=south", "z2", `section [host]: key "regions": "z2" is not a failure domain and its region`},
 		{"too few partitions", "partitions =", "partitions = 0", `section [log]: key "partitions"`},
 		{"negative", "partitions =", "[bounds]\nretry_ratio = -1", `section [bounds]: key "retry_ratio": "-1" is not a number from 0`},
 		{"no window", "partitions =", "[bounds]\nretry_window_s = 0", `section [bounds]: key "retry_window_s"`},
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"maststage.dev/lib/rendezvous"
+	"maststage.dev/router/routing"
 )
 
 // Want is what a request asks of a target.
@@ -14,6 +15,7 @@
 	Affinity string // shared parts of the prompt; empty: none
 	Work     float64
 	Exclude  map[string]bool // ids tried already
+	Regions  routing.Regions // in which a target may lie
 }
 
 // Figures of the choice.
@@ -21,8 +23,11 @@
 	affinityBound = 1.6  // times the mean load that a target with the prompt's parts may have
 	affinitySlack = 10.0 // requests that it may have above that
 	farLoad       = 0.3  // what another failure domain counts as, in requests
-	workUnit      = 6000 // prompt tokens that count as one more request
-	coldLoad      = 2.0  // what a cold target counts as, times its load
+	// otherRegionLoad is what another region counts as, in requests: the way there and back
+	// takes as long as a short answer.
+	otherRegionLoad = 1.5
+	workUnit        = 6000 // prompt tokens that count as one more request
+	coldLoad        = 2.0  // what a cold target counts as, times its load
 )
 
 // Choose picks a target, nil if none can take the request. A choice counts against what a
@@ -70,14 +75,14 @@
 
 // candidates lists the targets that may take the request: the ready ones that are
 // neither ejected, nor full, nor quiet, nor ended; else the ready ones; else those that left a moment
-// ago. Evacuated targets are never among them, nor are the cold ones that have enough,
+// ago. Evacuated targets are never among them, nor those of regions that are not allowed, nor are the cold ones that have enough,
 // which are listed apart.
 func (r *Registry) candidates(w Want, now time.Time) (usable, spared []*Target) {
 	all := r.services[w.Service]
 	good := make([]*Target, 0, len(all))
 	var ejected, leaving []*Target
 	for _, t := range all {
-		if w.Exclude[t.ID] || r.evacuations[t.Domain].left(t.ID, now) {
+		if w.Exclude[t.ID] || r.evacuations[t.Domain].left(t.ID, now) || !w.Regions.Has(r.opts.Regions[t.Domain]) {
 			continue
 		}
 		switch {
@@ -139,8 +144,19 @@
 	return best
 }
 
-// leastLoaded picks the least busy target, this host's failure domain before
-// others, at random among equals.
+// distance is what a target's place counts as, in requests.
+func (r *Registry) distance(t *Target) float64 {
+	switch {
+	case t.Domain == r.opts.Domain:
+		return 0
+	case r.opts.Regions[t.Domain] == r.opts.Regions[r.opts.Domain]:
+		return farLoad
+	}
+	return otherRegionLoad
+}
+
+// leastLoaded picks the least busy target, this host's failure domain before others, and its
+// region before others, at random among equals.
 func (r *Registry) leastLoaded(service string, usable []*Target, now time.Time) *Target {
 	stats := r.statsOf(service)
 	var best *Target
@@ -148,9 +164,7 @@
 	ties := 0
 	for _, t := range usable {
 		load := t.load(stats, now) / float64(t.slots)
-		if t.Domain != r.opts.Domain {
-			load += farLoad / float64(t.slots)
-		}
+		load += r.distance(t) / float64(t.slots)
 		switch {
 		case load < least:
 			best, least, ties = t, load, 1
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -43,7 +43,9 @@
 
 // Options configure a Registry.
 type Options struct {
-	Domain      string        // of this host
+	Domain string // of this host
+	// Regions are those of the failure domains. What is not there is in no known region.
+	Regions     map[string]string
 	DrainWithin time.Duration // a leaving target gets no request later than this
 	DialTimeout time.Duration
 	IdleTimeout time.Duration
@@ -189,6 +191,13 @@
 	}
 }
 
+// SetRegions changes which regions the failure domains lie in.
+func (r *Registry) SetRegions(regions map[string]string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.opts.Regions = regions
+}
+
 // SetDrainWithin changes how long a leaving target may still be chosen.
 func (r *Registry) SetDrainWithin(d time.Duration) {
 	r.mu.Lock()
