rollout: move a service to a new version by a bounded trial, once and for good

Orders (rollout/SERVICE) were not known: each ready target got its even share, whatever its version, half of all requests from the first second on. Now a lot sends a bounded part of the requests to a few new targets, all hosts tell one of them what they saw, and that one judges by route against the old version and writes one state under a condition.

--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -171,6 +171,7 @@
 	mux.HandleFunc("POST "+pathRecall, f.serveRecall)
 	mux.HandleFunc("POST "+pathGive, f.serveGive)
 	mux.HandleFunc("POST "+pathHistory, f.serveHistory)
+	mux.HandleFunc("POST "+pathRollout, f.serveRollout)
 	mux.HandleFunc("POST "+pathEnds, f.serveEnds)
 	mux.HandleFunc("POST "+pathCleared, f.serveCleared)
 	mux.HandleFunc("POST "+pathQuarantine, f.serveQuarantine)
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -50,6 +50,8 @@
 	History func() prepaid.History
 	// Quarantine takes part in finding requests that crash targets. nil: this host does not.
 	Quarantine Quarantine
+	// Rollouts conducts rollouts for other hosts. nil: this host does not.
+	Rollouts Rollouts
 	// OnPull counts the calls for what this host missed by their outcome, PullOK or
 	// PullFailed. nil: they are not counted.
 	OnPull func(outcome string)
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -52,6 +52,8 @@
 	// Quarantine is told how tries ended and asked before each.
 	Quarantine Quarantine
 	Observer   Observer
+	// Rollouts says which versions a request may use and is told how it fared there; nil: any.
+	Rollouts Rollouts
 	// Leaving says that callers are to use other hosts: connections are to be closed.
 	Leaving func() bool
 	// Takes says whether a request that arrived may begin: OK, or why not. It may wait a
@@ -74,6 +76,9 @@
 
 // New makes a handler without a configuration.
 func New(opts Options) *Handler {
+	if opts.Rollouts == nil {
+		opts.Rollouts = anyVersion{}
+	}
 	names := opts.Names.canonical()
 	return &Handler{opts: opts, names: names, own: names.own(), kept: names.kept(), waits: newWaits()}
 }
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"maststage.dev/router/exchange"
+	"maststage.dev/router/rollout"
 	"maststage.dev/router/routing"
 	"maststage.dev/router/target"
 )
@@ -154,14 +155,24 @@
 	return q.handler.opts.Retries.Of(q.service).Spend(time.Now())
 }
 
+// choose picks a target. Where the request was to try a new version and none of its targets takes
+// it, it goes to the others.
 func (q *request) choose(excluded map[string]bool) *target.Target {
-	return q.handler.opts.Targets.Choose(q.want(excluded))
+	targets := q.handler.opts.Targets
+	w := q.want(excluded)
+	w.Versions = q.handler.opts.Rollouts.Rule(q.ask(len(excluded) == 0))
+	t := targets.Choose(w)
+	if t == nil && w.Versions.Only != "" {
+		t = targets.Choose(q.want(excluded))
+	}
+	return t
 }
 
+// want is what the request asks of a target as a repeat.
 func (q *request) want(excluded map[string]bool) target.Want {
 	return target.Want{
 		Service: q.service, Affinity: sharedParts(q.shared), Work: float64(q.usage.in), Exclude: excluded,
-		Regions: q.regions(),
+		Regions: q.regions(), Versions: q.handler.opts.Rollouts.Rule(q.ask(false)),
 	}
 }
 
@@ -171,8 +182,9 @@
 	work := float64(q.usage.in)
 	targets := q.handler.opts.Targets
 	targets.Begin(t, work)
-	c := &call{request: q, target: t, started: started, work: work}
+	c := &call{request: q, target: t, started: started, work: work, ask: q.ask(len(q.excluded) == 0)}
 	res, err := c.do(ctx)
+	q.handler.opts.Rollouts.Ended(c.ask, t.Version, c.answer(res, targets.Cold(t)))
 	if c.wentSilent(res) {
 		t.Pool.CloseIdle()
 	}
@@ -198,11 +210,13 @@
 	target  *target.Target
 	conn    *exchange.Conn
 	started time.Time
-	work    float64   // counted at the target until it answers
-	first   time.Time // when the first event came
-	last    time.Time // when the newest event came
-	events  int       // that came
-	sent    bool      // the target may have the request
+	work    float64 // counted at the target until it answers
+	ask     rollout.Ask
+	begins  time.Duration // until the answer began, 0: it did not
+	first   time.Time     // when the first event came
+	last    time.Time     // when the newest event came
+	events  int           // that came
+	sent    bool          // the target may have the request
 	status  int
 	resumed string
 	silence *silence
@@ -239,7 +253,8 @@
 // answered notes that the target began to answer.
 func (c *call) answered() {
 	c.target.Heard(time.Now())
-	c.request.handler.opts.Targets.Answered(c.target, c.work, time.Since(c.started))
+	c.begins = time.Since(c.started)
+	c.request.handler.opts.Targets.Answered(c.target, c.work, c.begins)
 	c.work = 0
 }
 
@@ -277,6 +292,7 @@
 	c.sent = true
 	c.request.tries++
 	c.request.ran++
+	c.request.handler.opts.Rollouts.Sent(c.ask, c.target.Version)
 }
 
 // defaultDeadline is handed on when neither caller nor route has one.
--- /dev/null
+++ b/router/forward/versions.go
@@ -0,0 +1,59 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"maststage.dev/router/rollout"
+)
+
+// Rollouts keeps the versions of targets that requests may use.
+type Rollouts interface {
+	// Rule gives the versions that a request may use.
+	Rule(a rollout.Ask) rollout.Rule
+	// Sent notes that a target of a version may have got a request.
+	Sent(a rollout.Ask, version string)
+	// Ended notes how the request fared there.
+	Ended(a rollout.Ask, version string, answer rollout.Answer)
+}
+
+// anyVersion allows all versions.
+type anyVersion struct{}
+
+func (anyVersion) Rule(rollout.Ask) rollout.Rule             { return rollout.Rule{} }
+func (anyVersion) Sent(rollout.Ask, string)                  {}
+func (anyVersion) Ended(rollout.Ask, string, rollout.Answer) {}
+
+// ask is what the request is to a rollout; first says that no target was tried before.
+func (q *request) ask(first bool) rollout.Ask {
+	return rollout.Ask{Service: q.service, Single: !q.route.Repeatable(), First: first}
+}
+
+// leastEvents is how many events of a stream tell its pace.
+const leastEvents = 3
+
+// answer is what the try tells of the version of its target. The times of a cold target tell only
+// that it is cold.
+func (c *call) answer(res result, cold bool) rollout.Answer {
+	a := rollout.Answer{
+		Route: c.request.route.Name, Domain: c.target.Domain, Target: c.target.ID, Unsent: res == notSent,
+	}
+	switch res {
+	case refused, callerGone:
+		a.Void = true
+	case outOfTime:
+		a.Void, a.Failed = c.status != 0, c.status == 0
+	case delivered:
+		a.Failed = c.status >= http.StatusInternalServerError
+	default:
+		a.Failed = true
+	}
+	if cold {
+		return a
+	}
+	a.First = c.begins
+	if c.events >= leastEvents {
+		a.Pace = c.last.Sub(c.first) / time.Duration(c.events-1)
+	}
+	return a
+}
--- a/router/node/config.go
+++ b/router/node/config.go
@@ -26,7 +26,7 @@
 func (n *Node) configChanged(changes []replica.Change) {
 	var newest *configChange
 	for _, c := range changes {
-		if n.evacuationChanged(c) {
+		if n.evacuationChanged(c) || n.rollouts.orderChanged(c) {
 			continue
 		}
 		if c.Record.Key != n.outside.ConfigKey || len(c.Record.Value) == 0 {
@@ -193,6 +193,7 @@
 			n.ignoreEntry(id, err)
 			continue
 		}
+		n.rollouts.saw(entry)
 		n.targets.Put(entry)
 	}
 }
--- a/router/node/harness_test.go
+++ b/router/node/harness_test.go
@@ -40,6 +40,9 @@
 	topicHosts   = "hosts"
 	topicBudgets = "budgets"
 	topicArchive = "copies"
+	topicStatus  = "status"
+
+	rolloutPrefix = "rollout/"
 
 	evacuationPrefix = "evacuate/"
 )
@@ -137,6 +140,8 @@
 			e := target.Entry{ID: id}
 			return e, json.Unmarshal(value, &e)
 		},
+		StatusTopic: topicStatus,
+		DecodeOrder: decodeOrder, EncodeState: encodeState, DecodeState: decodeState,
 		DecodeEvacuation: func(rec eventlog.Record) (e routing.Evacuation, ok bool, err error) {
 			domain, ok := strings.CutPrefix(rec.Key, evacuationPrefix)
 			if string(rec.Value) == "garbled" {
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -24,6 +24,7 @@
 	"maststage.dev/router/quarantine"
 	"maststage.dev/router/replica"
 	"maststage.dev/router/retrybudget"
+	"maststage.dev/router/rollout"
 	"maststage.dev/router/routing"
 	"maststage.dev/router/settings"
 	"maststage.dev/router/suspend"
@@ -46,6 +47,14 @@
 	// DecodeEvacuation reads the records in the configuration's topic that order
 	// evacuations or take them back; ok is false for all others. nil: there are none.
 	DecodeEvacuation func(rec eventlog.Record) (e routing.Evacuation, ok bool, err error)
+	// StatusTopic is where the states of rollouts are kept.
+	StatusTopic string
+	// DecodeOrder reads the records in the configuration's topic that order rollouts, or take them
+	// back: then only the service is set. ok is false for all others. nil: there are none.
+	DecodeOrder func(rec eventlog.Record) (o rollout.Order, inForce, ok bool, err error)
+	EncodeState func(r rollout.Record) eventlog.Record
+	// DecodeState reads the records of states; ok is false for all others.
+	DecodeState func(rec eventlog.Record) (r rollout.Record, ok bool, err error)
 	// ReadyPath is where the platform asks whether the host is ready.
 	ReadyPath string
 }
@@ -68,6 +77,7 @@
 	woke     atomic.Pointer[wake] // from the newest suspension
 	accounts *accounts
 	ignored  *logging.Limiter // of lines about entries that name no target
+	rollouts *rollouts
 
 	configCopy, targetsCopy, hostsCopy *replica.Replica
 
@@ -110,6 +120,7 @@
 		Elected:     n.elected,
 	})
 	n.copies()
+	n.rollouts = n.newRollouts(incarnation)
 	n.newGuard()
 	n.newFleet(incarnation)
 	n.guard.SetPeers(n.fleet)
@@ -118,7 +129,7 @@
 	n.handler = forward.New(forward.Options{
 		Names: outside.Headers, Targets: n.targets, Budgets: n.treasury, Retries: n.retries,
 		Meter: metering.New(), Overload: n.overload, Quarantine: n.guard,
-		Observer: n.observer, Leaving: n.leaving, Takes: n.admits, Lost: n.lost,
+		Observer: n.observer, Leaving: n.leaving, Takes: n.admits, Lost: n.lost, Rollouts: n.rollouts,
 	})
 	n.watch = suspend.New(clocks, n.resumed)
 	n.gauges()
@@ -204,6 +215,7 @@
 		Credit:     func(gift prepaid.Gift) bool { return n.treasury.Credit(gift) },
 		History:    func() prepaid.History { return n.treasury.History() },
 		Quarantine: n.guard,
+		Rollouts:   n.rollouts,
 		OnPull:     func(outcome string) { n.observer.Count(fmt.Sprintf("pulls_total{outcome=%q}", outcome)) },
 	})
 }
@@ -295,6 +307,7 @@
 	guard.Go("fleet", func() { n.fleet.Run(ctx) })
 	guard.Go("treasury", func() { n.treasury.Run(ctx) })
 	guard.Go("quarantine", func() { n.guard.Run(ctx) })
+	guard.Go("rollouts", func() { n.rollouts.run(ctx) })
 	guard.Go("suspensions", func() { n.watch.Run(ctx) })
 	guard.Go("housekeeping", func() { n.housekeeping(ctx) })
 	tellLast := n.tellAccounts(ctx)
--- a/router/prepaid/clerk.go
+++ b/router/prepaid/clerk.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"hash/fnv"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -91,7 +90,7 @@
 // run keeps the accounts until ctx ends. After a failure the next round waits,
 // longer each time, whether requests wait or not.
 func (c *clerk) run(ctx context.Context) {
-	timer := time.NewTimer(jitter(c.interval()))
+	timer := time.NewTimer(wait.Jitter(c.interval()))
 	defer timer.Stop()
 	failures := 0
 	for {
@@ -104,13 +103,13 @@
 		pause := c.pause()
 		if err := c.round(ctx); err != nil {
 			failures++
-			wait.For(ctx, jitter(min(minRetry<<min(failures, maxDoublings), maxRetry)))
+			wait.For(ctx, wait.Jitter(min(minRetry<<min(failures, maxDoublings), maxRetry)))
 			pause = 0
 		} else {
 			failures = 0
 		}
 		c.treasury.giveIdle(ctx, c)
-		timer.Reset(jitter(pause))
+		timer.Reset(wait.Jitter(pause))
 	}
 }
 
@@ -156,14 +155,6 @@
 	maxDoublings = 6
 )
 
-// jitter spreads a pause over half of it to one and a half.
-func jitter(d time.Duration) time.Duration {
-	if d <= 0 {
-		return 0
-	}
-	return d/2 + rand.N(d)
-}
-
 // order is one organisation's part of an append.
 type order struct {
 	organisation string
--- a/router/prepaid/history.go
+++ b/router/prepaid/history.go
@@ -134,7 +134,7 @@
 			if h, ok := t.opts.Histories(ctx, g.after); ok && t.learn(h) {
 				break
 			}
-			wait.For(ctx, jitter(pause))
+			wait.For(ctx, wait.Jitter(pause))
 		}
 	}
 }
--- a/router/settings/sections.go
+++ b/router/settings/sections.go
@@ -79,12 +79,19 @@
 	// all hosts together in any second.
 	ColdOverrun float64 `ini:"cold_overrun" default:"1"`
 	ColdSlack   float64 `ini:"cold_slack" default:"0"`
+	// A new version that turns out bad gets at most this part of a service's requests, and so
+	// many more.
+	ExposureShare float64 `ini:"exposure_share" default:"0.1"`
+	ExposureSlack float64 `ini:"exposure_slack" default:"50"`
 }
 
 func (b Bounds) check() error {
 	if b.RetryWindowS <= 0 {
 		return bad("bounds", "retry_window_s", "0", "is not above 0")
 	}
+	if b.ExposureShare <= 0 || b.ExposureShare > 1 {
+		return bad("bounds", "exposure_share", fmt.Sprint(b.ExposureShare), "is not a part above 0")
+	}
 	if b.ColdOverrun <= 0 {
 		return bad("bounds", "cold_overrun", fmt.Sprint(b.ColdOverrun), "is not above 0")
 	}
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"maststage.dev/lib/rendezvous"
+	"maststage.dev/router/rollout"
 	"maststage.dev/router/routing"
 )
 
@@ -15,6 +16,7 @@
 	Affinity string // shared parts of the prompt; empty: none
 	Work     float64
 	Exclude  map[string]bool // ids tried already
+	Versions rollout.Rule    // that a target may have
 	Regions  routing.Regions // in which a target may lie
 }
 
@@ -53,6 +55,7 @@
 // choose picks a target; the lock is held.
 func (r *Registry) choose(w Want, now time.Time) *Target {
 	usable, spared := r.candidates(w, now)
+	usable = r.onTrial(w, usable)
 	if len(usable) == 0 {
 		return nil
 	}
@@ -75,14 +78,14 @@
 
 // candidates lists the targets that may take the request: the ready ones that are
 // neither ejected, nor full, nor quiet, nor ended; else the ready ones; else those that left a moment
-// ago. Evacuated targets are never among them, nor those of regions that are not allowed, nor are the cold ones that have enough,
+// ago. Evacuated targets are never among them, nor those of regions or versions that are not allowed, nor are the cold ones that have enough,
 // which are listed apart.
 func (r *Registry) candidates(w Want, now time.Time) (usable, spared []*Target) {
 	all := r.services[w.Service]
 	good := make([]*Target, 0, len(all))
 	var ejected, leaving []*Target
 	for _, t := range all {
-		if w.Exclude[t.ID] || r.evacuations[t.Domain].left(t.ID, now) || !w.Regions.Has(r.opts.Regions[t.Domain]) {
+		if w.Exclude[t.ID] || r.evacuations[t.Domain].left(t.ID, now) || !w.Regions.Has(r.opts.Regions[t.Domain]) || !w.Versions.Allows(t.Version) {
 			continue
 		}
 		switch {
--- a/router/target/cold.go
+++ b/router/target/cold.go
@@ -54,6 +54,13 @@
 // isCold says whether a target is cold, as far as its entries tell.
 func (t *Target) isCold(now time.Time) bool { return now.Before(t.cold.until) }
 
+// Cold says whether a target is cold.
+func (r *Registry) Cold(t *Target) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return t.isCold(time.Now())
+}
+
 // coldAdmits says whether a target may get a request of this host as far as its cold time
 // goes; the lock is held.
 func (r *Registry) coldAdmits(t *Target, now time.Time) bool {
--- a/router/target/entry.go
+++ b/router/target/entry.go
@@ -21,6 +21,7 @@
 	Service  string
 	Address  string // IP:port
 	Domain   string // failure domain
+	Version  string // of its software
 	Slots    int
 	State    State
 	ColdLeft time.Duration // how much longer it is slow from its start
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -13,12 +13,13 @@
 )
 
 // Target is one incarnation of a back end as this host sees it. Its fields are
-// guarded by the registry's lock, but for ID, Service, Address, Domain and Pool.
+// guarded by the registry's lock, but for ID, Service, Address, Domain, Version and Pool.
 type Target struct {
 	ID      string
 	Service string
 	Address string
 	Domain  string
+	Version string // of its software
 	Pool    *exchange.Pool
 
 	slots  int
@@ -95,13 +96,13 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	t := r.targets[e.ID]
-	if t != nil && (t.Address != e.Address || t.Service != e.Service || t.life.another(e.Incarnation())) {
+	if t != nil && (t.Address != e.Address || t.Service != e.Service || t.Version != e.Version || t.life.another(e.Incarnation())) {
 		r.drop(t)
 		t = nil
 	}
 	if t == nil {
 		t = r.add(e)
-		log.WithFields(log.Fields{"target": e.Incarnation(), "service": e.Service, "address": e.Address, "domain": e.Domain}).Info("target listed")
+		log.WithFields(log.Fields{"target": e.Incarnation(), "service": e.Service, "address": e.Address, "domain": e.Domain, "version": e.Version}).Info("target listed")
 	}
 	if !e.Born.IsZero() {
 		t.life = e.Incarnation()
@@ -154,7 +155,7 @@
 
 func (r *Registry) add(e Entry) *Target {
 	t := &Target{
-		ID: e.ID, Service: e.Service, Address: e.Address, Domain: e.Domain, slots: max(e.Slots, 1), life: e.Incarnation(),
+		ID: e.ID, Service: e.Service, Address: e.Address, Domain: e.Domain, Version: e.Version, slots: max(e.Slots, 1), life: e.Incarnation(),
 		Pool: exchange.NewPool(exchange.Options{
 			Address: e.Address, DialTimeout: r.opts.DialTimeout, IdleTimeout: r.opts.IdleTimeout,
 			MaxIdle: r.opts.MaxIdle, UserTimeout: r.opts.UserTimeout, OnDial: r.opts.OnDial,
@@ -245,6 +246,19 @@
 	return ready
 }
 
+// Versions counts the ready targets of a service by version.
+func (r *Registry) Versions(service string) map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	versions := map[string]int{}
+	for _, t := range r.services[service] {
+		if t.listed && t.state == Ready {
+			versions[t.Version]++
+		}
+	}
+	return versions
+}
+
 // Total counts the ready targets of all services.
 func (r *Registry) Total() (ready int) {
 	r.mu.Lock()
