--- a/router/node/config.go
+++ b/router/node/config.go
@@ -63,7 +63,7 @@
 func (n *Node) configChanged(changes []replica.Change) {
 	added := false
 	for _, c := range changes {
-		if n.evacuationChanged(c) {
+		if n.evacuationChanged(c) || n.rollouts.orderChanged(c) {
 			continue
 		}
 		if c.Record.Key != n.outside.ConfigKey || len(c.Record.Value) == 0 {
@@ -250,6 +250,7 @@
 			n.ignoreEntry(id, err)
 			continue
 		}
+		n.rollouts.saw(entry)
 		n.targets.Put(entry)
 	}
 }
