--- /dev/null
+++ b/router/logcount/logcount.go
@@ -0,0 +1,128 @@
+// Package logcount counts the calls of a host to the shared log and the bytes that came back, by
+// topic, kind of call and outcome: what a large fleet costs the log is the sum of these.
+package logcount
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	log "github.com/sirupsen/logrus"
+
+	"maststage.dev/router/eventlog"
+)
+
+// Outcomes of a call.
+const (
+	OK       = "ok"
+	Conflict = "conflict" // another append came first
+	Trimmed  = "trimmed"  // the records are gone
+	Refused  = "refused"  // no effect
+	Unknown  = "unknown"  // no answer
+)
+
+// Key is what calls are counted by.
+type Key struct {
+	Topic   string
+	Call    string // append, read or newest
+	Outcome string
+}
+
+// Count is how many calls of a key there were, and the bytes of keys and values that they read.
+type Count struct{ Calls, Bytes int64 }
+
+// Log counts the calls to another Log. It implements eventlog.Log.
+type Log struct {
+	log    eventlog.Log
+	onCall func(Key, int64)
+
+	mu     sync.Mutex
+	counts map[Key]Count
+}
+
+// New counts the calls to l; onCall, unless nil, is told of each.
+func New(l eventlog.Log, onCall func(k Key, bytes int64)) *Log {
+	return &Log{log: l, onCall: onCall, counts: map[Key]Count{}}
+}
+
+// AppendAt implements eventlog.Log.
+func (l *Log) AppendAt(ctx context.Context, p eventlog.Partition, at int64, records []eventlog.Record) (int64, error) {
+	end, err := l.log.AppendAt(ctx, p, at, records)
+	l.note(p, "append", nil, err)
+	return end, err
+}
+
+// Append implements eventlog.Log.
+func (l *Log) Append(ctx context.Context, p eventlog.Partition, records []eventlog.Record) (int64, error) {
+	end, err := l.log.Append(ctx, p, records)
+	l.note(p, "append", nil, err)
+	return end, err
+}
+
+// Read implements eventlog.Log.
+func (l *Log) Read(ctx context.Context, p eventlog.Partition, from int64, wait time.Duration) (eventlog.Batch, error) {
+	batch, err := l.log.Read(ctx, p, from, wait)
+	l.note(p, "read", batch.Records, err)
+	return batch, err
+}
+
+// Newest implements eventlog.Log.
+func (l *Log) Newest(ctx context.Context, p eventlog.Partition, after string) (eventlog.Page, error) {
+	page, err := l.log.Newest(ctx, p, after)
+	l.note(p, "newest", page.Records, err)
+	return page, err
+}
+
+func (l *Log) note(p eventlog.Partition, call string, records []eventlog.Record, err error) {
+	k := Key{Topic: p.Topic, Call: call, Outcome: outcomeOf(err)}
+	bytes := int64(0)
+	for _, r := range records {
+		bytes += int64(len(r.Key) + len(r.Value))
+	}
+	l.mu.Lock()
+	c := l.counts[k]
+	l.counts[k] = Count{Calls: c.Calls + 1, Bytes: c.Bytes + bytes}
+	l.mu.Unlock()
+	if l.onCall != nil {
+		l.onCall(k, bytes)
+	}
+}
+
+func outcomeOf(err error) string {
+	var conflict *eventlog.ConflictError
+	switch {
+	case err == nil:
+		return OK
+	case errors.As(err, &conflict):
+		return Conflict
+	case errors.Is(err, eventlog.ErrTrimmed):
+		return Trimmed
+	case errors.Is(err, eventlog.ErrRefused):
+		return Refused
+	}
+	return Unknown
+}
+
+// Counts is what was counted so far.
+func (l *Log) Counts() map[Key]Count {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.counts)
+}
+
+// Tell writes a line for each key, all since the start, in the same order each time.
+func (l *Log) Tell() {
+	counts := l.Counts()
+	keys := slices.SortedFunc(maps.Keys(counts), func(a, b Key) int {
+		return cmp.Or(cmp.Compare(a.Topic, b.Topic), cmp.Compare(a.Call, b.Call), cmp.Compare(a.Outcome, b.Outcome))
+	})
+	for _, k := range keys {
+		log.WithFields(log.Fields{
+			"topic": k.Topic, "call": k.Call, "outcome": k.Outcome, "calls": counts[k].Calls, "bytes": counts[k].Bytes,
+		}).Info("calls to the log")
+	}
+}
--- a/router/node/accounts.go
+++ b/router/node/accounts.go
@@ -40,6 +40,7 @@
 			return
 		case <-tick.C:
 			n.accounts.tell(n.treasury.Holdings())
+			n.calls.Tell()
 		}
 	}
 }
--- a/router/node/gauges.go
+++ b/router/node/gauges.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"maststage.dev/router/logcount"
 	"maststage.dev/router/replica"
 )
 
@@ -29,6 +30,14 @@
 	})
 }
 
+// countCall counts a call to the log.
+func (n *Node) countCall(k logcount.Key, bytes int64) {
+	n.observer.Count(fmt.Sprintf("log_calls_total{topic=%q,call=%q,outcome=%q}", k.Topic, k.Call, k.Outcome))
+	if bytes > 0 {
+		n.observer.Add(fmt.Sprintf("log_read_bytes_total{topic=%q}", k.Topic), int(bytes))
+	}
+}
+
 // copyAge is the time in seconds since the log last told of a topic, -1 if it never did.
 func copyAge(c *replica.Replica) float64 {
 	_, contact := c.Up()
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -16,6 +16,7 @@
 	"maststage.dev/router/eventlog"
 	"maststage.dev/router/fleet"
 	"maststage.dev/router/forward"
+	"maststage.dev/router/logcount"
 	"maststage.dev/router/logging"
 	"maststage.dev/router/metering"
 	"maststage.dev/router/observe"
@@ -78,6 +79,7 @@
 	accounts *accounts
 	ignored  *logging.Limiter // of lines about entries that name no target
 	rollouts *rollouts
+	calls    *logcount.Log
 
 	configCopy, targetsCopy, hostsCopy *replica.Replica
 
@@ -108,6 +110,8 @@
 		stopping: make(chan struct{}),
 		changed:  make(chan struct{}, 1),
 	}
+	n.calls = logcount.New(outside.Log, n.countCall)
+	n.outside.Log = n.calls
 	n.targets = target.NewRegistry(target.Options{
 		Domain:      cfg.Host.Domain,
 		Regions:     cfg.Host.RegionOf(),
--- a/router/observe/observe.go
+++ b/router/observe/observe.go
@@ -125,6 +125,9 @@
 // Count adds to a counter.
 func (o *Observer) Count(name string) { o.set.GetOrCreateCounter("maststage_" + name).Inc() }
 
+// Add adds so much to a counter.
+func (o *Observer) Add(name string, n int) { o.set.GetOrCreateCounter("maststage_" + name).Add(n) }
+
 // Gauge adds a gauge that is read when the metrics are.
 func (o *Observer) Gauge(name string, f func() float64) { o.set.NewGauge("maststage_"+name, f) }
 
