replica, archive, fleet: loads go on after a refused page, pauses grow with the fleet

Found with a fleet of 984 hosts (docs/design/fleet.md): a copy of 20 pages was begun anew after each refused page and never came to its end while the log refused one call in three; pauses between failed calls were 0.05 to 0.4 s without jitter whatever the size of the fleet; the copies of topics were read every 0.15 s; 984 hosts announced themselves 123 times a second, which each of them reads.

replica TestLoadGoesOnAfterARefusedPage, TestPausesGrowWithTheFleet; fleet TestAnnouncementsOfALargeFleet. Up to 200 hosts the pauses are as before, but for the jitter.

--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -181,7 +181,7 @@
 	self := f.opts.Self
 	for ctx.Err() == nil {
 		self.Beat++
-		pause := f.opts.Announce
+		pause := f.announcePause()
 		if err := f.write(ctx, self); err != nil {
 			pause = min(pause, announceRetry)
 		}
@@ -189,6 +189,17 @@
 	}
 }
 
+// Figures of announcements in a large fleet.
+const (
+	announceForHost = 16 * time.Millisecond // so that all hosts announce themselves some 60 times a second
+	mostAnnounce    = 20 * time.Second      // half as much again is well below forgetAfter
+)
+
+// announcePause is the time between two announcements. Each is read by all hosts.
+func (f *Fleet) announcePause() time.Duration {
+	return max(f.opts.Announce, min(time.Duration(f.Size())*announceForHost, mostAnnounce))
+}
+
 // untilAnnounce waits for the next announcement.
 func (f *Fleet) untilAnnounce(ctx context.Context, pause time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, pause)
--- a/router/fleet/fleet_test.go
+++ b/router/fleet/fleet_test.go
@@ -143,6 +143,19 @@
 	is.Equal(asked, readers)
 }
 
+// What all hosts write to the log together does not grow as the fleet does.
+func TestAnnouncementsOfALargeFleet(t *testing.T) {
+	is := is.New(t)
+	pause := func(n int) time.Duration {
+		f := New(Options{Self: Host{Name: "h0", Domain: "z0"}, Announce: 8 * time.Second})
+		announced(f, hosts(n, 5)...)
+		return f.announcePause()
+	}
+	is.Equal(pause(90), 8*time.Second)
+	is.Equal(pause(1000), 16*time.Second)
+	is.True(pause(2000)*3/2 < forgetAfter)
+}
+
 // A reader's answer counts if it is fresh.
 func TestRelayAsksForFreshAnswers(t *testing.T) {
 	is := is.New(t)
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -162,6 +162,7 @@
 			Log: n.outside.Log, Partition: eventlog.Partition{Topic: topic}, LongPoll: poll, Slack: slack, Pace: pace,
 			OnChange:  onChange,
 			OnContact: func(err error) { n.contact(topic, err) },
+			Hosts:     n.hostCount,
 		})
 	}
 	pace := settings.Milliseconds(n.cfg.Log.PaceMs)
@@ -174,10 +175,14 @@
 			return n.fleet.Relay(ctx, n.outside.TargetsTopic, from)
 		},
 		Meaning: n.targetMeaning,
+		Hosts:   n.hostCount,
 	})
 	n.hostsCopy = copyOf(n.outside.HostsTopic, hostsPace, n.hostsChanged)
 }
 
+// hostCount counts the hosts as far as they are known.
+func (n *Node) hostCount() int { return n.fleet.Size() }
+
 // noTarget is the meaning of an entry that names no target to use.
 type noTarget struct{}
 
--- a/router/replica/replica.go
+++ b/router/replica/replica.go
@@ -48,6 +48,9 @@
 	// Relay asks another host for what changed from an offset on; ok is false if none
 	// can tell. The log is read then. nil: never.
 	Relay func(ctx context.Context, from int64) (part Part, ok bool)
+	// Hosts counts the hosts that copy the same: the more there are, the longer the pauses after
+	// calls that failed, so that all together don't keep the log from coming back. nil: few.
+	Hosts func() int
 	// Meaning gives what counts of a value, comparable. A record of the same meaning as
 	// the one before is no change. nil: each record is one.
 	Meaning func(rec eventlog.Record) any
@@ -73,8 +76,22 @@
 	restart context.CancelFunc // ends the question under way, or the pause after it
 	up      bool
 	called  bool // the log was called at least once
+	partial partialLoad
 }
 
+// partialLoad is a reading of all records that broke off between two pages. It goes on where it
+// was: begun anew each time, a large copy would never be whole at a busy log.
+type partialLoad struct {
+	began   time.Time
+	records []eventlog.Record
+	end     int64
+	after   string // the last key that was read
+}
+
+// partialFor is how long a reading that broke off is gone on with: the log keeps some seconds of
+// its history, from which the copy has to follow.
+const partialFor = 8 * time.Second
+
 // known is the newest record of a key.
 type known struct {
 	eventlog.Record
@@ -100,8 +117,8 @@
 		r.noteAsked(started.Add(-age), err)
 		pause := r.opts.Pace - time.Since(started)
 		if err != nil {
-			pause = backoff
-			backoff = min(backoff*2, maxBackoff)
+			pause = wait.Jitter(backoff)
+			backoff = min(backoff*2, r.mostBackoff())
 		} else {
 			backoff = minBackoff
 		}
@@ -148,11 +165,21 @@
 	return r.asked.After(t)
 }
 
+// Pauses after a call that failed.
 const (
-	minBackoff = 50 * time.Millisecond
-	maxBackoff = 400 * time.Millisecond
+	minBackoff     = 50 * time.Millisecond
+	maxBackoff     = 400 * time.Millisecond
+	backoffForHost = 2 * time.Millisecond // where that is more: 500 calls a second of all hosts
 )
 
+// mostBackoff is the longest pause after a call that failed.
+func (r *Replica) mostBackoff() time.Duration {
+	if r.opts.Hosts == nil {
+		return maxBackoff
+	}
+	return max(maxBackoff, time.Duration(r.opts.Hosts())*backoffForHost)
+}
+
 // step asks a relay, or makes one call chain to the log: the newest records if the
 // copy is empty, too old or far behind, else a long poll. age is how old the answer is.
 func (r *Replica) step(ctx context.Context) (age time.Duration, err error) {
@@ -204,26 +231,28 @@
 // load reads the newest record of each key. Its pages are no snapshot, so the
 // copy then follows the log from the end that the first page told.
 func (r *Replica) load(ctx context.Context) error {
-	var all []eventlog.Record
-	var end int64
-	after := ""
-	for first := true; ; first = false {
+	p := &r.partial
+	if p.after == "" || time.Since(p.began) > partialFor {
+		*p = partialLoad{began: time.Now()}
+	}
+	for {
 		c, cancel := patience.New(ctx, patience.Limits{First: 2 * r.opts.Slack, Silence: r.opts.Slack, Most: longestRead})
-		page, err := r.opts.Log.Newest(c, r.opts.Partition, after)
+		page, err := r.opts.Log.Newest(c, r.opts.Partition, p.after)
 		cancel()
 		if err != nil {
 			return err
 		}
-		if first {
-			end = page.End
+		if p.after == "" {
+			p.end = page.End
 		}
-		all = append(all, page.Records...)
+		p.records = append(p.records, page.Records...)
 		if !page.More || len(page.Records) == 0 {
 			break
 		}
-		after = page.Records[len(page.Records)-1].Key
+		p.after = page.Records[len(page.Records)-1].Key
 	}
-	r.replace(all, end)
+	r.replace(p.records, p.end)
+	*p = partialLoad{}
 	return nil
 }
 
--- a/router/replica/replica_test.go
+++ b/router/replica/replica_test.go
@@ -239,6 +239,48 @@
 	is.Equal(r.End(), int64(3))
 }
 
+// busyPages is a log of many pages of which every third is refused.
+type busyPages struct {
+	eventlog.Log
+	pages, calls int
+}
+
+func (l *busyPages) Newest(_ context.Context, _ eventlog.Partition, after string) (eventlog.Page, error) {
+	l.calls++
+	if l.calls%3 == 0 {
+		return eventlog.Page{}, eventlog.ErrRefused
+	}
+	at := 0
+	if after != "" {
+		_, _ = fmt.Sscanf(after, "k%d", &at)
+		at++
+	}
+	rec := eventlog.Record{Key: fmt.Sprintf("k%02d", at), Value: []byte("v"), Offset: int64(at)}
+	return eventlog.Page{Records: []eventlog.Record{rec}, More: at < l.pages-1, End: int64(l.pages)}, nil
+}
+
+// A large fleet starts at once and the log refuses one call in three: a copy of twenty pages was
+// begun anew after each refusal and never came to its end.
+func TestLoadGoesOnAfterARefusedPage(t *testing.T) {
+	is := is.New(t)
+	l := &busyPages{pages: 20}
+	r := New(Options{Log: l, Partition: part, Slack: time.Second})
+	for tries := 0; !r.Loaded() && tries < 15; tries++ {
+		_, _ = r.step(t.Context())
+	}
+	is.True(r.Loaded())
+	is.Equal(len(r.records), 20)
+	is.True(l.calls <= 20*3/2)
+}
+
+// The pauses of all hosts together leave the log room.
+func TestPausesGrowWithTheFleet(t *testing.T) {
+	is := is.New(t)
+	is.Equal(New(Options{}).mostBackoff(), maxBackoff)
+	is.Equal(New(Options{Hosts: func() int { return 90 }}).mostBackoff(), maxBackoff)
+	is.Equal(New(Options{Hosts: func() int { return 2000 }}).mostBackoff(), 4*time.Second)
+}
+
 // The age of a copy is that of the log's answer that it rests on, however many hosts
 // handed it on.
 func TestAgeOfARelayedCopy(t *testing.T) {
