forward, fleet: a host that stood still, and one of an earlier build, are not silent

A router that stood still found the time of all its targets over as it woke, though their answers may have lain there unread, and spent retries on them; the time runs once more where it is over late by 250 ms. A host of an earlier build answers 404 to a call that it does not know, which counted as silence, so that it was asked last for tokens too.

--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -107,6 +106,12 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
+// statusError is another host's answer that it can't serve a call: one of an earlier build does not
+// know all of them.
+type statusError struct{ address, path, status string }
+
+func (e *statusError) Error() string { return e.address + e.path + ": " + e.status }
+
 // client calls other hosts.
 type client struct {
 	http    *http.Client
@@ -158,7 +163,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s%s: %s", address, path, resp.Status)
+		return &statusError{address: address, path: path, status: resp.Status}
 	}
 	return json.NewDecoder(patience.Reader(ctx, resp.Body)).Decode(answer)
 }
--- a/router/fleet/keepers.go
+++ b/router/fleet/keepers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -149,10 +150,12 @@
 	return f.silentNow(address)
 }
 
+// noteSilent notes whether a host answered a call. One that can't serve it is there all the same.
 func (f *Fleet) noteSilent(address string, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if err == nil {
+	var status *statusError
+	if err == nil || errors.As(err, &status) {
 		delete(f.silent, address)
 		return
 	}
--- a/router/fleet/silent_test.go
+++ b/router/fleet/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"sync"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"maststage.dev/router/prepaid"
+	"maststage.dev/router/rollout"
 	"maststage.dev/standin/faultlink"
 )
 
@@ -36,3 +38,20 @@
 	is.Equal(borrow(), int64(0)) // on a silent connection
 	is.Equal(borrow(), int64(10))
 }
+
+// A host of an earlier build answers that it does not know a call. It is asked for tokens as before.
+func TestUnknownCallIsNotSilence(t *testing.T) {
+	is := is.New(t)
+	older := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(older.Close)
+	address := older.Listener.Addr().String()
+	f := newFleet(Host{Name: "h0", Domain: "z0"})
+	announced(f, Host{Name: "older", Domain: "z0", Address: address})
+	_, ok := f.ReportRollout(t.Context(), rollout.Report{Service: "s"})
+	is.True(!ok)
+	is.True(!f.wasSilent(address))
+	older.Close()
+	_, ok = f.ReportRollout(t.Context(), rollout.Report{Service: "s"})
+	is.True(!ok)
+	is.True(f.wasSilent(address))
+}
--- a/router/forward/silence.go
+++ b/router/forward/silence.go
@@ -50,25 +50,39 @@
 type silence struct {
 	request *request
 	conn    *exchange.Conn
-	target  string
+	claim   func() bool // asks for another try
 	timer   *time.Timer
 
 	mu      sync.Mutex
+	began   time.Time     // when the time that runs began
+	span    time.Duration // and how long it is
+	stood   bool          // this host stood still once meanwhile
 	stopped bool
 	gaveUp  bool
 }
 
 func (q *request) watchSilence(conn *exchange.Conn, target string) *silence {
-	s := &silence{request: q, conn: conn, target: target}
-	s.timer = time.AfterFunc(q.beginPatience(), s.over)
+	s := &silence{request: q, conn: conn, began: time.Now(), span: q.beginPatience()}
+	s.claim = func() bool { return q.claimTry(target) }
+	s.timer = time.AfterFunc(s.span, s.over)
 	return s
 }
 
+// stoodStill is how much later than due the time is over where this host stood still, and may have
+// the target's answer unread: no busy host's timers are as late.
+const stoodStill = 250 * time.Millisecond
+
 // over gives the target up if another may be tried.
 func (s *silence) over() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.stopped && s.request.claimTry(s.target) {
+	now := time.Now()
+	if late := now.Sub(s.began) - s.span; !s.stopped && !s.stood && late > stoodStill {
+		s.stood, s.began = true, now
+		s.timer.Reset(s.span)
+		return
+	}
+	if !s.stopped && s.claim() {
 		s.gaveUp = true
 		s.conn.Abort()
 	}
@@ -76,11 +90,15 @@
 
 // heard starts the time anew.
 func (s *silence) heard() {
-	if d, ok := s.request.gapPatience(); ok {
-		s.timer.Reset(d)
-	} else {
+	d, ok := s.request.gapPatience()
+	if !ok {
 		s.timer.Stop()
+		return
 	}
+	s.mu.Lock()
+	s.began, s.span, s.stood = time.Now(), d, false
+	s.mu.Unlock()
+	s.timer.Reset(d)
 }
 
 // stop ends the watch.
