--- a/router/fleet/rollout.go
+++ b/router/fleet/rollout.go
@@ -41,7 +41,7 @@
 
 func (f *Fleet) reportTo(ctx context.Context, address string, r rollout.Report) (advice rollout.Advice, err error) {
 	if address == f.opts.Self.Address {
-		return f.opts.Rollouts.Conduct(r), nil
+		return f.conduct(r), nil
 	}
 	err = f.calls.do(ctx, address, pathRollout, r, &advice)
 	f.noteSilent(address, err)
@@ -77,9 +77,13 @@
 	if !read(w, r, &report) {
 		return
 	}
+	write(w, f.conduct(report))
+}
+
+// conduct is this host's advice.
+func (f *Fleet) conduct(r rollout.Report) rollout.Advice {
 	if f.opts.Rollouts == nil {
-		write(w, rollout.Advice{Phase: rollout.Held})
-		return
+		return rollout.Advice{Phase: rollout.Held}
 	}
-	write(w, f.opts.Rollouts.Conduct(report))
+	return f.opts.Rollouts.Conduct(r)
 }
