--- a/router/node/accounts.go
+++ b/router/node/accounts.go
@@ -48,7 +48,9 @@
 // accounts writes lines about budgets whose tokens moved since the line before.
 type accounts struct {
 	incarnation string
-	told        map[string]prepaid.Holding
+
+	mu   sync.Mutex
+	told map[string]prepaid.Holding
 }
 
 func newAccounts(incarnation string) *accounts {
@@ -57,6 +59,8 @@
 
 // tell writes a line for each holding that changed.
 func (a *accounts) tell(list []prepaid.Holding) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	lines := 0
 	for _, h := range list {
 		if h.Flows == (prepaid.Flows{}) || h == a.told[h.Organisation] || lines == mostAccounts {
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -266,6 +266,7 @@
 		Keepers:   n.keepers,
 		Borrow:    n.fleet.Borrow,
 		GiveBack:  n.fleet.GiveBack,
+		OnGive:    func(h prepaid.Holding) { n.accounts.tell([]prepaid.Holding{h}) },
 		Histories: n.fleet.History,
 		AllLost:   n.fleet.AllLost,
 		OnCall:    func(outcome string) { n.observer.Count(fmt.Sprintf("budget_appends_total{outcome=%q}", outcome)) },
--- a/router/prepaid/gifts_test.go
+++ b/router/prepaid/gifts_test.go
@@ -79,3 +79,29 @@
 		return err == nil && got != nil
 	})
 }
+
+// A host that gives idle tokens away tells what it has left before they are on their way: if it ends
+// then, the lines of all hosts would show the same tokens twice, here and where they went.
+func TestGiftIsToldBeforeItIsOnItsWay(t *testing.T) {
+	is := is.New(t)
+	told := make(chan Holding, 1)
+	given := make(chan int64, 1)
+	tr := New(Options{
+		Partitions: 1, Hosts: func() int { return 20 }, Keepers: func(string) (int, bool) { return 1, false },
+		OnGive: func(h Holding) { told <- h },
+		GiveBack: func(_ context.Context, _ string, tokens int64) bool {
+			is.Equal(len(told), 1)
+			given <- tokens
+			return true
+		},
+	})
+	tr.Configure(1, []Budget{{"org", 1000}}, true)
+	w := tr.wallets["org"]
+	w.account, w.known, w.free = Account{Granted: 16, Limit: 1000, Version: 1}, true, 16
+	w.flows.Borrowed = 16
+	tr.giveIdle(t.Context(), tr.clerks[0])
+	is.Equal(<-given, int64(16))
+	h := <-told
+	is.Equal(h.Free, int64(0))
+	is.Equal(h.Flows.Given, int64(16))
+}
--- a/router/prepaid/loans.go
+++ b/router/prepaid/loans.go
@@ -263,6 +263,7 @@
 	if len(idle) == 0 {
 		return
 	}
+	t.tellLeft(idle)
 	// Beside the clerk: a keeper that does not answer must not hold up its rounds.
 	guard.Go("idle tokens", func() {
 		for organisation, tokens := range idle {
@@ -273,6 +274,18 @@
 	})
 }
 
+// tellLeft tells what is left here of budgets whose idle tokens are given away.
+func (t *Treasury) tellLeft(idle map[string]int64) {
+	if t.opts.OnGive == nil {
+		return
+	}
+	for organisation := range idle {
+		if h, ok := t.Holding(organisation); ok {
+			t.opts.OnGive(h)
+		}
+	}
+}
+
 // takeIdle debits idle tokens of a clerk's budgets.
 func (t *Treasury) takeIdle(c *clerk, now time.Time) map[string]int64 {
 	t.mu.Lock()
