--- a/router/prepaid/clerk.go
+++ b/router/prepaid/clerk.go
@@ -103,7 +103,7 @@
 		pause := c.pause()
 		if err := c.round(ctx); err != nil {
 			failures++
-			wait.For(ctx, wait.Jitter(min(minRetry<<min(failures, maxDoublings), c.mostRetry())))
+			wait.For(ctx, wait.Jitter(min(minRetry<<min(failures, maxDoublings), maxRetry)))
 			pause = 0
 		} else {
 			failures = 0
@@ -152,18 +152,9 @@
 const (
 	minRetry     = 20 * time.Millisecond
 	maxRetry     = 800 * time.Millisecond
-	maxDoublings = 9
+	maxDoublings = 6
 )
 
-// retryForHost lengthens the longest pause in a large fleet: a log that is busy would stay so under
-// the retries of all its hosts.
-const retryForHost = 8 * time.Millisecond
-
-// mostRetry is the longest pause after a failed call.
-func (c *clerk) mostRetry() time.Duration {
-	return max(maxRetry, time.Duration(c.treasury.opts.Hosts())*retryForHost)
-}
-
 // order is one organisation's part of an append.
 type order struct {
 	organisation string
@@ -180,7 +171,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	if !c.needed() {
+	if !c.hasOrganisations() {
 		return nil
 	}
 	if !c.loaded {
@@ -248,30 +239,17 @@
 	return err
 }
 
-// needed says whether any account of the partition matters to this host now. In a large fleet few
-// do at most hosts, and looks at the others would be calls for nothing, more the larger it is.
-func (c *clerk) needed() bool {
-	t := c.treasury
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for organisation, w := range t.wallets {
-		if t.clerkOf(organisation) == c && t.needs(organisation, w) {
+func (c *clerk) hasOrganisations() bool {
+	c.treasury.mu.Lock()
+	defer c.treasury.mu.Unlock()
+	for organisation := range c.treasury.wallets {
+		if c.treasury.clerkOf(organisation) == c {
 			return true
 		}
 	}
 	return false
 }
 
-// needs says whether this host keeps a budget, holds or lends of it, or had requests for it a moment
-// ago; the lock is held.
-func (t *Treasury) needs(organisation string, w *wallet) bool {
-	if w.free > 0 || w.reserved > 0 || len(w.waiting) > 0 || w.hungry || time.Since(w.used) < idleTime {
-		return true
-	}
-	_, keeper := t.keeps(organisation, w)
-	return keeper
-}
-
 // wants says whether a change is due as far as this host knows.
 func (c *clerk) wants() bool {
 	t := c.treasury
@@ -309,7 +287,7 @@
 		}
 		change := t.change(organisation, w)
 		next, taken, ok := w.current().Apply(change)
-		announce := w.account.Version < w.verify && t.needs(organisation, w)
+		announce := w.account.Version < w.verify
 		if !ok && !announce || change == (Change{}) && !announce {
 			continue
 		}
