limit, target, observe: tell what targets say of their limits

Hosts now read the header, log when a limit begins, changes, ends or can't be read (bounded), and give gauges of it. Nothing is chosen by it yet.

A value that can't be read (sign, exponent, not a number, more than a million, twice in an answer) tells neither of a limit nor of an end of one. Answers of another target on a reused address (421) and answers without signature or refusal are not read.

--- a/router/forward/headers.go
+++ b/router/forward/headers.go
@@ -24,6 +24,7 @@
 	Priority     string // 0 (first) to 9
 	Stamp        string // a target's signature of its answer
 	NotRun       string // the target did not run the request
+	Limit        string // requests a second that a target takes from all hosts together
 	RetryAfter   string // seconds
 	// Internal lists headers that only hosts may send.
 	Internal []string
@@ -39,7 +40,7 @@
 func (h Headers) canonical() Headers {
 	for _, name := range []*string{
 		&h.RequestID, &h.Deadline, &h.Key, &h.Organisation, &h.ExpectTarget, &h.Usage, &h.PromptParts,
-		&h.LastEventID, &h.Priority, &h.Stamp, &h.NotRun, &h.RetryAfter,
+		&h.LastEventID, &h.Priority, &h.Stamp, &h.NotRun, &h.Limit, &h.RetryAfter,
 	} {
 		*name = textproto.CanonicalMIMEHeaderKey(*name)
 	}
--- /dev/null
+++ b/router/forward/limits.go
@@ -0,0 +1,28 @@
+package forward
+
+import (
+	"net/http"
+
+	"maststage.dev/router/limit"
+)
+
+// noteLimit takes over what an answer says of its target's limit. A misdirected request reached
+// another target than the one that is meant, and an answer without a signature or the word that
+// nothing was run is not the target's own.
+func (c *call) noteLimit(resp *http.Response) {
+	names := c.request.handler.names
+	if names.Limit == "" || resp.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	refusal := resp.Header.Get(names.NotRun) != ""
+	if !refusal && resp.Header.Get(names.Stamp) == "" {
+		return
+	}
+	targets := c.request.handler.opts.Targets
+	statement, err := limit.Parse(resp.Header[names.Limit], refusal)
+	if err != nil {
+		targets.MalformedLimit(c.target, err)
+		return
+	}
+	targets.StateLimit(c.target, statement)
+}
--- /dev/null
+++ b/router/forward/limits_test.go
@@ -0,0 +1,55 @@
+package forward
+
+import (
+	"strings"
+	"testing"
+
+	"maststage.dev/router/target"
+	"maststage.dev/standin/backend"
+)
+
+// limitOf is the limit of the only target that names one.
+func (b *bench) limitOf() (perSecond float64, inForce bool) {
+	for _, l := range b.targets.Limits() {
+		return l.PerSecond, true
+	}
+	return 0, false
+}
+
+// Guards against limits that hosts don't read, or make up where an answer names none.
+func TestLimitIsReadFromAnswers(t *testing.T) {
+	b := newBench(t)
+	e := b.add("t1", "plain", backend.Behaviour{})
+	expect := func(wantInForce bool, want float64, how backend.Behaviour, values ...string) {
+		t.Helper()
+		how.Limit = values
+		e.Behave(func(backend.Run) backend.Behaviour { return how })
+		b.do(b.request("GET", "/open/x", ""))
+		perSecond, inForce := b.limitOf()
+		b.is.Equal(inForce, wantInForce)
+		b.is.Equal(perSecond, want)
+	}
+	whole := backend.Behaviour{Body: "ok"}
+	expect(false, 0, whole)
+	expect(false, 0, whole, "-1")
+	expect(false, 0, whole, "1e99")
+	expect(false, 0, whole, strings.Repeat("9", 1000))
+	expect(false, 0, whole, "1", "2")
+	expect(false, 0, backend.Behaviour{Body: "ok", NoStamp: true}, "3") // not the target's own
+	expect(true, 100, whole, "100")
+	expect(true, 150.5, whole, "150.5")
+	expect(true, 150.5, whole, "many") // tells nothing
+	expect(false, 0, whole)
+	expect(true, 200, backend.Behaviour{Refuse: true}, "200")
+}
+
+// Guards against taking over the limit of a target of another service that has the address now.
+func TestLimitOfAMisdirectedRequestIsNotTakenOver(t *testing.T) {
+	b := newBench(t)
+	e := b.add("t1", "engine", backend.Behaviour{Body: "ok", Limit: []string{"1"}})
+	b.targets.Put(target.Entry{ID: "gone", Service: "plain", Address: e.Address(), Domain: "z1", Slots: 4})
+	b.is.Equal(b.do(b.request("GET", "/open/x", "")).status, 503)
+	b.is.Equal(e.Arrivals(), 1)
+	_, inForce := b.limitOf()
+	b.is.True(!inForce)
+}
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -371,6 +371,7 @@
 	names := q.handler.names
 	c.status = resp.StatusCode
 	c.begun()
+	c.noteLimit(resp)
 	if resp.Header.Get(names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
 		q.ran--
 		c.finish(resp)
--- /dev/null
+++ b/router/limit/limit_test.go
@@ -0,0 +1,52 @@
+package limit
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a limit that is read wrongly, or that is invented where an answer names none.
+func TestParse(t *testing.T) {
+	for text, want := range map[string]float64{
+		"1": 1, "1.5": 1.5, "0": 0, "0.0": 0, ".5": 0.5, " 2 ": 2, "1000000": 1e6, "0.001": 0.001,
+	} {
+		is := is.New(t)
+		s, err := Parse([]string{text}, false)
+		is.NoErr(err)
+		is.Equal(s, Statement{Named: true, PerSecond: want})
+	}
+	is := is.New(t)
+	s, err := Parse(nil, true)
+	is.NoErr(err)
+	is.Equal(s, Statement{Refusal: true})
+}
+
+func TestValuesThatNameNoLimit(t *testing.T) {
+	for _, values := range [][]string{
+		{""}, {"-1"}, {"+1"}, {"NaN"}, {"Inf"}, {"1e99"}, {"1e1"}, {"0x10"}, {"1,5"}, {"1 2"}, {"1_0"}, {"."}, {"many"},
+		{"1000001"}, {"99999999999999999999"}, {strings.Repeat("1", 5000)}, {"1", "1"}, {"1", "2"},
+	} {
+		is := is.New(t)
+		s, err := Parse(values, false)
+		var bad *ValueError
+		is.True(errors.As(err, &bad))
+		is.True(!s.Named)
+		is.True(len(err.Error()) < 1000)
+	}
+}
+
+// FuzzParse: whatever is named is a number that a host can work with.
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{"1.5", "-0", "1e99", "NaN", "0", ""} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := Parse([]string{text}, false)
+		if s.Named != (err == nil) || !(s.PerSecond >= 0 && s.PerSecond <= mostPerSecond) {
+			t.Fatalf("%q: %+v, %v", text, s, err)
+		}
+	})
+}
--- a/router/node/gauges.go
+++ b/router/node/gauges.go
@@ -11,6 +11,7 @@
 // gauges tells what the node's duties hold, read when the metrics are.
 func (n *Node) gauges() {
 	n.observer.Holdings(n.treasury.Holdings)
+	n.observer.Limits(n.targets.Limits)
 	n.observer.Gauge("open_requests", func() float64 { return float64(n.handler.Open()) })
 	n.observer.Gauge("hosts", func() float64 { return float64(n.fleet.Size()) })
 	n.observer.Gauge("targets_ready", func() float64 { return float64(n.targets.Total()) })
--- a/router/node/harness_test.go
+++ b/router/node/harness_test.go
@@ -50,11 +50,11 @@
 var headers = forward.Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Organisation: "X-Org", ExpectTarget: "X-Expect",
 	Usage: "X-Tokens", PromptParts: "X-Parts", LastEventID: "Last-Event-Id", Priority: "X-Priority",
-	Stamp: "X-Stamp", NotRun: "X-Not-Run", RetryAfter: "Retry-After",
+	Stamp: "X-Stamp", NotRun: "X-Not-Run", Limit: "X-Limit", RetryAfter: "Retry-After",
 }
 
 var names = backend.Names{
-	RequestID: "X-Id", ExpectTarget: "X-Expect", LastEventID: "Last-Event-Id", Stamp: "X-Stamp", NotRun: "X-Not-Run",
+	RequestID: "X-Id", ExpectTarget: "X-Expect", LastEventID: "Last-Event-Id", Stamp: "X-Stamp", NotRun: "X-Not-Run", Limit: "X-Limit",
 }
 
 // testFleet is some nodes on one log, with back ends.
--- /dev/null
+++ b/router/observe/limits.go
@@ -0,0 +1,34 @@
+package observe
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"maststage.dev/router/target"
+)
+
+// maxLimits bounds the targets with gauges of their limits.
+const maxLimits = 1000
+
+// Limits adds gauges of the targets that name a limit, read when the metrics are.
+func (o *Observer) Limits(f func() []target.LimitStatus) { o.limits = f }
+
+// writeLimits prints the gauges of the targets' limits.
+func (o *Observer) writeLimits(w io.Writer) {
+	if o.limits == nil {
+		return
+	}
+	list := o.limits()
+	metrics.WriteGaugeUint64(w, "maststage_targets_limited", uint64(len(list)))
+	slices.SortFunc(list, func(a, b target.LimitStatus) int { return strings.Compare(a.Target, b.Target) })
+	for _, l := range list[:min(len(list), maxLimits)] {
+		label := fmt.Sprintf("{target=%q,service=%q}", l.Target, l.Service)
+		metrics.WriteGaugeFloat64(w, "maststage_target_limit_per_second"+label, l.PerSecond)
+		metrics.WriteGaugeFloat64(w, "maststage_target_limit_age_seconds"+label, time.Since(l.Since).Seconds())
+	}
+}
--- a/router/observe/observe.go
+++ b/router/observe/observe.go
@@ -16,12 +16,14 @@
 	"maststage.dev/router/logging"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/quarantine"
+	"maststage.dev/router/target"
 )
 
 // Observer implements forward.Observer.
 type Observer struct {
 	set       *metrics.Set
 	holdings  func() []prepaid.Holding
+	limits    func() []target.LimitStatus
 	successes *logging.Limiter
 	failures  *logging.Limiter
 }
@@ -164,4 +166,5 @@
 func (o *Observer) write(w io.Writer) {
 	o.set.WritePrometheus(w)
 	o.writeHoldings(w)
+	o.writeLimits(w)
 }
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -10,6 +10,7 @@
 	log "github.com/sirupsen/logrus"
 
 	"maststage.dev/router/exchange"
+	"maststage.dev/router/logging"
 )
 
 // Target is one incarnation of a back end as this host sees it. Its fields are
@@ -28,6 +29,7 @@
 	listed bool
 	leftAt time.Time // when it was first seen draining or gone
 	cold   cold
+	limit  limited
 
 	heard       atomic.Int64 // when it last sent anything, in Unix nanoseconds
 	busySince   time.Time    // when requests were first under way again
@@ -69,6 +71,7 @@
 	maxConns    map[string]int        // at one target, from this host
 	evacuations map[string]evacuation // by failure domain
 	coldLimits  map[string]ColdLimits // by service
+	limitLines  *logging.Limiter      // of lines about limits of targets
 }
 
 // NewRegistry makes an empty registry.
@@ -84,6 +87,7 @@
 		maxConns:    map[string]int{},
 		evacuations: map[string]evacuation{},
 		coldLimits:  map[string]ColdLimits{},
+		limitLines:  logging.NewLimiter(limitLines),
 	}
 }
 
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -17,7 +17,7 @@
 
 // Names are the headers that the backend reads and writes.
 type Names struct {
-	RequestID, ExpectTarget, LastEventID, Stamp, NotRun string
+	RequestID, ExpectTarget, LastEventID, Stamp, NotRun, Limit string
 }
 
 // Behaviour says how requests are answered. The zero value answers at once.
@@ -38,6 +38,7 @@
 	NoStamp      bool          // leave the signature out
 	EarlyAnswer  bool          // answer before the body is read
 	Crash        bool          // end after Delay, with all that is under way
+	Limit        []string      // what each answer names as the limit of the backend
 }
 
 // Run is one request that the backend began to work on.
@@ -189,11 +190,11 @@
 	}
 	run.Body = string(body)
 	if expected := req.Header.Get(b.names.ExpectTarget); expected != "" && expected != b.ID {
-		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", b.names.RequestID, run.ID)
+		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n", b.names.RequestID, run.ID, b.limitLines(how))
 		return true
 	}
 	if how.Refuse {
-		fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", b.names.RequestID, run.ID, b.names.NotRun)
+		fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\n%sContent-Length: 0\r\n\r\n", b.names.RequestID, run.ID, b.names.NotRun, b.limitLines(how))
 		return true
 	}
 	return b.run(c, reader, &run, how)
@@ -284,6 +285,16 @@
 	if !how.NoStamp {
 		fmt.Fprintf(&h, "%s: %s\r\n", b.names.Stamp, b.ID)
 	}
+	h.WriteString(b.limitLines(how))
+	return h.String()
+}
+
+// limitLines are the header lines that name a limit.
+func (b *Backend) limitLines(how Behaviour) string {
+	var h strings.Builder
+	for _, value := range how.Limit {
+		fmt.Fprintf(&h, "%s: %s\r\n", b.names.Limit, value)
+	}
 	return h.String()
 }
 
