target: all hosts together keep to the limit that a target names

Callers saw nothing; two targets in need got 20 and 13 requests in 4 s where 14 and 11 were allowed.

Cause: hosts did not read the limit, and choice of a target is each host's own. Reading it alone would not have been enough: eight hosts that keep to 1.5 a second each send 12. The class of fault is a bound over all hosts that is known to a target and applied by each host for itself, or by none.

So many hosts share a limit that each sends at most once in a window (or its part of what the window takes), and half of what the bounds allow beyond the limit is left for hosts that don't agree on who sends. Hosts that hear something else than the log tells write it there, into the topic that all read anyway, so that hosts without a share learn of the limit and of its end. Where all targets of a service name limits, a request that finds no place is refused at once (targets_full) and told when one comes free; more urgent requests are served first and none gets nothing.

Ruled out: hosts that learn too late (the rates at the targets did not change at all).

--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -15,6 +15,7 @@
 	log "github.com/sirupsen/logrus"
 
 	"maststage.dev/router/eventlog"
+	"maststage.dev/router/limit"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/quarantine"
 	"maststage.dev/router/replica"
@@ -121,7 +122,7 @@
 	f.noteFirst(changes)
 	for _, c := range changes {
 		name := c.Record.Key
-		if strings.HasPrefix(name, quarantine.KeyPrefix) {
+		if strings.HasPrefix(name, quarantine.KeyPrefix) || strings.HasPrefix(name, limit.KeyPrefix) {
 			continue // the topic keeps other things that hosts tell each other, too
 		}
 		if len(c.Record.Value) == 0 {
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -123,9 +123,10 @@
 	begun    bool   // a target may have begun to hand tokens out
 	unseen   int64  // tokens that targets may have made and that did not come
 	stream   *stream
-	look     <-chan bool // tells whether the target of the newest broken try ended
-	young    bool        // that try had run for a moment at most
-	spared   int         // of tries, those that a target's end broke and that can't have caused it
+	look     <-chan bool   // tells whether the target of the newest broken try ended
+	young    bool          // that try had run for a moment at most
+	spared   int           // of tries, those that a target's end broke and that can't have caused it
+	after    time.Duration // when to come back, 0: as its kind says
 	end      End
 }
 
@@ -180,6 +181,9 @@
 // refuse gives the final answer of a kind.
 func (q *request) refuse(kind Kind) {
 	a := answers[kind]
+	if q.after > 0 {
+		a.after = q.after
+	}
 	header := q.w.Header()
 	if a.after > 0 {
 		header.Set(q.handler.names.RetryAfter, strconv.FormatFloat(a.after.Seconds(), 'f', -1, 64))
--- a/router/forward/limits.go
+++ b/router/forward/limits.go
@@ -26,3 +26,17 @@
 	}
 	targets.StateLimit(c.target, statement)
 }
+
+// noTarget says why no target takes the request. Where those that could name limits, its caller
+// is told when to come back, and to another host if this one sends them nothing.
+func (q *request) noTarget() Kind {
+	full, ok := q.handler.opts.Targets.FullFor(q.want(q.excluded))
+	if !ok {
+		return NoTarget
+	}
+	q.after = full.After
+	if !full.Share {
+		q.w.Header().Set("Connection", "close")
+	}
+	return TargetsFull
+}
--- a/router/forward/limits_test.go
+++ b/router/forward/limits_test.go
@@ -1,8 +1,10 @@
 package forward
 
 import (
+	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"maststage.dev/router/target"
 	"maststage.dev/standin/backend"
@@ -24,7 +26,11 @@
 		t.Helper()
 		how.Limit = values
 		e.Behave(func(backend.Run) backend.Behaviour { return how })
-		b.do(b.request("GET", "/open/x", ""))
+		before := e.Arrivals()
+		b.eventually("the limit before leaves room for a request", func() bool {
+			b.do(b.request("GET", "/open/x", ""))
+			return e.Arrivals() > before
+		})
 		perSecond, inForce := b.limitOf()
 		b.is.Equal(inForce, wantInForce)
 		b.is.Equal(perSecond, want)
@@ -53,3 +59,21 @@
 	_, inForce := b.limitOf()
 	b.is.True(!inForce)
 }
+
+// Guards against requests that wait until their time is over, or are told that they may have run,
+// where all targets name limits that are used up.
+func TestRequestsBeyondAllLimitsAreRefusedAtOnce(t *testing.T) {
+	b := newBench(t)
+	e := b.add("t1", "plain", backend.Behaviour{Body: "ok", Limit: []string{"0.5"}})
+	b.is.Equal(b.do(b.request("POST", "/unsafe/x", "")).status, 200)
+	began := time.Now()
+	req := b.request("POST", "/unsafe/x", "")
+	got := b.do(req)
+	b.is.Equal(got.status, 503)
+	b.is.True(time.Since(began) < 300*time.Millisecond)
+	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	b.is.NoErr(err)
+	b.is.True(after >= 1) // a place comes free every two seconds
+	b.is.Equal(b.recorder.last(t, req.Header.Get("X-Id")).Kind, TargetsFull)
+	b.is.Equal(e.Arrivals(), 1)
+}
--- a/router/forward/outcome.go
+++ b/router/forward/outcome.go
@@ -25,6 +25,7 @@
 	HostBusy     Kind = "host_busy"     // this host's own link or processor is overloaded
 	NoTarget     Kind = "no_target"     // no target could be tried
 	NoRegion     Kind = "no_region"     // the regions allowed to route and organisation have none in common
+	TargetsFull  Kind = "targets_full"  // the targets that could take it name limits, which are used up
 	Overloaded   Kind = "overloaded"    // the targets tried said that they did not run it
 	Quarantined  Kind = "quarantined"   // it crashes the targets that run it; this try was not sent
 	TargetFailed Kind = "target_failed" // it may have run, and no whole answer came
@@ -57,6 +58,7 @@
 	HostBusy:     {http.StatusServiceUnavailable, overload.Rebalance},
 	NoTarget:     {http.StatusServiceUnavailable, 200 * time.Millisecond},
 	NoRegion:     {http.StatusServiceUnavailable, operatorAfter},
+	TargetsFull:  {http.StatusServiceUnavailable, 200 * time.Millisecond},
 	Overloaded:   {http.StatusServiceUnavailable, 100 * time.Millisecond},
 	Quarantined:  {http.StatusServiceUnavailable, operatorAfter},
 	TargetFailed: {http.StatusBadGateway, 0},
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -66,7 +66,7 @@
 		}
 		t := q.choose(q.excluded)
 		if t == nil {
-			return q.giveUp(NoTarget, errors.Join(last, errors.New("no target is left")))
+			return q.giveUp(q.noTarget(), errors.Join(last, errors.New("no target is left")))
 		}
 		res, err := q.try(ctx, t)
 		last = err
@@ -104,7 +104,7 @@
 		return TargetFailed, err
 	case kind == Timeout:
 		return TimeoutUnrun, err
-	case kind == Quarantined, kind == NoRegion:
+	case kind == Quarantined, kind == NoRegion, kind == TargetsFull:
 		return kind, err
 	case q.tries > 0:
 		return Overloaded, err
@@ -172,6 +172,7 @@
 func (q *request) want(excluded map[string]bool) target.Want {
 	return target.Want{
 		Service: q.service, Affinity: sharedParts(q.shared), Work: float64(q.usage.in), Exclude: excluded,
+		Rank:    q.config.Rank(q.organisation, q.route),
 		Regions: q.regions(), Versions: q.handler.opts.Rollouts.Rule(q.ask(false)),
 	}
 }
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -62,24 +62,25 @@
 
 // Node is one router host.
 type Node struct {
-	cfg      *settings.Settings // of the start
-	reload   sync.Mutex
-	latest   *settings.Settings // last reloaded, guarded by reload
-	outside  Outside
-	observer *observe.Observer
-	handler  *forward.Handler
-	targets  *target.Registry
-	treasury *prepaid.Treasury
-	fleet    *fleet.Fleet
-	retries  *retrybudget.Set
-	overload *overload.Monitor
-	guard    *quarantine.Guard
-	watch    *suspend.Watch
-	woke     atomic.Pointer[wake] // from the newest suspension
-	accounts *accounts
-	ignored  *logging.Limiter // of lines about entries that name no target
-	rollouts *rollouts
-	calls    *logcount.Log
+	cfg          *settings.Settings // of the start
+	reload       sync.Mutex
+	latest       *settings.Settings // last reloaded, guarded by reload
+	outside      Outside
+	observer     *observe.Observer
+	handler      *forward.Handler
+	targets      *target.Registry
+	treasury     *prepaid.Treasury
+	fleet        *fleet.Fleet
+	retries      *retrybudget.Set
+	overload     *overload.Monitor
+	guard        *quarantine.Guard
+	watch        *suspend.Watch
+	woke         atomic.Pointer[wake] // from the newest suspension
+	accounts     *accounts
+	ignored      *logging.Limiter // of lines about entries that name no target
+	rollouts     *rollouts
+	calls        *logcount.Log
+	limitNotices *limitNotices
 
 	configCopy, targetsCopy, hostsCopy *replica.Replica
 
@@ -102,13 +103,14 @@
 func newWith(cfg *settings.Settings, outside Outside, incarnation string, clocks suspend.Clocks) *Node {
 	n := &Node{
 		cfg: cfg, latest: cfg, outside: outside,
-		observer: observe.New(cfg.Output.LinesPerSecond),
-		overload: overload.New(),
-		accounts: newAccounts(incarnation),
-		ignored:  logging.NewLimiter(ignoredEntryLines),
-		started:  time.Now(),
-		stopping: make(chan struct{}),
-		changed:  make(chan struct{}, 1),
+		observer:     observe.New(cfg.Output.LinesPerSecond),
+		overload:     overload.New(),
+		accounts:     newAccounts(incarnation),
+		ignored:      logging.NewLimiter(ignoredEntryLines),
+		started:      time.Now(),
+		stopping:     make(chan struct{}),
+		changed:      make(chan struct{}, 1),
+		limitNotices: newLimitNotices(),
 	}
 	n.calls = logcount.New(outside.Log, n.countCall)
 	n.outside.Log = n.calls
@@ -122,7 +124,9 @@
 		UserTimeout: settings.Milliseconds(cfg.Targets.UserTimeoutMs),
 		OnDial:      func() { n.observer.Count("target_connections_total") },
 		Elected:     n.elected,
+		Hosts:       n.hostCount,
 	})
+	n.targets.SetLimitBounds(limitBounds(cfg.Bounds))
 	n.copies()
 	n.rollouts = n.newRollouts(incarnation)
 	n.newGuard()
@@ -317,6 +321,7 @@
 	guard.Go("fleet", func() { n.fleet.Run(ctx) })
 	guard.Go("treasury", func() { n.treasury.Run(ctx) })
 	guard.Go("quarantine", func() { n.guard.Run(ctx) })
+	guard.Go("limits of targets", func() { n.followLimits(ctx) })
 	guard.Go("rollouts", func() { n.rollouts.run(ctx) })
 	guard.Go("suspensions", func() { n.watch.Run(ctx) })
 	guard.Go("housekeeping", func() { n.housekeeping(ctx) })
--- a/router/node/quarantine.go
+++ b/router/node/quarantine.go
@@ -36,6 +36,7 @@
 func (n *Node) hostsChanged(changes []replica.Change) {
 	n.fleet.Changed(changes)
 	n.guard.Changed(changes)
+	n.limitNotices.changed(changes)
 }
 
 // quarantinePatience is how long a host that started waits for the requests in quarantine
--- a/router/settings/sections.go
+++ b/router/settings/sections.go
@@ -83,6 +83,11 @@
 	// many more.
 	ExposureShare float64 `ini:"exposure_share" default:"0.1"`
 	ExposureSlack float64 `ini:"exposure_slack" default:"50"`
+	// A target that names a limit gets at most limit_overrun times what that allows and limit_slack
+	// more, from all hosts together in any span of limit_window_s.
+	LimitOverrun float64 `ini:"limit_overrun" default:"1.5"`
+	LimitSlack   float64 `ini:"limit_slack" default:"5"`
+	LimitWindowS float64 `ini:"limit_window_s" default:"4"`
 }
 
 func (b Bounds) check() error {
@@ -95,6 +100,12 @@
 	if b.ColdOverrun <= 0 {
 		return bad("bounds", "cold_overrun", fmt.Sprint(b.ColdOverrun), "is not above 0")
 	}
+	if b.LimitOverrun < 1 {
+		return bad("bounds", "limit_overrun", fmt.Sprint(b.LimitOverrun), "is less than 1")
+	}
+	if b.LimitWindowS <= 0 {
+		return bad("bounds", "limit_window_s", fmt.Sprint(b.LimitWindowS), "is not above 0")
+	}
 	return nil
 }
 
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -17,6 +17,7 @@
 	Work     float64
 	Exclude  map[string]bool // ids tried already
 	Versions rollout.Rule    // that a target may have
+	Rank     int             // of urgency, 0 comes first
 	Regions  routing.Regions // in which a target may lie
 }
 
@@ -33,14 +34,17 @@
 )
 
 // Choose picks a target, nil if none can take the request. A choice counts against what a
-// cold target bears.
+// cold target or one that names a limit bears.
 func (r *Registry) Choose(w Want) *Target {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
 	t := r.choose(w, now)
 	if t != nil {
-		r.noteCold(t, now)
+		t.chosen = now
+		if t.limit.inForce {
+			t.limit.sent++
+		}
 	}
 	return t
 }
@@ -56,7 +60,7 @@
 func (r *Registry) choose(w Want, now time.Time) *Target {
 	usable, spared := r.candidates(w, now)
 	usable = r.onTrial(w, usable)
-	if len(usable) == 0 {
+	if len(usable) == 0 || r.rationed(w, usable, now) {
 		return nil
 	}
 	if w.onTrial() {
@@ -82,18 +86,20 @@
 // candidates lists the targets that may take the request: the ready ones that are
 // neither ejected, nor full, nor quiet, nor ended; else the ready ones; else those that left a moment
 // ago. Evacuated targets are never among them, nor those of regions or versions that are not allowed, nor are the cold ones that have enough,
-// which are listed apart.
+// which are listed apart, and those that name a limit and have enough.
 func (r *Registry) candidates(w Want, now time.Time) (usable, spared []*Target) {
 	all := r.services[w.Service]
 	good := make([]*Target, 0, len(all))
 	var ejected, leaving []*Target
 	for _, t := range all {
-		if w.Exclude[t.ID] || r.evacuations[t.Domain].left(t.ID, now) || !w.Regions.Has(r.opts.Regions[t.Domain]) || !w.Versions.Allows(t.Version) {
+		if !r.mayServe(w, t, now) {
 			continue
 		}
 		switch {
-		case !r.coldAdmits(t, now):
-			spared = append(spared, t)
+		case !r.admits(t, now):
+			if t.isCold(now) {
+				spared = append(spared, t)
+			}
 		case !t.listed || t.state != Ready:
 			if now.Sub(t.leftAt) < r.opts.DrainWithin {
 				leaving = append(leaving, t)
@@ -113,6 +119,11 @@
 	return leaving, spared
 }
 
+// mayServe says whether a target is one that the request may go to at all; the lock is held.
+func (r *Registry) mayServe(w Want, t *Target, now time.Time) bool {
+	return !w.Exclude[t.ID] && !r.evacuations[t.Domain].left(t.ID, now) && w.Regions.Has(r.opts.Regions[t.Domain]) && w.Versions.Allows(t.Version)
+}
+
 // load is how busy a target is, in requests of this host.
 func (t *Target) load(stats *serviceStats, now time.Time) float64 {
 	load := float64(t.outstanding) + t.work/workUnit
--- a/router/target/cold.go
+++ b/router/target/cold.go
@@ -7,13 +7,7 @@
 )
 
 // A target that starts while callers are there is cold for some seconds: it bears few
-// requests a second, from all hosts together, and fails under many more. Hosts don't ask
-// each other; a few hosts for each cold target, the same ones in every host's view, send it
-// a bounded number each, and the others pass it over.
-//
-// The other way is an even share of the rate at each host, whose sum is random: simulated at 87
-// hosts that aim at 9.9 requests a second, 59 of 3,000 cold targets got over 19 in some
-// second, and none only where they aimed at 5. Elected hosts may aim at 17.
+// requests a second, from all hosts together, and fails under many more.
 
 // ColdLimits is what a cold target of a service bears.
 type ColdLimits struct {
@@ -21,20 +15,10 @@
 	Lasts     time.Duration // from its start
 }
 
-// Figures of cold targets.
-const (
-	// coldMargin lengthens the pause between two requests of a host, so that their ways
-	// don't bring them closer together than a second allows.
-	coldMargin = 1.02
-	// coldLook is how long a host that is not elected passes a cold target over.
-	coldLook = 500 * time.Millisecond
-)
-
 // cold is what a host knows of a target's cold time.
 type cold struct {
 	until time.Time
-	next  time.Time // nothing is sent before
-	pause time.Duration
+	share share
 }
 
 // SetCold takes over what cold targets of a service bear.
@@ -68,23 +52,14 @@
 	if !t.isCold(now) || limits.PerSecond <= 0 {
 		return true
 	}
-	if now.Before(t.cold.next) {
-		return false
-	}
-	hosts, elected := r.opts.Elected(t.ID, max(int(limits.PerSecond), 1))
-	if !elected {
-		t.cold.next = now.Add(coldLook)
-		return false
-	}
-	each := max(int(limits.PerSecond)/max(hosts, 1), 1)
-	t.cold.pause = time.Duration(coldMargin * float64(time.Second) / float64(each))
-	return true
+	r.shareOf(t, &t.cold.share, rate{perSecond: limits.PerSecond, window: time.Second, most: int(limits.PerSecond)}, now)
+	return t.cold.share.allows(t, now)
 }
 
 // inPlaceOf narrows the choice for a prompt whose place by affinity is a cold target that is
-// to be spared: to the cold targets that may get a request, if there are any. None of them
-// has the prompt's parts yet, and the warm ones carry the load of all: left to the next in
-// rank among all, nine in ten of the requests that cold targets could take went to warm ones.
+// to be spared: to the cold targets that may get a request, if there are any. None of them has
+// the prompt's parts yet, and the warm ones carry the load of all: the next in rank among all is
+// nearly always a warm one, so cold targets would stay cold.
 func inPlaceOf(spared, usable []*Target, affinity string, now time.Time) []*Target {
 	if len(spared) == 0 {
 		return usable
@@ -113,10 +88,3 @@
 	}
 	return best
 }
-
-// noteCold counts a request that goes to a target; the lock is held.
-func (r *Registry) noteCold(t *Target, now time.Time) {
-	if t.isCold(now) {
-		t.cold.next = now.Add(t.cold.pause)
-	}
-}
--- a/router/target/limited.go
+++ b/router/target/limited.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"math/rand/v2"
 	"time"
 
 	log "github.com/sirupsen/logrus"
@@ -8,43 +9,145 @@
 	"maststage.dev/router/limit"
 )
 
+// LimitBounds is what a target that names a limit may get: in any span of Window no more than Overrun
+// times what the limit allows, and Slack more, from all hosts together.
+type LimitBounds struct {
+	Overrun float64
+	Slack   float64 // requests
+	Window  time.Duration
+}
+
+// Figures of limits.
+const (
+	// leastPerSecond is sent to a target whatever its limit: without an answer now and then nobody
+	// learns that a limit of zero has ended. The slack of the bounds covers it.
+	leastPerSecond = 0.1
+	// refusalsTell is how long refusals that name a limit stand for the other answers, if these don't
+	// name it. Then the limit is taken to be twice as high for as long again.
+	refusalsTell = 4 * time.Second
+	// mostDoublings ends a limit that no refusal has named any more.
+	mostDoublings = 5
+	// limitLines bounds the lines a second about limits, which a target may change with each answer.
+	limitLines = 20
+)
+
 // limited is the limit that a target names, as far as this host knows.
 type limited struct {
-	inForce   bool
-	perSecond float64   // that the target takes from all hosts together
-	since     time.Time // when this host first knew of it
-	malformed bool      // its newest answer named a limit that can't be read
+	inForce    bool
+	perSecond  float64   // that the target takes from all hosts together
+	since      time.Time // when this host first knew of it
+	named      time.Time // by the newest answer that named it
+	byRefusals bool      // no other answer has named it
+	malformed  bool      // the newest answer named a limit that can't be read
+	doublings  int       // of what refusals named, since they are silent
+	sent       uint64    // requests of this host while it was in force
+	share      share
+	begins     time.Time // when this host begins to use its share
+	news       news
+}
+
+// SetLimitBounds takes over what targets that name a limit may get.
+func (r *Registry) SetLimitBounds(b LimitBounds) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limitBounds = b
+}
+
+// rate is what all hosts aim at together for a target that names a limit. Half of what the
+// bounds allow beyond the limit itself is left for moments at which hosts don't agree who sends.
+func (b LimitBounds) rate(perSecond float64) rate {
+	aim := max(perSecond, leastPerSecond)
+	named := aim * b.Window.Seconds()
+	allowed := b.Overrun*named + b.Slack
+	return rate{perSecond: aim, window: b.Window, most: max(int((named+allowed)/2), 1)}
+}
+
+// limitAdmits says whether a target may get a request of this host as far as its limit goes; the
+// lock is held.
+func (r *Registry) limitAdmits(t *Target, now time.Time) bool {
+	if !t.limit.inForce {
+		return true
+	}
+	had := t.limit.share.self
+	r.shareOf(t, &t.limit.share, r.limitBounds.rate(t.limit.perSecond), now)
+	if t.limit.share.self && !had {
+		// Hosts learn of a limit at the same time. In turn they hear of its end sooner.
+		t.limit.begins = now.Add(rand.N(t.limit.share.pause))
+	}
+	if now.Before(t.limit.begins) {
+		return false
+	}
+	return t.limit.share.allows(t, now) || r.asksAnew(t, now)
+}
+
+// asksAnew says whether a host without a share sends a request, since no other host may know of the
+// limit or of its end: the log doesn't tell of it, and the target was not asked for long. All such
+// hosts together ask once in a window.
+func (r *Registry) asksAnew(t *Target, now time.Time) bool {
+	if t.limit.share.self || t.limit.news.posted.InForce {
+		return false
+	}
+	after := time.Duration(r.opts.Hosts()) * r.limitBounds.Window
+	return now.Sub(t.chosen) > max(after, leastAsksAnew)
 }
 
-// limitLines bounds the lines a second about limits, which a target may change with each answer.
-const limitLines = 20
+// leastAsksAnew is how long a host without a share waits at least before it asks a target anew.
+const leastAsksAnew = 10 * time.Second
 
 // StateLimit takes over what an answer of a target says of its limit.
 func (r *Registry) StateLimit(t *Target, s limit.Statement) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := time.Now()
 	t.limit.malformed = false
-	switch was := t.limit; {
-	case s.Named && (!was.inForce || was.perSecond != s.PerSecond):
-		r.setLimit(t, s.PerSecond)
-	case !s.Named && was.inForce:
-		r.endLimit(t)
+	switch {
+	case s.Named:
+		t.limit.byRefusals = s.Refusal && (t.limit.byRefusals || !t.limit.inForce)
+		t.limit.named, t.limit.doublings = now, 0
+		r.putLimit(t, s.PerSecond, now)
+	case !t.limit.inForce:
+	case t.limit.byRefusals && !s.Refusal:
+		r.raiseLimit(t, now)
+	default:
+		r.endLimit(t, now)
 	}
+	r.noteNews(t, now)
 }
 
-// setLimit puts a limit in force, or changes it; the lock is held.
-func (r *Registry) setLimit(t *Target, perSecond float64) {
-	if !t.limit.inForce {
-		t.limit.inForce, t.limit.since = true, time.Now()
+// raiseLimit raises a limit that only refusals name, and that none has named for a while; the lock is
+// held.
+func (r *Registry) raiseLimit(t *Target, now time.Time) {
+	silent := now.Sub(t.limit.named)
+	if silent < refusalsTell {
+		return
+	}
+	t.limit.named = now
+	t.limit.doublings++
+	if t.limit.doublings > mostDoublings {
+		r.endLimit(t, now)
+		return
+	}
+	r.putLimit(t, 2*max(t.limit.perSecond, leastPerSecond), now)
+}
+
+// putLimit puts a limit in force, or changes it; the lock is held.
+func (r *Registry) putLimit(t *Target, perSecond float64, now time.Time) {
+	was := t.limit
+	if !was.inForce {
+		t.limit.inForce, t.limit.since, t.limit.sent = true, now, 0
 	}
 	t.limit.perSecond = perSecond
-	r.logLimit(t, "target names a limit", log.Fields{"per_second": perSecond})
+	if !was.inForce || was.perSecond != perSecond {
+		r.logLimit(t, "target names a limit", log.Fields{"per_second": perSecond, "by_refusals": t.limit.byRefusals})
+	}
 }
 
 // endLimit ends a limit; the lock is held.
-func (r *Registry) endLimit(t *Target) {
-	r.logLimit(t, "target's limit ended", log.Fields{"per_second": t.limit.perSecond, "lasted": time.Since(t.limit.since).Round(time.Millisecond)})
-	t.limit = limited{}
+func (r *Registry) endLimit(t *Target, now time.Time) {
+	r.logLimit(t, "target's limit ended", log.Fields{
+		"per_second": t.limit.perSecond, "lasted": now.Sub(t.limit.since).Round(time.Millisecond), "sent": t.limit.sent,
+	})
+	t.limit = limited{news: t.limit.news}
 }
 
 func (r *Registry) logLimit(t *Target, text string, fields log.Fields) {
@@ -53,22 +156,13 @@
 	}
 }
 
-// MalformedLimit logs that an answer of a target named a limit that can't be read. It changes
-// nothing: it tells neither of a limit nor of the end of one.
-func (r *Registry) MalformedLimit(t *Target, err error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !t.limit.malformed {
-		t.limit.malformed = true
-		r.logLimit(t, "target's limit can't be read", log.Fields{log.ErrorKey: err})
-	}
-}
-
 // LimitStatus is what this host knows of a target's limit.
 type LimitStatus struct {
 	Target    string
 	Service   string
 	PerSecond float64 // that the target takes from all hosts together
+	Share     float64 // of it, that this host may send
+	Sent      uint64  // by this host since then
 	Since     time.Time
 }
 
@@ -78,9 +172,25 @@
 	defer r.mu.Unlock()
 	var list []LimitStatus
 	for _, t := range r.targets {
-		if t.limit.inForce {
-			list = append(list, LimitStatus{Target: t.ID, Service: t.Service, PerSecond: t.limit.perSecond, Since: t.limit.since})
+		if !t.limit.inForce {
+			continue
 		}
+		s := LimitStatus{Target: t.ID, Service: t.Service, PerSecond: t.limit.perSecond, Sent: t.limit.sent, Since: t.limit.since}
+		if t.limit.share.self {
+			s.Share = 1 / t.limit.share.pause.Seconds()
+		}
+		list = append(list, s)
 	}
 	return list
 }
+
+// MalformedLimit logs that an answer of a target named a limit that can't be read. It changes
+// nothing: it tells neither of a limit nor of the end of one.
+func (r *Registry) MalformedLimit(t *Target, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !t.limit.malformed {
+		t.limit.malformed = true
+		r.logLimit(t, "target's limit can't be read", log.Fields{log.ErrorKey: err})
+	}
+}
--- /dev/null
+++ b/router/target/ration.go
@@ -0,0 +1,145 @@
+package target
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Where all targets of a service that could take a request name limits, more requests may come than
+// they take together. Then this host's part is divided by urgency: what the more urgent requests of
+// the last seconds leave is drawn by lot among the others, which always get a little, so that none
+// starves. What gets no place is turned away at once and told when to come back.
+
+// Figures of rations.
+const (
+	ranks          = 10              // of urgency, 0 comes first
+	rationMemory   = 4 * time.Second // in which what was seen of a rank fades to a third
+	rationHeadroom = 1.5             // times the part that requests draw for: not each draw finds a place free
+	leastRation    = 0.1             // of the part, for a rank that the more urgent ones leave nothing
+	leastReturn    = 200 * time.Millisecond
+	mostReturn     = 10 * time.Second
+)
+
+// ration is what this host sees of the requests for a service whose targets all name limits.
+type ration struct {
+	at   time.Time
+	seen [ranks]float64   // requests a second, smoothed
+	line [ranks]time.Time // when the last request that was turned away may come back
+}
+
+func rankOf(w Want) int { return min(max(w.Rank, 0), ranks-1) }
+
+// note counts a request.
+func (q *ration) note(rank int, now time.Time) {
+	if !q.at.IsZero() {
+		kept := math.Exp(-now.Sub(q.at).Seconds() / rationMemory.Seconds())
+		for i := range q.seen {
+			q.seen[i] *= kept
+		}
+	}
+	q.at = now
+	q.seen[rank] += 1 / rationMemory.Seconds()
+}
+
+// left is what the more urgent requests leave of so many a second.
+func (q *ration) left(rank int, perSecond float64) float64 {
+	for _, more := range q.seen[:rank] {
+		perSecond -= more
+	}
+	return perSecond
+}
+
+// draw says whether a request may take a place of a host that has so many a second.
+func (q *ration) draw(rank int, perSecond float64) bool {
+	if q.left(rank, 0) == 0 {
+		return true // nobody is more urgent
+	}
+	left := max(q.left(rank, rationHeadroom*perSecond), leastRation*perSecond)
+	return rand.Float64()*q.seen[rank] < left
+}
+
+// comeBack is after how long a request that is turned away finds a place: behind those of its rank
+// that were turned away before it.
+func (q *ration) comeBack(rank int, perSecond float64, now time.Time) time.Duration {
+	left := max(q.left(rank, perSecond), leastRation*perSecond)
+	last := now
+	if q.line[rank].After(now) {
+		last = q.line[rank]
+	}
+	after := mostReturn
+	if left > 0 {
+		after = last.Sub(now) + time.Duration(min(1/left, mostReturn.Seconds())*float64(time.Second))
+	}
+	after = min(max(after, leastReturn), mostReturn)
+	q.line[rank] = now.Add(after)
+	return after
+}
+
+// rationed says whether a request has to give way to more urgent ones: all targets that may take it
+// name limits. The lock is held.
+func (r *Registry) rationed(w Want, usable []*Target, now time.Time) bool {
+	for _, t := range usable {
+		if !t.limit.inForce {
+			return false
+		}
+	}
+	q := r.rationOf(w.Service)
+	q.note(rankOf(w), now)
+	places, _ := r.places(w.Service)
+	return !q.draw(rankOf(w), places)
+}
+
+func (r *Registry) rationOf(service string) *ration {
+	q := r.rations[service]
+	if q == nil {
+		q = &ration{}
+		r.rations[service] = q
+	}
+	return q
+}
+
+// places is how many requests a second the targets of a service that name limits take from this host,
+// and how many from all hosts; the lock is held.
+func (r *Registry) places(service string) (own, all float64) {
+	for _, t := range r.services[service] {
+		if !t.listed || t.state != Ready || !t.limit.inForce {
+			continue
+		}
+		all += t.limit.perSecond
+		if s := t.limit.share; s.self {
+			own += 1 / s.pause.Seconds()
+		}
+	}
+	return own, all
+}
+
+// Full is why no target takes a request: those that could name limits, and this host's part of these
+// is used up.
+type Full struct {
+	After time.Duration // when a place is likely to be free
+	Share bool          // this host has a part
+}
+
+// FullFor says whether a request finds no target since those that could take it name limits.
+func (r *Registry) FullFor(w Want) (f Full, full bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for _, t := range r.services[w.Service] {
+		if t.limit.inForce && t.listed && t.state == Ready && r.mayServe(w, t, now) {
+			full = true
+			break
+		}
+	}
+	if !full {
+		return f, false
+	}
+	own, all := r.places(w.Service)
+	f.Share = own > 0
+	if !f.Share {
+		own = all / float64(max(r.opts.Hosts(), 1))
+	}
+	f.After = r.rationOf(w.Service).comeBack(rankOf(w), own, now)
+	return f, true
+}
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -28,6 +28,7 @@
 	state  State
 	listed bool
 	leftAt time.Time // when it was first seen draining or gone
+	chosen time.Time // when this host last sent it a request
 	cold   cold
 	limit  limited
 
@@ -58,6 +59,8 @@
 	// Elected says whether this host is one of up to count hosts that share a duty, and how
 	// many they are; nil: it is alone.
 	Elected func(duty string, count int) (hosts int, self bool)
+	// Hosts counts the hosts that are known; nil: this one alone.
+	Hosts func() int
 }
 
 // Registry holds all targets.
@@ -71,7 +74,11 @@
 	maxConns    map[string]int        // at one target, from this host
 	evacuations map[string]evacuation // by failure domain
 	coldLimits  map[string]ColdLimits // by service
-	limitLines  *logging.Limiter      // of lines about limits of targets
+	limitBounds LimitBounds
+	news        map[*Target]struct{} // targets of whose limits this host is to write
+	posted      map[string]*posted   // notices of limits in the log, by target
+	rations     map[string]*ration   // by service
+	limitLines  *logging.Limiter     // of lines about limits of targets
 }
 
 // NewRegistry makes an empty registry.
@@ -79,6 +86,9 @@
 	if opts.Elected == nil {
 		opts.Elected = alone
 	}
+	if opts.Hosts == nil {
+		opts.Hosts = func() int { return 1 }
+	}
 	return &Registry{
 		opts:        opts,
 		targets:     map[string]*Target{},
@@ -87,6 +97,10 @@
 		maxConns:    map[string]int{},
 		evacuations: map[string]evacuation{},
 		coldLimits:  map[string]ColdLimits{},
+		limitBounds: LimitBounds{Overrun: 1.5, Slack: 5, Window: 4 * time.Second},
+		news:        map[*Target]struct{}{},
+		posted:      map[string]*posted{},
+		rations:     map[string]*ration{},
 		limitLines:  logging.NewLimiter(limitLines),
 	}
 }
@@ -168,6 +182,9 @@
 	t.Pool.SetLimit(r.maxConns[e.Service])
 	r.targets[e.ID] = t
 	r.services[e.Service] = append(r.services[e.Service], t)
+	if p := r.posted[e.ID]; p != nil {
+		r.learn(t, p.Notice, time.Now())
+	}
 	return t
 }
 
