target, node: limits that change, and notices that are older than what a host heard

- After a limit had fallen from 6 to 0.6 a second, all 32 hosts that shared the higher one sent once more, spread over the five seconds of their pause.
Hosts that share a limit now send every two seconds, so fewer of them share it.

--- a/router/limit/notice.go
+++ b/router/limit/notice.go
@@ -16,8 +16,12 @@
 	Born      int64   `json:"born,omitempty"` // start of the target's process in Unix milliseconds, 0: not told
 	PerSecond float64 `json:"per_second"`
 	// ByRefusals says that only refusals name the limit, so that other answers don't tell of its end.
-	ByRefusals bool   `json:"by_refusals,omitempty"`
-	Host       string `json:"host"` // that wrote it
+	ByRefusals bool `json:"by_refusals,omitempty"`
+	// Raises counts how often the limit was raised beyond what refusals named, to see whether it
+	// has ended.
+	Raises int    `json:"raises,omitempty"`
+	AgeMs  int64  `json:"age_ms,omitempty"` // since the writer heard it of the target
+	Host   string `json:"host"`             // that wrote it
 	// InForce is false for a target whose record was deleted.
 	InForce bool `json:"-"`
 }
--- a/router/observe/limits.go
+++ b/router/observe/limits.go
@@ -29,6 +29,8 @@
 	for _, l := range list[:min(len(list), maxLimits)] {
 		label := fmt.Sprintf("{target=%q,service=%q}", l.Target, l.Service)
 		metrics.WriteGaugeFloat64(w, "maststage_target_limit_per_second"+label, l.PerSecond)
+		metrics.WriteGaugeFloat64(w, "maststage_target_limit_share_per_second"+label, l.Share)
+		metrics.WriteGaugeUint64(w, "maststage_target_limit_sent"+label, l.Sent)
 		metrics.WriteGaugeFloat64(w, "maststage_target_limit_age_seconds"+label, time.Since(l.Since).Seconds())
 	}
 }
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -41,7 +41,7 @@
 	now := time.Now()
 	t := r.choose(w, now)
 	if t != nil {
-		t.chosen = now
+		t.paced = now
 		if t.limit.inForce {
 			t.limit.sent++
 		}
@@ -58,9 +58,9 @@
 
 // choose picks a target; the lock is held.
 func (r *Registry) choose(w Want, now time.Time) *Target {
-	usable, spared := r.candidates(w, now)
+	usable, spared, full := r.candidates(w, now)
 	usable = r.onTrial(w, usable)
-	if len(usable) == 0 || r.rationed(w, usable, now) {
+	if r.rationed(w, usable, full, now) || len(usable) == 0 {
 		return nil
 	}
 	if w.onTrial() {
@@ -79,7 +79,7 @@
 
 // usable lists the targets that may take the request.
 func (r *Registry) usable(w Want, now time.Time) []*Target {
-	usable, _ := r.candidates(w, now)
+	usable, _, _ := r.candidates(w, now)
 	return usable
 }
 
@@ -87,7 +87,7 @@
 // neither ejected, nor full, nor quiet, nor ended; else the ready ones; else those that left a moment
 // ago. Evacuated targets are never among them, nor those of regions or versions that are not allowed, nor are the cold ones that have enough,
 // which are listed apart, and those that name a limit and have enough.
-func (r *Registry) candidates(w Want, now time.Time) (usable, spared []*Target) {
+func (r *Registry) candidates(w Want, now time.Time) (usable, spared []*Target, full bool) {
 	all := r.services[w.Service]
 	good := make([]*Target, 0, len(all))
 	var ejected, leaving []*Target
@@ -100,6 +100,7 @@
 			if t.isCold(now) {
 				spared = append(spared, t)
 			}
+			full = full || t.limit.inForce
 		case !t.listed || t.state != Ready:
 			if now.Sub(t.leftAt) < r.opts.DrainWithin {
 				leaving = append(leaving, t)
@@ -112,11 +113,11 @@
 	}
 	switch {
 	case len(good) > 0:
-		return good, spared
+		return good, spared, full
 	case len(ejected) > 0:
-		return ejected, spared
+		return ejected, spared, full
 	}
-	return leaving, spared
+	return leaving, spared, full
 }
 
 // mayServe says whether a target is one that the request may go to at all; the lock is held.
--- a/router/target/cold.go
+++ b/router/target/cold.go
@@ -52,7 +52,8 @@
 	if !t.isCold(now) || limits.PerSecond <= 0 {
 		return true
 	}
-	r.shareOf(t, &t.cold.share, rate{perSecond: limits.PerSecond, window: time.Second, most: int(limits.PerSecond)}, now)
+	most := int(limits.PerSecond)
+	r.shareOf(t, &t.cold.share, rate{perSecond: limits.PerSecond, window: time.Second, most: most, hosts: most}, now)
 	return t.cold.share.allows(t, now)
 }
 
--- a/router/target/limited.go
+++ b/router/target/limited.go
@@ -22,11 +22,17 @@
 	// leastPerSecond is sent to a target whatever its limit: without an answer now and then nobody
 	// learns that a limit of zero has ended. The slack of the bounds covers it.
 	leastPerSecond = 0.1
-	// refusalsTell is how long refusals that name a limit stand for the other answers, if these don't
-	// name it. Then the limit is taken to be twice as high for as long again.
-	refusalsTell = 4 * time.Second
-	// mostDoublings ends a limit that no refusal has named any more.
-	mostDoublings = 5
+	// refusalsTell is how long a limit that only refusals name stands without one: a host that was
+	// refused tells the others within this time. Then more is sent, by refusalsRaise, which a target
+	// that still has the limit refuses in part. After mostRaises the limit ends.
+	refusalsTell  = 8 * time.Second
+	refusalsRaise = 1.4
+	mostRaises    = 3
+	// fewestSharing hosts share a limit, however low it is: one that ends takes its part along until
+	// the others have forgotten it.
+	fewestSharing = 5
+	// sharePause is the time between two requests of a host that shares a limit with more hosts.
+	sharePause = 2 * time.Second
 	// limitLines bounds the lines a second about limits, which a target may change with each answer.
 	limitLines = 20
 )
@@ -36,13 +42,13 @@
 	inForce    bool
 	perSecond  float64   // that the target takes from all hosts together
 	since      time.Time // when this host first knew of it
-	named      time.Time // by the newest answer that named it
+	heard      time.Time // when this host had the newest answer that named it
+	quiet      time.Time // since when refusals have not named it
 	byRefusals bool      // no other answer has named it
+	raises     int       // of what refusals named
 	malformed  bool      // the newest answer named a limit that can't be read
-	doublings  int       // of what refusals named, since they are silent
 	sent       uint64    // requests of this host while it was in force
 	share      share
-	begins     time.Time // when this host begins to use its share
 	news       news
 }
 
@@ -54,12 +60,15 @@
 }
 
 // rate is what all hosts aim at together for a target that names a limit. Half of what the
-// bounds allow beyond the limit itself is left for moments at which hosts don't agree who sends.
+// bounds allow beyond the limit itself is left for moments at which hosts don't agree who sends. Each
+// host sends every few seconds, or it would be told late that the limit has fallen.
 func (b LimitBounds) rate(perSecond float64) rate {
 	aim := max(perSecond, leastPerSecond)
 	named := aim * b.Window.Seconds()
 	allowed := b.Overrun*named + b.Slack
-	return rate{perSecond: aim, window: b.Window, most: max(int((named+allowed)/2), 1)}
+	most := max(int((named+allowed)/2), 1)
+	hosts := max(int(aim*sharePause.Seconds()), fewestSharing)
+	return rate{perSecond: aim, window: b.Window, most: most, hosts: min(hosts, most)}
 }
 
 // limitAdmits says whether a target may get a request of this host as far as its limit goes; the
@@ -71,11 +80,8 @@
 	had := t.limit.share.self
 	r.shareOf(t, &t.limit.share, r.limitBounds.rate(t.limit.perSecond), now)
 	if t.limit.share.self && !had {
-		// Hosts learn of a limit at the same time. In turn they hear of its end sooner.
-		t.limit.begins = now.Add(rand.N(t.limit.share.pause))
-	}
-	if now.Before(t.limit.begins) {
-		return false
+		// Hosts learn of a limit at the same time, and hear of its end sooner if they ask in turn.
+		t.paced = now.Add(-rand.N(t.limit.share.pause))
 	}
 	return t.limit.share.allows(t, now) || r.asksAnew(t, now)
 }
@@ -88,7 +94,7 @@
 		return false
 	}
 	after := time.Duration(r.opts.Hosts()) * r.limitBounds.Window
-	return now.Sub(t.chosen) > max(after, leastAsksAnew)
+	return now.Sub(t.paced) > max(after, leastAsksAnew)
 }
 
 // leastAsksAnew is how long a host without a share waits at least before it asks a target anew.
@@ -103,7 +109,7 @@
 	switch {
 	case s.Named:
 		t.limit.byRefusals = s.Refusal && (t.limit.byRefusals || !t.limit.inForce)
-		t.limit.named, t.limit.doublings = now, 0
+		t.limit.heard, t.limit.quiet, t.limit.raises = now, now, 0
 		r.putLimit(t, s.PerSecond, now)
 	case !t.limit.inForce:
 	case t.limit.byRefusals && !s.Refusal:
@@ -114,20 +120,18 @@
 	r.noteNews(t, now)
 }
 
-// raiseLimit raises a limit that only refusals name, and that none has named for a while; the lock is
-// held.
+// raiseLimit raises a limit that only refusals name, and that none has named for a while, until it
+// ends; the lock is held.
 func (r *Registry) raiseLimit(t *Target, now time.Time) {
-	silent := now.Sub(t.limit.named)
-	if silent < refusalsTell {
-		return
-	}
-	t.limit.named = now
-	t.limit.doublings++
-	if t.limit.doublings > mostDoublings {
+	switch {
+	case now.Sub(t.limit.quiet) < refusalsTell:
+	case t.limit.raises == mostRaises:
 		r.endLimit(t, now)
-		return
+	default:
+		t.limit.raises++
+		t.limit.quiet = now
+		r.putLimit(t, refusalsRaise*max(t.limit.perSecond, leastPerSecond), now)
 	}
-	r.putLimit(t, 2*max(t.limit.perSecond, leastPerSecond), now)
 }
 
 // putLimit puts a limit in force, or changes it; the lock is held.
@@ -164,6 +168,7 @@
 	Share     float64 // of it, that this host may send
 	Sent      uint64  // by this host since then
 	Since     time.Time
+	Told      bool // the log tells of it, as far as this host has read it
 }
 
 // Limits lists the targets that name a limit.
@@ -175,7 +180,8 @@
 		if !t.limit.inForce {
 			continue
 		}
-		s := LimitStatus{Target: t.ID, Service: t.Service, PerSecond: t.limit.perSecond, Sent: t.limit.sent, Since: t.limit.since}
+		s := LimitStatus{Target: t.ID, Service: t.Service, PerSecond: t.limit.perSecond, Sent: t.limit.sent, Since: t.limit.since,
+			Told: t.limit.news.posted.InForce}
 		if t.limit.share.self {
 			s.Share = 1 / t.limit.share.pause.Seconds()
 		}
--- a/router/target/ration.go
+++ b/router/target/ration.go
@@ -15,8 +15,8 @@
 const (
 	ranks          = 10              // of urgency, 0 comes first
 	rationMemory   = 4 * time.Second // in which what was seen of a rank fades to a third
-	rationHeadroom = 1.5             // times the part that requests draw for: not each draw finds a place free
-	leastRation    = 0.1             // of the part, for a rank that the more urgent ones leave nothing
+	rationHeadroom = 1.0
+	leastRation    = 0.1 // of the part, for a rank that the more urgent ones leave nothing
 	leastReturn    = 200 * time.Millisecond
 	mostReturn     = 10 * time.Second
 )
@@ -76,14 +76,17 @@
 	return after
 }
 
-// rationed says whether a request has to give way to more urgent ones: all targets that may take it
-// name limits. The lock is held.
-func (r *Registry) rationed(w Want, usable []*Target, now time.Time) bool {
+// rationed says whether a request has to give way to more urgent ones, since all targets that may take
+// it name limits; full says that some of them have enough. The lock is held.
+func (r *Registry) rationed(w Want, usable []*Target, full bool, now time.Time) bool {
 	for _, t := range usable {
 		if !t.limit.inForce {
 			return false
 		}
 	}
+	if len(usable) == 0 && !full {
+		return false
+	}
 	q := r.rationOf(w.Service)
 	q.note(rankOf(w), now)
 	places, _ := r.places(w.Service)
--- a/router/target/share.go
+++ b/router/target/share.go
@@ -17,6 +17,7 @@
 	perSecond float64       // that they aim at
 	window    time.Duration // in any span of this length
 	most      int           // the target gets no more
+	hosts     int           // that share it, if there are as many
 }
 
 // Figures of shares.
@@ -51,13 +52,13 @@
 	if s.rate == b && !s.at.IsZero() && now.Sub(s.at) < shareLook {
 		return
 	}
-	hosts, self := r.opts.Elected(t.ID, max(b.most, 1))
+	hosts, self := r.opts.Elected(t.ID, max(b.hosts, 1))
 	*s = share{at: now, rate: b, self: self, pause: b.pause(hosts)}
 }
 
 // allows says whether the share leaves room for a request; the lock is held.
 func (s *share) allows(t *Target, now time.Time) bool {
-	return s.self && now.Sub(t.chosen) >= s.pause
+	return s.self && now.Sub(t.paced) >= s.pause
 }
 
 // admits says whether this host may send a target a request, as far as the rates go that the target
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -28,7 +28,7 @@
 	state  State
 	listed bool
 	leftAt time.Time // when it was first seen draining or gone
-	chosen time.Time // when this host last sent it a request
+	paced  time.Time // from when on the pause before the next request of this host counts
 	cold   cold
 	limit  limited
 
