target, forward: places for streams under way, and no lot beside targets without limits

A stream that broke with its target was cut where all other targets name limits and this host's places were used up, though one came free within a second. It now waits for one, and goes before new requests.

A request whose only usable targets at the moment name limits, since the others were passed over for 150 ms, was drawn by lot and could be refused. The lot is for services all of whose ready targets name limits.

--- a/router/forward/limits.go
+++ b/router/forward/limits.go
@@ -1,7 +1,9 @@
 package forward
 
 import (
+	"context"
 	"net/http"
+	"time"
 
 	"maststage.dev/router/limit"
 )
@@ -40,3 +42,20 @@
 	}
 	return TargetsFull
 }
+
+// placeLook is the time between two looks for a target that goes on with a stream.
+const placeLook = 50 * time.Millisecond
+
+// awaitPlace waits a moment for a target that goes on with a stream whose beginning its caller has:
+// refused, it would be lost. It says whether one may be found then.
+func (q *request) awaitPlace(ctx context.Context) bool {
+	if q.stream == nil || !q.stream.begun || !q.handler.opts.Targets.HasPlaces(q.want(q.excluded)) {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(placeLook):
+		return true
+	}
+}
--- a/router/forward/limits_test.go
+++ b/router/forward/limits_test.go
@@ -77,3 +77,37 @@
 	b.is.Equal(b.recorder.last(t, req.Header.Get("X-Id")).Kind, TargetsFull)
 	b.is.Equal(e.Arrivals(), 1)
 }
+
+// Guards against streams that are cut though the place for the rest comes free a moment later.
+func TestBrokenStreamWaitsForAPlace(t *testing.T) {
+	b := newBench(t)
+	whole := backend.Behaviour{Events: 3, Limit: []string{"2"}}
+	for _, id := range []string{"t1", "t2"} {
+		b.add(id, "engine", whole)
+	}
+	for _, e := range b.backends { // the host hears of both limits
+		b.eventually("each target is asked", func() bool {
+			b.do(b.request("POST", "/stream/x", ""))
+			return e.Arrivals() > 0
+		})
+	}
+	time.Sleep(1100 * time.Millisecond) // both have a place
+	broken := backend.Behaviour{Events: 20, Gap: 20 * time.Millisecond, BreakAfter: 5, Limit: []string{"2"}}
+	for _, e := range b.backends {
+		e.Behave(func(run backend.Run) backend.Behaviour {
+			if run.Header.Get("Last-Event-Id") == "" && run.ID == "long" {
+				return broken
+			}
+			return backend.Behaviour{Events: 20, Limit: []string{"2"}}
+		})
+	}
+	req := b.request("POST", "/stream/x", "")
+	req.Header.Set("X-Id", "long")
+	answer := make(chan reply, 1)
+	go func() { answer <- b.do(req) }()
+	time.Sleep(50 * time.Millisecond)
+	b.is.Equal(b.do(b.request("POST", "/stream/x", "")).status, 200) // it takes the other place
+	got := <-answer
+	b.is.NoErr(got.err)
+	b.is.Equal(got.body, events("long", 20))
+}
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -65,6 +65,12 @@
 			return q.giveUp(NoRegion, last)
 		}
 		t := q.choose(q.excluded)
+		if t == nil && q.awaitPlace(ctx) {
+			continue
+		}
+		if t == nil && q.ctx.Err() != nil {
+			return CallerGone, last
+		}
 		if t == nil {
 			return q.giveUp(q.noTarget(), errors.Join(last, errors.New("no target is left")))
 		}
@@ -177,6 +183,14 @@
 	}
 }
 
+// rank is the urgency of the request: one that may have run goes before all that are new.
+func (q *request) rank() int {
+	if q.ran > 0 {
+		return 0
+	}
+	return q.config.Rank(q.organisation, q.route)
+}
+
 // try sends the request to one target and handles its answer.
 func (q *request) try(ctx context.Context, t *target.Target) (result, error) {
 	started := time.Now()
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -58,9 +58,9 @@
 
 // choose picks a target; the lock is held.
 func (r *Registry) choose(w Want, now time.Time) *Target {
-	usable, spared, full := r.candidates(w, now)
+	usable, spared := r.candidates(w, now)
 	usable = r.onTrial(w, usable)
-	if r.rationed(w, usable, full, now) || len(usable) == 0 {
+	if r.rationed(w, usable, now) || len(usable) == 0 {
 		return nil
 	}
 	if w.onTrial() {
@@ -79,15 +79,16 @@
 
 // usable lists the targets that may take the request.
 func (r *Registry) usable(w Want, now time.Time) []*Target {
-	usable, _, _ := r.candidates(w, now)
+	usable, _ := r.candidates(w, now)
 	return usable
 }
 
 // candidates lists the targets that may take the request: the ready ones that are
 // neither ejected, nor full, nor quiet, nor ended; else the ready ones; else those that left a moment
-// ago. Evacuated targets are never among them, nor those of regions or versions that are not allowed, nor are the cold ones that have enough,
-// which are listed apart, and those that name a limit and have enough.
-func (r *Registry) candidates(w Want, now time.Time) (usable, spared []*Target, full bool) {
+// ago. Evacuated targets are never among them, nor those of regions or versions that are not allowed,
+// nor those that name a limit and have enough, nor the cold ones that have enough, which are listed
+// apart.
+func (r *Registry) candidates(w Want, now time.Time) (usable, spared []*Target) {
 	all := r.services[w.Service]
 	good := make([]*Target, 0, len(all))
 	var ejected, leaving []*Target
@@ -100,7 +101,6 @@
 			if t.isCold(now) {
 				spared = append(spared, t)
 			}
-			full = full || t.limit.inForce
 		case !t.listed || t.state != Ready:
 			if now.Sub(t.leftAt) < r.opts.DrainWithin {
 				leaving = append(leaving, t)
@@ -113,11 +113,11 @@
 	}
 	switch {
 	case len(good) > 0:
-		return good, spared, full
+		return good, spared
 	case len(ejected) > 0:
-		return ejected, spared, full
+		return ejected, spared
 	}
-	return leaving, spared, full
+	return leaving, spared
 }
 
 // mayServe says whether a target is one that the request may go to at all; the lock is held.
--- a/router/target/limited.go
+++ b/router/target/limited.go
@@ -81,7 +81,7 @@
 	r.shareOf(t, &t.limit.share, r.limitBounds.rate(t.limit.perSecond), now)
 	if t.limit.share.self && !had {
 		// Hosts learn of a limit at the same time, and hear of its end sooner if they ask in turn.
-		t.paced = now.Add(-rand.N(t.limit.share.pause))
+		t.paced = t.limit.since.Add(-rand.N(t.limit.share.pause))
 	}
 	return t.limit.share.allows(t, now) || r.asksAnew(t, now)
 }
--- a/router/target/ration.go
+++ b/router/target/ration.go
@@ -77,14 +77,14 @@
 }
 
 // rationed says whether a request has to give way to more urgent ones, since all targets that may take
-// it name limits; full says that some of them have enough. The lock is held.
-func (r *Registry) rationed(w Want, usable []*Target, full bool, now time.Time) bool {
+// it name limits. The lock is held.
+func (r *Registry) rationed(w Want, usable []*Target, now time.Time) bool {
 	for _, t := range usable {
 		if !t.limit.inForce {
 			return false
 		}
 	}
-	if len(usable) == 0 && !full {
+	if !r.allLimited(w, now) {
 		return false
 	}
 	q := r.rationOf(w.Service)
@@ -93,6 +93,22 @@
 	return !q.draw(rankOf(w), places)
 }
 
+// allLimited says whether there are ready targets that a request may go to, and all of them name
+// limits. The lock is held.
+func (r *Registry) allLimited(w Want, now time.Time) bool {
+	limited := false
+	for _, t := range r.services[w.Service] {
+		if !t.listed || t.state != Ready || !r.mayServe(w, t, now) {
+			continue
+		}
+		if !t.limit.inForce {
+			return false
+		}
+		limited = true
+	}
+	return limited
+}
+
 func (r *Registry) rationOf(service string) *ration {
 	q := r.rations[service]
 	if q == nil {
@@ -129,13 +145,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	for _, t := range r.services[w.Service] {
-		if t.limit.inForce && t.listed && t.state == Ready && r.mayServe(w, t, now) {
-			full = true
-			break
-		}
-	}
-	if !full {
+	if !r.allLimited(w, now) {
 		return f, false
 	}
 	own, all := r.places(w.Service)
@@ -146,3 +156,12 @@
 	f.After = r.rationOf(w.Service).comeBack(rankOf(w), own, now)
 	return f, true
 }
+
+// HasPlaces says whether this host may send requests, though not now, where all targets that could
+// take one name limits.
+func (r *Registry) HasPlaces(w Want) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	own, _ := r.places(w.Service)
+	return own > 0 && r.allLimited(w, time.Now())
+}
