soak, limit: targets of the soak name limits, and the bound is checked

Checked: what they get from the hosts that had passed on such an answer, in any 4 s; and that plain targets serve as before once all is well again. Hosts that were restarted, stood still or were cut off from the store don't count, for 3 s more.

Any decimal number of up to 64 characters is read now.

The check of engines after the limit failed at engine-8: the hosts' lines show no limit and one request in its life, since it comes first for none of the callers' five prompts. So that check is for plain targets alone.

--- a/proofs/soak/callers_test.go
+++ b/proofs/soak/callers_test.go
@@ -34,6 +34,8 @@
 	sent             bool // the request was written
 	status           int
 	stamp            string
+	limit            string    // that the answer names
+	headAt           time.Time // when the head of the answer came
 	body             string
 	err              error
 }
@@ -147,6 +149,7 @@
 func (c *call) read(resp *http.Response) {
 	defer resp.Body.Close()
 	c.status, c.stamp = resp.StatusCode, resp.Header.Get(platform.Headers.Stamp)
+	c.limit, c.headAt = resp.Header.Get(platform.Headers.Limit), time.Now()
 	data, err := io.ReadAll(resp.Body)
 	c.body, c.err = string(data), err
 }
--- a/proofs/soak/checks_test.go
+++ b/proofs/soak/checks_test.go
@@ -36,6 +36,7 @@
 	w.checkLeaving(arrivals)
 	w.checkEvacuations(arrivals)
 	w.checkRetries(calls, arrivals)
+	w.checkLimits(calls, arrivals)
 }
 
 // runs lists the runs of each request at all targets.
--- a/proofs/soak/faults_test.go
+++ b/proofs/soak/faults_test.go
@@ -80,6 +80,8 @@
 		return evacuate
 	case deadlyKind:
 		return deadly
+	case limitKind:
+		return limited
 	}
 	return strikes[kind]
 }
@@ -118,6 +120,7 @@
 	defer w.watch.fault(e.kind)()
 	for _, i := range some(len(w.hosts), e) {
 		w.hosts[i].store.Hush()
+		defer w.watch.excuse(w.hosts[i])()
 	}
 	for _, s := range struck(w, e) {
 		s.way.Hush()
@@ -195,6 +198,7 @@
 // term asks a host for a planned stop and starts it again.
 func (w *world) term(h *host, _ event) {
 	defer w.watch.stop("stop of " + h.name)()
+	defer w.watch.excuse(h)()
 	h.signal(syscall.SIGTERM, true)
 	if !h.waitEnd(graceTime + 5*time.Second) {
 		w.watch.violation("planned stop", "%s still runs 5 s after its grace time", h.name)
@@ -214,6 +218,7 @@
 
 func (w *world) killAndStart(h *host, e event) {
 	defer w.watch.fault("kill of " + h.name)()
+	defer w.watch.excuse(h)()
 	h.kill()
 	time.Sleep(e.length / 2)
 	h.start()
@@ -232,6 +237,7 @@
 
 func (w *world) pause(h *host, e event) {
 	defer w.watch.fault("pause of " + h.name)()
+	defer w.watch.excuse(h)()
 	h.signal(syscall.SIGSTOP, false)
 	time.Sleep(e.length)
 	h.signal(syscall.SIGCONT, false)
@@ -243,6 +249,7 @@
 		defer w.watch.fault(e.kind)()
 		for _, i := range some(len(w.hosts), e) {
 			w.log.SetFault(w.hosts[i].name, f)
+			defer w.watch.excuse(w.hosts[i])()
 		}
 		time.Sleep(e.length)
 		for _, i := range some(len(w.hosts), e) {
@@ -265,6 +272,7 @@
 		defer w.watch.fault(e.kind)()
 		for _, i := range some(len(w.hosts), e) {
 			defer w.hosts[i].store.Strike(f)()
+			defer w.watch.excuse(w.hosts[i])()
 		}
 		time.Sleep(e.length)
 	}
--- a/proofs/soak/soak_test.go
+++ b/proofs/soak/soak_test.go
@@ -99,6 +99,7 @@
 	events = append(events, hushes(seed, events)...)
 	events = append(events, evacuations(seed)...)
 	events = append(events, deadlies(seed, events)...)
+	events = append(events, limits(seed)...)
 	w := newWorld(t, hosts, seed)
 	if thin(seed) {
 		w.thinLinks()
@@ -120,6 +121,7 @@
 	w.play(ctx, events)
 	w.recovered()
 	w.checkDeadly(events)
+	w.checkLimitsOver()
 	stop()
 	traffic.Wait()
 	w.endReplacing()
--- a/proofs/soak/watch_test.go
+++ b/proofs/soak/watch_test.go
@@ -18,10 +18,11 @@
 	newest      int64
 	faults      []interval
 	stops       []interval
-	evacuations []interval          // by failure domain, from the store's answer on
-	deadly      []time.Time         // arrivals of deadly requests
-	wellAgain   time.Time           // all hosts serve again and know which targets left
-	violations  map[string][]string // by promise
+	evacuations []interval            // by failure domain, from the store's answer on
+	deadly      []time.Time           // arrivals of deadly requests
+	excuses     map[*host][]*interval // restarts, pauses and cuts of hosts
+	wellAgain   time.Time             // all hosts serve again and know which targets left
+	violations  map[string][]string   // by promise
 }
 
 // arrivalAt is a request at a target.
@@ -45,7 +46,7 @@
 func newWatch() *watch {
 	return &watch{
 		arrivals: map[string][]arrivalAt{}, budgets: map[string]int64{}, versions: map[int64]time.Time{},
-		violations: map[string][]string{},
+		violations: map[string][]string{}, excuses: map[*host][]*interval{},
 	}
 }
 
--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -91,6 +91,8 @@
 	mu                sync.Mutex
 	behave            func(*backend.Behaviour) // a fault, nil if there is none
 	leftAt            time.Time                // when the store had it that the target leaves
+	limit             []string                 // what it names as its limit
+	limits            []namedLimit             // that it has named
 }
 
 // Loopback networks of worlds.
@@ -321,7 +323,7 @@
 	s := &targetState{id: fmt.Sprintf("%s-%d", service, number), service: service, zone: fmt.Sprintf("z%d", number%3)}
 	names := backend.Names{
 		RequestID: platform.Headers.RequestID, ExpectTarget: platform.Headers.ExpectTarget,
-		LastEventID: platform.Headers.LastEventID, Stamp: platform.Headers.Stamp, NotRun: platform.Headers.NotRun,
+		LastEventID: platform.Headers.LastEventID, Stamp: platform.Headers.Stamp, NotRun: platform.Headers.NotRun, Limit: platform.Headers.Limit,
 	}
 	b, err := backend.Start(s.id, names, func(run backend.Run) backend.Behaviour { return w.behaviour(s, run) })
 	if err != nil {
@@ -365,6 +367,7 @@
 	if s.service == engineService {
 		b = backend.Behaviour{Delay: engineDelay, Gap: eventGap, Events: eventsOf(run.ID)}
 	}
+	s.namesLimit(&b)
 	s.mu.Lock()
 	fault := s.behave
 	s.mu.Unlock()
--- a/router/limit/limit.go
+++ b/router/limit/limit.go
@@ -19,8 +19,11 @@
 // mostPerSecond is above what any target takes: a larger number is a mistake.
 const mostPerSecond = 1e6
 
-// decimal is a number without sign or exponent, short enough to be one that is meant.
-var decimal = regexp.MustCompile(`^([0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12})$`)
+// decimal is a number without sign or exponent.
+var decimal = regexp.MustCompile(`^([0-9]+(\.[0-9]*)?|\.[0-9]+)$`)
+
+// mostDigits bounds the length of a number.
+const mostDigits = 64
 
 // ValueError tells that an answer names a limit that can't be read.
 type ValueError struct {
@@ -43,7 +46,7 @@
 		return s, &ValueError{values, "is named more than once"}
 	}
 	text := strings.TrimSpace(values[0])
-	if !decimal.MatchString(text) {
+	if len(text) > mostDigits || !decimal.MatchString(text) {
 		return s, &ValueError{values, "is not a decimal number"}
 	}
 	perSecond, err := strconv.ParseFloat(text, 64)
