forward: places of targets in need go by the urgency of the route alone

They were drawn by the rank that engines get, in which the priority of an organisation goes before that of the route: all requests of the first organisations went before the most urgent ones of the others. The limit of a target is nobody's budget, so organisations are alike in it.

--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -183,12 +183,13 @@
 	}
 }
 
-// rank is the urgency of the request: one that may have run goes before all that are new.
+// rank is the urgency of the request: one that may have run goes before all that are new, and all
+// organisations are alike.
 func (q *request) rank() int {
 	if q.ran > 0 {
 		return 0
 	}
-	return q.config.Rank(q.organisation, q.route)
+	return q.route.Priority
 }
 
 // try sends the request to one target and handles its answer.
