forward, replica, target: one try and the merging of copies in files of their own

run.go held both the decisions over the tries of a request and the carrying out of one; replica.go both the reading of the log and the taking over of records. Moved as they were.

--- /dev/null
+++ b/router/forward/call.go
@@ -0,0 +1,248 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"maststage.dev/router/exchange"
+	"maststage.dev/router/rollout"
+	"maststage.dev/router/routing"
+	"maststage.dev/router/target"
+)
+
+// Bounds of one try.
+const (
+	dialLimit  = 300 * time.Millisecond
+	restUnsafe = time.Second // a connection for what may not be repeated rested at most so long
+	restSafe   = time.Minute
+)
+
+// try sends the request to one target and handles its answer.
+func (q *request) try(ctx context.Context, t *target.Target) (result, error) {
+	started := time.Now()
+	work := float64(q.usage.in)
+	targets := q.handler.opts.Targets
+	targets.Begin(t, work)
+	c := &call{request: q, target: t, started: started, work: work, ask: q.ask(len(q.excluded) == 0)}
+	res, err := c.do(ctx)
+	q.handler.opts.Rollouts.Ended(c.ask, t.Version, c.answer(res, targets.Cold(t)))
+	if c.wentSilent(res) {
+		t.Pool.CloseIdle()
+	}
+	q.charge(c, res)
+	c.lookForEnd(res)
+	if res == delivered && c.whole {
+		q.handler.opts.Quarantine.Whole(q.digest)
+	}
+	targets.End(t, c.work, c.judgement(res))
+	if res == notSent && !q.handler.opts.Overload.Overloaded(time.Now()) {
+		targets.DialFailed(t)
+	}
+	q.handler.opts.Observer.Tried(Try{
+		RequestID: q.id, Number: q.tries, Target: t.ID, Domain: t.Domain, Result: res.String(),
+		Status: c.status, Resumed: c.resumed, Took: time.Since(started), Err: err,
+	})
+	return res, err
+}
+
+// call is one try at one target.
+type call struct {
+	request *request
+	target  *target.Target
+	conn    *exchange.Conn
+	started time.Time
+	work    float64 // counted at the target until it answers
+	ask     rollout.Ask
+	begins  time.Duration // until the answer began, 0: it did not
+	first   time.Time     // when the first event came
+	last    time.Time     // when the newest event came
+	events  int           // that came
+	sent    bool          // the target may have the request
+	status  int
+	resumed string
+	silence *silence
+	whole   bool   // a success whose end could not be mistaken
+	begun   func() // ends the note that the try waits for its answer
+}
+
+// wentSilent says whether nothing came on a connection that had carried answers before. It
+// may have gone silent for good, and those beside it too, while new ones work: without a
+// reset nothing else tells, and each would cost another request its time.
+func (c *call) wentSilent(res result) bool {
+	return c.conn != nil && c.conn.Reused() && c.status == 0 && (res == silent || res == outOfTime)
+}
+
+// judgement is what the try says of the target.
+func (c *call) judgement(res result) target.Result {
+	switch res {
+	case delivered:
+		return target.Succeeded
+	case refused:
+		return target.Refused
+	case errored:
+		return target.Errored
+	case broken, silent, cutOff:
+		return target.Broken
+	case outOfTime:
+		if c.status == 0 {
+			return target.Broken
+		}
+	}
+	return target.Abandoned
+}
+
+// answered notes that the target began to answer.
+func (c *call) answered() {
+	c.target.Heard(time.Now())
+	c.begins = time.Since(c.started)
+	c.request.handler.opts.Targets.Answered(c.target, c.work, c.begins)
+	c.work = 0
+}
+
+// do sends the request and handles the answer.
+func (c *call) do(ctx context.Context) (result, error) {
+	q := c.request
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return c.ended(ctx, notSent, err)
+	}
+	c.conn = conn
+	q.end.Target = c.target.ID
+	left, limited := q.left()
+	if !limited {
+		left = defaultDeadline
+	}
+	c.resumed = q.lastEventID()
+	head := q.handler.tryHead(q, c.target.ID, left)
+	if f := conn.Send(ctx, exchange.Request{Method: q.r.Method, Head: head, Body: q.body}); f != nil {
+		conn.Done(false)
+		if !f.Sent {
+			return c.ended(ctx, notSent, f)
+		}
+		c.noteSent()
+		return c.ended(ctx, broken, f)
+	}
+	c.noteSent()
+	c.begun = q.handler.waits.add(q.digest, conn)
+	defer c.begun()
+	return c.receive(ctx)
+}
+
+// noteSent counts a try that the target may run.
+func (c *call) noteSent() {
+	c.sent = true
+	c.request.tries++
+	c.request.ran++
+	c.request.handler.opts.Rollouts.Sent(c.ask, c.target.Version)
+}
+
+// defaultDeadline is handed on when neither caller nor route has one.
+const defaultDeadline = time.Minute
+
+func (c *call) connect(ctx context.Context) (*exchange.Conn, error) {
+	rest := restSafe
+	if !c.request.route.Repeatable() {
+		rest = restUnsafe
+	}
+	dial, cancel := context.WithTimeout(ctx, dialLimit)
+	defer cancel()
+	began := time.Now()
+	conn, err := c.target.Pool.Get(dial, rest)
+	if now := time.Now(); c.dialled(ctx, conn, err) {
+		c.request.handler.opts.Overload.Dialled(c.target.ID, now.Sub(began), now)
+	}
+	return conn, err
+}
+
+// dialled says whether the time of a connection tells how long dials take: not if none was
+// made, nor if the request ended meanwhile.
+func (c *call) dialled(ctx context.Context, conn *exchange.Conn, err error) bool {
+	switch {
+	case err == nil:
+		return !conn.Reused()
+	case errors.Is(err, exchange.ErrLimit), errors.Is(err, exchange.ErrClosed):
+		return false
+	}
+	return ctx.Err() == nil
+}
+
+// ended corrects a result by what ended the try from this side.
+func (c *call) ended(ctx context.Context, res result, err error) (result, error) {
+	switch {
+	case c.request.ctx.Err() != nil:
+		return callerGone, err
+	case ctx.Err() != nil:
+		return outOfTime, err
+	}
+	return res, err
+}
+
+// maxCrossed bounds the answers of other requests that are skipped.
+const maxCrossed = 2
+
+// receive reads the head of the answer that belongs to the request.
+func (c *call) receive(ctx context.Context) (result, error) {
+	q := c.request
+	c.silence = q.watchSilence(c.conn, c.target.ID)
+	defer c.silence.stop()
+	for range maxCrossed {
+		resp, f := c.conn.Receive()
+		if f != nil {
+			c.conn.Done(false)
+			return c.ended(ctx, c.silence.result(broken), f)
+		}
+		if id := resp.Header.Get(q.handler.names.RequestID); id != "" && id != q.id {
+			// An answer to another request came in its place; ours may follow.
+			c.conn.Spoil()
+			if _, ok, err := exchange.ReadWhole(resp.Body, maxWhole); !ok || err != nil {
+				c.conn.Done(false)
+				return c.ended(ctx, broken, errors.New("an answer to another request"))
+			}
+			continue
+		}
+		return c.handle(ctx, resp)
+	}
+	c.conn.Done(false)
+	return c.ended(ctx, broken, errors.New("only answers to other requests"))
+}
+
+// handle judges the head of the answer and passes the answer on.
+func (c *call) handle(ctx context.Context, resp *http.Response) (result, error) {
+	q := c.request
+	names := q.handler.names
+	c.status = resp.StatusCode
+	c.begun()
+	c.noteLimit(resp)
+	if resp.Header.Get(names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
+		q.ran--
+		c.finish(resp)
+		return refused, fmt.Errorf("target: %s, not run", resp.Status)
+	}
+	c.answered()
+	c.whole = provesARun(resp)
+	if resp.Header.Get(names.Stamp) == "" {
+		c.conn.Done(false)
+		return broken, fmt.Errorf("target: %s without its signature", resp.Status)
+	}
+	if q.route.Kind == routing.Streaming && resp.StatusCode < http.StatusMultipleChoices {
+		return c.passStream(ctx, resp)
+	}
+	if q.stream != nil && q.stream.begun {
+		c.conn.Done(false)
+		return broken, fmt.Errorf("target: %s in place of the rest of a stream", resp.Status)
+	}
+	return c.passWhole(ctx, resp)
+}
+
+// finish reads the rest of an answer that is not passed on, so that the
+// connection may be used again.
+func (c *call) finish(resp *http.Response) {
+	_, ok, err := exchange.ReadWhole(resp.Body, maxRest)
+	c.conn.Done(ok && err == nil)
+}
+
+// maxRest bounds what is read of an answer that nobody needs, in bytes.
+const maxRest = 4096
--- a/router/target/evacuate.go
+++ b/router/target/evacuate.go
@@ -9,9 +9,8 @@
 )
 
 // evacuation is an evacuation in force: the targets of a failure domain leave the choice one
-// after the other. While they do, prompts move to other targets a few at a time, which
-// costs less worth than all at once: 0.01 where one domain of three is emptied, 0.04 where
-// two are while the log turns hosts away, 0.08 where all are, in the worth of a day.
+// after the other, so that prompts move to other targets a few at a time: those have to read
+// the shared parts of each anew.
 type evacuation struct {
 	began time.Time
 	over  time.Duration
--- a/router/target/health.go
+++ b/router/target/health.go
@@ -119,8 +119,7 @@
 }
 
 // slowMemory is the time in which what is believed of a target that is not asked fades to a
-// third. A target that was slow gets a request of a single caller some seven times a minute
-// then, while others are idle; without it none, however fast it is by then.
+// third, so that one that was slow is asked again though others are idle.
 const slowMemory = 4 * time.Second
 
 // noteLatency takes in a sample, which counts the more the older the one before is.
