forward: a test that ended a target too early beside load

TestEndsOfTargetsCostAStreamNoTry ended, one after the other, all targets that had run the stream. Beside load the stream had gone on at the next target before the loop was through, so that one was ended 0.1 to 0.4 ms after its first event, too: by the rule under test such an end costs a try, and the stream was cut, or the count of runs passed over the one that the test waited for. The tries that the test now prints when it fails show just that in each of its failures.

The targets are noted before the first is ended; what is asserted is the same.

--- a/router/forward/ends_test.go
+++ b/router/forward/ends_test.go
@@ -115,6 +115,7 @@
 // a fourth target though its route allows three.
 func TestEndsOfTargetsCostAStreamNoTry(t *testing.T) {
 	b := newBench(t)
+	t.Cleanup(func() { b.tellTries() })
 	for i := range 4 {
 		b.add(fmt.Sprint("t", i), "engine", backend.Behaviour{Events: 150, Gap: 10 * time.Millisecond})
 	}
@@ -125,10 +126,8 @@
 	for tries := 1; tries <= 3; tries++ {
 		b.eventually("the next target makes events", func() bool { return b.runs() == tries })
 		time.Sleep(400 * time.Millisecond)
-		for _, e := range b.backends {
-			if len(e.Runs()) > 0 {
-				e.Close()
-			}
+		for _, e := range b.running() {
+			e.Close()
 		}
 	}
 	got := <-answers
--- a/router/forward/harness_test.go
+++ b/router/forward/harness_test.go
@@ -103,6 +103,21 @@
 	return End{}
 }
 
+// tellTries logs how the tries of a failed test went.
+func (b *bench) tellTries() {
+	if !b.t.Failed() {
+		return
+	}
+	b.recorder.mu.Lock()
+	defer b.recorder.mu.Unlock()
+	for _, try := range b.recorder.tries {
+		b.t.Logf("try %d at %s: %s after %v, behind %q: %v", try.Number, try.Target, try.Result, try.Took, try.Resumed, try.Err)
+	}
+	for _, broke := range b.recorder.breaks {
+		b.t.Logf("end of %s seen, ran %v", broke.Target, broke.Ran)
+	}
+}
+
 // nobody is the other hosts of a host that is alone.
 type nobody struct{}
 
@@ -233,6 +248,17 @@
 	return n
 }
 
+// running lists the backends that have run a request by now.
+func (b *bench) running() []*backend.Backend {
+	var list []*backend.Backend
+	for _, e := range b.backends {
+		if len(e.Runs()) > 0 {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
 func (b *bench) arrivals() int {
 	n := 0
 	for _, e := range b.backends {
