target, limit: a share that is lost and regained, and notices of other writers

A host that lost its share of a limit for a moment and regained it began anew at a random moment of its pause, and so could send sooner than its pause allows; it does so once for each limit now. Notices whose age or count can't be so are not read. Answers of targets without limits return before anything is compared.

--- a/router/limit/notice.go
+++ b/router/limit/notice.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math"
 	"strings"
 
 	"maststage.dev/router/eventlog"
@@ -29,6 +28,9 @@
 // KeyPrefix begins the keys of notices in the topic where they stand; the target's id follows.
 const KeyPrefix = "limit/"
 
+// mostAgeMs is an hour: no host writes what it heard so long ago.
+const mostAgeMs = 60 * 60 * 1000
+
 // Record is the notice as it stands in the topic. One of a limit that has ended deletes the record.
 func (n Notice) Record() (eventlog.Record, error) {
 	rec := eventlog.Record{Key: KeyPrefix + n.Target}
@@ -55,9 +57,12 @@
 	if n.Target != id {
 		return n, true, fmt.Errorf("limit: notice of target %q stands under %q", n.Target, id)
 	}
-	if !(n.PerSecond >= 0 && n.PerSecond <= mostPerSecond) || math.IsNaN(n.PerSecond) {
+	if !(n.PerSecond >= 0 && n.PerSecond <= mostPerSecond) {
 		return n, true, fmt.Errorf("limit: notice of target %q: %v is no limit", id, n.PerSecond)
 	}
+	if n.AgeMs < 0 || n.AgeMs > mostAgeMs || n.Raises < 0 {
+		return n, true, fmt.Errorf("limit: notice of target %q: age %d ms, raised %d times", id, n.AgeMs, n.Raises)
+	}
 	n.InForce = true
 	return n, true, nil
 }
--- a/router/target/limited.go
+++ b/router/target/limited.go
@@ -49,6 +49,7 @@
 	malformed  bool      // the newest answer named a limit that can't be read
 	sent       uint64    // requests of this host while it was in force
 	share      share
+	begun      bool // this host has had a share of it
 	news       news
 }
 
@@ -77,9 +78,9 @@
 	if !t.limit.inForce {
 		return true
 	}
-	had := t.limit.share.self
 	r.shareOf(t, &t.limit.share, r.limitBounds.rate(t.limit.perSecond), now)
-	if t.limit.share.self && !had {
+	if t.limit.share.self && !t.limit.begun {
+		t.limit.begun = true
 		// Hosts learn of a limit at the same time, and hear of its end sooner if they ask in turn.
 		t.paced = t.limit.since.Add(-rand.N(t.limit.share.pause))
 	}
@@ -104,8 +105,11 @@
 func (r *Registry) StateLimit(t *Target, s limit.Statement) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
 	t.limit.malformed = false
+	if !s.Named && !t.limit.inForce && !t.limit.news.posted.InForce {
+		return
+	}
+	now := time.Now()
 	switch {
 	case s.Named:
 		t.limit.byRefusals = s.Refusal && (t.limit.byRefusals || !t.limit.inForce)
--- a/router/target/limitnews.go
+++ b/router/target/limitnews.go
@@ -22,6 +22,7 @@
 	noticeEvery       = time.Second     // between two writes about a target
 	noticeUnread      = 5 * time.Second // after which a write that was not read back is repeated
 	noticeRead        = 4 * time.Second // in which a notice has been read by all hosts that reach the log
+	noticeOldest      = time.Minute     // an older one is told as being so old
 	sameLimitDistance = 0.1             // part by which two limits may differ that are told as one
 )
 
@@ -102,7 +103,7 @@
 		}
 		news.written, news.wroteAt, news.due = t.notice(), now, now.Add(noticeUnread)
 		if !t.limit.heard.IsZero() {
-			news.written.AgeMs = now.Sub(t.limit.heard).Milliseconds()
+			news.written.AgeMs = min(now.Sub(t.limit.heard), noticeOldest).Milliseconds()
 		}
 		list = append(list, news.written)
 	}
