--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	@echo "known red, not run:"; cat KNOWN-RED.txt
 
 # Decoders of what others write, each with its fuzz test, and how long CI fuzzes each.
-DECODERS = platform:FuzzDecodeServer platform:FuzzDecodeConfig platform:FuzzDecodeEvacuation router/prepaid:FuzzDecodeAccount
+DECODERS = platform:FuzzDecodeServer platform:FuzzDecodeConfig platform:FuzzDecodeEvacuation router/prepaid:FuzzDecodeAccount router/limit:FuzzParse
 DECODETIME ?= 4s
 
 fuzz-decoders: ## bytes of other writers, each decoder for DECODETIME
--- a/router/target/choose_bench_test.go
+++ b/router/target/choose_bench_test.go
@@ -8,9 +8,9 @@
 	"maststage.dev/router/target"
 )
 
-// BenchmarkChoose measures a choice among a hundred targets of which so many name limits, at a host of a
+// BenchmarkChooseBesideLimits measures a choice among a hundred targets of which so many name limits, at a host of a
 // fleet of a thousand.
-func BenchmarkChoose(b *testing.B) {
+func BenchmarkChooseBesideLimits(b *testing.B) {
 	for _, limited := range []int{0, 10} {
 		b.Run(fmt.Sprint(limited), func(b *testing.B) {
 			h := newHost("front-0")
