forward: the choice of a target is told the urgency of the route

TestUrgencyReachesTheChoiceOfATarget fails without the change: rank 1 in place of 0 for an answer under way.

--- a/router/forward/limits_test.go
+++ b/router/forward/limits_test.go
@@ -111,3 +111,15 @@
 	b.is.NoErr(got.err)
 	b.is.Equal(got.body, events("long", 20))
 }
+
+// Guards against a choice that doesn't know how urgent requests are, so that places of targets in need go
+// to whichever comes first, and against answers under way that wait behind new requests.
+func TestUrgencyReachesTheChoiceOfATarget(t *testing.T) {
+	b := newBench(t)
+	config := b.handler.Config()
+	q := &request{handler: b.handler, config: config, route: config.Match("a.example", "/stream/x"), service: "engine"}
+	b.is.Equal(q.route.Priority, 1)
+	b.is.Equal(q.want(nil).Rank, 1)
+	q.ran = 1
+	b.is.Equal(q.want(nil).Rank, 0)
+}
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -170,7 +170,7 @@
 func (q *request) want(excluded map[string]bool) target.Want {
 	return target.Want{
 		Service: q.service, Affinity: sharedParts(q.shared), Work: float64(q.usage.in), Exclude: excluded,
-		Rank:    q.config.Rank(q.organisation, q.route),
+		Rank:    q.rank(),
 		Regions: q.regions(), Versions: q.handler.opts.Rollouts.Rule(q.ask(false)),
 	}
 }
