--- a/router/node/stop_test.go
+++ b/router/node/stop_test.go
@@ -12,7 +12,7 @@
 
 // A planned stop answers what it has taken on, streams included, and gives tokens
 // and place back.
-func TestPlannedStop(t *testing.T) {
+func TestPlannedStopOfARouter(t *testing.T) {
 	f := newFleet(t)
 	f.publish(config(1, engineRoute+","+plainRoute, `,"organisations":[{"name":"o","keys":["k"],"prepaid":100000}]`))
 	f.engine("e1", backend.Behaviour{Events: 10, Gap: 50 * time.Millisecond})
