--- a/router/forward/limits.go
+++ b/router/forward/limits.go
@@ -29,8 +29,8 @@
 	targets.StateLimit(c.target, statement)
 }
 
-// noTarget says why no target takes the request. Where those that could name limits, its caller
-// is told when to come back, and to another host if this one sends them nothing.
+// noTarget says why no target takes the request, and sets what its caller is told where those that could
+// name limits: when to come back, and to another host if this one sends them nothing.
 func (q *request) noTarget() Kind {
 	full, ok := q.handler.opts.Targets.FullFor(q.want(q.excluded))
 	if !ok {
--- a/router/target/ration.go
+++ b/router/target/ration.go
@@ -13,12 +13,11 @@
 
 // Figures of rations.
 const (
-	ranks          = 10              // of urgency, 0 comes first
-	rationMemory   = 4 * time.Second // in which what was seen of a rank fades to a third
-	rationHeadroom = 1.0
-	leastRation    = 0.1 // of the part, for a rank that the more urgent ones leave nothing
-	leastReturn    = 200 * time.Millisecond
-	mostReturn     = 10 * time.Second
+	ranks        = 10              // of urgency, 0 comes first
+	rationMemory = 4 * time.Second // in which what was seen of a rank fades to a third
+	leastRation  = 0.1             // of the part, for a rank that the more urgent ones leave nothing
+	leastReturn  = 200 * time.Millisecond
+	mostReturn   = 10 * time.Second
 )
 
 // ration is what this host sees of the requests for a service whose targets all name limits.
@@ -42,27 +41,28 @@
 	q.seen[rank] += 1 / rationMemory.Seconds()
 }
 
-// left is what the more urgent requests leave of so many a second.
-func (q *ration) left(rank int, perSecond float64) float64 {
-	for _, more := range q.seen[:rank] {
-		perSecond -= more
+// moreUrgent is how many requests a second go before those of a rank.
+func (q *ration) moreUrgent(rank int) (perSecond float64) {
+	for _, seen := range q.seen[:rank] {
+		perSecond += seen
 	}
 	return perSecond
 }
 
+// left is what the more urgent requests leave of so many a second, or the least that a rank gets.
+func (q *ration) left(rank int, perSecond float64) float64 {
+	return max(perSecond-q.moreUrgent(rank), leastRation*perSecond)
+}
+
 // draw says whether a request may take a place of a host that has so many a second.
 func (q *ration) draw(rank int, perSecond float64) bool {
-	if q.left(rank, 0) == 0 {
-		return true // nobody is more urgent
-	}
-	left := max(q.left(rank, rationHeadroom*perSecond), leastRation*perSecond)
-	return rand.Float64()*q.seen[rank] < left
+	return q.moreUrgent(rank) == 0 || rand.Float64()*q.seen[rank] < q.left(rank, perSecond)
 }
 
 // comeBack is after how long a request that is turned away finds a place: behind those of its rank
 // that were turned away before it.
 func (q *ration) comeBack(rank int, perSecond float64, now time.Time) time.Duration {
-	left := max(q.left(rank, perSecond), leastRation*perSecond)
+	left := q.left(rank, perSecond)
 	last := now
 	if q.line[rank].After(now) {
 		last = q.line[rank]
