graceful, node: a planned stop answers what is on its way

Cause, as far as shown: http.Server.Shutdown closes its listener on connections that wait to be accepted, drops requests that it reads after it began, and closes kept connections as requests come on them.

--- a/daemon/node/drain.go
+++ b/daemon/node/drain.go
@@ -42,22 +42,37 @@
 			log.WithError(err).Error("can't log the stop")
 		}
 	}
+	steps := log.Fields{}
+	step := func(name string, do func()) {
+		begun := time.Now()
+		do()
+		steps[name] = time.Since(begun).Round(time.Millisecond)
+	}
 	put(leave(false))
+	n.http.Leave()
 	close(n.leaving)
-	n.finishRequests(ctx)
-	n.http.SetKeepAlivesEnabled(false)
-	shut, cancel := context.WithTimeout(ctx, hangUpTimeout)
+	step("requests", func() { n.finishRequests(ctx) })
+	step("connections", n.hangUp)
+	step("handover", func() {
+		n.waitFor(ctx, func() bool { return !id.Ledger.ReturnAll() && id.Bills.Held() == 0 && id.Register.Held() == 0 })
+	})
+	put(leave(true))
+	step("log", func() { n.waitFor(ctx, func() bool { return id.writer.Waiting() == 0 }) })
+	step("hosts", func() {
+		closed := time.AfterFunc(closeTimeout, n.grpc.Stop)
+		defer closed.Stop()
+		n.grpc.GracefulStop()
+	})
+	log.WithFields(steps).Info("stopped")
+}
+
+// hangUp ends the connections of callers, once what came on them is answered.
+func (n *Node) hangUp() {
+	ctx, cancel := context.WithTimeout(context.Background(), hangUpTimeout)
 	defer cancel()
-	if err := n.http.Shutdown(shut); err != nil {
+	if err := n.http.Shutdown(ctx); err != nil {
 		log.WithError(err).Warn("callers' connections were still open")
 	}
-	n.waitFor(ctx, func() bool { return !id.Ledger.ReturnAll() && id.Bills.Held() == 0 && id.Register.Held() == 0 })
-	put(leave(true))
-	n.waitFor(ctx, func() bool { return id.writer.Waiting() == 0 })
-	closed := time.AfterFunc(closeTimeout, n.grpc.Stop)
-	defer closed.Stop()
-	n.grpc.GracefulStop()
-	log.Info("stopped")
 }
 
 func leave(final bool) *peerv1.Record {
--- a/daemon/node/http.go
+++ b/daemon/node/http.go
@@ -9,6 +9,7 @@
 	"maststage.dev/api/maststage/v1/maststagev1connect"
 	"maststage.dev/daemon/entry"
 	"maststage.dev/daemon/operator"
+	"maststage.dev/lib/graceful"
 )
 
 const (
@@ -19,7 +20,7 @@
 )
 
 // newHTTP makes the server for callers, operators and metrics.
-func (n *Node) newHTTP() *http.Server {
+func (n *Node) newHTTP() *graceful.Server {
 	self := func() string { return n.current.Load().Incarnation }
 	silent := func(inc string) bool { return n.detector().Silent(inc) }
 	router := entry.NewRouter(n.cfg.Host.Region, self, n.store, n.pool, n.engine, silent)
@@ -32,10 +33,10 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
+	return graceful.New(&http.Server{
 		Handler: mux, Protocols: protocols,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-	}
+	})
 }
 
 // health is for the balancer: 503 while this host is not to get new requests.
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -24,6 +24,7 @@
 	"maststage.dev/daemon/store"
 	"maststage.dev/daemon/target"
 	"maststage.dev/fold"
+	"maststage.dev/lib/graceful"
 	"maststage.dev/lib/guard"
 	"maststage.dev/lib/rendezvous"
 )
@@ -44,7 +45,7 @@
 	engine   *run.Engine
 	metrics  *metric.Set
 	grpc     *grpc.Server
-	http     *http.Server
+	http     *graceful.Server
 	loans    atomic.Uint64
 
 	current   atomic.Pointer[identity]
@@ -160,7 +161,7 @@
 		}
 	})
 	guard.Go("caller server", func() {
-		if err := n.http.Serve(cl); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := n.http.Serve(cl.(*net.TCPListener)); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			log.WithError(err).Error("caller server ended")
 		}
 	})
