prepaid, fleet: keepers that ran dry get from the others

Callers were refused for tokens that hosts held, while the log was away: of an organisation with more keepers than the five that a request asks, what the others hold was out of reach.

Where requests ask all keepers it asks nobody, so fleets with fewer keepers are as before. Ruled out: asking all keepers from each request (up to 82 at 984 hosts), and noting at each host which keepers are dry (a host sees too few requests of one organisation).

--- a/router/fleet/keepers.go
+++ b/router/fleet/keepers.go
@@ -166,7 +166,7 @@
 const (
 	borrowFrom    = 5                     // hosts asked
 	borrowTimeout = 30 * time.Millisecond // for an answer
-	keeperTimeout = 90 * time.Millisecond // a keeper may wait for the log
+	keeperTimeout = 90 * time.Millisecond // a keeper may wait for the log or for other keepers
 )
 
 // Borrow asks the keepers of the budget, or in a small fleet all hosts, one after
@@ -179,6 +179,26 @@
 	return f.borrowFrom(ctx, f.addresses(), borrowTimeout, organisation, tokens, cost)
 }
 
+// Gather asks other keepers of a budget for so many of the tokens that they have, until ctx
+// ends. Where a request asks all keepers anyway it asks nobody.
+func (f *Fleet) Gather(ctx context.Context, organisation string, tokens int64) prepaid.Loan {
+	count, _ := f.Keepers(organisation)
+	lenders := f.lenders(organisation)
+	if count <= borrowFrom || lenders == nil {
+		return prepaid.Loan{}
+	}
+	b := borrowing{fleet: f, timeout: borrowTimeout, organisation: organisation, free: map[string]int64{}}
+	for _, address := range lenders[:min(len(lenders), count)] {
+		// One that can't answer in time would count as silent.
+		if until, bounded := ctx.Deadline(); b.total.Tokens >= tokens || bounded && time.Until(until) < borrowTimeout {
+			break
+		}
+		b.ask(ctx, address, lendRequest{Tokens: tokens - b.total.Tokens, FreeOnly: true})
+	}
+	b.log(tokens)
+	return b.total
+}
+
 // borrowFrom asks hosts in their order. Once a keeper answered, the others are asked only for
 // what they have; none is asked any more once a keeper keeps its tokens for smaller requests.
 // Where none has enough and together they have, it is gathered.
@@ -198,7 +218,7 @@
 	if !b.total.Kept && b.canGather(tokens) {
 		b.gather(ctx, addresses, tokens)
 	}
-	log.WithFields(log.Fields{"organisation": b.organisation, "wanted": tokens, "got": b.total.Tokens, "answered": b.total.Answered, "kept": b.total.Kept}).Debug("borrowed from other hosts")
+	b.log(tokens)
 	return b.total
 }
 
@@ -211,6 +231,10 @@
 	free         map[string]int64 // what hosts that lent too little could still lend
 }
 
+func (b *borrowing) log(wanted int64) {
+	log.WithFields(log.Fields{"organisation": b.organisation, "wanted": wanted, "got": b.total.Tokens, "answered": b.total.Answered, "kept": b.total.Kept}).Debug("borrowed from other hosts")
+}
+
 // ask asks one host.
 func (b *borrowing) ask(ctx context.Context, address string, ask lendRequest) {
 	f := b.fleet
--- a/router/fleet/pool_test.go
+++ b/router/fleet/pool_test.go
@@ -45,7 +45,7 @@
 		tr := prepaid.New(prepaid.Options{
 			Log: p.log.Host(self.Name), Topic: "b", Partitions: 4, Host: self.Name, Plan: prepaid.DefaultPlan,
 			Timeout: 100 * time.Millisecond, Interval: 400 * time.Millisecond, Wait: 100 * time.Millisecond,
-			Hosts: f.Size, Keepers: f.Keepers, Borrow: f.Borrow, GiveBack: f.GiveBack,
+			Hosts: f.Size, Keepers: f.Keepers, Borrow: f.Borrow, Gather: f.Gather, GiveBack: f.GiveBack,
 		})
 		f.opts.Lend, f.opts.Recall, f.opts.Credit = tr.Lend, tr.Recall, tr.Credit
 		calls[self.Address] = f.Handler()
@@ -75,7 +75,12 @@
 
 // ask lets a request arrive at any host; it uses all of its tokens.
 func (p *pool) ask(organisation string, tokens int64) bool {
-	tr := p.treasuries[rand.IntN(len(p.treasuries))]
+	return p.askAt(rand.IntN(len(p.treasuries)), organisation, tokens)
+}
+
+// askAt lets a request arrive at one host.
+func (p *pool) askAt(host int, organisation string, tokens int64) bool {
+	tr := p.treasuries[host]
 	r, err := tr.Reserve(context.Background(), organisation, tokens)
 	if err != nil {
 		return false
@@ -120,6 +125,37 @@
 	}
 }
 
+// A request asks five hosts at most. An organisation may have more keepers: what those hold
+// that a request does not ask serves it too, as a keeper that ran dry gets from the others.
+// All asks were answered at once as such requests were refused, and up to 0.09 of what the
+// fleet held lay at a keeper that they did not ask.
+func TestKeepersThatRunDryGetFromTheOthers(t *testing.T) {
+	is := is.New(t)
+	const request, hosts = 9_000, 120
+	p := newPool(t, hosts, map[string]int64{"org": 50_000_000})
+	for range 2 {
+		for host := range hosts {
+			is.True(p.askAt(host, "org", request))
+		}
+	}
+	keepers, asker := 0, -1
+	for i, tr := range p.treasuries {
+		if h, _ := tr.Holding("org"); h.Keeper {
+			keepers++
+		} else {
+			asker = i
+		}
+	}
+	is.True(keepers > borrowFrom)
+	p.log.SetFault("", memlog.Fault{Refuse: true})
+	held, served := p.free("org"), int64(0)
+	for p.askAt(asker, "org", request) {
+		served++
+	}
+	t.Logf("%d keepers, held %d, served %d, left %d", keepers, held, served*request, p.free("org"))
+	is.True(float64(served*request) > 0.9*float64(held))
+}
+
 // Where the log is away for some hosts, the keepers among them, others take their place.
 func TestKeepersWithoutTheLogAreReplaced(t *testing.T) {
 	is := is.New(t)
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -269,6 +269,7 @@
 		Hosts:     n.fleet.Size,
 		Keepers:   n.keepers,
 		Borrow:    n.fleet.Borrow,
+		Gather:    n.fleet.Gather,
 		GiveBack:  n.fleet.GiveBack,
 		OnGive:    func(h prepaid.Holding) { n.accounts.tell([]prepaid.Holding{h}) },
 		Histories: n.fleet.History,
--- a/router/prepaid/loans.go
+++ b/router/prepaid/loans.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -153,8 +154,13 @@
 	if lent := t.lendFree(ask, keeper); lent >= ask.Tokens || !keeper || ask.FreeOnly {
 		return Loan{Tokens: lent, Answered: keeper}
 	}
+	ctx, cancel := context.WithTimeout(ctx, lendWait)
+	defer cancel()
 	got, err := t.reserveOwn(ctx, ask.Organisation, ask.Tokens, lendWait)
-	if err != nil {
+	if errors.Is(err, ErrEmpty) {
+		got = t.gather(ctx, ask)
+	}
+	if got == nil {
 		// Only a budget that has no more is a no for all: where this host can't reach the
 		// log, another one may.
 		return Loan{Answered: t.exhausted(ask.Organisation, ask.Tokens)}
@@ -162,6 +168,24 @@
 	return Loan{Tokens: t.lendReserved(ask.ID, got), Answered: true}
 }
 
+// gather gets what a loan lacks from other keepers, for a keeper that ran dry: the host that
+// asked does not ask all of them. nil: they have too little.
+func (t *Treasury) gather(ctx context.Context, ask LoanRequest) *Reservation {
+	if t.opts.Gather == nil || ctx.Err() != nil {
+		return nil
+	}
+	missing, refused := t.missing(ask.Organisation, ask.Tokens, time.Now())
+	if refused {
+		return nil
+	}
+	if missing > 0 {
+		loan := t.opts.Gather(ctx, ask.Organisation, missing)
+		t.takeLoan(ask.Organisation, missing, loan)
+	}
+	got, _ := t.try(ask.Organisation, ask.Tokens)
+	return got
+}
+
 // lendable is what this host could lend at once.
 func (t *Treasury) lendable(organisation string) int64 {
 	t.mu.Lock()
