proofs: an address of its own for each test process

Beside each other two test processes chose ports of one address: a port that one had found free was taken by the other before its host listened ("address already in use", TestPlannedStop once in 16 runs, two processes at a time). Each now has a loopback address by its process number.

--- a/proofs/fleet/fleet.go
+++ b/proofs/fleet/fleet.go
@@ -129,11 +129,18 @@
 
 var nextPort atomic.Int64
 
+// loopback is an address of this process alone: those that run beside it choose ports too,
+// and would take one between its choice and its use.
+func loopback() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>16%126, pid>>8%256, pid%256)
+}
+
 // address gives a free one.
 func address(t TB) string {
 	for range lastPort - firstPort {
-		n := nextPort.Add(1) + int64(os.Getpid())*97
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+n%(lastPort-firstPort))
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		addr := fmt.Sprintf("%s:%d", loopback(), port)
 		l, err := net.Listen("tcp", addr)
 		if err == nil {
 			_ = l.Close()
