--- a/router/forward/call.go
+++ b/router/forward/call.go
@@ -52,7 +52,8 @@
 type call struct {
 	request *request
 	target  *target.Target
-	conn    *exchange.Conn
+	conn    *exchange.Conn // another request's, once it is done
+	reused  bool           // it had carried answers before
 	started time.Time
 	work    float64 // counted at the target until it answers
 	ask     rollout.Ask
@@ -72,7 +73,7 @@
 // may have gone silent for good, and those beside it too, while new ones work: without a
 // reset nothing else tells, and each would cost another request its time.
 func (c *call) wentSilent(res result) bool {
-	return c.conn != nil && c.conn.Reused() && c.status == 0 && (res == silent || res == outOfTime)
+	return c.reused && c.status == 0 && (res == silent || res == outOfTime)
 }
 
 // judgement is what the try says of the target.
@@ -109,7 +110,7 @@
 	if err != nil {
 		return c.ended(ctx, notSent, err)
 	}
-	c.conn = conn
+	c.conn, c.reused = conn, conn.Reused()
 	q.end.Target = c.target.ID
 	left, limited := q.left()
 	if !limited {
