fleet: a hurried ask does not make a host silent

Keepers that gather give each other 30 ms, which says nothing of a busy host; to be asked last for 2 s is for those that leave a whole wait unanswered.

--- a/router/fleet/keepers.go
+++ b/router/fleet/keepers.go
@@ -187,9 +187,8 @@
 	if count <= borrowFrom || lenders == nil {
 		return prepaid.Loan{}
 	}
-	b := borrowing{fleet: f, timeout: borrowTimeout, organisation: organisation, free: map[string]int64{}}
+	b := borrowing{fleet: f, timeout: borrowTimeout, hurried: true, organisation: organisation, free: map[string]int64{}}
 	for _, address := range lenders[:min(len(lenders), count)] {
-		// One that can't answer in time would count as silent.
 		if until, bounded := ctx.Deadline(); b.total.Tokens >= tokens || bounded && time.Until(until) < borrowTimeout {
 			break
 		}
@@ -226,6 +225,7 @@
 type borrowing struct {
 	fleet        *Fleet
 	timeout      time.Duration // of an answer
+	hurried      bool          // that is too short to tell of a host
 	organisation string
 	total        prepaid.Loan
 	free         map[string]int64 // what hosts that lent too little could still lend
@@ -243,7 +243,9 @@
 	call, cancel := context.WithTimeout(ctx, b.timeout)
 	err := f.calls.do(call, address, pathLend, ask, &got)
 	cancel()
-	f.noteSilent(address, err)
+	if !b.hurried {
+		f.noteSilent(address, err)
+	}
 	switch {
 	case err == nil:
 		b.total.Tokens += got.Tokens
