forward, unread: callers that read slowly hold up nobody else

Three faults, each with a test that failed first: - A stream that waited for its caller counted as its target's silence: the target was given up and struck, a retry spent, the request run again (TestSlowCallerIsNotTheTargetsSilence: 2 runs for 1). - A whole answer was passed on with that watch still running. When its time was over it spent a retry and aborted the connection, which by then served another caller (TestSlowCallerOfAWholeAnswerHoldsNoTarget, 5 of 5: 62 tries for 61 requests). Now the try has ended before the answer is passed on. - Nothing bounded what was held for callers that never read.

The time that a caller takes is left out of pauses and paces, and a target that cuts a stream which nobody took for a second is not struck.

--- a/router/forward/call.go
+++ b/router/forward/call.go
@@ -45,6 +45,9 @@
 		RequestID: q.id, Number: q.tries, Target: t.ID, Domain: t.Domain, Result: res.String(),
 		Status: c.status, Resumed: c.resumed, Took: time.Since(started), Err: err,
 	})
+	if c.ready != nil {
+		c.ready.pass(q)
+	}
 	return res, err
 }
 
@@ -60,12 +63,15 @@
 	begins  time.Duration // until the answer began, 0: it did not
 	first   time.Time     // when the first event came
 	last    time.Time     // when the newest event came
+	held    time.Duration // since then, while the caller did not take it
+	unread  time.Duration // held in all, until the newest event
 	events  int           // that came
 	sent    bool          // the target may have the request
 	status  int
 	resumed string
 	silence *silence
 	whole   bool   // a success whose end could not be mistaken
+	ready   *whole // the answer, to be passed on
 	begun   func() // ends the note that the try waits for its answer
 }
 
@@ -76,6 +82,10 @@
 	return c.reused && c.status == 0 && (res == silent || res == outOfTime)
 }
 
+// unreadCut is how long a stream may wait for its caller before a target that ends it is
+// not to blame: targets cut answers that nobody reads.
+const unreadCut = time.Second
+
 // judgement is what the try says of the target.
 func (c *call) judgement(res result) target.Result {
 	switch res {
@@ -86,6 +96,9 @@
 	case errored:
 		return target.Errored
 	case broken, silent, cutOff:
+		if c.held >= unreadCut {
+			return target.Abandoned
+		}
 		return target.Broken
 	case outOfTime:
 		if c.status == 0 {
--- a/router/forward/charge.go
+++ b/router/forward/charge.go
@@ -20,10 +20,11 @@
 		c.first = now
 	} else {
 		q := c.request
-		q.handler.opts.Targets.Paused(c.target, now.Sub(c.last), routing.Milliseconds(q.route.GapTargetMs))
+		q.handler.opts.Targets.Paused(c.target, now.Sub(c.last)-c.held, routing.Milliseconds(q.route.GapTargetMs))
 	}
 	c.events += n
 	c.last = now
+	c.unread, c.held = c.unread+c.held, 0
 }
 
 // charge takes in what a try may have cost.
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -21,6 +21,7 @@
 	"maststage.dev/router/retrybudget"
 	"maststage.dev/router/routing"
 	"maststage.dev/router/target"
+	"maststage.dev/router/unread"
 )
 
 // Budgets reserves tokens; *prepaid.Treasury does.
@@ -54,6 +55,8 @@
 	Observer   Observer
 	// Rollouts says which versions a request may use and is told how it fared there; nil: any.
 	Rollouts Rollouts
+	// Unread bounds what is held for callers that don't read.
+	Unread *unread.Book
 	// Leaving says that callers are to use other hosts: connections are to be closed.
 	Leaving func() bool
 	// Takes says whether a request that arrived may begin: OK, or why not. It may wait a
@@ -123,10 +126,11 @@
 	begun    bool   // a target may have begun to hand tokens out
 	unseen   int64  // tokens that targets may have made and that did not come
 	stream   *stream
-	look     <-chan bool   // tells whether the target of the newest broken try ended
-	young    bool          // that try had run for a moment at most
-	spared   int           // of tries, those that a target's end broke and that can't have caused it
-	after    time.Duration // when to come back, 0: as its kind says
+	look     <-chan bool    // tells whether the target of the newest broken try ended
+	young    bool           // that try had run for a moment at most
+	spared   int            // of tries, those that a target's end broke and that can't have caused it
+	after    time.Duration  // when to come back, 0: as its kind says
+	unread   *unread.Answer // nil until the caller was passed something
 	end      End
 }
 
@@ -147,6 +151,9 @@
 	if kind == OK {
 		kind, err = q.run()
 	}
+	if q.unread != nil {
+		q.handler.opts.Unread.Close(q.unread)
+	}
 	if q.reserved != nil {
 		q.end.Reserved = q.reserved.Tokens()
 		q.end.Used = q.used()
--- a/router/forward/harness_test.go
+++ b/router/forward/harness_test.go
@@ -24,6 +24,7 @@
 	"maststage.dev/router/retrybudget"
 	"maststage.dev/router/routing"
 	"maststage.dev/router/target"
+	"maststage.dev/router/unread"
 	"maststage.dev/standin/backend"
 	"maststage.dev/standin/until"
 )
@@ -137,6 +138,7 @@
 	recorder *recorder
 	meter    *metering.Meter
 	overload *overload.Monitor
+	unread   *unread.Book
 	guard    *quarantine.Guard
 	backends map[string]*backend.Backend
 	draining atomic.Bool
@@ -156,7 +158,7 @@
  "organisations":[{"name":"org","keys":["k1","k2"],"priority":1}]}`
 
 func newBench(t *testing.T) *bench {
-	b := &bench{t: t, is: is.New(t), recorder: &recorder{}, meter: metering.New(), overload: overload.New(), budgets: &fakeBudgets{}, backends: map[string]*backend.Backend{}}
+	b := &bench{t: t, is: is.New(t), recorder: &recorder{}, meter: metering.New(), overload: overload.New(), unread: unread.New(1<<20, func() {}), budgets: &fakeBudgets{}, backends: map[string]*backend.Backend{}}
 	b.takes.Store(true)
 	b.targets = target.NewRegistry(target.Options{
 		Domain: "z1", DrainWithin: time.Second, DialTimeout: 200 * time.Millisecond, IdleTimeout: time.Minute, MaxIdle: 8,
@@ -169,8 +171,8 @@
 	})
 	b.guard.SetPeers(nobody{})
 	b.handler = New(Options{
-		Quarantine: b.guard,
-		Names:      testHeaders, Targets: b.targets, Budgets: b.budgets, Observer: b.recorder, Meter: b.meter, Overload: b.overload,
+		Quarantine: b.guard, Unread: b.unread,
+		Names: testHeaders, Targets: b.targets, Budgets: b.budgets, Observer: b.recorder, Meter: b.meter, Overload: b.overload,
 		Retries: retrybudget.NewSet(retrybudget.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, one, time.Time{}),
 		Leaving: func() bool { return b.draining.Load() || b.overload.Out(time.Now()) }, Takes: b.mayBegin,
 	})
--- a/router/forward/pass.go
+++ b/router/forward/pass.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -32,11 +33,33 @@
 		q.w.Header()["Content-Length"] = nil
 	}
 	q.w.WriteHeader(a.resp.StatusCode)
+	q.body = nil // no target gets it any more
 	// The caller is gone if this fails; its connection tells.
-	_, _ = q.w.Write(a.body)
+	_ = q.hand(len(a.body), func() error {
+		_, err := q.w.Write(a.body)
+		return err
+	})
+}
+
+// connectionBytes is about what a connection and its request hold beside the bodies.
+const connectionBytes = 24 << 10
+
+// hand passes the caller a piece of its answer, of so many bytes.
+func (q *request) hand(bytes int, write func() error) error {
+	if q.unread == nil {
+		control := http.NewResponseController(q.w)
+		q.unread = q.handler.opts.Unread.Open(func() { _ = control.SetWriteDeadline(aLongTimeAgo) })
+	}
+	q.unread.Pass(int64(len(q.body)+bytes+connectionBytes), time.Now())
+	defer q.unread.Taken()
+	return write()
 }
 
-// passWhole reads an answer and passes it on once it is whole.
+// aLongTimeAgo is a deadline that ends what is under way.
+var aLongTimeAgo = time.Unix(1, 0)
+
+// passWhole reads an answer whole. It is passed on once the try has ended: its caller may read
+// slowly, and that is nothing to the target.
 func (c *call) passWhole(ctx context.Context, resp *http.Response) (result, error) {
 	q := c.request
 	body, fits, err := exchange.ReadWhole(resp.Body, maxWhole)
@@ -53,7 +76,7 @@
 		q.failed = answer
 		return errored, fmt.Errorf("target: %s", resp.Status)
 	}
-	answer.pass(q)
+	c.ready = answer
 	if resp.StatusCode >= http.StatusInternalServerError {
 		c.status = resp.StatusCode
 	}
@@ -67,18 +90,34 @@
 	q.end.First = time.Since(q.arrived)
 	q.handler.copyHead(q.w, resp)
 	q.w.WriteHeader(resp.StatusCode)
-	if _, err := q.w.Write(begin); err != nil {
-		c.conn.Done(false)
-		return callerGone, err
-	}
-	if _, err := io.Copy(q.w, resp.Body); err != nil {
+	c.silence.pause()
+	to := &unreadWriter{request: q}
+	if _, err := io.Copy(to, io.MultiReader(bytes.NewReader(begin), resp.Body)); err != nil {
 		c.conn.Done(false)
+		if to.err != nil {
+			return callerGone, err
+		}
 		return c.ended(ctx, cutOff, fmt.Errorf("answer broke off: %w", err))
 	}
 	c.conn.Done(true)
 	return delivered, nil
 }
 
+// unreadWriter passes the caller what is written to it.
+type unreadWriter struct {
+	request *request
+	err     error // of the caller's connection
+}
+
+// Write returns the errors of the caller's connection.
+func (u *unreadWriter) Write(p []byte) (n int, err error) {
+	u.err = u.request.hand(len(p), func() error {
+		n, err = u.request.w.Write(p)
+		return err
+	})
+	return n, u.err
+}
+
 // stream is the state of an event stream across tries.
 type stream struct {
 	scanner sse.Scanner
@@ -103,19 +142,19 @@
 	for {
 		n, err := resp.Body.Read(buffer)
 		if n > 0 {
-			c.silence.heard()
 			c.target.Heard(time.Now())
 			data := buffer[:n]
 			before := s.scanner.Events()
 			whole := s.scanner.Scan(data)
 			c.noteEvents(s.scanner.Events() - before)
 			if whole > 0 {
-				if werr := q.sendEvents(resp, pending, data[:whole]); werr != nil {
+				if werr := c.handOver(func() error { return q.sendEvents(resp, pending, data[:whole]) }); werr != nil {
 					c.conn.Done(false)
 					return callerGone, werr
 				}
 				pending = pending[:0]
 			}
+			c.silence.heard()
 			pending = append(pending, data[whole:]...)
 		}
 		switch {
@@ -128,6 +167,18 @@
 	}
 }
 
+// handOver lets the caller take events. However long it takes, the target is neither silent
+// nor slow meanwhile.
+func (c *call) handOver(send func() error) error {
+	c.silence.pause()
+	c.target.Hold()
+	began := time.Now()
+	err := send()
+	c.held += time.Since(began)
+	c.target.Release()
+	return err
+}
+
 // endStream ends the caller's answer when the target ended its own whole.
 func (c *call) endStream(ctx context.Context, resp *http.Response, pending []byte) (result, error) {
 	q := c.request
@@ -157,13 +208,15 @@
 		q.beginStream(resp)
 	}
 	q.end.Events = q.stream.scanner.Events()
-	if len(pending) > 0 {
-		if _, err := q.w.Write(pending); err != nil {
+	return q.hand(len(pending)+len(data), func() error {
+		if len(pending) > 0 {
+			if _, err := q.w.Write(pending); err != nil {
+				return err
+			}
+		}
+		if _, err := q.w.Write(data); err != nil {
 			return err
 		}
-	}
-	if _, err := q.w.Write(data); err != nil {
-		return err
-	}
-	return q.stream.control.Flush()
+		return q.stream.control.Flush()
+	})
 }
--- a/router/forward/silence.go
+++ b/router/forward/silence.go
@@ -57,6 +57,7 @@
 	began   time.Time     // when the time that runs began
 	span    time.Duration // and how long it is
 	stood   bool          // this host stood still once meanwhile
+	paused  bool          // the caller has yet to take what came
 	stopped bool
 	gaveUp  bool
 }
@@ -77,17 +78,25 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	if late := now.Sub(s.began) - s.span; !s.stopped && !s.stood && late > stoodStill {
+	if late := now.Sub(s.began) - s.span; !s.stopped && !s.paused && !s.stood && late > stoodStill {
 		s.stood, s.began = true, now
 		s.timer.Reset(s.span)
 		return
 	}
-	if !s.stopped && s.claim() {
+	if !s.stopped && !s.paused && s.claim() {
 		s.gaveUp = true
 		s.conn.Abort()
 	}
 }
 
+// pause stops the time until the target is heard again.
+func (s *silence) pause() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paused = true
+	s.timer.Stop()
+}
+
 // heard starts the time anew.
 func (s *silence) heard() {
 	d, ok := s.request.gapPatience()
@@ -96,7 +105,7 @@
 		return
 	}
 	s.mu.Lock()
-	s.began, s.span, s.stood = time.Now(), d, false
+	s.began, s.span, s.stood, s.paused = time.Now(), d, false, false
 	s.mu.Unlock()
 	s.timer.Reset(d)
 }
--- a/router/forward/versions.go
+++ b/router/forward/versions.go
@@ -53,7 +53,7 @@
 	}
 	a.First = c.begins
 	if c.events >= leastEvents {
-		a.Pace = c.last.Sub(c.first) / time.Duration(c.events-1)
+		a.Pace = (c.last.Sub(c.first) - c.unread) / time.Duration(c.events-1)
 	}
 	return a
 }
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -30,6 +30,7 @@
 	"maststage.dev/router/settings"
 	"maststage.dev/router/suspend"
 	"maststage.dev/router/target"
+	"maststage.dev/router/unread"
 )
 
 // Outside is how a router meets the systems around it: names and formats, no
@@ -73,6 +74,7 @@
 	fleet        *fleet.Fleet
 	retries      *retrybudget.Set
 	overload     *overload.Monitor
+	unread       *unread.Book
 	guard        *quarantine.Guard
 	watch        *suspend.Watch
 	woke         atomic.Pointer[wake] // from the newest suspension
@@ -134,9 +136,10 @@
 	n.guard.SetPeers(n.fleet)
 	n.retries = retrybudget.NewSet(retryLimits(cfg), n.knownHosts, time.Now())
 	n.newTreasury(incarnation)
+	n.unread = unread.New(int64(cfg.Callers.UnreadBytes), func() { n.observer.Count("callers_cut_total") })
 	n.handler = forward.New(forward.Options{
 		Names: outside.Headers, Targets: n.targets, Budgets: n.treasury, Retries: n.retries,
-		Meter: metering.New(), Overload: n.overload, Quarantine: n.guard,
+		Meter: metering.New(), Overload: n.overload, Quarantine: n.guard, Unread: n.unread,
 		Observer: n.observer, Leaving: n.leaving, Takes: n.admits, Lost: n.lost, Rollouts: n.rollouts,
 	})
 	n.watch = suspend.New(clocks, n.resumed)
@@ -323,6 +326,7 @@
 	guard.Go("treasury", func() { n.treasury.Run(ctx) })
 	guard.Go("quarantine", func() { n.guard.Run(ctx) })
 	guard.Go("limits of targets", func() { n.followLimits(ctx) })
+	guard.Go("unread answers", func() { n.unread.Run(ctx) })
 	guard.Go("rollouts", func() { n.rollouts.run(ctx) })
 	guard.Go("suspensions", func() { n.watch.Run(ctx) })
 	guard.Go("housekeeping", func() { n.housekeeping(ctx) })
--- a/router/settings/sections.go
+++ b/router/settings/sections.go
@@ -117,6 +117,20 @@
 	UserTimeoutMs float64 `ini:"user_timeout_ms" default:"3000"`
 }
 
+// Callers says what is done for callers.
+type Callers struct {
+	// UnreadBytes are held at most for callers that don't read their answers; beyond it those
+	// that have waited longest are cut.
+	UnreadBytes int `ini:"unread_bytes" default:"16777216"`
+}
+
+func (c Callers) check() error {
+	if c.UnreadBytes <= 0 {
+		return bad("callers", "unread_bytes", fmt.Sprint(c.UnreadBytes), "is not above 0")
+	}
+	return nil
+}
+
 // Budgets says how slices of prepaid budgets are held.
 type Budgets struct {
 	HorizonS       float64 `ini:"horizon_s" default:"11"`        // a slice lasts so long at the present demand
--- a/router/settings/settings.go
+++ b/router/settings/settings.go
@@ -18,6 +18,7 @@
 	Bounds  Bounds  `ini:"bounds"`
 	Targets Targets `ini:"targets"`
 	Budgets Budgets `ini:"budgets"`
+	Callers Callers `ini:"callers"`
 	Output  Output  `ini:"output"`
 }
 
@@ -34,7 +35,7 @@
 }
 
 func (s *Settings) check() error {
-	for _, c := range []func() error{s.Host.check, s.Log.check, s.Bounds.check, s.Budgets.check, s.Output.check} {
+	for _, c := range []func() error{s.Host.check, s.Log.check, s.Bounds.check, s.Budgets.check, s.Callers.check, s.Output.check} {
 		if err := c(); err != nil {
 			return err
 		}
--- a/router/settings/settings_test.go
+++ b/router/settings/settings_test.go
@@ -57,6 +57,7 @@
 		{"negative", "partitions =", "[bounds]\nretry_ratio = -1", `section [bounds]: key "retry_ratio": "-1" is not a number from 0`},
 		{"no window", "partitions =", "[bounds]\nretry_window_s = 0", `section [bounds]: key "retry_window_s"`},
 		{"nothing for cold targets", "partitions =", "[bounds]\ncold_overrun = 0", `section [bounds]: key "cold_overrun": "0" is not above 0`},
+		{"nothing held", "partitions =", "[callers]\nunread_bytes = 0", `section [callers]: key "unread_bytes": "0" is not above 0`},
 		{"less than the limit", "partitions =", "[bounds]\nlimit_overrun = 0.5", `section [bounds]: key "limit_overrun": "0.5" is less than 1`},
 		{"no window of limits", "partitions =", "[bounds]\nlimit_window_s = 0", `section [bounds]: key "limit_window_s": "0" is not above 0`},
 		{"negative time", "partitions =", "[bounds]\nevacuate_ms = -1", `section [bounds]: key "evacuate_ms": "-1" is not a number from 0`},
--- a/router/target/health.go
+++ b/router/target/health.go
@@ -92,6 +92,16 @@
 // Heard notes that the target sent something.
 func (t *Target) Heard(now time.Time) { t.heard.Store(now.UnixNano()) }
 
+// Hold notes that a stream waits for its caller to read, and not for the target; Release ends
+// that.
+func (t *Target) Hold() { t.held.Add(1) }
+
+// Release ends a Hold.
+func (t *Target) Release() {
+	t.Heard(time.Now())
+	t.held.Add(-1)
+}
+
 // quietTime is how long a target with requests under way may send nothing before
 // others are preferred.
 const quietTime = 700 * time.Millisecond
@@ -99,7 +109,7 @@
 // quiet says whether a target has requests of this host and has sent nothing on any
 // of them for long: it may have gone dark, which its connections don't tell.
 func (t *Target) quiet(now time.Time) bool {
-	if t.outstanding == 0 {
+	if t.outstanding <= int(t.held.Load()) {
 		return false
 	}
 	since := t.busySince
--- /dev/null
+++ b/router/unread/unread.go
@@ -0,0 +1,135 @@
+// Package unread bounds what a host holds for callers that don't read their answers.
+//
+// Pattern: a shared buffer of bounded size from which the longest waiter is evicted. An answer
+// is held until its caller has taken it, and a caller may take it slowly or, without closing its
+// connection, never. Many such callers would use up the host's memory, and with it every
+// caller's requests.
+package unread
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	log "github.com/sirupsen/logrus"
+)
+
+const (
+	// leastWait is how long a caller has in any case: a link that is full for a moment
+	// holds up callers that read.
+	leastWait = 2 * time.Second
+	// patience is how long a caller may take nothing of what is passed to it, however little
+	// is held: far beyond any pause of a caller that still reads.
+	patience = 30 * time.Second
+	// lookEvery is the time between two looks at who waits.
+	lookEvery = 500 * time.Millisecond
+)
+
+// Book knows the answers under way and which of them wait for their callers.
+type Book struct {
+	most  int64 // bytes
+	onCut func()
+
+	mu      sync.Mutex
+	answers map[*Answer]struct{}
+}
+
+// Answer is one that is passed to its caller, piece by piece.
+type Answer struct {
+	cut   func()
+	since atomic.Int64 // when its caller was passed what it has not taken, in Unix nanoseconds; 0: it took all
+	bytes atomic.Int64 // held meanwhile
+}
+
+// New makes a book that allows so many bytes; onCut is told of each caller that is cut.
+func New(most int64, onCut func()) *Book {
+	return &Book{most: most, onCut: onCut, answers: map[*Answer]struct{}{}}
+}
+
+// Open notes an answer; cut ends it and must not block.
+func (b *Book) Open(cut func()) *Answer {
+	a := &Answer{cut: cut}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.answers[a] = struct{}{}
+	return a
+}
+
+// Close forgets an answer.
+func (b *Book) Close(a *Answer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.answers, a)
+}
+
+// Pass notes that the caller is passed a piece while so many bytes are held for it.
+func (a *Answer) Pass(bytes int64, now time.Time) {
+	a.bytes.Store(bytes)
+	a.since.Store(now.UnixNano())
+}
+
+// Taken notes that the caller took the piece.
+func (a *Answer) Taken() { a.since.Store(0) }
+
+// Run looks at who waits until ctx ends.
+func (b *Book) Run(ctx context.Context) {
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			b.look(now)
+		}
+	}
+}
+
+// waiting is an answer that waits.
+type waiting struct {
+	answer *Answer
+	waited time.Duration
+	bytes  int64
+}
+
+// look cuts callers that have waited for too long, and where all that is held is too much
+// those that have waited longest: they have taken nothing for the longest time.
+func (b *Book) look(now time.Time) {
+	waits, held := b.waits(now)
+	for _, w := range waits {
+		if w.waited < leastWait || held <= b.most && w.waited < patience {
+			return
+		}
+		held -= w.bytes
+		log.WithFields(log.Fields{
+			"bytes": w.bytes, "waited": w.waited.Round(time.Millisecond), "held": held, "waiting": len(waits),
+		}).Warn("caller cut that does not read its answer")
+		b.Close(w.answer)
+		w.answer.cut()
+		b.onCut()
+	}
+}
+
+// waits lists who waits, the longest first, and sums what is held for them.
+func (b *Book) waits(now time.Time) (list []waiting, held int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for a := range b.answers {
+		if since := a.since.Load(); since != 0 {
+			w := waiting{answer: a, waited: now.Sub(time.Unix(0, since)), bytes: a.bytes.Load()}
+			list = append(list, w)
+			held += w.bytes
+		}
+	}
+	slices.SortFunc(list, func(a, b waiting) int { return cmp.Compare(b.waited, a.waited) })
+	return list, held
+}
+
+// Held is how many bytes are held for callers that have yet to take them.
+func (b *Book) Held() int64 {
+	_, held := b.waits(time.Now())
+	return held
+}
