unread, forward, soak: large answers aren't held whole where much is unread

400 callers that never read answers of 200 KB, most of them within a moment: none is cut within 2 s, and what comes meanwhile was bounded by nothing. From half of the bound on, answers above 16 KB are passed on as they come.

--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -362,6 +362,9 @@
 	if isDeadly(run.URI) {
 		return w.endDeadly()
 	}
+	if isLarge(run.URI) {
+		return backend.Behaviour{Delay: plainDelay, Body: largeBody}
+	}
 	w.watch.arrival(s, run)
 	b := backend.Behaviour{Delay: plainDelay, Body: wholeBody(run.ID)}
 	if s.service == engineService {
--- a/router/forward/pass.go
+++ b/router/forward/pass.go
@@ -17,6 +17,9 @@
 // passed on, in bytes.
 const maxWhole = 256 << 10
 
+// leastWhole takes its place where much is held for callers that don't read.
+const leastWhole = 16 << 10
+
 // whole is an answer that was read whole.
 type whole struct {
 	resp *http.Response
@@ -62,7 +65,11 @@
 // slowly, and that is nothing to the target.
 func (c *call) passWhole(ctx context.Context, resp *http.Response) (result, error) {
 	q := c.request
-	body, fits, err := exchange.ReadWhole(resp.Body, maxWhole)
+	most := int64(maxWhole)
+	if q.handler.opts.Unread.Tight() {
+		most = leastWhole
+	}
+	body, fits, err := exchange.ReadWhole(resp.Body, most)
 	if err != nil {
 		c.conn.Done(false)
 		return c.ended(ctx, c.silence.result(broken), fmt.Errorf("answer broke off: %w", err))
--- a/router/unread/unread.go
+++ b/router/unread/unread.go
@@ -32,6 +32,7 @@
 type Book struct {
 	most  int64 // bytes
 	onCut func()
+	held  atomic.Int64 // for those that wait
 
 	mu      sync.Mutex
 	answers map[*Answer]struct{}
@@ -39,6 +40,7 @@
 
 // Answer is one that is passed to its caller, piece by piece.
 type Answer struct {
+	book  *Book
 	cut   func()
 	since atomic.Int64 // when its caller was passed what it has not taken, in Unix nanoseconds; 0: it took all
 	bytes atomic.Int64 // held meanwhile
@@ -51,7 +53,7 @@
 
 // Open notes an answer; cut ends it and must not block.
 func (b *Book) Open(cut func()) *Answer {
-	a := &Answer{cut: cut}
+	a := &Answer{book: b, cut: cut}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.answers[a] = struct{}{}
@@ -69,10 +71,21 @@
 func (a *Answer) Pass(bytes int64, now time.Time) {
 	a.bytes.Store(bytes)
 	a.since.Store(now.UnixNano())
+	a.book.held.Add(bytes)
 }
 
-// Taken notes that the caller took the piece.
-func (a *Answer) Taken() { a.since.Store(0) }
+// Taken notes that the caller took the piece, or is gone.
+func (a *Answer) Taken() {
+	a.since.Store(0)
+	a.book.held.Add(-a.bytes.Load())
+}
+
+// tightPart is the part of the bound above which little is held for each caller.
+const tightPart = 0.5
+
+// Tight says whether so much is held that no answer should be held whole: what comes within
+// leastWait is bounded by nothing else.
+func (b *Book) Tight() bool { return float64(b.held.Load()) > tightPart*float64(b.most) }
 
 // Run looks at who waits until ctx ends.
 func (b *Book) Run(ctx context.Context) {
@@ -129,7 +142,4 @@
 }
 
 // Held is how many bytes are held for callers that have yet to take them.
-func (b *Book) Held() int64 {
-	_, held := b.waits(time.Now())
-	return held
-}
+func (b *Book) Held() int64 { return b.held.Load() }
