--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -131,6 +131,7 @@
 	spared   int            // of tries, those that a target's end broke and that can't have caused it
 	after    time.Duration  // when to come back, 0: as its kind says
 	unread   *unread.Answer // nil until the caller was passed something
+	room     int64          // reserved for a whole answer, in bytes
 	end      End
 }
 
@@ -151,6 +152,7 @@
 	if kind == OK {
 		kind, err = q.run()
 	}
+	q.freeRoom()
 	if q.unread != nil {
 		q.handler.opts.Unread.Close(q.unread)
 	}
--- a/router/forward/pass.go
+++ b/router/forward/pass.go
@@ -17,7 +17,8 @@
 // passed on, in bytes.
 const maxWhole = 256 << 10
 
-// leastWhole takes its place where much is held for callers that don't read.
+// leastWhole is the size up to which it is read whole in any case; a longer one, where not
+// much is held for callers that don't read.
 const leastWhole = 16 << 10
 
 // whole is an answer that was read whole.
@@ -39,11 +40,33 @@
 	q.body = nil // no target gets it any more
 	// The caller is gone if this fails; its connection tells.
 	_ = q.hand(len(a.body), func() error {
+		q.freeRoom() // it counts as unread now
 		_, err := q.w.Write(a.body)
 		return err
 	})
 }
 
+// readWhole reads an answer whole if there is room for it; else fits is false and body is its
+// beginning.
+func (q *request) readWhole(resp *http.Response) (body []byte, fits bool, err error) {
+	q.freeRoom() // of a try before
+	size := resp.ContentLength
+	if size < 0 || size > maxWhole {
+		size = maxWhole
+	}
+	if size <= leastWhole || !q.handler.opts.Unread.Reserve(size) {
+		return exchange.ReadWhole(resp.Body, leastWhole)
+	}
+	q.room = size
+	return exchange.ReadWhole(resp.Body, maxWhole)
+}
+
+// freeRoom ends the reservation of room for a whole answer.
+func (q *request) freeRoom() {
+	q.handler.opts.Unread.Unreserve(q.room)
+	q.room = 0
+}
+
 // connectionBytes is about what a connection and its request hold beside the bodies.
 const connectionBytes = 24 << 10
 
@@ -65,11 +88,7 @@
 // slowly, and that is nothing to the target.
 func (c *call) passWhole(ctx context.Context, resp *http.Response) (result, error) {
 	q := c.request
-	most := int64(maxWhole)
-	if q.handler.opts.Unread.Tight() {
-		most = leastWhole
-	}
-	body, fits, err := exchange.ReadWhole(resp.Body, most)
+	body, fits, err := q.readWhole(resp)
 	if err != nil {
 		c.conn.Done(false)
 		return c.ended(ctx, c.silence.result(broken), fmt.Errorf("answer broke off: %w", err))
--- a/router/unread/unread.go
+++ b/router/unread/unread.go
@@ -32,7 +32,7 @@
 type Book struct {
 	most  int64 // bytes
 	onCut func()
-	held  atomic.Int64 // for those that wait
+	held  atomic.Int64 // for those that wait, and reserved
 
 	mu      sync.Mutex
 	answers map[*Answer]struct{}
@@ -80,12 +80,21 @@
 	a.book.held.Add(-a.bytes.Load())
 }
 
-// tightPart is the part of the bound above which little is held for each caller.
-const tightPart = 0.5
+// wholePart is the part of the bound up to which answers are held whole.
+const wholePart = 0.5
 
-// Tight says whether so much is held that no answer should be held whole: what comes within
-// leastWait is bounded by nothing else.
-func (b *Book) Tight() bool { return float64(b.held.Load()) > tightPart*float64(b.most) }
+// Reserve sets so many bytes aside for an answer that is to be held whole, until Unreserve. It
+// says whether there is room: what comes within leastWait is bounded by nothing else.
+func (b *Book) Reserve(bytes int64) bool {
+	if float64(b.held.Add(bytes)) <= wholePart*float64(b.most) {
+		return true
+	}
+	b.held.Add(-bytes)
+	return false
+}
+
+// Unreserve ends a Reserve of so many bytes.
+func (b *Book) Unreserve(bytes int64) { b.held.Add(-bytes) }
 
 // Run looks at who waits until ctx ends.
 func (b *Book) Run(ctx context.Context) {
@@ -141,5 +150,5 @@
 	return list, held
 }
 
-// Held is how many bytes are held for callers that have yet to take them.
+// Held is how many bytes are held for callers that have yet to take them, or reserved.
 func (b *Book) Held() int64 { return b.held.Load() }
