--- a/router/prepaid/loans.go
+++ b/router/prepaid/loans.go
@@ -3,12 +3,7 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
-
-	log "github.com/sirupsen/logrus"
-
-	"maststage.dev/lib/guard"
 )
 
 // LoanRequest is what a host asks of another.
@@ -45,7 +40,7 @@
 	borrowWait  = 150 * time.Millisecond // bounds the requests to other hosts
 	borrowPause = 250 * time.Millisecond // hosts are not asked again for as much after they had too little
 	lendPart    = 0.9                    // of the free tokens that a host holds for itself, lent at most at once
-	lendWait    = 60 * time.Millisecond  // a keeper waits so long for the log
+	lendWait    = 60 * time.Millisecond  // a keeper waits so long for the log and other keepers
 	keeperTime  = 5 * time.Second        // a host that was asked for a loan is a keeper for so long
 	handOvers   = 16                     // budgets handed over at a time; each may wait for a silent host
 	idleTime    = 3 * time.Second        // without a request, after which tokens are given back
@@ -277,106 +272,6 @@
 	return loan.tokens
 }
 
-// giveIdle gives the tokens of budgets that this host is no keeper of and has not
-// used for a while to a keeper.
-func (t *Treasury) giveIdle(ctx context.Context, c *clerk) {
-	if t.opts.GiveBack == nil {
-		return
-	}
-	idle := t.takeIdle(c, time.Now())
-	if len(idle) == 0 {
-		return
-	}
-	t.tellLeft(idle)
-	// Beside the clerk: a keeper that does not answer must not hold up its rounds.
-	guard.Go("idle tokens", func() {
-		for organisation, tokens := range idle {
-			// Without an answer they count as spent.
-			took := t.opts.GiveBack(ctx, organisation, tokens)
-			log.WithFields(log.Fields{"organisation": organisation, "tokens": tokens, "took": took}).Debug("idle tokens given back")
-		}
-	})
-}
-
-// tellLeft tells what is left here of budgets whose idle tokens are given away.
-func (t *Treasury) tellLeft(idle map[string]int64) {
-	if t.opts.OnGive == nil {
-		return
-	}
-	for organisation := range idle {
-		if h, ok := t.Holding(organisation); ok {
-			t.opts.OnGive(h)
-		}
-	}
-}
-
-// takeIdle debits idle tokens of a clerk's budgets.
-func (t *Treasury) takeIdle(c *clerk, now time.Time) map[string]int64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	idle := map[string]int64{}
-	for organisation, w := range t.wallets {
-		if t.clerkOf(organisation) != c || w.free == 0 || now.Sub(w.used) < idleTime || !w.spendable() {
-			continue
-		}
-		if _, keeper := t.keeps(organisation, w); !keeper {
-			idle[organisation] = w.giveAway()
-		}
-	}
-	return idle
-}
-
-// HandOver gives all free tokens to other hosts and takes no more; give says
-// whether one took them. Without an answer in time they count as spent.
-func (t *Treasury) HandOver(ctx context.Context, give func(ctx context.Context, organisation string, tokens int64) bool) {
-	t.mu.Lock()
-	t.closing = true
-	free := map[string]int64{}
-	for organisation, w := range t.wallets {
-		if w.free > 0 && w.spendable() {
-			free[organisation] = w.giveAway()
-		}
-	}
-	t.mu.Unlock()
-	var all sync.WaitGroup
-	turns := make(chan struct{}, handOvers)
-	for organisation, tokens := range free {
-		turns <- struct{}{}
-		all.Go(func() {
-			defer func() { <-turns }()
-			took := give(ctx, organisation, tokens)
-			log.WithFields(log.Fields{"organisation": organisation, "tokens": tokens, "took": took}).Info("free tokens handed over")
-		})
-	}
-	all.Wait()
-}
-
-// Gift is tokens that one host gives to another.
-type Gift struct {
-	ID           string // unique among all gifts; a giver without an answer repeats it
-	Organisation string
-	Tokens       int64
-}
-
-// Credit takes in a gift, however often it comes, once; it says whether the gift was
-// taken. A host that is stopping or does not know the budget takes none.
-func (t *Treasury) Credit(g Gift) (took bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if answer, known := t.gifts.answer(g.ID); known {
-		return answer
-	}
-	w := t.wallets[g.Organisation]
-	took = !t.closing && w != nil && g.Tokens > 0
-	t.gifts.note(g.ID, took)
-	if took {
-		w.free += g.Tokens
-		w.flows.Received += g.Tokens
-		t.wake()
-	}
-	return took
-}
-
 func (t *Treasury) credit(organisation string, tokens int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -386,11 +281,3 @@
 		t.wake()
 	}
 }
-
-// giveAway debits all free tokens for a gift and says how many they are.
-func (w *wallet) giveAway() int64 {
-	given := w.free
-	w.free = 0
-	w.flows.Given += given
-	return given
-}
