unread: no caller is cut that took its piece in the meantime

Between the look at who waits and the cut a caller may take its piece, and its connection carry the next answer, which the cut would break (TestTakenInTheLastMoment).

--- a/router/unread/unread.go
+++ b/router/unread/unread.go
@@ -40,10 +40,12 @@
 
 // Answer is one that is passed to its caller, piece by piece.
 type Answer struct {
-	book  *Book
-	cut   func()
-	since atomic.Int64 // when its caller was passed what it has not taken, in Unix nanoseconds; 0: it took all
-	bytes atomic.Int64 // held meanwhile
+	book *Book
+	cut  func()
+
+	mu    sync.Mutex
+	since time.Time // when its caller was passed what it has not taken; zero: it took all
+	bytes int64     // held meanwhile
 }
 
 // New makes a book that allows so many bytes; onCut is told of each caller that is cut.
@@ -69,15 +71,38 @@
 
 // Pass notes that the caller is passed a piece while so many bytes are held for it.
 func (a *Answer) Pass(bytes int64, now time.Time) {
-	a.bytes.Store(bytes)
-	a.since.Store(now.UnixNano())
+	a.mu.Lock()
+	a.since, a.bytes = now, bytes
+	a.mu.Unlock()
 	a.book.held.Add(bytes)
 }
 
 // Taken notes that the caller took the piece, or is gone.
 func (a *Answer) Taken() {
-	a.since.Store(0)
-	a.book.held.Add(-a.bytes.Load())
+	a.mu.Lock()
+	a.since = time.Time{}
+	a.mu.Unlock()
+	a.book.held.Add(-a.bytes)
+}
+
+// waiting says since when the caller has taken nothing, and what is held for it; ok is false
+// if it took all.
+func (a *Answer) waiting() (since time.Time, bytes int64, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.since, a.bytes, !a.since.IsZero()
+}
+
+// cutIfWaiting cuts the caller unless it took the piece in the meantime: its connection may
+// carry the next one by then.
+func (a *Answer) cutIfWaiting(since time.Time) (cut bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.since.Equal(since) {
+		return false
+	}
+	a.cut()
+	return true
 }
 
 // wholePart is the part of the bound up to which answers are held whole.
@@ -113,6 +138,7 @@
 // waiting is an answer that waits.
 type waiting struct {
 	answer *Answer
+	since  time.Time
 	waited time.Duration
 	bytes  int64
 }
@@ -126,11 +152,13 @@
 			return
 		}
 		held -= w.bytes
+		if !w.answer.cutIfWaiting(w.since) {
+			continue
+		}
 		log.WithFields(log.Fields{
 			"bytes": w.bytes, "waited": w.waited.Round(time.Millisecond), "held": held, "waiting": len(waits),
 		}).Warn("caller cut that does not read its answer")
 		b.Close(w.answer)
-		w.answer.cut()
 		b.onCut()
 	}
 }
@@ -140,10 +168,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for a := range b.answers {
-		if since := a.since.Load(); since != 0 {
-			w := waiting{answer: a, waited: now.Sub(time.Unix(0, since)), bytes: a.bytes.Load()}
-			list = append(list, w)
-			held += w.bytes
+		if since, bytes, ok := a.waiting(); ok {
+			list = append(list, waiting{answer: a, since: since, waited: now.Sub(since), bytes: bytes})
+			held += bytes
 		}
 	}
 	slices.SortFunc(list, func(a, b waiting) int { return cmp.Compare(b.waited, a.waited) })
--- a/router/unread/unread_test.go
+++ b/router/unread/unread_test.go
@@ -80,6 +80,20 @@
 	is.Equal(cut, []string{"first"}) // that is enough
 }
 
+// A caller that took its piece in the last moment is not cut: its connection may carry the
+// answer to another request by then.
+func TestTakenInTheLastMoment(t *testing.T) {
+	is := is.New(t)
+	b := New(100, func() {})
+	now := time.Now()
+	a := b.Open(func() { t.Error("cut") })
+	a.Pass(50, now)
+	waits, _ := b.waits(now.Add(patience))
+	a.Taken()
+	a.Pass(50, now.Add(patience))
+	is.True(!waits[0].answer.cutIfWaiting(waits[0].since))
+}
+
 // Answers are held whole up to half of the bound, those that are read at the same moment
 // counted.
 func TestReserve(t *testing.T) {
