soak: callers that stop reading

One seed of three has callers that ask for large answers and never read them, beside all else. They are no fault, so what is promised to others is checked as strictly as without them.

--- a/proofs/soak/faults_test.go
+++ b/proofs/soak/faults_test.go
@@ -82,6 +82,8 @@
 		return deadly
 	case limitKind:
 		return limited
+	case readersKind:
+		return readersStop
 	}
 	return strikes[kind]
 }
--- a/proofs/soak/readers_test.go
+++ b/proofs/soak/readers_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"strconv"
@@ -16,8 +17,16 @@
 	"maststage.dev/platform"
 )
 
-// Readers that stop for good.
+// Figures of readers that stop.
 const (
+	readersKind   = "readers stop"
+	readersOf     = 3 // seeds, one has them
+	mostStops     = 3
+	leastReaders  = 10
+	moreReaders   = 50
+	leastStopped  = 2 * time.Second
+	stoppedLonger = 6 * time.Second
+
 	readers      = 400
 	readersBegin = 4 * time.Second  // over which they come, most at once
 	readersStay  = 10 * time.Second // after the last came
@@ -25,6 +34,35 @@
 	largeQuery   = "?large"
 )
 
+// stops draws the readers of a seed that stop, apart from its other events. They are no fault:
+// nobody else's promise depends on them.
+func stops(seed uint64) []event {
+	random := rand.New(rand.NewPCG(seed, 7))
+	if random.IntN(readersOf) != 0 {
+		return nil
+	}
+	events := make([]event, 1+random.IntN(mostStops))
+	for i := range events {
+		events[i] = event{
+			at:     time.Duration(random.Int64N(int64(faultTime))),
+			length: leastStopped + time.Duration(random.Int64N(int64(stoppedLonger))),
+			kind:   readersKind, pick: random.IntN(1000), part: random.Float64(),
+		}
+	}
+	return events
+}
+
+// readersStop lets callers of a host ask for large answers and read none, until they go.
+func readersStop(w *world, e event) {
+	h := w.hosts[e.pick%len(w.hosts)]
+	for range leastReaders + int(e.part*moreReaders) {
+		if conn, err := w.stopReading(h); err == nil { // else the host is down
+			defer conn.Close()
+		}
+	}
+	time.Sleep(e.length)
+}
+
 // largeBody is the answer to requests of those readers, in bytes: more than connections buffer.
 var largeBody = strings.Repeat("x", 200<<10)
 
@@ -42,7 +80,10 @@
 	var peak int64
 	all.Go(func() { peak = w.hosts[0].peakMemory(ctx) })
 	for i := range readers {
-		conn := w.stopReading(w.hosts[0], i)
+		conn, err := w.stopReading(w.hosts[0])
+		if err != nil {
+			t.Fatal(err)
+		}
 		t.Cleanup(func() { _ = conn.Close() })
 		if i > readers/2 {
 			time.Sleep(readersBegin / (readers / 2))
@@ -60,18 +101,15 @@
 }
 
 // stopReading sends a request for a large answer on a connection of its own.
-func (w *world) stopReading(h *host, number int) net.Conn {
+func (w *world) stopReading(h *host) (net.Conn, error) {
 	conn, err := (&net.Dialer{Control: smallBuffers}).Dial("tcp", h.listen)
 	if err != nil {
-		w.t.Fatal(err)
+		return nil, err
 	}
 	names := platform.Headers
-	_, err = fmt.Fprintf(conn, "GET %s%s HTTP/1.1\r\nHost: %s\r\n%s: stops-%d\r\n%s: %d\r\n%s: %s\r\n\r\n",
-		safePath, largeQuery, callersHost, names.RequestID, number, names.Deadline, requestLimit.Milliseconds(), names.Key, keyOf(largeTenant))
-	if err != nil {
-		w.t.Error(err)
-	}
-	return conn
+	_, err = fmt.Fprintf(conn, "GET %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s-%d\r\n%s: %d\r\n%s: %s\r\n\r\n",
+		safePath, largeQuery, callersHost, names.RequestID, w.network, lastRequest.Add(1), names.Deadline, requestLimit.Milliseconds(), names.Key, keyOf(largeTenant))
+	return conn, err
 }
 
 // smallBuffers lets a connection over the loopback buffer as little as one over a network: its
--- a/proofs/soak/soak_test.go
+++ b/proofs/soak/soak_test.go
@@ -100,6 +100,7 @@
 	events = append(events, evacuations(seed)...)
 	events = append(events, deadlies(seed, events)...)
 	events = append(events, limits(seed)...)
+	events = append(events, stops(seed)...)
 	w := newWorld(t, hosts, seed)
 	if thin(seed) {
 		w.thinLinks()
