--- a/router/forward/slowcaller.go
+++ b/router/forward/slowcaller.go
@@ -41,10 +41,10 @@
 // nor slow meanwhile.
 func (c *call) awaitCaller(send func() error) error {
 	c.silence.pause()
-	c.target.Hold()
+	c.target.BeginUnread()
 	began := time.Now()
 	err := send()
 	c.held += time.Since(began)
-	c.target.Release()
+	c.target.EndUnread()
 	return err
 }
--- a/router/forward/slowcaller_test.go
+++ b/router/forward/slowcaller_test.go
@@ -97,6 +97,18 @@
 	b.is.Equal(len(b.recorder.tries), 1+others)
 }
 
+// Nor is an answer cut that is too long to be read whole first.
+func TestSlowCallerOfALongAnswerGetsAllOfIt(t *testing.T) {
+	b := newBench(t)
+	long := strings.Repeat("long ", 200_000)
+	b.add("t1", "plain", backend.Behaviour{Body: long})
+	b.add("t2", "plain", backend.Behaviour{Body: long})
+	c := newSlowCaller(2, time.Second)
+	b.serve(c, b.request("GET", "/safe/x", ""))
+	b.is.True(c.Body.String() == long)
+	b.is.Equal(b.runs(), 1)
+}
+
 // stalled is a caller that never reads; its connection's write deadline ends that.
 type stalled struct {
 	*httptest.ResponseRecorder
--- a/router/target/health.go
+++ b/router/target/health.go
@@ -92,14 +92,13 @@
 // Heard notes that the target sent something.
 func (t *Target) Heard(now time.Time) { t.heard.Store(now.UnixNano()) }
 
-// Hold notes that a stream waits for its caller to read, and not for the target; Release ends
-// that.
-func (t *Target) Hold() { t.held.Add(1) }
+// BeginUnread notes that a stream waits for its caller to read, and not for the target.
+func (t *Target) BeginUnread() { t.unread.Add(1) }
 
-// Release ends a Hold.
-func (t *Target) Release() {
+// EndUnread notes that the caller read.
+func (t *Target) EndUnread() {
 	t.Heard(time.Now())
-	t.held.Add(-1)
+	t.unread.Add(-1)
 }
 
 // quietTime is how long a target with requests under way may send nothing before
@@ -109,7 +108,7 @@
 // quiet says whether a target has requests of this host and has sent nothing on any
 // of them for long: it may have gone dark, which its connections don't tell.
 func (t *Target) quiet(now time.Time) bool {
-	if t.outstanding <= int(t.held.Load()) {
+	if t.outstanding <= int(t.unread.Load()) {
 		return false
 	}
 	since := t.busySince
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -33,7 +33,7 @@
 	limit  limited
 
 	heard       atomic.Int64 // when it last sent anything, in Unix nanoseconds
-	held        atomic.Int32 // streams of which callers have yet to take what came
+	unread      atomic.Int32 // streams of which callers have yet to take what came
 	busySince   time.Time    // when requests were first under way again
 	outstanding int          // requests of this host under way
 	work        float64      // prompt tokens of them not answered yet
