node: the router's server ends as gracefully

The same cause as in maststaged, looked for elsewhere: maststage-router ended its server for callers by http.Server.Shutdown, which drops what is on its way.

--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -161,7 +161,7 @@
 		}
 	})
 	guard.Go("caller server", func() {
-		if err := n.http.Serve(cl.(*net.TCPListener)); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := n.http.Serve(cl); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			log.WithError(err).Error("caller server ended")
 		}
 	})
--- a/lib/graceful/graceful.go
+++ b/lib/graceful/graceful.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -62,10 +63,17 @@
 	}
 }
 
-// Serve takes connections until Shutdown; then it returns http.ErrServerClosed.
-// Other errors: those of http.Server.Serve.
-func (s *Server) Serve(l *net.TCPListener) error {
-	last := newListener(l)
+// errNotTCP means that a listener is not one of TCP.
+var errNotTCP = errors.New("graceful: not a TCP listener")
+
+// Serve takes connections of a TCP listener until Shutdown; then it returns
+// http.ErrServerClosed. Other errors: those of http.Server.Serve.
+func (s *Server) Serve(l net.Listener) error {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return errNotTCP
+	}
+	last := newListener(tcp)
 	s.mu.Lock()
 	s.listener = last
 	s.mu.Unlock()
@@ -102,6 +110,9 @@
 	return s.http.Shutdown(ctx)
 }
 
+// Close ends the server and all its connections at once.
+func (s *Server) Close() error { return s.http.Close() }
+
 // unused says whether no connection is in use.
 func (s *Server) unused(now time.Time) bool {
 	s.mu.Lock()
--- a/lib/graceful/graceful_test.go
+++ b/lib/graceful/graceful_test.go
@@ -34,7 +34,7 @@
 		},
 	})
 	s.quiet = patience / 4
-	go func() { _ = s.Serve(l.(*net.TCPListener)) }()
+	go func() { _ = s.Serve(l) }()
 	for s.accepting() == nil {
 		time.Sleep(time.Millisecond)
 	}
--- a/router/node/listen.go
+++ b/router/node/listen.go
@@ -42,7 +42,10 @@
 	return n.serve(s, address, what)
 }
 
-func (n *Node) serve(s *http.Server, address, what string) error {
+// server is what takes connections.
+type server interface{ Serve(l net.Listener) error }
+
+func (n *Node) serve(s server, address, what string) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listening for %s: %w", what, err)
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -11,6 +11,7 @@
 
 	log "github.com/sirupsen/logrus"
 
+	"maststage.dev/lib/graceful"
 	"maststage.dev/lib/guard"
 	"maststage.dev/router/archive"
 	"maststage.dev/router/eventlog"
@@ -86,7 +87,7 @@
 
 	configCopy, targetsCopy, hostsCopy *replica.Replica
 
-	server    *http.Server
+	server    *graceful.Server
 	aux       []*http.Server // ready, peers, metrics
 	pending   configQueue
 	started   time.Time
--- a/router/node/stop.go
+++ b/router/node/stop.go
@@ -7,20 +7,21 @@
 
 	log "github.com/sirupsen/logrus"
 
+	"maststage.dev/lib/graceful"
 	"maststage.dev/lib/wait"
 	"maststage.dev/router/settings"
 )
 
 // callerServer makes the server for callers. Its limits are those of the
 // configuration in force when a connection is used; until there is one, defaults.
-func (n *Node) callerServer() *http.Server {
-	return &http.Server{
+func (n *Node) callerServer() *graceful.Server {
+	return graceful.New(&http.Server{
 		Handler:           n.handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          nil,
-	}
+	})
 }
 
 // Limits until a configuration says otherwise.
@@ -120,7 +121,8 @@
 	}
 }
 
-// finish closes idle connections and waits for the rest until the grace time ends.
+// finish answers what is on its way, closes idle connections and waits for the rest until
+// the grace time ends.
 func (n *Node) finish(last time.Time) {
 	c, cancel := context.WithDeadline(context.Background(), last.Add(stopMargin/2))
 	defer cancel()
