--- a/router/unread/unread.go
+++ b/router/unread/unread.go
@@ -85,9 +85,9 @@
 	a.book.held.Add(-a.bytes)
 }
 
-// waiting says since when the caller has taken nothing, and what is held for it; ok is false
+// unread says since when the caller has taken nothing, and what is held for it; ok is false
 // if it took all.
-func (a *Answer) waiting() (since time.Time, bytes int64, ok bool) {
+func (a *Answer) unread() (since time.Time, bytes int64, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.since, a.bytes, !a.since.IsZero()
@@ -168,7 +168,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for a := range b.answers {
-		if since, bytes, ok := a.waiting(); ok {
+		if since, bytes, ok := a.unread(); ok {
 			list = append(list, waiting{answer: a, since: since, waited: now.Sub(since), bytes: bytes})
 			held += bytes
 		}
