--- a/proofs/soak/faults_test.go
+++ b/proofs/soak/faults_test.go
@@ -155,6 +155,19 @@
 	return events
 }
 
+// draw draws one to most events of a kind, each of a length from least on.
+func draw(random *rand.Rand, kind string, most int, least, longer time.Duration) []event {
+	events := make([]event, 1+random.IntN(most))
+	for i := range events {
+		events[i] = event{
+			at:     time.Duration(random.Int64N(int64(faultTime))),
+			length: least + time.Duration(random.Int64N(int64(longer))),
+			kind:   kind, pick: random.IntN(1000), part: random.Float64(),
+		}
+	}
+	return events
+}
+
 // play runs the events and returns when all are over.
 func (w *world) play(ctx context.Context, events []event) {
 	begin := time.Now()
--- a/proofs/soak/limit_test.go
+++ b/proofs/soak/limit_test.go
@@ -36,15 +36,7 @@
 	if random.IntN(limitEvery) != 0 {
 		return nil
 	}
-	events := make([]event, 1+random.IntN(mostLimits))
-	for i := range events {
-		events[i] = event{
-			at:     time.Duration(random.Int64N(int64(faultTime))),
-			length: leastLimited + time.Duration(random.Int64N(int64(limitLonger))),
-			kind:   limitKind, pick: random.IntN(1000), part: random.Float64(),
-		}
-	}
-	return events
+	return draw(random, limitKind, mostLimits, leastLimited, limitLonger)
 }
 
 // namedLimit is a limit that a target names for a time.
--- a/proofs/soak/readers_test.go
+++ b/proofs/soak/readers_test.go
@@ -41,15 +41,7 @@
 	if random.IntN(readersOf) != 0 {
 		return nil
 	}
-	events := make([]event, 1+random.IntN(mostStops))
-	for i := range events {
-		events[i] = event{
-			at:     time.Duration(random.Int64N(int64(faultTime))),
-			length: leastStopped + time.Duration(random.Int64N(int64(stoppedLonger))),
-			kind:   readersKind, pick: random.IntN(1000), part: random.Float64(),
-		}
-	}
-	return events
+	return draw(random, readersKind, mostStops, leastStopped, stoppedLonger)
 }
 
 // readersStop lets callers of a host ask for large answers and read none, until they go.
