--- a/router/fleet/pool_test.go
+++ b/router/fleet/pool_test.go
@@ -127,7 +127,7 @@
 
 // A request asks five hosts at most. An organisation may have more keepers: what those hold
 // that a request does not ask serves it too, as a keeper that ran dry gets from the others.
-// All asks were answered at once as such requests were refused, and up to 0.09 of what the
+// Requests were refused though all asks were answered at once, and up to 0.08 of what the
 // fleet held lay at a keeper that they did not ask.
 func TestKeepersThatRunDryGetFromTheOthers(t *testing.T) {
 	is := is.New(t)
