entry, run, fleet: lines that show where a second run came from

Changed: the entry host logs each host that it gives up (error, time, member, silent, attempt, chunk); the owner logs begin and end of each run with its attempt and chunk, at info where an attempt came before; targets given up are told at info. Lines have milliseconds. The stand-in targets keep the chunk that a run began behind. Fleets of tests log at debug, and fleet.Trace prints one request over all hosts and targets.

Cost: one line at debug for each begin and end; none more at info where nothing is repeated. Unit tests of daemon/ and proofs Answer*, TestPlannedStop pass.

--- a/cmd/maststaged/main.go
+++ b/cmd/maststaged/main.go
@@ -22,6 +22,9 @@
 	exitSettings = 2
 )
 
+// timestamps of log lines have milliseconds: lines of several hosts are read side by side.
+const timestamps = "2006-01-02T15:04:05.000Z07:00"
+
 func main() {
 	defer guard.Panic("main")
 	path := flag.String("config", "/etc/maststage/maststaged.ini", "settings file")
@@ -46,8 +49,9 @@
 func setLog(cfg settings.Log, host string) {
 	level, _ := log.ParseLevel(cfg.Level) // checked with the settings
 	log.SetLevel(level)
+	log.SetFormatter(&log.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: timestamps})
 	if cfg.Format == settings.FormatJSON {
-		log.SetFormatter(&log.JSONFormatter{})
+		log.SetFormatter(&log.JSONFormatter{TimestampFormat: timestamps})
 	}
 	log.AddHook(hostHook(host))
 }
--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	log "github.com/sirupsen/logrus"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -121,10 +122,12 @@
 			f.refusals[m.Incarnation] = o.refused
 			f.tried[m.Incarnation] = true
 		case o.sent && f.waitsFor(m):
+			f.logGivenUp(m, o)
 			f.maybe = true
 			hops-- // the same host again
 			wait.For(ctx, againPause)
 		default:
+			f.logGivenUp(m, o)
 			f.maybe = f.maybe || o.sent
 			f.tried[m.Incarnation] = true
 			f.last = errkind.New(errkind.Unavailable, "host %s: %w", m.Host, o.lost)
@@ -136,6 +139,17 @@
 	return f.truthful(f.last)
 }
 
+// logGivenUp says which host is given up, after how long, and what was known of a run there.
+func (f *forwarding) logGivenUp(m view.Member, o outcome) {
+	_, live := f.router.store.Member(m.Incarnation)
+	log.WithFields(log.Fields{
+		"request": f.req.RequestId, "organisation": f.req.Organisation, "class": f.req.Class,
+		"incarnation": m.Incarnation, "member": live, "silent": f.router.silent(m.Incarnation),
+		"attempt": f.req.Attempt, "from": f.req.ResumeFrom, "maybe": f.maybe, "sent": o.sent,
+		"after": time.Since(f.began).Round(time.Millisecond),
+	}).WithError(o.lost).Info("host given up")
+}
+
 // passOver says whether another host may take a request that one refused so.
 func passOver(k errkind.Kind) bool {
 	return k == errkind.Draining || k == errkind.Unavailable
--- a/daemon/run/job.go
+++ b/daemon/run/job.go
@@ -185,20 +185,40 @@
 	return j.self.Bills.Keep(context.Background(), b, j.engine.cfg.BillWait)
 }
 
-// report counts and logs the end of the request. Neither input nor answer is
-// logged.
+// line has the fields of a log line of this request. Neither input nor answer is logged.
+func (j *job) line() *log.Entry {
+	return log.WithFields(log.Fields{
+		"request": j.run.req.RequestId, "organisation": j.org, "class": j.class,
+		"incarnation": j.run.inc, "attempt": j.run.req.Attempt, "from": j.run.base,
+	})
+}
+
+// repeated says whether an earlier attempt may have run the request.
+func (j *job) repeated() bool { return j.run.req.Attempt > 1 || j.run.base > 0 }
+
+// level of the lines of ordinary progress: those of repeated requests show where a second run
+// came from, and are few.
+func (j *job) level() log.Level {
+	if j.repeated() {
+		return log.InfoLevel
+	}
+	return log.DebugLevel
+}
+
+func (j *job) logBegin() { j.line().Log(j.level(), "request begun") }
+
+// report counts and logs the end of the request.
 func (j *job) report(billed uint64, err error) {
 	took := time.Since(j.start)
 	kind := "ok"
-	entry := log.WithFields(log.Fields{
-		"request": j.run.req.RequestId, "organisation": j.org, "class": j.class,
-		"target": j.target, "took": took.Round(time.Millisecond), "billed": billed, "used": j.used,
+	entry := j.line().WithFields(log.Fields{
+		"target": j.target, "took": took.Round(time.Millisecond), "chunks": j.run.next(), "billed": billed, "used": j.used,
 	})
 	if err != nil {
 		kind = string(errkind.From(err).Kind)
 		entry.WithField("kind", kind).WithError(err).Info("request failed")
 	} else {
-		entry.Debug("request done")
+		entry.Log(j.level(), "request done")
 	}
 	j.engine.metrics.Request(j.org, j.class, kind, took)
 }
--- a/daemon/run/run.go
+++ b/daemon/run/run.go
@@ -150,6 +150,7 @@
 		engine: e, run: r, self: self, decision: decision, pool: set.Pools[decision.Pool],
 		budget: org.Budget, class: req.Class, org: org.Name, start: time.Now(),
 	}
+	j.logBegin()
 	guard.Go("request", j.do)
 	return r, "", nil
 }
--- a/daemon/run/try.go
+++ b/daemon/run/try.go
@@ -58,7 +58,8 @@
 		if res.verdict == whole {
 			return nil
 		}
-		log.WithFields(log.Fields{"request": j.run.req.RequestId, "target": t.Name}).WithError(res.err).Debug("a target failed")
+		j.line().WithFields(log.Fields{"target": t.Name, "chunks": j.run.next(), "begun": res.verdict == broken}).
+			WithError(res.err).Info("target given up")
 		tried[t.Name] = true
 		if err := j.again(ctx, n, res); err != nil {
 			return err
--- a/proofs/fleet/fleet.go
+++ b/proofs/fleet/fleet.go
@@ -243,7 +243,7 @@
 		}
 	}
 	ini := fmt.Sprintf("[host]\nname = %s\ndomain = %s\nregion = %s\nlisten = %s\npeer_listen = %s\npeer_address = %s\nfirst_key_sha256 = %s\n\n"+
-		"[platform]\nlog = %s\nmembers = %s\n\n[peers]\nsecret = %s\nmap = %s\n\n%s\n",
+		"[platform]\nlog = %s\nmembers = %s\n\n[peers]\nsecret = %s\nmap = %s\n\n[log]\nlevel = debug\n\n%s\n",
 		h.Name, h.Domain, h.Region, h.Listen, h.Peer, h.Peer, declare.HashKey(operatorKey),
 		h.log.Listen, f.Members, secret, strings.Join(via, ","), f.opts.Settings)
 	path := filepath.Join(h.dir, h.Name+".ini")
--- a/proofs/fleet/observe.go
+++ b/proofs/fleet/observe.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -22,7 +23,7 @@
 // Run is what a target's own record says of an order.
 type Run struct {
 	RequestID, Account, Target string
-	Tokens                     uint64
+	From, Tokens               uint64 // tokens that the host had already, and used ones
 	Start, End                 time.Time
 }
 
@@ -198,3 +199,23 @@
 	f.T.Fatalf("no budget %s", name)
 	return nil
 }
+
+// Trace prints what hosts logged of a request, in the order of its times, and what targets ran of it.
+func (f *Fleet) Trace(id string) {
+	f.T.Helper()
+	var lines []string
+	for i := range f.Hosts {
+		for line := range strings.Lines(f.Logged(i)) {
+			if strings.Contains(line, "request="+id+" ") || strings.Contains(line, "incarnation=") && !strings.Contains(line, "request=") {
+				lines = append(lines, strings.TrimSpace(line))
+			}
+		}
+	}
+	slices.Sort(lines)
+	f.T.Logf("hosts on %s:\n%s", id, strings.Join(lines, "\n"))
+	for _, r := range f.Ledger() {
+		if r.RequestID == "org/"+id {
+			f.T.Logf("%s ran it from chunk %d, %d tokens, %s to %s", r.Target, r.From, r.Tokens, r.Start.Format(time.StampMilli), r.End.Format(time.StampMilli))
+		}
+	}
+}
--- a/standin/ledger/ledger.go
+++ b/standin/ledger/ledger.go
@@ -14,6 +14,7 @@
 	RequestID string
 	Account   string
 	Target    string
+	From      uint32 // tokens that whoever asked had already
 	Tokens    uint32 // used
 	Start     time.Time
 	End       time.Time // zero while it goes on
@@ -30,11 +31,11 @@
 // New makes the book of a target.
 func New(target string) *Book { return &Book{target: target} }
 
-// Begin notes the start of a run and what it used at once.
-func (b *Book) Begin(id, account string, tokens uint32) *Run {
+// Begin notes the start of a run behind the token from, and what it used at once.
+func (b *Book) Begin(id, account string, from, tokens uint32) *Run {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := &Run{RequestID: id, Account: account, Target: b.target, Tokens: tokens, Start: time.Now()}
+	r := &Run{RequestID: id, Account: account, Target: b.target, From: from, Tokens: tokens, Start: time.Now()}
 	b.runs = append(b.runs, r)
 	return r
 }
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -180,7 +180,7 @@
 	}
 	defer t.leave()
 	prompt := uint32(len(r.Prompt)+bytesPerToken-1) / bytesPerToken
-	run := t.Book.Begin(r.RequestId, r.Account, prompt)
+	run := t.Book.Begin(r.RequestId, r.Account, r.ResumeFrom, prompt)
 	defer t.Book.Done(run)
 	t.remember(r.Prompt)
 	wait.For(ctx, time.Duration(t.Switches.Get("late"))*time.Millisecond)
@@ -241,7 +241,7 @@
 		return nil, err
 	}
 	defer t.leave()
-	run := t.Book.Begin(r.RequestId, r.Account, 1)
+	run := t.Book.Begin(r.RequestId, r.Account, 0, 1)
 	wait.For(context.WithoutCancel(ctx), t.perToken+time.Duration(t.Switches.Get("slow"))*time.Millisecond)
 	t.Book.Done(run)
 	if t.Switches.Take("losereply") {
