fleet: free addresses are looked for while no process is forked

Cause: a process that is forked between the listening on a free address and its close has a copy of the listener until it runs its program. Who listens there at once gets "address already in use". The window is shut by syscall.ForkLock, which forks take, too. No check changed.

--- a/proofs/fleet/fleet.go
+++ b/proofs/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
@@ -141,9 +142,7 @@
 	for range lastPort - firstPort {
 		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
 		addr := fmt.Sprintf("%s:%d", loopback(), port)
-		l, err := net.Listen("tcp", addr)
-		if err == nil {
-			_ = l.Close()
+		if free(addr) {
 			return addr
 		}
 	}
@@ -151,6 +150,19 @@
 	return ""
 }
 
+// free says whether an address can be listened on. No process may be forked meanwhile: until it
+// runs its program it has a copy of the listener, and the address would be in use a moment longer.
+func free(addr string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return false
+	}
+	_ = l.Close()
+	return true
+}
+
 func (f *Fleet) startPlatform() {
 	o := f.opts
 	f.Log, f.Members = address(f.T), address(f.T)
