graceful: connections made as the listener closes are not reset

What callers saw: "connection reset by peer" for a request that they had sent to a host as it ended; nobody knows then whether it ran.

Cause: between the last look at what waits to be accepted and the close of the listener the kernel goes on making connections, and resets them at the close.

A stop takes 50 ms longer.

--- a/lib/graceful/graceful_test.go
+++ b/lib/graceful/graceful_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -190,3 +192,54 @@
 	defer cancel()
 	is.Equal(s.Shutdown(ctx), context.DeadlineExceeded)
 }
+
+// callUntil makes one connection after another for a request each until stop is closed, and counts
+// the requests that were sent and not answered.
+func callUntil(stop <-chan struct{}, addr string, unanswered *atomic.Int64) {
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		c, err := net.DialTimeout("tcp", addr, patience/20)
+		if err != nil {
+			time.Sleep(time.Millisecond) // refused: it was not sent
+			continue
+		}
+		_ = c.SetDeadline(time.Now().Add(patience))
+		_, err = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 2\r\n\r\nin")
+		if err == nil {
+			_, err = http.ReadResponse(bufio.NewReader(c), nil)
+		}
+		if err != nil {
+			unanswered.Add(1)
+		}
+		_ = c.Close()
+	}
+}
+
+// No connection that is made in the moment in which the listener is closed is reset: its caller
+// would not know whether the request ran.
+func TestConnectionsMadeAsTheListenerClosesAreNotReset(t *testing.T) {
+	const servers, callers = 60, 24
+	var unanswered atomic.Int64
+	for range servers {
+		s, addr := begin(t, acceptAll)
+		s.quiet = 10 * time.Millisecond
+		stop := make(chan struct{})
+		var wg sync.WaitGroup
+		for range callers {
+			wg.Go(func() { callUntil(stop, addr, &unanswered) })
+		}
+		time.Sleep(5 * time.Millisecond)
+		if err := <-shutdown(s); err != nil {
+			t.Error(err)
+		}
+		close(stop)
+		wg.Wait()
+	}
+	if n := unanswered.Load(); n > 0 {
+		t.Errorf("%d requests were sent and not answered as %d servers ended", n, servers)
+	}
+}
--- a/lib/graceful/listener.go
+++ b/lib/graceful/listener.go
@@ -34,8 +34,7 @@
 		}
 	}
 	if !l.closed {
-		l.rest = l.acceptWaiting()
-		_ = l.Close()
+		l.closeBehind()
 		l.closed = true
 	}
 	if len(l.rest) == 0 {
@@ -47,6 +46,34 @@
 	return c, nil
 }
 
+const (
+	// anyTTL and nearTTL are what IP_MINTTL lets through: all, and only packets that no router
+	// has passed on and whose sender asks for it, which those that open a connection never do.
+	anyTTL, nearTTL = 0, 255
+	// handshake is how long connections that are being made get to be done.
+	handshake = 50 * time.Millisecond
+)
+
+// closeBehind closes the listener behind the connections that were made. First the kernel takes no
+// packets that open new ones: whoever connects just then asks again and is refused.
+func (l *listener) closeBehind() {
+	l.setMinTTL(nearTTL)
+	for end := time.Now().Add(handshake); time.Now().Before(end); time.Sleep(look) {
+		l.rest = append(l.rest, l.acceptWaiting()...)
+	}
+	l.rest = append(l.rest, l.acceptWaiting()...)
+	_ = l.Close()
+}
+
+// setMinTTL bounds which packets reach the listener, and connections that it makes from now on.
+func (l *listener) setMinTTL(ttl int) {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_IP, syscall.IP_MINTTL, ttl) })
+}
+
 // acceptWaiting takes all connections that wait. It asks the kernel itself: Accept may
 // be told of its deadline before it is told of a connection.
 func (l *listener) acceptWaiting() []net.Conn {
@@ -64,6 +91,7 @@
 			if err != nil {
 				return
 			}
+			_ = syscall.SetsockoptInt(accepted, syscall.IPPROTO_IP, syscall.IP_MINTTL, anyTTL)
 			if c := connOf(accepted); c != nil {
 				waiting = append(waiting, c)
 			}
