ledger: a short outage of the log refuses no stream of a budget with plenty

What callers saw: with the log away for 2.2 s, in a fleet that has served, 6 of 6 streams ended as `unknown`: "no host in reach has 93 tokens". A host that had just woken refused after 2 ms.

Causes, from the lines: a host took what its first request needed and held nothing for the next; without a slice it refused at once, however young the outage, its own standstill being one; and it waited 2 s for a log that said nothing before that counted as away, without asking another host.

Why this works: a slice covers four requests of the largest size, within the host's part of what is left; a slice that has not come in 300 ms is borrowed; in the first 2 s of an outage, counted while the host runs, a request waits as with the log up. In an outage that lasts it is refused at once, which a test keeps.

--- a/daemon/ledger/ledger.go
+++ b/daemon/ledger/ledger.go
@@ -49,6 +49,7 @@
 
 	mu       sync.Mutex
 	accounts map[string]*account
+	down     time.Duration   // since when the log is away, in which this process ran
 	credited map[string]bool // loans taken in of which only one of reply and log has told
 }
 
@@ -63,6 +64,7 @@
 	empty    bool          // the last Take was granted nothing
 	rate     float64       // reserved per second, smoothed
 	window   uint64        // reserved since the last tick
+	largest  uint64        // reservation since the account was idle
 	last     time.Time     // last reservation
 	changed  chan struct{} // closed and replaced when avail or empty change
 }
@@ -116,6 +118,10 @@
 	return nil
 }
 
+// grantSoon is how long a slice takes to come from a log that answers. An outage shows as such
+// only later.
+const grantSoon = 300 * time.Millisecond
+
 // Reserve sets tokens of a budget aside. It waits for a slice, up to the
 // setting wait, as long as there is somebody to get one from. Errors are of
 // kind Budget, Overloaded (the log's outbox is full) or NotFound.
@@ -126,7 +132,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, l.cfg.Wait)
 	defer cancel()
-	borrowed := false
+	borrowed, late := false, false
+	slow := time.NewTimer(grantSoon)
+	defer slow.Stop()
 	for {
 		l.mu.Lock()
 		a := l.account(name)
@@ -140,12 +148,15 @@
 			l.mu.Unlock()
 			return nil, err
 		}
-		hopeless := a.empty || !l.logUp()
+		away := !l.logUp()
+		needsLoan := a.empty || away || late
+		// An outage that has just begun may be over within the wait.
+		hopeless := a.empty || away && l.down >= l.cfg.Wait
 		busy := a.reserved > 0
 		changed := a.changed
 		l.mu.Unlock()
 
-		if hopeless && l.cfg.Borrow && !borrowed {
+		if needsLoan && l.cfg.Borrow && !borrowed {
 			borrowed = true
 			if l.lender.Borrow(ctx, name, short) > 0 {
 				continue
@@ -156,6 +167,8 @@
 		}
 		select {
 		case <-changed:
+		case <-slow.C:
+			late = true
 		case <-ctx.Done():
 			return nil, l.refusal(name, tokens)
 		}
@@ -172,6 +185,7 @@
 	a.avail -= tokens
 	a.reserved += tokens
 	a.window += tokens
+	a.largest = max(a.largest, tokens)
 	a.last = time.Now()
 	if low := l.sliceSize(a, 0, left) / 2; a.avail < low && !a.empty {
 		if err := l.ask(a, 0, left); err != nil {
@@ -206,6 +220,9 @@
 // sliceSize is the demand of some seconds, at most a part of this host's even
 // share of what is left, so that slices shrink near the end of the budget, and
 // never less than what is short now.
+//
+// Demand is at least a few requests of the largest size: a host that serves one now
+// and then holds enough for the next ones while the log is away.
 func (l *Ledger) sliceSize(a *account, short uint64, left int64) uint64 {
 	if left <= 0 {
 		return 0
@@ -214,12 +231,23 @@
 		total, _ := l.budgets.Total(a.name)
 		return total * uint64(l.cfg.FixedShare) / 100
 	}
-	size := uint64(a.rate * float64(l.cfg.SliceSeconds))
+	size := l.demand(a)
 	share := uint64(left) / uint64(max(l.cfg.LeftDivisor, 1)*max(l.budgets.Sharers(), 1))
 	size = min(size, uint64(l.cfg.MaxSlice), share)
 	return max(size, short)
 }
 
+// spareRequests is how many requests of the largest size a slice covers at least.
+const spareRequests = 4
+
+// demand is what the account is to hold, where the budget has plenty.
+func (l *Ledger) demand(a *account) uint64 {
+	if l.cfg.SliceSeconds <= 0 {
+		return 0
+	}
+	return max(uint64(a.rate*float64(l.cfg.SliceSeconds)), spareRequests*a.largest)
+}
+
 // account finds or makes the account of a budget; l.mu is held.
 func (l *Ledger) account(name string) *account {
 	a := l.accounts[name]
@@ -313,6 +341,7 @@
 func (l *Ledger) Tick(now time.Time, dt time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.watchLog(dt)
 	for _, a := range l.accounts {
 		a.smooth(dt)
 		l.settle(a)
@@ -320,6 +349,16 @@
 	}
 }
 
+// watchLog counts for how long the log has been away. A longer time between two ticks than usual
+// is a standstill of this process, which tells nothing of the log.
+func (l *Ledger) watchLog(dt time.Duration) {
+	if l.logUp() {
+		l.down = 0
+		return
+	}
+	l.down += min(dt, 2*l.cfg.SettleEvery)
+}
+
 // smoothing is the weight of the newest tick in the demand.
 const smoothing = 0.2
 
@@ -336,10 +375,11 @@
 		return 0
 	}
 	if now.Sub(a.last) > l.cfg.IdleAfter {
+		a.largest = 0
 		return a.avail
 	}
 	left, _ := l.budgets.Left(a.name)
-	keep := uint64(a.rate * float64(l.cfg.SliceSeconds))
+	keep := l.demand(a)
 	if left <= int64(keep) && a.avail > 2*keep && a.reserved == 0 {
 		return a.avail - keep
 	}
