entry: a stream that may run at a host that stands still is not run again

What callers saw: a stream that ran twice, or ended as `unknown` with a live owner and up to 15 s left, as they took it up at another host.

Cause: silence of a host, or not asking it, was taken for "no run there". By the lines: a caller without a part was not taken for one with a run (attempt 2, owner left after 1.0 to 1.5 s); a host without a connection yet was given up after 1.0 s ("error reading server preface"); an owner was left in the moment of its eviction, 1.2 s after its run had ended well; a new owner asked nobody for the run.

Evidence: proofs TestStreamRunsOnceThroughStandstills, each of its five cases failed at its first or second stream, and TestStreamIsTakenUpFromAnOwnerThatIsStopping (2 runs, no standstill needed).

Why this works: a stream that may have a run is looked for (`join_only`) at all that were replicas in the last minute, and begun only where each says that it has none or has ended. A lost host is probed: the system of its machine tells a process that stands still (takes connections, says nothing) from one that ended (refuses). The first is waited for, for two thirds of the request's time; the rest is left to run it elsewhere. A host that wakes begins nothing for callers that have gone.

Cost where nothing fails: none; two calls for a later attempt without a run.

--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -122,6 +122,7 @@
 	guard.Go("snapshots", func() { n.snapshots(ctx) })
 	guard.Go("membership", func() { n.lifecycle(ctx) })
 	guard.Go("kept answers", func() { n.expire(ctx) })
+	guard.Go("standstills", func() { n.engine.Run(ctx) })
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
--- a/daemon/peer/pool.go
+++ b/daemon/peer/pool.go
@@ -54,11 +54,7 @@
 	defer p.mu.Unlock()
 	c := p.conns[addr]
 	if c == nil {
-		dial := addr
-		if other, ok := p.via[addr]; ok {
-			dial = other
-		}
-		cc, err := grpc.NewClient("passthrough:///"+dial,
+		cc, err := grpc.NewClient("passthrough:///"+p.dialed(addr),
 			grpc.WithTransportCredentials(insecure.NewCredentials()),
 			grpc.WithPerRPCCredentials(secret(p.secret)),
 			grpc.WithConnectParams(connectParams),
--- a/daemon/run/run.go
+++ b/daemon/run/run.go
@@ -21,6 +21,7 @@
 	"maststage.dev/lib/errkind"
 	"maststage.dev/lib/guard"
 	"maststage.dev/lib/policy"
+	"maststage.dev/lib/standstill"
 )
 
 // logDownRetry is when to come back if a policy needs the log and it is down.
@@ -53,6 +54,7 @@
 	store   *store.Store
 	targets *target.Registry
 	metrics *metric.Set
+	awake   *standstill.Watch
 
 	mu    sync.Mutex
 	runs  map[string]*run
@@ -77,6 +79,7 @@
 	return &Engine{
 		cfg: o.Requests, watch: o.Targets, budgets: o.Budgets, host: o.Host, store: o.Store,
 		targets: o.Registry, metrics: o.Metrics, runs: map[string]*run{},
+		awake: standstill.New(),
 	}
 }
 
@@ -84,15 +87,21 @@
 type Send func(*peerv1.ExecuteResponse) error
 
 // Execute runs a request, or joins the run it has already. Failures go out as
-// messages; the error is that of send or of ctx.
+// messages; the error is that of send or of ctx. Nothing is begun for a caller
+// that has gone.
 func (e *Engine) Execute(ctx context.Context, req *peerv1.ExecuteRequest, send Send) error {
 	id := Key(req.Organisation, req.RequestId)
+	if err := e.awake.Settle(ctx); err != nil {
+		return err
+	}
 	r, redirect, err := e.find(id, req)
-	if redirect != "" {
+	switch {
+	case redirect != "":
 		return send(&peerv1.ExecuteResponse{RequestId: req.RequestId, Redirect: redirect})
-	}
-	if err != nil {
+	case err != nil:
 		return send(failure(req.RequestId, err))
+	case r == nil:
+		return send(&peerv1.ExecuteResponse{RequestId: req.RequestId, None: true})
 	}
 	if err := send(&peerv1.ExecuteResponse{RequestId: req.RequestId, Accepted: true}); err != nil {
 		return err
@@ -109,7 +118,8 @@
 	}}
 }
 
-// find gives the run of an id, new or old, or the incarnation that has it.
+// find gives the run of an id, new or old, or the incarnation that has it; none of them if the
+// request is only to join a run and there is none.
 func (e *Engine) find(id string, req *peerv1.ExecuteRequest) (r *run, redirect string, failed *errkind.Error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -119,6 +129,9 @@
 		}
 		return r, "", nil
 	}
+	if req.JoinOnly {
+		return nil, "", nil
+	}
 	return e.begin(id, req)
 }
 
@@ -250,6 +263,9 @@
 	return f.By(r.inc) == "" && !f.Billed
 }
 
+// Run watches for standstills of this process until ctx ends.
+func (e *Engine) Run(ctx context.Context) { e.awake.Run(ctx) }
+
 // Tick drops kept answers that are old.
 func (e *Engine) Tick(now time.Time) {
 	e.mu.Lock()
--- a/daemon/store/store.go
+++ b/daemon/store/store.go
@@ -21,6 +21,7 @@
 	mu    sync.RWMutex
 	state *fold.State
 	sinks []Sink
+	past  []pastView // oldest first
 
 	notify chan struct{} // closed and replaced at each change
 }
@@ -53,7 +54,9 @@
 // Apply folds in an entry and tells the sinks.
 func (s *Store) Apply(offset uint64, data []byte) {
 	s.mu.Lock()
+	before := s.state.View
 	events := s.state.Apply(offset, data)
+	s.remember(before)
 	sinks := s.sinks
 	close(s.notify)
 	s.notify = make(chan struct{})
@@ -72,7 +75,9 @@
 	if state.Offset <= s.state.Offset {
 		return false
 	}
+	before := s.state.View
 	s.state = state
+	s.remember(before)
 	close(s.notify)
 	s.notify = make(chan struct{})
 	return true
