prepaid: nothing is given back to a log that is away

What callers saw: refusals in an outage of the log though a stopping host had handed its tokens over; TestPlannedStopWithoutTheLogHandsOver, 10,500 of 29,295 or 37,590 tokens left.

Cause: the host that took them gave what it did not need back to the log. The clerk debits first and repeats an append without an answer until the log is up, and knows of an outage by its own calls only, of which it makes none while its slice is right.

Why this works: nothing goes back while the host's own reads of the log have no answer.

--- a/router/node/node.go
+++ b/router/node/node.go
@@ -278,6 +278,7 @@
 		OnGive:    func(h prepaid.Holding) { n.accounts.tell([]prepaid.Holding{h}) },
 		Histories: n.fleet.History,
 		AllLost:   n.fleet.AllLost,
+		LogUp:     func() bool { up, _ := n.configCopy.Up(); return up },
 		OnCall:    func(outcome string) { n.observer.Count(fmt.Sprintf("budget_appends_total{outcome=%q}", outcome)) },
 	})
 }
--- a/router/prepaid/clerk.go
+++ b/router/prepaid/clerk.go
@@ -253,21 +253,35 @@
 // wants says whether a change is due as far as this host knows.
 func (c *clerk) wants() bool {
 	t := c.treasury
+	returns := t.returns()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for organisation, w := range t.wallets {
-		if t.clerkOf(organisation) == c && t.change(organisation, w) != (Change{}) {
+		if t.clerkOf(organisation) == c && t.change(organisation, w, returns) != (Change{}) {
 			return true
 		}
 	}
 	return false
 }
 
-// change is what is to be asked of an account; the treasury's lock is held.
-func (t *Treasury) change(organisation string, w *wallet) Change {
+// returns says whether tokens may be given back to the log. While it is away they would be out of
+// use until it has answered: they are debited before the append.
+func (t *Treasury) returns() bool { return t.opts.LogUp == nil || t.opts.LogUp() }
+
+// change is what is to be asked of an account; the treasury's lock is held. returns says whether
+// tokens that are not needed may go back.
+func (t *Treasury) change(organisation string, w *wallet, returns bool) Change {
 	if t.closing {
 		return Change{Return: w.free}
 	}
+	change := t.wantedChange(organisation, w)
+	if change.Return > 0 && !returns {
+		return Change{}
+	}
+	return change
+}
+
+func (t *Treasury) wantedChange(organisation string, w *wallet) Change {
 	count, keeper := t.keeps(organisation, w)
 	if !keeper {
 		return w.changeForWaiting(time.Now())
@@ -278,6 +292,7 @@
 // orders works out the changes that are due and debits what is given back.
 func (c *clerk) orders() []order {
 	t := c.treasury
+	returns := t.returns()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var orders []order
@@ -285,7 +300,7 @@
 		if t.clerkOf(organisation) != c || w.unreadable {
 			continue
 		}
-		change := t.change(organisation, w)
+		change := t.change(organisation, w, returns)
 		next, taken, ok := w.current().Apply(change)
 		announce := w.account.Version < w.verify
 		if !ok && !announce || change == (Change{}) && !announce {
--- a/router/prepaid/gifts_test.go
+++ b/router/prepaid/gifts_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"maststage.dev/standin/memlog"
 	"maststage.dev/standin/until"
 )
 
@@ -105,3 +106,33 @@
 	is.Equal(h.Free, int64(0))
 	is.Equal(h.Flows.Given, int64(16))
 }
+
+// A host that got tokens of a stopping one while the log is away keeps all of them: it gave what it
+// did not need back to the log, where they were out of use until that was up again.
+func TestNothingIsGivenBackToALogThatIsAway(t *testing.T) {
+	is := is.New(t)
+	h := newHosts(t, 2)
+	var up atomic.Bool
+	up.Store(true)
+	tr, _ := h.startWith(Options{
+		Log: h.log.Host("b"), Topic: "b", Partitions: 1, Host: "b", Plan: DefaultPlan,
+		Timeout: 50 * time.Millisecond, Interval: 20 * time.Millisecond, Wait: 100 * time.Millisecond,
+		Hosts: func() int { return 2 }, LogUp: up.Load,
+	})
+	tr.Configure(1, []Budget{{"org", 100000}}, true)
+	free := func() int64 {
+		held, _ := tr.Holding("org")
+		return held.Free
+	}
+	until.True(t, "it holds a slice", func() bool { return free() > 0 })
+	time.Sleep(100 * time.Millisecond) // what is under way ends
+	h.log.SetFault("", memlog.Fault{Silent: true})
+	up.Store(false)
+	all := free() + 50000
+	is.True(tr.Credit(Gift{ID: "a/1", Organisation: "org", Tokens: 50000}))
+	time.Sleep(300 * time.Millisecond)
+	is.Equal(free(), all)
+	h.log.SetFault("", memlog.Fault{})
+	up.Store(true)
+	until.True(t, "the rest goes back", func() bool { return free() < all })
+}
