ledger: idle slices are not given back while the log is away

TestNothingIsGivenBackWhileTheLogIsAway failed before (0 left of 404), passes now; a planned stop gives all back as before.

--- a/daemon/ledger/ledger.go
+++ b/daemon/ledger/ledger.go
@@ -336,27 +336,30 @@
 	return n
 }
 
-// Tick reports use to the log and gives back what is idle. dt is the time since
-// the last tick.
+// Tick reports use to the log and gives back what is idle, unless the log is away: it would
+// be out of use until that is back. dt is the time since the last tick.
 func (l *Ledger) Tick(now time.Time, dt time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.watchLog(dt)
+	up := l.watchLog(dt)
 	for _, a := range l.accounts {
 		a.smooth(dt)
 		l.settle(a)
-		l.giveBack(a, l.surplus(a, now))
+		if up {
+			l.giveBack(a, l.surplus(a, now))
+		}
 	}
 }
 
-// watchLog counts for how long the log has been away. A longer time between two ticks than usual
+// watchLog says whether the log is up, and counts for how long it has been away. A longer time between two ticks than usual
 // is a standstill of this process, which tells nothing of the log.
-func (l *Ledger) watchLog(dt time.Duration) {
+func (l *Ledger) watchLog(dt time.Duration) (up bool) {
 	if l.logUp() {
 		l.down = 0
-		return
+		return true
 	}
 	l.down += min(dt, 2*l.cfg.SettleEvery)
+	return false
 }
 
 // smoothing is the weight of the newest tick in the demand.
--- a/daemon/ledger/outage_test.go
+++ b/daemon/ledger/outage_test.go
@@ -118,3 +118,25 @@
 	is.True(err != nil)
 	is.True(time.Since(began) < 500*time.Millisecond)
 }
+
+// Idle tokens stay where they are while the log is away: given back, nobody could spend them until
+// it had taken the record.
+func TestNothingIsGivenBackWhileTheLogIsAway(t *testing.T) {
+	is := is.New(t)
+	l, out, up := outageLedger(time.Second)
+	time.AfterFunc(20*time.Millisecond, func() { out.grant(l) })
+	first, err := l.Reserve(context.Background(), budget, 93)
+	is.NoErr(err)
+	out.grant(l)
+	first.Close(61)
+	held, _ := l.Holding(budget)
+	idle := time.Now().Add(l.cfg.IdleAfter + time.Second)
+	up.Store(false)
+	l.Tick(idle, 500*time.Millisecond)
+	free, _ := l.Holding(budget)
+	is.Equal(free, held)
+	up.Store(true)
+	l.Tick(idle, 500*time.Millisecond)
+	free, _ = l.Holding(budget)
+	is.Equal(free, uint64(0))
+}
