--- a/daemon/entry/forward.go
+++ b/daemon/entry/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	peerv1 "maststage.dev/api/peer/v1"
@@ -51,8 +52,13 @@
 // Forward gets req run and passes the answer on. The error says truly whether
 // the request may have been run.
 func (r *Router) Forward(ctx context.Context, req *peerv1.ExecuteRequest, leaving <-chan struct{}, send func(*peerv1.ExecuteResponse) error) error {
-	f := &forwarding{router: r, req: req, leaving: leaving, send: send, began: time.Now(), maybe: req.Attempt > 1 || req.ResumeFrom > 0, tried: map[string]bool{}, refusals: map[string]*errkind.Error{}}
-	f.classify()
+	f := &forwarding{router: r, req: req, leaving: leaving, send: send, began: time.Now(), maybe: req.Attempt > 1 || req.ResumeFrom > 0, tried: map[string]bool{}, seen: map[string]peer.Presence{}, refusals: map[string]*errkind.Error{}}
+	// A copy: req changes as the answer goes on.
+	asked := &peerv1.ExecuteRequest{
+		Organisation: req.Organisation, Class: req.Class, Input: req.Input,
+		MaxTokens: req.MaxTokens, Attempt: req.Attempt, DeadlineMs: req.DeadlineMs,
+	}
+	f.class = sync.OnceValue(func() class { return r.classify(asked, f.began) })
 	return f.run(ctx)
 }
 
@@ -63,13 +69,12 @@
 	leaving  <-chan struct{}
 	send     func(*peerv1.ExecuteResponse) error
 	began    time.Time
-	until    time.Time // hosts that say nothing are waited for until then
-	repeats  bool      // the request may be repeated
-	stream   bool      // and is a stream of an engine, of which a second run costs tokens
-	maybe    bool      // an earlier attempt may have run it
+	class    func() class
+	maybe    bool // an earlier attempt may have run it
 	tried    map[string]bool
-	next     string // incarnation to go to, by redirect
-	turns    int    // redirects followed
+	seen     map[string]peer.Presence // of hosts that were lost, by incarnation
+	next     string                   // incarnation to go to, by redirect
+	turns    int                      // redirects followed
 	last     *errkind.Error
 	refusals map[string]*errkind.Error // answers "not run", by incarnation
 }
@@ -77,7 +82,7 @@
 // run joins the run that an earlier attempt may have begun; if there is none the request is
 // placed at one of its replicas.
 func (f *forwarding) run(ctx context.Context) error {
-	if f.stream && f.maybe {
+	if f.maybe && f.class().stream {
 		if ended, err := f.join(ctx); ended {
 			return err
 		}
--- a/daemon/entry/silence.go
+++ b/daemon/entry/silence.go
@@ -6,6 +6,7 @@
 
 	log "github.com/sirupsen/logrus"
 
+	peerv1 "maststage.dev/api/peer/v1"
 	"maststage.dev/daemon/peer"
 	"maststage.dev/daemon/run"
 	"maststage.dev/fold/view"
@@ -14,8 +15,8 @@
 )
 
 const (
-	// waitShare is the part of a request's time in which hosts that say nothing are waited
-	// for; the rest is left for a run at another host.
+	// waitShare is the part of a request's time, from its arrival, in which hosts that say
+	// nothing are waited for; the rest is left for a run at another host.
 	waitShare = 2.0 / 3
 	// unreachableWait is how long a member is waited for to which no connection can be made.
 	// One that died has been evicted by then: 1.5 s of silence, a round of heartbeats, an append
@@ -26,33 +27,45 @@
 	overPause  = 250 * time.Millisecond // before all replicas are asked once more
 )
 
-// classify notes what the request's class allows. Requests without a policy are refused by
-// whoever is asked.
-func (f *forwarding) classify() {
-	_, set := f.router.store.Config()
+// class is what the policy of a request's class allows.
+type class struct {
+	repeats bool // the request may be repeated
+	stream  bool // and is a stream of an engine, of which a second run costs tokens
+	// until is when hosts that say nothing are waited for no longer.
+	until time.Time
+}
+
+// classify finds the class of a request that came then. Requests without a policy are refused by whoever is asked.
+func (r *Router) classify(req *peerv1.ExecuteRequest, began time.Time) class {
+	_, set := r.store.Config()
 	if set == nil {
-		return
+		return class{}
 	}
-	_, decision, err := run.Decide(set, f.req, true)
+	_, decision, err := run.Decide(set, req, true)
 	if err != nil {
-		return
+		return class{}
 	}
 	pool := set.Pools[decision.Pool]
-	f.repeats = !decision.Single
-	f.stream = f.repeats && pool != nil && pool.Kind == declare.Engine
-	f.until = f.began.Add(time.Duration(float64(decision.Within) * waitShare))
+	return class{
+		repeats: !decision.Single,
+		stream:  !decision.Single && pool != nil && pool.Kind == declare.Engine,
+		until:   began.Add(time.Duration(float64(decision.Within) * waitShare)),
+	}
 }
 
 // waitsFor says whether a host that was lost is asked again, after a pause, as a stream may run
 // there: its process lives, or may live as far as anybody knows. One that stands still and was
 // evicted is waited for only if more than an order that it did not confirm speaks for a run there.
 func (f *forwarding) waitsFor(ctx context.Context, m view.Member, o outcome) bool {
-	if !f.stream || !f.maybe {
-		f.logLost(m, o, "not looked at")
+	if !f.maybe || !f.class().stream {
+		f.logLost(m, o, "not probed")
 		return false
 	}
 	presence := f.router.peers.Probe(ctx, m.Address)
-	f.logLost(m, o, presence.String())
+	if before, known := f.seen[m.Incarnation]; !known || before != presence {
+		f.logLost(m, o, presence.String())
+	}
+	f.seen[m.Incarnation] = presence
 	_, member := f.router.store.Member(m.Incarnation)
 	known := o.accepted || f.req.Attempt > 1 || f.req.ResumeFrom > 0
 	if !f.mayRunAt(presence, member, known) {
@@ -67,7 +80,7 @@
 func (f *forwarding) mayRunAt(presence peer.Presence, member, known bool) bool {
 	switch presence {
 	case peer.Answers, peer.Stalled:
-		return (member || known) && time.Now().Before(f.until)
+		return (member || known) && time.Now().Before(f.class().until)
 	case peer.Unreachable:
 		return member && time.Since(f.began) < unreachableWait
 	}
@@ -77,7 +90,10 @@
 // startsOver lets all replicas be asked again if none of them refused a request that may be
 // repeated, as long as there is time.
 func (f *forwarding) startsOver(ctx context.Context) bool {
-	if !f.repeats || f.last == nil || len(f.refusals) > 0 || time.Now().After(f.until) {
+	if f.last == nil || len(f.refusals) > 0 {
+		return false
+	}
+	if c := f.class(); !c.repeats || time.Now().After(c.until) {
 		return false
 	}
 	clear(f.tried)
@@ -92,7 +108,7 @@
 	for {
 		changed := f.router.store.Changed()
 		var again <-chan time.Time
-		if _, member := f.router.store.Member(m.Incarnation); !member && f.stream {
+		if _, member := f.router.store.Member(m.Incarnation); !member && f.class().stream {
 			if p := f.router.peers.Probe(ctx, m.Address); p != peer.Answers && !f.mayRunAt(p, false, true) {
 				cancel()
 				return
