--- a/daemon/entry/silence_test.go
+++ b/daemon/entry/silence_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -34,7 +33,7 @@
 		{time.Second, peer.Unreachable, false, true, false},
 		{7 * time.Second, peer.Unreachable, true, true, false},
 	} {
-		t.Log(fmt.Sprintf("%+v", c))
+		t.Logf("%+v", c)
 		is.Equal(begun(c.ago).mayRunAt(c.process, c.member, c.known), c.want)
 	}
 }
