target, forward: log targets that announce their exit or ask for a pause

Neither lines nor metrics told whether hosts read Server-Leaving and Retry-After of targets' responses, so they could not tell the hypotheses of the incident apart (docs/incidents/leaving-and-overloaded-targets.md). The handler now reads both, the registry keeps them and writes one line each, and gauges count the targets. The choice of targets does not change.

--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -228,7 +228,7 @@
 	names := q.handler.names
 	a.status = resp.StatusCode
 	a.stopWaiting()
-	a.recordLimit(resp)
+	a.recordAdvisories(resp)
 	if resp.Header.Get(names.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest {
 		q.possibleRuns--
 		a.discardBody(resp)
--- a/router/forward/headers.go
+++ b/router/forward/headers.go
@@ -25,6 +25,7 @@
 	Stamp        string // a target's signature of its response
 	NotRun       string // the target did not run the request
 	Limit        string // requests a second that a target accepts from all hosts together
+	Leaving      string // leavingValue if the target is about to exit
 	RetryAfter   string // seconds
 	// Internal lists headers that only hosts may send.
 	Internal []string
@@ -40,7 +41,7 @@
 func (h Headers) canonical() Headers {
 	for _, name := range []*string{
 		&h.RequestID, &h.Deadline, &h.Key, &h.Organisation, &h.ExpectTarget, &h.Usage, &h.PromptParts,
-		&h.LastEventID, &h.Priority, &h.Stamp, &h.NotRun, &h.Limit, &h.RetryAfter,
+		&h.LastEventID, &h.Priority, &h.Stamp, &h.NotRun, &h.Limit, &h.Leaving, &h.RetryAfter,
 	} {
 		*name = textproto.CanonicalMIMEHeaderKey(*name)
 	}
--- a/router/forward/limits.go
+++ b/router/forward/limits.go
@@ -2,33 +2,9 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
-
-	"maststage.dev/router/limit"
 )
 
-// recordLimit records the rate limit that a response advertises for its target. It ignores a
-// response to a misdirected request, which another target sent, and one with neither a signature
-// nor the header NotRun, which need not come from the target itself.
-func (a *attempt) recordLimit(resp *http.Response) {
-	names := a.request.handler.names
-	if names.Limit == "" || resp.StatusCode == http.StatusMisdirectedRequest {
-		return
-	}
-	refusal := resp.Header.Get(names.NotRun) != ""
-	if !refusal && resp.Header.Get(names.Stamp) == "" {
-		return
-	}
-	targets := a.request.handler.opts.Targets
-	advertised, err := limit.Parse(resp.Header[names.Limit], refusal)
-	if err != nil {
-		targets.RecordMalformedLimit(a.target, err)
-		return
-	}
-	targets.RecordLimit(a.target, advertised)
-}
-
 // noTargetKind returns why no target can take the request. If rate limits are the reason, it sets
 // the caller's Retry-After, and closes the connection if this host has no share of the limits, so
 // that the caller retries at another host.
--- a/router/node/gauges.go
+++ b/router/node/gauges.go
@@ -16,6 +16,8 @@
 	n.observer.RegisterGauge("unread_bytes", func() float64 { return float64(n.unread.Held()) })
 	n.observer.RegisterGauge("hosts", func() float64 { return float64(n.fleet.Size()) })
 	n.observer.RegisterGauge("targets_ready", func() float64 { return float64(n.targets.TotalReady()) })
+	n.observer.RegisterGauge("targets_announced_exit", func() float64 { return float64(n.targets.CountAnnouncedExits()) })
+	n.observer.RegisterGauge("targets_backing_off", func() float64 { return float64(n.targets.CountBackingOff(time.Now())) })
 	for topic, c := range map[string]*replica.Replica{
 		n.env.ConfigTopic: n.configReplica, n.env.TargetsTopic: n.targetsReplica, n.env.HostsTopic: n.hostsReplica,
 	} {
--- a/router/target/limit.go
+++ b/router/target/limit.go
@@ -34,8 +34,9 @@
 	// sharedLimitPause is the time between two requests of each host when more hosts than the minimum share a
 	// limit.
 	sharedLimitPause = 2 * time.Second
-	// limitLogLinesPerSecond bounds log lines about limits, which a target may change with each response.
-	limitLogLinesPerSecond = 20
+	// advisoryLogLinesPerSecond bounds log lines about what responses of targets advise, which a target may change
+	// with each response.
+	advisoryLogLinesPerSecond = 20
 )
 
 // advertisedLimit is a target's limit as far as this host knows it.
@@ -146,20 +147,21 @@
 	}
 	t.limit.perSecond = perSecond
 	if !was.inForce || was.perSecond != perSecond {
-		r.logLimit(t, "target advertises a limit", log.Fields{"per_second": perSecond, "by_refusals": t.limit.byRefusals})
+		r.logAdvisory(t, "target advertises a limit", log.Fields{"per_second": perSecond, "by_refusals": t.limit.byRefusals})
 	}
 }
 
 // endLimit removes the target's limit. The lock is held.
 func (r *Registry) endLimit(t *Target, now time.Time) {
-	r.logLimit(t, "target no longer limits requests", log.Fields{
+	r.logAdvisory(t, "target no longer limits requests", log.Fields{
 		"per_second": t.limit.perSecond, "lasted": now.Sub(t.limit.since).Round(time.Millisecond), "sent": t.limit.sent,
 	})
 	t.limit = advertisedLimit{notices: t.limit.notices}
 }
 
-func (r *Registry) logLimit(t *Target, text string, fields log.Fields) {
-	if ok, skipped := r.limitLog.Allow(time.Now()); ok {
+// logAdvisory logs what a response of a target advises. The lock is held.
+func (r *Registry) logAdvisory(t *Target, text string, fields log.Fields) {
+	if ok, skipped := r.advisoryLog.Allow(time.Now()); ok {
 		log.WithFields(log.Fields{"target": t.incarnation, "service": t.Service, "skipped": skipped}).WithFields(fields).Info(text)
 	}
 }
@@ -201,6 +203,6 @@
 	defer r.mu.Unlock()
 	if !t.limit.malformed {
 		t.limit.malformed = true
-		r.logLimit(t, "limit in the target's response is unreadable", log.Fields{log.ErrorKey: err})
+		r.logAdvisory(t, "limit in the target's response is unreadable", log.Fields{log.ErrorKey: err})
 	}
 }
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -31,6 +31,9 @@
 	pauseFrom    time.Time // start of the pause before this host's next request
 	cold         cold
 	limit        advertisedLimit
+	backoff      backoff
+	// announcedExit means that a response of the target announced its exit.
+	announcedExit bool
 
 	lastActivity  atomic.Int64 // when it last sent anything, in Unix nanoseconds
 	callerWaits   atomic.Int32 // streams that wait for their callers to read
@@ -79,7 +82,7 @@
 	dueNotices       map[*Target]struct{}        // targets whose limits this host has to publish or check again
 	publishedNotices map[string]*publishedNotice // the newest notices read from the log, by target
 	shedders         map[string]*shedder         // by service
-	limitLog         *logging.Limiter            // bounds log lines about targets' limits
+	advisoryLog      *logging.Limiter            // bounds log lines about what targets' responses advise
 }
 
 // NewRegistry returns an empty registry.
@@ -102,7 +105,7 @@
 		dueNotices:       map[*Target]struct{}{},
 		publishedNotices: map[string]*publishedNotice{},
 		shedders:         map[string]*shedder{},
-		limitLog:         logging.NewLimiter(limitLogLinesPerSecond),
+		advisoryLog:      logging.NewLimiter(advisoryLogLinesPerSecond),
 	}
 }
 
