--- a/router/forward/harness_test.go
+++ b/router/forward/harness_test.go
@@ -38,11 +38,12 @@
 var testHeaders = Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Organisation: "X-Org", ExpectTarget: "X-Expect",
 	Usage: "X-Tokens", PromptParts: "X-Parts", LastEventID: "Last-Event-Id", Priority: "X-Priority",
-	Stamp: "X-Stamp", NotRun: "X-Not-Run", Limit: "X-Limit", RetryAfter: "Retry-After", Internal: []string{"X-Memory"},
+	Stamp: "X-Stamp", NotRun: "X-Not-Run", Limit: "X-Limit", Leaving: "X-Leaving", RetryAfter: "Retry-After", Internal: []string{"X-Memory"},
 }
 
 var backendNames = backend.Names{
 	RequestID: "X-Id", ExpectTarget: "X-Expect", LastEventID: "Last-Event-Id", Stamp: "X-Stamp", NotRun: "X-Not-Run", Limit: "X-Limit",
+	Leaving: "X-Leaving",
 }
 
 // fakeBudgets reserves tokens in allocator, or fails with err.
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -17,7 +17,7 @@
 
 // Names are the headers that the backend reads and writes.
 type Names struct {
-	RequestID, ExpectTarget, LastEventID, Stamp, NotRun, Limit string
+	RequestID, ExpectTarget, LastEventID, Stamp, NotRun, Limit, Leaving string
 }
 
 // Behaviour is how a request is answered. The zero value responds at once.
@@ -39,6 +39,8 @@
 	EarlyResponse bool          // respond before the body is read
 	Crash         bool          // close the backend and all its connections after Delay
 	Limit         []string      // values of the limit header of each response
+	Leaving       bool          // each response announces the backend's exit
+	RetryAfter    string        // of a refusal; empty: none
 }
 
 // Run is one request that the backend began to run.
@@ -190,11 +192,11 @@
 	}
 	run.Body = string(body)
 	if expected := req.Header.Get(b.names.ExpectTarget); expected != "" && expected != b.ID {
-		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n", b.names.RequestID, run.ID, b.limitLines(how))
+		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n", b.names.RequestID, run.ID, b.advisoryLines(how))
 		return true
 	}
 	if how.Refuse {
-		fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\n%sContent-Length: 0\r\n\r\n", b.names.RequestID, run.ID, b.names.NotRun, b.limitLines(how))
+		fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\n%sContent-Length: 0\r\n\r\n", b.names.RequestID, run.ID, b.names.NotRun, b.advisoryLines(how))
 		return true
 	}
 	return b.run(c, reader, &run, how)
@@ -285,16 +287,22 @@
 	if !how.NoStamp {
 		fmt.Fprintf(&h, "%s: %s\r\n", b.names.Stamp, b.ID)
 	}
-	h.WriteString(b.limitLines(how))
+	h.WriteString(b.advisoryLines(how))
 	return h.String()
 }
 
-// limitLines returns the header lines with the limits.
-func (b *Backend) limitLines(how Behaviour) string {
+// advisoryLines returns the header lines that tell of the backend itself.
+func (b *Backend) advisoryLines(how Behaviour) string {
 	var h strings.Builder
 	for _, value := range how.Limit {
 		fmt.Fprintf(&h, "%s: %s\r\n", b.names.Limit, value)
 	}
+	if how.Leaving {
+		fmt.Fprintf(&h, "%s: 1\r\n", b.names.Leaving)
+	}
+	if how.Refuse && how.RetryAfter != "" {
+		fmt.Fprintf(&h, "Retry-After: %s\r\n", how.RetryAfter)
+	}
 	return h.String()
 }
 
