soak: add targets that announce their exit or ask for pauses

Two checks are new: a host sends a target nothing new later than the drain time after it forwarded the announcement, and at most two requests from half a second after a refusal until the pause ends. Plain targets that asked for pauses have to serve again after recovery, as those with limits.

--- a/proofs/soak/checks_test.go
+++ b/proofs/soak/checks_test.go
@@ -37,6 +37,8 @@
 	w.checkEvacuations(arrivals)
 	w.checkRetries(calls, arrivals)
 	w.checkLimits(calls, arrivals)
+	w.checkAnnouncedExits(calls, arrivals)
+	w.checkPauses(calls, arrivals)
 }
 
 // runs returns the runs of each request at all targets, by request id.
--- a/proofs/soak/faults_test.go
+++ b/proofs/soak/faults_test.go
@@ -82,6 +82,10 @@
 		return deadly
 	case limitKind:
 		return limitTargets
+	case announceKind:
+		return announceExit
+	case pauseKind:
+		return askForPauses
 	case readersKind:
 		return stallReaders
 	}
@@ -213,6 +217,7 @@
 // term shuts a host down gracefully and restarts it.
 func (w *world) term(h *host, _ event) {
 	defer w.watch.stop("stop of " + h.name)()
+	defer w.watch.interrupt(h)()
 	defer w.watch.impair(h)()
 	h.signal(syscall.SIGTERM, true)
 	if !h.waitEnd(graceTime + 5*time.Second) {
@@ -233,6 +238,7 @@
 
 func (w *world) killAndStart(h *host, e event) {
 	defer w.watch.fault("kill of " + h.name)()
+	defer w.watch.interrupt(h)()
 	defer w.watch.impair(h)()
 	h.kill()
 	time.Sleep(e.length / 2)
@@ -252,6 +258,7 @@
 
 func (w *world) pause(h *host, e event) {
 	defer w.watch.fault("pause of " + h.name)()
+	defer w.watch.interrupt(h)()
 	defer w.watch.impair(h)()
 	h.signal(syscall.SIGSTOP, false)
 	time.Sleep(e.length)
--- a/proofs/soak/limit_test.go
+++ b/proofs/soak/limit_test.go
@@ -167,12 +167,12 @@
 	}
 }
 
-// checkLimitsLifted: plain targets that had limits serve as before after recovery. Engines are not
+// checkLimitsLifted: plain targets that had limits, or asked for pauses, serve as before after recovery. Engines are not
 // checked: one that is the first choice for none of the callers' few prompts gets no requests.
 func (w *world) checkLimitsLifted() {
 	for _, s := range w.allTargets() {
 		s.mu.Lock()
-		wanted := s.service == plainService && len(s.limits) > 0 && s.leftAt.IsZero()
+		wanted := s.service == plainService && len(s.limits)+len(s.refusals) > 0 && s.leftAt.IsZero() && !s.leaving
 		s.mu.Unlock()
 		if !wanted {
 			continue
--- a/proofs/soak/soak_test.go
+++ b/proofs/soak/soak_test.go
@@ -100,6 +100,8 @@
 	events = append(events, deadlies(seed, events)...)
 	events = append(events, limits(seed)...)
 	events = append(events, readerStalls(seed)...)
+	events = append(events, announcedExits(seed)...)
+	events = append(events, pauses(seed)...)
 	w := newWorld(t, hosts, seed)
 	if hasSlowLinks(seed) {
 		w.slowDownLinks()
--- a/proofs/soak/watch_test.go
+++ b/proofs/soak/watch_test.go
@@ -21,8 +21,10 @@
 	evacuations []interval            // by failure domain, from the store's response on
 	deadly      []time.Time           // arrivals of deadly requests
 	impairments map[*host][]*interval // restarts, stalls and cut connections of hosts
-	recoveredAt time.Time             // when all hosts served again and knew which targets left
-	violations  map[string][]string   // by guarantee
+	// interruptions are the restarts and pauses of hosts' processes.
+	interruptions map[*host][]*interval
+	recoveredAt   time.Time           // when all hosts served again and knew which targets left
+	violations    map[string][]string // by guarantee
 }
 
 // arrivalAt is the arrival of a request at a target.
@@ -46,7 +48,7 @@
 func newWatch() *watch {
 	return &watch{
 		arrivals: map[string][]arrivalAt{}, budgets: map[string]int64{}, versions: map[int64]time.Time{},
-		violations: map[string][]string{}, impairments: map[*host][]*interval{},
+		violations: map[string][]string{}, impairments: map[*host][]*interval{}, interruptions: map[*host][]*interval{},
 	}
 }
 
--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -93,6 +93,9 @@
 	leftAt            time.Time                // when the store had the entry that the target leaves
 	limit             []string                 // the limit that it sends
 	limits            []sentLimit              // all limits that it has sent
+	leaving           bool                     // its responses announce its exit
+	pause             *askedPause              // what it asks for now, nil if nothing
+	refusals          []refusal                // all that asked for pauses
 }
 
 // Loopback networks of clusters.
@@ -323,6 +326,7 @@
 	names := backend.Names{
 		RequestID: platform.Headers.RequestID, ExpectTarget: platform.Headers.ExpectTarget,
 		LastEventID: platform.Headers.LastEventID, Stamp: platform.Headers.Stamp, NotRun: platform.Headers.NotRun, Limit: platform.Headers.Limit,
+		Leaving: platform.Headers.Leaving,
 	}
 	b, err := backend.Start(s.id, names, func(run backend.Run) backend.Behaviour { return w.behaviour(s, run) })
 	if err != nil {
@@ -370,6 +374,8 @@
 		b = backend.Behaviour{Delay: engineDelay, Gap: eventGap, Events: eventsOf(run.ID)}
 	}
 	s.addLimit(&b)
+	s.addLeaving(&b)
+	w.addPause(s, run, &b)
 	s.mu.Lock()
 	fault := s.alter
 	s.mu.Unlock()
