target: send nothing new to a target whose responses announced its exit

Callers saw requests sent to a target that was about to end, 2.1 and 3.1 s after a response through the same host had said so (2 s are allowed); where such a target ends early their requests break.

Cause: only the target's entry in the log ended its use. In the incident the log was away for 13 s, so no host read the entry, and nothing read the header.

An announcement now makes the target leave from that moment, for its incarnation: an entry that still says ready, read late, again or after the host has forgotten the target, takes nothing back, and a later draining entry does not restart the time for which it is the last resort. All ways to a target go through Registry.candidates, so choice, retries, resumed streams and waiting requests follow; requests that were sent run to their end. Other hosts are not told: each hears it with the first response, which is served.

--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -101,7 +101,7 @@
 			if t.isCold(now) {
 				heldBack = append(heldBack, t)
 			}
-		case !t.listed || t.state != Ready:
+		case !t.ready():
 			if now.Sub(t.leavingSince) < r.opts.DrainLimit {
 				leaving = append(leaving, t)
 			}
--- a/router/target/health.go
+++ b/router/target/health.go
@@ -258,7 +258,7 @@
 func (r *Registry) ejectedShare(service string, now time.Time) float64 {
 	all, out := 0, 0
 	for _, t := range r.services[service] {
-		if !t.listed || t.state != Ready {
+		if !t.ready() {
 			continue
 		}
 		all++
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -27,7 +27,7 @@
 	incarnation  Incarnation
 	state        State
 	listed       bool
-	leavingSince time.Time // when it was first seen draining or unlisted
+	leavingSince time.Time // when it announced its exit, or was first seen draining or unlisted
 	pauseFrom    time.Time // start of the pause before this host's next request
 	cold         cold
 	limit        advertisedLimit
@@ -82,6 +82,7 @@
 	dueNotices       map[*Target]struct{}        // targets whose limits this host has to publish or check again
 	publishedNotices map[string]*publishedNotice // the newest notices read from the log, by target
 	shedders         map[string]*shedder         // by service
+	announcedExits   map[string]announcedExit    // the newest of each id
 	advisoryLog      *logging.Limiter            // bounds log lines about what targets' responses advise
 }
 
@@ -105,6 +106,7 @@
 		dueNotices:       map[*Target]struct{}{},
 		publishedNotices: map[string]*publishedNotice{},
 		shedders:         map[string]*shedder{},
+		announcedExits:   map[string]announcedExit{},
 		advisoryLog:      logging.NewLimiter(advisoryLogLinesPerSecond),
 	}
 }
@@ -119,7 +121,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	t := r.targets[e.ID]
-	if t != nil && (t.Address != e.Address || t.Service != e.Service || t.Version != e.Version || t.incarnation.differsFrom(e.Incarnation())) {
+	if t != nil && !t.isDescribedBy(e) {
 		r.drop(t)
 		t = nil
 	}
@@ -137,6 +139,11 @@
 	r.setState(t, true, e.State, now)
 }
 
+// isDescribedBy reports whether the entry describes this target, not one that replaced it under its id.
+func (t *Target) isDescribedBy(e Entry) bool {
+	return t.Address == e.Address && t.Service == e.Service && t.Version == e.Version && !t.incarnation.differsFrom(e.Incarnation())
+}
+
 // Incarnation returns the target's incarnation by its newest entry.
 func (r *Registry) Incarnation(t *Target) Incarnation {
 	r.mu.Lock()
@@ -154,12 +161,14 @@
 	}
 }
 
+// ready reports whether the target takes new requests by its entry and its own responses.
+func (t *Target) ready() bool { return t.listed && t.state == Ready && !t.announcedExit }
+
 func (r *Registry) setState(t *Target, listed bool, s State, now time.Time) {
-	wasReady := t.listed && t.state == Ready
-	isReady := listed && s == Ready
+	wasReady := t.ready()
 	t.listed, t.state = listed, s
 	switch {
-	case isReady:
+	case t.ready():
 		t.leavingSince = time.Time{}
 		t.Pool.Reopen() // its entry lapsed and came back
 	case wasReady:
@@ -184,6 +193,7 @@
 			MaxIdle: r.opts.MaxIdle, TCPUserTimeout: r.opts.UserTimeout, OnDial: r.opts.OnDial,
 		}),
 	}
+	t.announcedExit = r.announcedExits[e.ID].concerns(e)
 	t.Pool.SetLimit(r.maxConns[e.Service])
 	r.targets[e.ID] = t
 	r.services[e.Service] = append(r.services[e.Service], t)
@@ -248,6 +258,7 @@
 			r.drop(t)
 		}
 	}
+	r.forgetAnnouncedExits(now)
 }
 
 // CloseIdle closes the idle connections to all targets. After a suspension of this host their remote
@@ -265,7 +276,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, t := range r.services[service] {
-		if t.listed && t.state == Ready {
+		if t.ready() {
 			ready++
 		}
 	}
@@ -278,7 +289,7 @@
 	defer r.mu.Unlock()
 	versions := map[string]int{}
 	for _, t := range r.services[service] {
-		if t.listed && t.state == Ready {
+		if t.ready() {
 			versions[t.Version]++
 		}
 	}
@@ -290,7 +301,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, t := range r.targets {
-		if t.listed && t.state == Ready {
+		if t.ready() {
 			ready++
 		}
 	}
--- a/router/target/trial.go
+++ b/router/target/trial.go
@@ -27,7 +27,7 @@
 func (r *Registry) byVersion(service, version string) (matching []*Target, others int) {
 	for _, t := range r.services[service] {
 		switch {
-		case !t.listed || t.state != Ready:
+		case !t.ready():
 		case t.Version == version:
 			matching = append(matching, t)
 		default:
