target, forward: keep to the pause that a target asks for

Callers saw 503 with Retry-After 0.1 s while other targets had room, since their attempts were spent on targets that refuse everything; such a target got five requests of one host, and eight a second of all, within the 3 s in which it wanted none (two are allowed).

Cause: nothing read Retry-After of a refusal, so every refusal counted as one that says 'full' and was followed by the next request after 150 ms.

A pause is now kept by the host that was asked: candidates never lists the target, not as a last resort either, and an attempt looks again once it has its connection. A shorter pause does not end a longer one. Afterwards hosts resume at different times, and one request at a time tests the target until it takes one; it is still used if there is no other. Refusals stay neutral to health and ejection, and the retry elsewhere is paid from the retry budget as before, since the platform counts the attempt. If all targets that could take a request are paused the caller is told at once, with what is left of the first pause and a random part more; a stream that was begun waits up to 2 s for it.

--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -37,7 +37,7 @@
 		q.handler.opts.Quarantine.RecordCompletion(q.digest)
 	}
 	targets.EndRequest(t, a.work, a.targetResult(res))
-	if res == notSent && !q.handler.opts.Overload.Overloaded(time.Now()) {
+	if res == notSent && !a.withheld && !q.handler.opts.Overload.Overloaded(time.Now()) {
 		targets.RecordDialFailure(t)
 	}
 	q.handler.opts.Observer.AttemptEnded(Attempt{
@@ -66,6 +66,7 @@
 	pastCallerDelay time.Duration // sum of callerDelay up to lastEvent
 	events          int           // received
 	maybeSent       bool          // the target may have received the request
+	withheld        bool          // not sent, though the target could be reached
 	status          int
 	resumedAfter    string
 	silence         *silenceTimer
@@ -123,6 +124,11 @@
 		return a.adjustResult(ctx, notSent, err)
 	}
 	a.conn, a.reused = conn, conn.Reused()
+	if !q.handler.opts.Targets.AdmitsNow(a.target) {
+		conn.Release()
+		a.withheld = true
+		return notSent, errors.New("target asked for a pause or announced its exit")
+	}
 	q.outcome.Target = a.target.ID
 	left, limited := q.timeLeft()
 	if !limited {
--- a/router/forward/backoff_test.go
+++ b/router/forward/backoff_test.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"context"
 	"strconv"
 	"testing"
 	"time"
 
+	"maststage.dev/router/target"
 	"maststage.dev/standin/backend"
 )
 
@@ -65,3 +67,33 @@
 		f.is.Equal(f.do(f.request("GET", "/safe/x", "")).status, 200)
 	}
 }
+
+// Guards against a request that is sent to a target which asked for a pause while the connection to it was made.
+func TestPauseAskedWhileConnectingIsObserved(t *testing.T) {
+	f := newFixture(t)
+	e := f.add("t1", "plain", backend.Behaviour{Body: "ok"})
+	f.is.Equal(f.do(f.request("GET", "/open/x", "")).status, 200) // leaves an idle connection
+	known := f.targets.Choose(target.Requirements{Service: "plain"})
+	f.targets.RecordBackoff(known, time.Minute)
+	config := f.handler.Config()
+	q := &request{handler: f.handler, config: config, route: config.Match("a.example", "/open/x"), service: "plain", ctx: t.Context(), r: f.request("GET", "/open/x", "")}
+	a := &attempt{request: q, target: known, started: time.Now()}
+	res, err := a.do(context.Background())
+	f.is.Equal(res, notSent)
+	f.is.True(err != nil && a.withheld)
+	f.is.Equal(e.Arrivals(), 1)
+	f.is.Equal(known.Pool.OpenConns(), 1) // kept for later
+}
+
+// Guards against cutting a broken stream off although another target takes the rest after a short pause.
+func TestBrokenStreamWaitsForTheEndOfAPause(t *testing.T) {
+	f := newFixture(t)
+	paused := f.add("e1", "engine", backend.Behaviour{Refuse: true, RetryAfter: "1"})
+	f.doUntilArrival(paused, "/stream/x")
+	answers(paused, backend.Behaviour{Events: 20})
+	f.add("e2", "engine", backend.Behaviour{Events: 20, BreakAfter: 5, Reset: true})
+	req := f.request("POST", "/stream/x", "")
+	got := f.do(req)
+	f.is.NoErr(got.err)
+	f.is.Equal(got.body, events(req.Header.Get("X-Id"), 20))
+}
--- a/router/forward/kind.go
+++ b/router/forward/kind.go
@@ -25,6 +25,7 @@
 	NoTarget     Kind = "no_target"     // no target was available
 	NoRegion     Kind = "no_region"     // route and organisation have no allowed region in common
 	TargetsFull  Kind = "targets_full"  // the rate limits of all suitable targets are used up
+	TargetsPause Kind = "targets_pause" // all suitable targets asked for a pause
 	Overloaded   Kind = "overloaded"    // all targets attempted refused it without running it
 	Quarantined  Kind = "quarantined"   // it crashes targets; this attempt was not sent
 	TargetFailed Kind = "target_failed" // it may have run, and no complete response arrived
@@ -58,6 +59,7 @@
 	NoTarget:     {http.StatusServiceUnavailable, 200 * time.Millisecond},
 	NoRegion:     {http.StatusServiceUnavailable, operatorRetryAfter},
 	TargetsFull:  {http.StatusServiceUnavailable, 200 * time.Millisecond},
+	TargetsPause: {http.StatusServiceUnavailable, time.Second},
 	Overloaded:   {http.StatusServiceUnavailable, 100 * time.Millisecond},
 	Quarantined:  {http.StatusServiceUnavailable, operatorRetryAfter},
 	TargetFailed: {http.StatusBadGateway, 0},
--- a/router/forward/limits.go
+++ b/router/forward/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -20,13 +21,42 @@
 	return TargetsFull
 }
 
+// Callers that find all targets paused are told to retry at different times: after what is left of the first pause,
+// up to maxPauseWait, and a random part of half of that within the other bounds.
+const (
+	maxPauseWait    = 10 * time.Second
+	minCallerSpread = 500 * time.Millisecond
+	maxCallerSpread = 2 * time.Second
+)
+
+// targetsPause reports whether all targets that could take the request asked for a pause, and if so sets the
+// caller's Retry-After.
+func (q *request) targetsPause() bool {
+	left, ok := q.handler.opts.Targets.PauseLeft(q.requirements(nil))
+	if !ok {
+		return false
+	}
+	left = min(left, maxPauseWait)
+	q.retryAfter = left + rand.N(min(max(left/2, minCallerSpread), maxCallerSpread))
+	return true
+}
+
 // targetPollInterval is the time between two searches for a target that can resume a stream.
 const targetPollInterval = 50 * time.Millisecond
 
-// awaitTarget waits for targetPollInterval if a rate limit may soon admit the rest of a stream that
-// the caller has received in part: giving up would lose it. It reports whether to search again.
+// maxStreamWait is the longest pause of targets that a broken stream waits for.
+const maxStreamWait = 2 * time.Second
+
+// awaitTarget waits for targetPollInterval if a target may soon take the rest of a stream that the caller has
+// received in part, since its rate limit admits it or its pause ends: giving up would lose the stream. It reports
+// whether to search again.
 func (q *request) awaitTarget(ctx context.Context) bool {
-	if q.stream == nil || !q.stream.headSent || !q.handler.opts.Targets.HasLimitShare(q.requirements(q.excluded)) {
+	if q.stream == nil || !q.stream.headSent {
+		return false
+	}
+	targets, want := q.handler.opts.Targets, q.requirements(q.excluded)
+	pause, paused := targets.PauseLeft(want)
+	if !targets.HasLimitShare(want) && (!paused || pause > maxStreamWait) {
 		return false
 	}
 	select {
--- a/router/httpconn/conn.go
+++ b/router/httpconn/conn.go
@@ -154,6 +154,9 @@
 	c.pool.putIdle(c)
 }
 
+// Release returns a connection on which no request was sent to its pool.
+func (c *Conn) Release() { c.pool.putIdle(c) }
+
 // writeDone reports whether the request was written without an error. After an early response the
 // body may still be incomplete.
 func (c *Conn) writeDone() bool {
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -42,6 +42,9 @@
 	t := r.choose(w, now)
 	if t != nil {
 		t.pauseFrom = now
+		if t.backoff.untested {
+			t.backoff.testedAt = now
+		}
 		if t.limit.inForce {
 			t.limit.sent++
 		}
@@ -84,16 +87,16 @@
 }
 
 // candidates lists the targets that may take the request: the ready ones that are not ejected, full,
-// silent or exited; if there are none, the other ready ones; if there are none of these either, those
-// that left less than the drain limit ago. It never lists evacuated targets, those whose region or
-// version isn't allowed, or those whose share of a rate is used up. Cold targets among the latter are
-// listed in heldBack. The lock is held.
+// silent, exited or under test after a pause; if there are none, the other ready ones; if there are none of
+// these either, those that left less than the drain limit ago. It never lists evacuated targets, those whose
+// region or version isn't allowed, those that asked for a pause, or those whose share of a rate is used up.
+// Cold targets among the latter are listed in heldBack. The lock is held.
 func (r *Registry) candidates(w Requirements, now time.Time) (usable, heldBack []*Target) {
 	all := r.services[w.Service]
 	good := make([]*Target, 0, len(all))
 	var ejected, leaving []*Target
 	for _, t := range all {
-		if !r.eligible(w, t, now) {
+		if !r.eligible(w, t, now) || t.paused(now) {
 			continue
 		}
 		switch {
@@ -105,7 +108,7 @@
 			if now.Sub(t.leavingSince) < r.opts.DrainLimit {
 				leaving = append(leaving, t)
 			}
-		case !w.isTrial() && now.Before(t.health.ejectedUntil) || now.Before(t.health.fullUntil) || t.silent(now) || t.recentlyExited(now):
+		case !w.isTrial() && now.Before(t.health.ejectedUntil) || now.Before(t.health.fullUntil) || t.silent(now) || t.recentlyExited(now) || t.underTest(now):
 			ejected = append(ejected, t)
 		default:
 			good = append(good, t)
--- a/router/target/health.go
+++ b/router/target/health.go
@@ -125,6 +125,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t.pendingTokens -= work
+	t.backoff.recordTaken(time.Now())
 	t.health.recordLatency(latency.Seconds(), time.Now())
 	r.updateMedian(t.Service, time.Now())
 }
--- a/router/target/shed.go
+++ b/router/target/shed.go
@@ -89,16 +89,16 @@
 	}
 	q := r.shedderOf(w.Service)
 	q.record(priorityOf(w), now)
-	perSecond, _ := r.limitRates(w.Service)
+	perSecond, _ := r.limitRates(w.Service, now)
 	return !q.admit(priorityOf(w), perSecond)
 }
 
 // allLimited reports whether there are ready targets that may take the request and all of them advertise limits.
-// The lock is held.
+// Targets that asked for a pause don't count. The lock is held.
 func (r *Registry) allLimited(w Requirements, now time.Time) bool {
 	anyLimited := false
 	for _, t := range r.services[w.Service] {
-		if !t.ready() || !r.eligible(w, t, now) {
+		if !t.ready() || !r.eligible(w, t, now) || t.paused(now) {
 			continue
 		}
 		if !t.limit.inForce {
@@ -120,9 +120,9 @@
 
 // limitRates returns how many requests per second the targets of a service that advertise limits accept from
 // this host and from all hosts. The lock is held.
-func (r *Registry) limitRates(service string) (own, total float64) {
+func (r *Registry) limitRates(service string, now time.Time) (own, total float64) {
 	for _, t := range r.services[service] {
-		if !t.ready() || !t.limit.inForce {
+		if !t.ready() || !t.limit.inForce || t.paused(now) {
 			continue
 		}
 		total += t.limit.perSecond
@@ -148,7 +148,7 @@
 	if !r.allLimited(w, now) {
 		return f, false
 	}
-	own, total := r.limitRates(w.Service)
+	own, total := r.limitRates(w.Service, now)
 	f.HasShare = own > 0
 	if !f.HasShare {
 		own = total / float64(max(r.opts.Hosts(), 1))
@@ -162,6 +162,7 @@
 func (r *Registry) HasLimitShare(w Requirements) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	own, _ := r.limitRates(w.Service)
-	return own > 0 && r.allLimited(w, time.Now())
+	now := time.Now()
+	own, _ := r.limitRates(w.Service, now)
+	return own > 0 && r.allLimited(w, now)
 }
