replica: log when the log ends before records that are known

The replica now logs once that the log is shorter than what it knows, and how many of its records differ from known ones with higher offsets. No logic changes.

The in-memory log can be copied and restored, and answers reads beyond its end as trimmed, as the platform's does.

--- a/router/replica/merge.go
+++ b/router/replica/merge.go
@@ -1,6 +1,12 @@
 package replica
 
-import "maststage.dev/router/eventlog"
+import (
+	"bytes"
+
+	log "github.com/sirupsen/logrus"
+
+	"maststage.dev/router/eventlog"
+)
 
 // MergeUpdate merges an update from another host's replica.
 func (r *Replica) MergeUpdate(update Update) {
@@ -80,6 +86,7 @@
 			records = append(records, eventlog.Record{Key: key, Offset: end - 1})
 		}
 	}
+	r.logShorterLog(records, end)
 	changes := r.apply(records, true)
 	r.tombstoneHorizon = max(r.tombstoneHorizon, end)
 	if end > r.end {
@@ -89,6 +96,28 @@
 	r.notify(changes)
 }
 
+// logShorterLog logs that the log ends before records that are known, and how many of the records that it now has
+// differ from those but have lower offsets. It logs once until the log has grown beyond them. The lock is held.
+func (r *Replica) logShorterLog(records []eventlog.Record, end int64) {
+	shorter := end < r.end
+	if shorter == r.shorterLogged {
+		return
+	}
+	r.shorterLogged = shorter
+	if !shorter {
+		return
+	}
+	older := 0
+	for _, rec := range records {
+		if old, had := r.records[rec.Key]; had && rec.Offset < old.Offset && !bytes.Equal(rec.Value, old.Value) {
+			older++
+		}
+	}
+	log.WithFields(log.Fields{
+		"topic": r.opts.Partition.Topic, "end": end, "known_end": r.end, "records": len(records), "older_than_known": older,
+	}).Warn("log ends before records that are known")
+}
+
 // apply applies records that are newer than the known ones of their keys; the lock is held.
 func (r *Replica) apply(records []eventlog.Record, gap bool) []Change {
 	var changes []Change
--- a/router/replica/replica.go
+++ b/router/replica/replica.go
@@ -69,6 +69,7 @@
 	tombstoneHorizon int64 // tombstones below it may be missing
 	loaded           bool
 	behind           bool               // the log's last response left records out
+	shorterLogged    bool               // it was logged that the log ends before records that are known
 	lastContact      time.Time          // time of the log's response that the records are based on
 	lastRefresh      time.Time          // start of the newest successful step
 	cancelStep       context.CancelFunc // cancels the step in progress, or the pause after it
--- a/standin/memlog/memlog.go
+++ b/standin/memlog/memlog.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -104,6 +105,39 @@
 	return rec, ok
 }
 
+// Snapshot is a copy of the whole log.
+type Snapshot struct {
+	partitions map[eventlog.Partition]partition
+}
+
+// Snapshot copies the log.
+func (l *Log) Snapshot() Snapshot {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := Snapshot{partitions: map[eventlog.Partition]partition{}}
+	for p, part := range l.partitions {
+		s.partitions[p] = partition{records: slices.Clone(part.records), first: part.first, newest: maps.Clone(part.newest)}
+	}
+	return s
+}
+
+// Restore replaces the log's content with that of a snapshot, as a store does that comes back from a copy. Later
+// records are lost, and their offsets are given out again.
+func (l *Log) Restore(s Snapshot) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p, part := range l.partitions {
+		copied := s.partitions[p]
+		part.records, part.first = slices.Clone(copied.records), copied.first
+		part.newest = maps.Clone(copied.newest)
+		if part.newest == nil {
+			part.newest = map[string]eventlog.Record{}
+		}
+		close(part.grown) // reads that wait see the new end
+		part.grown = make(chan struct{})
+	}
+}
+
 func (l *Log) partition(p eventlog.Partition) *partition {
 	part := l.partitions[p]
 	if part == nil {
@@ -213,7 +247,7 @@
 	v.log.mu.Lock()
 	defer v.log.mu.Unlock()
 	part := v.log.partition(p)
-	if from < part.first {
+	if from < part.first || from > part.end() {
 		return eventlog.Batch{}, nil, eventlog.ErrTrimmed
 	}
 	batch := eventlog.Batch{End: part.end()}
