--- a/proofs/soak/config_test.go
+++ b/proofs/soak/config_test.go
@@ -109,7 +109,7 @@
 			w.watch.budget(t.Name, *t.Prepaid)
 		}
 	}
-	w.log.Put(platformtest.Operator, platformtest.ConfigKey, platformtest.Encode(w.config))
+	w.write(platformtest.Operator, platformtest.ConfigKey, platformtest.Encode(w.config))
 	w.watch.published(w.config.Version)
 }
 
--- a/proofs/soak/deadly_test.go
+++ b/proofs/soak/deadly_test.go
@@ -93,7 +93,7 @@
 	s.mu.Unlock()
 	s.link.Close()
 	time.Sleep(replaceDelay)
-	w.log.Put(platformtest.Servers, s.id, nil)
+	w.write(platformtest.Servers, s.id, nil)
 	if !w.isStopped() {
 		w.addTarget(s.service)
 	}
--- a/proofs/soak/evacuate_test.go
+++ b/proofs/soak/evacuate_test.go
@@ -47,11 +47,11 @@
 	if !w.watch.beginEvacuation(zone) {
 		return
 	}
-	w.log.Put(platformtest.Operator, platformtest.EvacuationKey(zone), []byte("{}"))
+	w.write(platformtest.Operator, platformtest.EvacuationKey(zone), []byte("{}"))
 	w.watch.evacuated(zone)
 	time.Sleep(e.length)
 	w.watch.endEvacuation(zone)
-	w.log.Put(platformtest.Operator, platformtest.EvacuationKey(zone), nil)
+	w.write(platformtest.Operator, platformtest.EvacuationKey(zone), nil)
 }
 
 // beginEvacuation records the start of an evacuation, and reports false if the domain is already
--- a/proofs/soak/faults_test.go
+++ b/proofs/soak/faults_test.go
@@ -86,6 +86,8 @@
 		return announceExit
 	case pauseKind:
 		return askForPauses
+	case restoreKind:
+		return restoreStore
 	case readersKind:
 		return stallReaders
 	}
@@ -358,7 +360,7 @@
 	if e.part < 0.5 {
 		w.list(s, platformtest.Draining)
 	} else {
-		w.log.Put(platformtest.Servers, s.id, nil)
+		w.write(platformtest.Servers, s.id, nil)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/proofs/soak/soak_test.go
+++ b/proofs/soak/soak_test.go
@@ -102,6 +102,7 @@
 	events = append(events, readerStalls(seed)...)
 	events = append(events, announcedExits(seed)...)
 	events = append(events, pauses(seed)...)
+	events = append(events, restores(seed)...)
 	w := newWorld(t, hosts, seed)
 	if hasSlowLinks(seed) {
 		w.slowDownLinks()
--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -59,6 +59,9 @@
 
 	publishing sync.Mutex // held while a configuration waits to be published
 
+	writing sync.Mutex        // held while operator or targets write to the store, and while it is restored
+	written map[logKey][]byte // the newest value that they wrote for each key; nil after a deletion
+
 	mu      sync.Mutex
 	targets []*targetState
 	nextID  int
@@ -124,7 +127,7 @@
 func newWorld(t *testing.T, n int, seed uint64) *world {
 	w := &world{
 		t: t, dir: t.TempDir(), network: takeNetwork(t), log: memlog.New(),
-		watch: newWatch(), random: rand.New(rand.NewPCG(seed, 1)),
+		watch: newWatch(), random: rand.New(rand.NewPCG(seed, 1)), written: map[logKey][]byte{},
 	}
 	for range engineTargets {
 		w.addTarget(engineService)
@@ -348,7 +351,7 @@
 
 // list writes a target's entry.
 func (w *world) list(s *targetState, state string) {
-	w.log.Put(platformtest.Servers, s.id, platformtest.Encode(platformtest.Server{
+	w.write(platformtest.Servers, s.id, platformtest.Encode(platformtest.Server{
 		Service: s.service, Address: s.link.Address(), Zone: s.zone, State: state, Slots: targetSlots,
 	}))
 }
--- /dev/null
+++ b/router/prepaid/restored_test.go
@@ -0,0 +1,90 @@
+package prepaid
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"maststage.dev/standin/memlog"
+)
+
+// Guards against tokens that are granted twice since the log came back from a copy without the first grant.
+func TestRestoredLogDoesNotGrantTokensTwice(t *testing.T) {
+	is := is.New(t)
+	const limit = 10_000
+	g := newHostGroup(t, 2)
+	a, _ := g.start("a", nil)
+	b, _ := g.start("b", nil)
+	for _, alloc := range []*Allocator{a, b} {
+		alloc.Configure(1, []Budget{{"org", limit}}, false)
+	}
+	spent := spend(a, "org", 100, 5)
+	copied := g.log.Snapshot()
+	spent += spend(a, "org", 100, 30) + spend(b, "org", 100, 30)
+	is.True(spent > limit/4)
+
+	g.log.Restore(copied)
+	for range 3 {
+		time.Sleep(500 * time.Millisecond)
+		spent += spend(a, "org", 100, 200) + spend(b, "org", 100, 200)
+	}
+	t.Logf("%d of %d tokens are spent", spent, limit)
+	is.True(spent <= limit)
+	is.True(spent > limit/2)
+}
+
+// Guards against tokens of a restored account that no host gets any more, and against a budget whose top-up after the
+// loss has no effect.
+func TestBudgetIsUsableAfterTheLogWasRestored(t *testing.T) {
+	is := is.New(t)
+	g := newHostGroup(t, 2)
+	a, _ := g.start("a", nil)
+	b, _ := g.start("b", nil)
+	for _, alloc := range []*Allocator{a, b} {
+		alloc.Configure(1, []Budget{{"org", 1000}}, false)
+	}
+	copied := g.log.Snapshot()
+	spent := spend(a, "org", 100, 5)
+	g.log.Restore(copied)
+	for end := time.Now().Add(8 * time.Second); spent < 900 && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		spent += spend(a, "org", 100, 1) + spend(b, "org", 100, 1)
+	}
+	is.True(spent >= 900 && spent <= 1000)
+	for _, alloc := range []*Allocator{a, b} {
+		alloc.Configure(2, []Budget{{"org", 2000}}, false)
+	}
+	for end := time.Now().Add(8 * time.Second); spent < 1800 && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		spent += spend(a, "org", 100, 1) + spend(b, "org", 100, 1)
+	}
+	is.True(spent >= 1800 && spent <= 2000)
+}
+
+// Guards against an append without a response that is taken for done, or undone, by the offset at which the restored log
+// has another record.
+func TestAppendWithoutResponseIsNotResolvedByARestoredLog(t *testing.T) {
+	is := is.New(t)
+	const limit = 1000
+	g := newHostGroup(t, 2)
+	a, _ := g.start("a", nil)
+	a.Configure(1, []Budget{{"org", limit}}, false)
+	spent := spend(a, "org", 10, 1)
+	copied := g.log.Snapshot()
+	g.log.SetFault("a", memlog.Fault{Lose: true})
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	if r, err := a.Reserve(ctx, "org", limit/2); err == nil {
+		r.Settle(limit / 2)
+		spent += limit / 2
+	}
+	g.log.Restore(copied)
+	g.log.SetFault("a", memlog.Fault{})
+	b, _ := g.start("b", nil)
+	b.Configure(1, []Budget{{"org", limit}}, false)
+	for range 3 {
+		time.Sleep(500 * time.Millisecond)
+		spent += spend(a, "org", 10, 200) + spend(b, "org", 10, 200)
+	}
+	is.True(spent <= limit)
+}
