--- a/router/archive/archive.go
+++ b/router/archive/archive.go
@@ -39,14 +39,15 @@
 // Archive writes snapshots, and loads them at the start of a host.
 type Archive struct {
 	opts    Options
-	written map[string]int64 // end offset of the last snapshot that this host wrote, by topic
+	written map[string]eventlog.Position // end of the last snapshot that this host wrote, by topic
 }
 
 // New returns an archive; Run operates it.
-func New(opts Options) *Archive { return &Archive{opts: opts, written: map[string]int64{}} }
+func New(opts Options) *Archive { return &Archive{opts: opts, written: map[string]eventlog.Position{}} }
 
 // snapshot is the value of a record that holds a snapshot.
 type snapshot struct {
+	Era    int64  `json:"era,omitempty"` // of the log, as it was written
 	End    int64  `json:"end"`
 	Packed []byte `json:"packed"` // the newest record of each key, by recordpack
 }
@@ -135,12 +136,12 @@
 	if err := json.Unmarshal(value, &s); err != nil {
 		return fmt.Errorf("snapshot of topic %s: %w", topic, err)
 	}
-	records, err := recordpack.Unpack(s.Packed)
+	records, err := recordpack.Unpack(s.Packed, s.Era)
 	if err != nil {
 		return fmt.Errorf("snapshot of topic %s: %w", topic, err)
 	}
-	a.opts.Replicas[topic].MergeNewest(records, s.End)
-	log.WithFields(log.Fields{"topic": topic, "records": len(records), "end": s.End}).Warn("started from a snapshot of a topic")
+	a.opts.Replicas[topic].MergeNewest(records, eventlog.Position{Era: s.Era, Offset: s.End})
+	log.WithFields(log.Fields{"topic": topic, "records": len(records), "era": s.Era, "end": s.End}).Warn("started from a snapshot of a topic")
 	return nil
 }
 
@@ -161,7 +162,7 @@
 
 // write appends a snapshot of a topic, without its tombstones.
 func (a *Archive) write(ctx context.Context, topic string, source *replica.Replica) error {
-	update, _ := source.UpdateSince(0)
+	update, _ := source.UpdateSince(eventlog.Position{})
 	var alive []eventlog.Record
 	for _, r := range update.Records {
 		if len(r.Value) > 0 {
@@ -172,7 +173,7 @@
 	if err != nil {
 		return err
 	}
-	value, err := json.Marshal(snapshot{End: update.End, Packed: packed})
+	value, err := json.Marshal(snapshot{Era: update.End.Era, End: update.End.Offset, Packed: packed})
 	if err != nil {
 		return err
 	}
--- a/router/archive/archive_test.go
+++ b/router/archive/archive_test.go
@@ -71,14 +71,14 @@
 	c, stop := start(t, l, "h2", false)
 	defer stop()
 	until.True(t, "the snapshot is loaded", c.Loaded)
-	part, _ := c.UpdateSince(0)
+	part, _ := c.UpdateSince(eventlog.Position{})
 	is.Equal(len(part.Records), 1)
 	is.Equal(part.Records[0].Key, "a")
-	is.Equal(part.End, int64(3))
+	is.Equal(part.End, eventlog.Position{Offset: 3})
 
 	l.Put(listed, "b", []byte("2"))
 	l.SetPartitionFault(listed, memlog.Fault{})
-	until.True(t, "the list is followed again", func() bool { return c.End() == 4 })
+	until.True(t, "the list is followed again", func() bool { return c.End().Offset == 4 })
 }
 
 func TestOnlyTheWriterWrites(t *testing.T) {
@@ -129,7 +129,7 @@
 	c, stop := startLimited(t, l, "h2", false, 1<<18)
 	defer stop()
 	until.True(t, "the snapshot is loaded", c.Loaded)
-	part, _ := c.UpdateSince(0)
+	part, _ := c.UpdateSince(eventlog.Position{})
 	is.Equal(string(part.Records[0].Value), string(want))
-	is.Equal(part.End, int64(1))
+	is.Equal(part.End, eventlog.Position{Offset: 1})
 }
--- a/router/fleet/alllost_test.go
+++ b/router/fleet/alllost_test.go
@@ -27,7 +27,7 @@
 			panic(err)
 		}
 		offset := end - int64(len(hosts)-1-i)
-		changes = append(changes, replica.Change{Record: eventlog.Record{Key: h.Name, Value: value, Offset: offset}})
+		changes = append(changes, replica.Change{Record: eventlog.Record{Key: h.Name, Value: value, Position: eventlog.Position{Offset: offset}}})
 	}
 	f.HandleChanges(changes)
 }
--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -12,6 +12,7 @@
 	log "github.com/sirupsen/logrus"
 
 	"maststage.dev/lib/patience"
+	"maststage.dev/router/eventlog"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/quarantine"
 	"maststage.dev/router/recordpack"
@@ -30,13 +31,35 @@
 // maxCallBytes bounds the body of a request from another host.
 const maxCallBytes = 1 << 20
 
-// pullRequest asks for the records of each topic from an offset on.
+// pullRequest asks for the records of each topic from a position on.
 type pullRequest struct {
-	From map[string]int64 `json:"from"`
+	From map[string]int64 `json:"from"` // offsets
+	// Eras are those of the offsets. Earlier builds don't send them.
+	Eras map[string]int64 `json:"eras,omitempty"`
 	// EndsOnly asks for the end offsets of the topics, without records.
 	EndsOnly bool `json:"ends_only,omitempty"`
 }
 
+// newPullRequest asks for the records of topics from the given positions on.
+func newPullRequest(from map[string]eventlog.Position) pullRequest {
+	r := pullRequest{From: map[string]int64{}, Eras: map[string]int64{}}
+	for topic, position := range from {
+		r.From[topic], r.Eras[topic] = position.Offset, position.Era
+	}
+	return r
+}
+
+// from returns the position from which records of a topic are wanted. That of an earlier build counts as being in the
+// era of this host, known.
+func (r pullRequest) from(topic string, known int64) (from eventlog.Position, wanted bool) {
+	offset, wanted := r.From[topic]
+	era := known
+	if r.Eras != nil {
+		era = r.Eras[topic]
+	}
+	return eventlog.Position{Era: era, Offset: offset}, wanted
+}
+
 type pullResponse struct {
 	Topics map[string]topicUpdate `json:"topics"`
 	// Quarantine lists quarantined requests that may be missing from the topic.
@@ -47,19 +70,23 @@
 type topicUpdate struct {
 	Packed []byte `json:"packed,omitempty"` // the records, by recordpack
 	End    int64  `json:"end"`
+	Era    int64  `json:"era,omitempty"`   // of End and of the records
 	AgeMs  int64  `json:"age_ms"`          // since the log last confirmed them
 	Full   bool   `json:"whole,omitempty"` // the records are the whole topic
 }
 
 func newTopicUpdate(changed replica.Update) (topicUpdate, error) {
 	packed, err := recordpack.Pack(changed.Records)
-	return topicUpdate{Packed: packed, End: changed.End, AgeMs: changed.Age.Milliseconds(), Full: changed.Full}, err
+	return topicUpdate{Packed: packed, End: changed.End.Offset, Era: changed.End.Era, AgeMs: changed.Age.Milliseconds(), Full: changed.Full}, err
 }
 
+// end is the position below which the responder knows all records.
+func (p topicUpdate) end() eventlog.Position { return eventlog.Position{Era: p.Era, Offset: p.End} }
+
 // update decodes the response for one topic.
 func (p topicUpdate) update() (replica.Update, error) {
-	records, err := recordpack.Unpack(p.Packed)
-	return replica.Update{Records: records, End: p.End, Age: time.Duration(p.AgeMs) * time.Millisecond, Full: p.Full}, err
+	records, err := recordpack.Unpack(p.Packed, p.Era)
+	return replica.Update{Records: records, End: p.end(), Age: time.Duration(p.AgeMs) * time.Millisecond, Full: p.Full}, err
 }
 
 type lendRequest struct {
@@ -193,12 +220,13 @@
 		response.Quarantine = f.opts.Quarantine.Unpersisted()
 	}
 	for topic, c := range f.opts.Replicas {
-		from, wanted := request.From[topic]
-		if !wanted || c.End() < from {
+		end := c.End()
+		from, wanted := request.from(topic, end.Era)
+		if !wanted || end.Before(from) {
 			continue
 		}
 		if request.EndsOnly {
-			response.Topics[topic] = topicUpdate{End: c.End()}
+			response.Topics[topic] = topicUpdate{End: end.Offset, Era: end.Era}
 			continue
 		}
 		part, err := newTopicUpdate(c.CatchUpFrom(from))
--- a/router/fleet/elect_test.go
+++ b/router/fleet/elect_test.go
@@ -16,8 +16,8 @@
 // writeOnly is a log that accepts announcements and returns no records.
 type writeOnly struct{ eventlog.Log }
 
-func (writeOnly) Append(context.Context, eventlog.Partition, []eventlog.Record) (int64, error) {
-	return 0, nil
+func (writeOnly) Append(context.Context, eventlog.Partition, []eventlog.Record) (eventlog.Position, error) {
+	return eventlog.Position{}, nil
 }
 
 // Guards against a host that can't read the log, drops all others after a while, and then takes all
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -230,6 +230,14 @@
 	return nil
 }
 
+// Announce makes this host announce itself soon: a restored log may lack its announcement.
+func (f *Fleet) Announce() {
+	select {
+	case f.announceNow <- struct{}{}:
+	default:
+	}
+}
+
 // addresses lists the other hosts' addresses in random order. It includes the configured
 // seeds, which are all that a host knows at its start.
 func (f *Fleet) addresses() []string {
--- a/router/fleet/fleet_test.go
+++ b/router/fleet/fleet_test.go
@@ -175,7 +175,7 @@
 	if len(f.readers("list")) == 0 {
 		t.Fatal("the host is a reader itself")
 	}
-	_, ok := f.Relay(context.Background(), "list", 0)
+	_, ok := f.Relay(context.Background(), "list", eventlog.Position{})
 	is.True(!ok) // the reader has read nothing yet
 
 	ctx, cancel := context.WithCancel(context.Background())
@@ -185,13 +185,13 @@
 		copied.Run(ctx)
 	}()
 	until.True(t, "a fresh response", func() bool {
-		part, ok := f.Relay(context.Background(), "list", 0)
-		return ok && len(part.Records) == 1 && part.End == 1
+		part, ok := f.Relay(context.Background(), "list", eventlog.Position{})
+		return ok && len(part.Records) == 1 && part.End == eventlog.Position{Offset: 1}
 	})
 	cancel()
 	<-done
 	until.True(t, "the response is too old", func() bool {
-		_, ok := f.Relay(context.Background(), "list", 0)
+		_, ok := f.Relay(context.Background(), "list", eventlog.Position{})
 		return !ok
 	})
 }
--- a/router/fleet/loss.go
+++ b/router/fleet/loss.go
@@ -58,7 +58,7 @@
 	}
 	f.topicRead = true
 	for _, c := range changes {
-		f.initialEnd = max(f.initialEnd, c.Record.Offset+1)
+		f.initialEnd = max(f.initialEnd, c.Record.Position.Offset+1)
 	}
 }
 
--- a/router/fleet/pull.go
+++ b/router/fleet/pull.go
@@ -11,6 +11,7 @@
 	log "github.com/sirupsen/logrus"
 
 	"maststage.dev/lib/wait"
+	"maststage.dev/router/eventlog"
 	"maststage.dev/router/logging"
 	"maststage.dev/router/quarantine"
 )
@@ -59,10 +60,10 @@
 }
 
 // staleTopics lists the topics for which the log has not responded for a while, each with the
-// offset from which records are missing.
-func (f *Fleet) staleTopics() map[string]int64 {
+// position from which records are missing.
+func (f *Fleet) staleTopics() map[string]eventlog.Position {
 	now := time.Now()
-	topics := map[string]int64{}
+	topics := map[string]eventlog.Position{}
 	for topic, c := range f.opts.Replicas {
 		if c.Stale(now) {
 			topics[topic] = c.End()
@@ -73,7 +74,7 @@
 
 // startRound starts pulls from some hosts and does not wait for them, so that a silent host does
 // not delay the next round.
-func (p *puller) startRound(ctx context.Context, topics map[string]int64) {
+func (p *puller) startRound(ctx context.Context, topics map[string]eventlog.Position) {
 	for _, address := range p.chooseHosts() {
 		p.inFlight.Go(func() {
 			started := time.Now()
@@ -116,7 +117,7 @@
 
 // finish ends and counts a pull. It logs a failed one with what was requested: otherwise a host
 // that gets nothing looks like one that misses nothing.
-func (p *puller) finish(address string, topics map[string]int64, took time.Duration, err error) {
+func (p *puller) finish(address string, topics map[string]eventlog.Position, took time.Duration, err error) {
 	p.fleet.recordCallResult(address, err)
 	p.mu.Lock()
 	delete(p.inProgress, address)
@@ -144,11 +145,13 @@
 // pull asks another host for the end offsets of the topics and fetches what lies beyond this
 // host's replicas. Only one pull at a time fetches: two that fetch the same records over a
 // saturated link take twice as long and may complete too late to be useful.
-func (p *puller) pull(ctx context.Context, address string, topics map[string]int64) error {
+func (p *puller) pull(ctx context.Context, address string, topics map[string]eventlog.Position) error {
 	calls := p.fleet.client
 	asked := time.Now()
+	request := newPullRequest(topics)
+	request.EndsOnly = true
 	var ends pullResponse
-	if err := calls.fetch(ctx, address, pathPull, pullRequest{From: topics, EndsOnly: true}, &ends); err != nil {
+	if err := calls.fetch(ctx, address, pathPull, request, &ends); err != nil {
 		return err
 	}
 	for _, e := range ends.Quarantine {
@@ -162,7 +165,7 @@
 		return nil
 	}
 	var response pullResponse
-	if err := calls.fetch(ctx, address, pathPull, pullRequest{From: missing}, &response); err != nil {
+	if err := calls.fetch(ctx, address, pathPull, newPullRequest(missing), &response); err != nil {
 		return err
 	}
 	p.mu.Lock()
@@ -176,7 +179,7 @@
 }
 
 // merge applies the records of the topics that were requested from another host.
-func (f *Fleet) merge(address string, requested map[string]int64, response pullResponse) error {
+func (f *Fleet) merge(address string, requested map[string]eventlog.Position, response pullResponse) error {
 	for topic, encoded := range response.Topics {
 		if _, wanted := requested[topic]; !wanted {
 			continue
@@ -193,16 +196,16 @@
 	return nil
 }
 
-// topicsBehind lists the topics in which another host is ahead of this one, each with the offset
+// topicsBehind lists the topics in which another host is ahead of this one, each with the position
 // from which this host lacks records.
-func (f *Fleet) topicsBehind(other pullResponse) map[string]int64 {
-	missing := map[string]int64{}
+func (f *Fleet) topicsBehind(other pullResponse) map[string]eventlog.Position {
+	missing := map[string]eventlog.Position{}
 	for topic, part := range other.Topics {
 		c := f.opts.Replicas[topic]
 		if c == nil {
 			continue
 		}
-		if end := c.End(); part.End > end {
+		if end := c.End(); end.Before(part.end()) {
 			missing[topic] = end
 		}
 	}
--- a/router/fleet/relay.go
+++ b/router/fleet/relay.go
@@ -7,6 +7,7 @@
 	log "github.com/sirupsen/logrus"
 
 	"maststage.dev/lib/rendezvous"
+	"maststage.dev/router/eventlog"
 	"maststage.dev/router/keeper"
 	"maststage.dev/router/replica"
 )
@@ -21,12 +22,12 @@
 	relayMaxAge     = 900 * time.Millisecond // older responses are ignored
 )
 
-// Relay asks a reader of a topic in this host's failure domain for the changes from an offset
+// Relay asks a reader of a topic in this host's failure domain for the changes from a position
 // on. ok is false if this host is a reader itself, or no reader has a fresh response.
-func (f *Fleet) Relay(ctx context.Context, topic string, from int64) (update replica.Update, ok bool) {
+func (f *Fleet) Relay(ctx context.Context, topic string, from eventlog.Position) (update replica.Update, ok bool) {
 	readers := f.readers(topic)
 	for _, address := range readers[:min(len(readers), maxReadersAsked)] {
-		request := pullRequest{From: map[string]int64{topic: from}}
+		request := newPullRequest(map[string]eventlog.Position{topic: from})
 		var response pullResponse
 		call, cancel := context.WithTimeout(ctx, relayTimeout)
 		err := f.client.callWithTimeout(call, address, pathPull, request, &response)
--- a/router/fleet/thinlink_test.go
+++ b/router/fleet/thinlink_test.go
@@ -98,7 +98,7 @@
 	})
 	untilEnd(t, f.Run)
 	for end := time.Now().Add(inForce); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		if c.End() != 1 {
+		if c.End().Offset != 1 {
 			continue
 		}
 		// Encoding adds a third; sending a second copy would double it.
--- a/router/logcount/logcount.go
+++ b/router/logcount/logcount.go
@@ -22,6 +22,7 @@
 	Conflict = "conflict" // the partition did not end at the expected offset
 	Trimmed  = "trimmed"  // the records have been removed
 	Refused  = "refused"  // the call had no effect
+	Restored = "restored" // the log was restored since the position was read
 	Unknown  = "unknown"  // no response: the call may have taken effect
 )
 
@@ -50,21 +51,21 @@
 }
 
 // AppendAt implements eventlog.Log.
-func (l *Log) AppendAt(ctx context.Context, p eventlog.Partition, at int64, records []eventlog.Record) (int64, error) {
+func (l *Log) AppendAt(ctx context.Context, p eventlog.Partition, at eventlog.Position, records []eventlog.Record) (eventlog.Position, error) {
 	end, err := l.log.AppendAt(ctx, p, at, records)
 	l.countCall(p, "append", nil, err)
 	return end, err
 }
 
 // Append implements eventlog.Log.
-func (l *Log) Append(ctx context.Context, p eventlog.Partition, records []eventlog.Record) (int64, error) {
+func (l *Log) Append(ctx context.Context, p eventlog.Partition, records []eventlog.Record) (eventlog.Position, error) {
 	end, err := l.log.Append(ctx, p, records)
 	l.countCall(p, "append", nil, err)
 	return end, err
 }
 
 // Read implements eventlog.Log.
-func (l *Log) Read(ctx context.Context, p eventlog.Partition, from int64, wait time.Duration) (eventlog.Batch, error) {
+func (l *Log) Read(ctx context.Context, p eventlog.Partition, from eventlog.Position, wait time.Duration) (eventlog.Batch, error) {
 	batch, err := l.log.Read(ctx, p, from, wait)
 	l.countCall(p, "read", batch.Records, err)
 	return batch, err
@@ -94,9 +95,12 @@
 
 func outcomeOf(err error) string {
 	var conflict *eventlog.ConflictError
+	var restored *eventlog.EraError
 	switch {
 	case err == nil:
 		return OK
+	case errors.As(err, &restored):
+		return Restored
 	case errors.As(err, &conflict):
 		return Conflict
 	case errors.Is(err, eventlog.ErrTrimmed):
--- a/router/logcount/logcount_test.go
+++ b/router/logcount/logcount_test.go
@@ -19,9 +19,9 @@
 	p := eventlog.Partition{Topic: "t"}
 	_, err := counted.Append(ctx, p, []eventlog.Record{{Key: "key", Value: []byte("value")}})
 	is.NoErr(err)
-	_, err = counted.AppendAt(ctx, p, 7, []eventlog.Record{{Key: "key"}})
+	_, err = counted.AppendAt(ctx, p, eventlog.Position{Offset: 7}, []eventlog.Record{{Key: "key"}})
 	is.True(err != nil)
-	_, err = counted.Read(ctx, p, 0, 0)
+	_, err = counted.Read(ctx, p, eventlog.Position{}, 0)
 	is.NoErr(err)
 	l.SetFault("h", memlog.Fault{Refuse: true})
 	_, err = counted.Newest(ctx, p, "")
--- a/router/node/config.go
+++ b/router/node/config.go
@@ -94,7 +94,7 @@
 	case !ok:
 		return false
 	case err != nil:
-		log.WithFields(log.Fields{"key": rec.Key, "offset": rec.Offset}).WithError(err).Error("ignoring an invalid evacuation record")
+		log.WithFields(log.Fields{"key": rec.Key, "offset": rec.Position}).WithError(err).Error("ignoring an invalid evacuation record")
 	case e.InForce:
 		n.targets.Evacuate(e.Domain, n.evacuationTime(c.Gap))
 	default:
--- a/router/node/gauges.go
+++ b/router/node/gauges.go
@@ -21,7 +21,8 @@
 	for topic, c := range map[string]*replica.Replica{
 		n.env.ConfigTopic: n.configReplica, n.env.TargetsTopic: n.targetsReplica, n.env.HostsTopic: n.hostsReplica,
 	} {
-		n.observer.RegisterGauge(fmt.Sprintf("copy_end{topic=%q}", topic), func() float64 { return float64(c.End()) })
+		n.observer.RegisterGauge(fmt.Sprintf("copy_end{topic=%q}", topic), func() float64 { return float64(c.End().Offset) })
+		n.observer.RegisterGauge(fmt.Sprintf("copy_era{topic=%q}", topic), func() float64 { return float64(c.End().Era) })
 		n.observer.RegisterGauge(fmt.Sprintf("copy_age_seconds{topic=%q}", topic), func() float64 { return replicaAge(c) })
 	}
 	n.observer.RegisterGauge("quarantine_entries", func() float64 { return float64(n.guard.Len()) })
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -87,6 +87,9 @@
 
 	configReplica, targetsReplica, hostsReplica *replica.Replica
 
+	logEra     atomic.Int64  // newest era of the log that a replica has noticed
+	eraChanged chan struct{} // full: logEra has changed
+
 	server         *graceful.Server
 	auxServers     []*http.Server // readiness, peers, metrics
 	pendingConfigs configQueue
@@ -113,6 +116,7 @@
 		started:        time.Now(),
 		stopping:       make(chan struct{}),
 		configQueued:   make(chan struct{}, 1),
+		eraChanged:     make(chan struct{}, 1),
 		limitNotices:   newLimitNotices(),
 	}
 	n.calls = logcount.New(env.Log, n.countCall)
@@ -171,6 +175,7 @@
 			OnChange:       onChange,
 			OnConnectivity: func(err error) { n.logConnectivity(topic, err) },
 			Hosts:          n.hostCount,
+			KeepLost:       true, OnRestored: n.eraSeen,
 		})
 	}
 	minInterval := settings.Milliseconds(n.cfg.Log.PaceMs)
@@ -179,11 +184,12 @@
 		Log: n.env.Log, Partition: eventlog.Partition{Topic: n.env.TargetsTopic}, LongPoll: longPoll, ReadTimeout: readTimeout, MinInterval: minInterval,
 		OnChange:       n.targetsChanged,
 		OnConnectivity: func(err error) { n.logConnectivity(n.env.TargetsTopic, err) },
-		Relay: func(ctx context.Context, from int64) (replica.Update, bool) {
+		Relay: func(ctx context.Context, from eventlog.Position) (replica.Update, bool) {
 			return n.fleet.Relay(ctx, n.env.TargetsTopic, from)
 		},
-		DedupKey: n.targetDedupKey,
-		Hosts:    n.hostCount,
+		DedupKey:   n.targetDedupKey,
+		Hosts:      n.hostCount,
+		OnRestored: n.eraSeen,
 	})
 	n.hostsReplica = newReplica(n.env.HostsTopic, hostsPollInterval, n.hostsChanged)
 }
@@ -332,6 +338,7 @@
 	guard.Go("limits of targets", func() { n.exchangeLimits(ctx) })
 	guard.Go("unread answers", func() { n.unread.Run(ctx) })
 	guard.Go("rollouts", func() { n.rollouts.run(ctx) })
+	guard.Go("eras of the log", func() { n.followEras(ctx) })
 	guard.Go("suspensions", func() { n.suspensions.Run(ctx) })
 	guard.Go("housekeeping", func() { n.housekeeping(ctx) })
 	logLast := n.startBalanceLog(ctx)
--- a/router/node/rollouts.go
+++ b/router/node/rollouts.go
@@ -55,6 +55,7 @@
 		LongPoll: settings.Milliseconds(n.cfg.Log.LongPollMs), ReadTimeout: settings.Milliseconds(n.cfg.Log.TimeoutMs),
 		OnChange:       r.statesChanged,
 		OnConnectivity: func(err error) { n.logConnectivity(n.env.StatusTopic, err) },
+		KeepLost:       true, OnRestored: n.eraSeen,
 	})
 	return r
 }
@@ -110,13 +111,13 @@
 		return false
 	}
 	order, inForce, ok, err := r.node.env.DecodeOrder(c.Record)
-	fields := log.Fields{"service": order.Service, "version": order.Version, "period": order.Period, "offset": c.Record.Offset}
+	fields := log.Fields{"service": order.Service, "version": order.Version, "period": order.Period, "offset": c.Record.Position}
 	changed := false
 	switch {
 	case !ok:
 		return false
 	case err != nil:
-		log.WithFields(log.Fields{"key": c.Record.Key, "offset": c.Record.Offset}).WithError(err).Error("ignoring an invalid rollout order")
+		log.WithFields(log.Fields{"key": c.Record.Key, "offset": c.Record.Position}).WithError(err).Error("ignoring an invalid rollout order")
 	case inForce:
 		if changed = r.gate.SetOrder(order, time.Now()); changed {
 			log.WithFields(fields).Info("rollout ordered")
@@ -142,7 +143,7 @@
 		switch {
 		case !ok:
 		case err != nil:
-			log.WithFields(log.Fields{"key": c.Record.Key, "offset": c.Record.Offset}).WithError(err).Error("ignoring an invalid rollout state")
+			log.WithFields(log.Fields{"key": c.Record.Key, "offset": c.Record.Position}).WithError(err).Error("ignoring an invalid rollout state")
 		default:
 			log.WithFields(log.Fields{"service": rec.Service, "version": rec.Version, "state": rec.State, "base": rec.Base, "barred": rec.Barred}).Info("rollout state received")
 			r.gate.SetRecord(rec)
--- a/router/prepaid/allocation.go
+++ b/router/prepaid/allocation.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"maststage.dev/router/eventlog"
 )
 
 // Sizing holds the parameters that determine how much of a budget a host holds. Tokens that a host
@@ -54,13 +56,13 @@
 // allocation is this host's part of one budget. It is guarded by the Allocator's lock.
 type allocation struct {
 	account            Account
-	known              bool // account was read from the log
-	unreadable         bool // the newest record is not a valid account
-	offset             int64
-	version            int64 // of the newest configuration
-	limit              int64 // prepaid amount according to that
-	requiredVersion    int64 // nothing is spent until the account has been seen under this version or later
-	requiredBeforeGap  int64 // 1 + requiredVersion as before versions were missed, one of which may have lowered the limit; 0: none missed
+	known              bool              // account was read from the log
+	unreadable         bool              // the newest record is not a valid account
+	position           eventlog.Position // of the newest record seen
+	version            int64             // of the newest configuration
+	limit              int64             // prepaid amount according to that
+	requiredVersion    int64             // nothing is spent until the account has been seen under this version or later
+	requiredBeforeGap  int64             // 1 + requiredVersion as before versions were missed, one of which may have lowered the limit; 0: none missed
 	free               int64
 	reserved           int64
 	totals             Totals
--- a/router/prepaid/allocator.go
+++ b/router/prepaid/allocator.go
@@ -388,7 +388,7 @@
 func (al *allocation) holding(organisation string) Holding {
 	return Holding{
 		Organisation: organisation, Free: al.free, Reserved: al.reserved,
-		Granted: al.account.Granted, Limit: al.limit, Offset: al.offset, Keeper: al.keeperSize > 0, Totals: al.totals,
+		Granted: al.account.Granted, Limit: al.limit, Offset: al.position.Offset, Keeper: al.keeperSize > 0, Totals: al.totals,
 	}
 }
 
--- a/router/prepaid/append.go
+++ b/router/prepaid/append.go
@@ -20,6 +20,7 @@
 	}
 	at := pw.end
 	unknown := false
+	var restored *eventlog.EraError
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, pw.allocator.opts.Timeout)
 		end, err := pw.allocator.opts.Log.AppendAt(callCtx, pw.partition, at, records)
@@ -38,6 +39,9 @@
 			pw.conflictRate += conflictWeight * (1 - pw.conflictRate)
 			log.WithFields(log.Fields{"partition": pw.partition.String(), "at": at, "end": conflict.End}).Debug("append conflicted with another host's")
 			return pw.resolveConflict(ctx, updates, at, unknown)
+		case errors.As(err, &restored):
+			pw.countCall(CallConflict)
+			return pw.afterTrim(ctx, updates, unknown || restored.Appended)
 		case errors.Is(err, eventlog.ErrRefused) && !unknown:
 			pw.countCall(CallRefused)
 			pw.rollBack(updates)
@@ -70,13 +74,13 @@
 	pw.recordResult(err)
 }
 
-// endMoved reports whether the partition has grown beyond offset at, or its records there were
-// trimmed; then the outcome of an append at that offset can be determined.
-func (pw *partitionWriter) endMoved(ctx context.Context, at int64) bool {
+// endMoved reports whether the partition has grown beyond position at, its records there were
+// trimmed or the log was restored; then the outcome of an append there can be determined.
+func (pw *partitionWriter) endMoved(ctx context.Context, at eventlog.Position) bool {
 	callCtx, cancel := context.WithTimeout(ctx, pw.allocator.opts.Timeout)
 	defer cancel()
 	batch, err := pw.allocator.opts.Log.Read(callCtx, pw.partition, at, 0)
-	return err == nil && len(batch.Records) > 0 || errors.Is(err, eventlog.ErrTrimmed)
+	return err == nil && len(batch.Records) > 0 || mustReload(err)
 }
 
 func (pw *partitionWriter) countCall(outcome string) {
@@ -87,7 +91,7 @@
 
 // resolveConflict reads what others wrote and determines whether an earlier attempt of the same
 // append is among it.
-func (pw *partitionWriter) resolveConflict(ctx context.Context, updates []accountUpdate, at int64, unknown bool) (done bool, err error) {
+func (pw *partitionWriter) resolveConflict(ctx context.Context, updates []accountUpdate, at eventlog.Position, unknown bool) (done bool, err error) {
 	for {
 		own, err := pw.readNew(ctx, updates, at)
 		if err == nil {
@@ -98,7 +102,7 @@
 			pw.rollBack(updates)
 			return false, nil
 		}
-		if errors.Is(err, eventlog.ErrTrimmed) {
+		if mustReload(err) {
 			return pw.afterTrim(ctx, updates, unknown)
 		}
 		if ctx.Err() != nil {
@@ -108,8 +112,8 @@
 	}
 }
 
-// afterTrim handles records that were trimmed before they were read. Whether an append without a
-// response is among them can't be determined, so the tokens it took are lost.
+// afterTrim handles records that were trimmed, or lost by a restored log, before they were read. Whether an
+// append without a response is among them can't be determined, so the tokens it took or returned are lost.
 func (pw *partitionWriter) afterTrim(ctx context.Context, updates []accountUpdate, unknown bool) (done bool, err error) {
 	if !unknown {
 		pw.rollBack(updates)
@@ -118,9 +122,9 @@
 	return false, pw.load(ctx)
 }
 
-// readNew reads the partition from its known end on. own says that the record at offset at is one
+// readNew reads the partition from its known end on. own says that the record at position at is one
 // of the updates.
-func (pw *partitionWriter) readNew(ctx context.Context, updates []accountUpdate, at int64) (own bool, err error) {
+func (pw *partitionWriter) readNew(ctx context.Context, updates []accountUpdate, at eventlog.Position) (own bool, err error) {
 	callCtx, cancel := context.WithTimeout(ctx, pw.allocator.opts.Timeout)
 	defer cancel()
 	batch, err := pw.allocator.opts.Log.Read(callCtx, pw.partition, pw.end, 0)
@@ -134,28 +138,28 @@
 			log.WithField("key", record.Key).WithError(err).Error("ignoring an account record that can't be decoded")
 			continue
 		}
-		if record.Offset == at && len(updates) > 0 && account.Writer == pw.allocator.opts.Host && account.Op == updates[0].next.Op {
+		if record.Position == at && len(updates) > 0 && account.Writer == pw.allocator.opts.Host && account.Op == updates[0].next.Op {
 			own = true
 		}
-		pw.applyRecord(record.Key, account, record.Offset)
+		pw.applyRecord(record.Key, account, record.Position)
 	}
-	pw.end = max(pw.end, lastOffset(batch)+1)
+	pw.end = eventlog.Max(pw.end, endOf(batch))
 	return own, nil
 }
 
-// lastOffset is the offset of the last record of a batch, or the one before the end if it is empty.
-func lastOffset(b eventlog.Batch) int64 {
+// endOf is the position after the records of a batch, or the partition's end if it is empty.
+func endOf(b eventlog.Batch) eventlog.Position {
 	if n := len(b.Records); n > 0 {
-		return b.Records[n-1].Offset
+		return b.Records[n-1].Position.Plus(1)
 	}
-	return b.End - 1
+	return b.End
 }
 
 // load reads the newest record of each key of the partition.
 func (pw *partitionWriter) load(ctx context.Context) error {
 	after := ""
-	end := int64(-1)
-	for {
+	var end eventlog.Position
+	for first := true; ; first = false {
 		callCtx, cancel := context.WithTimeout(ctx, pw.allocator.opts.Timeout)
 		page, err := pw.allocator.opts.Log.Newest(callCtx, pw.partition, after)
 		cancel()
@@ -163,17 +167,20 @@
 		if err != nil {
 			return err
 		}
-		if end < 0 {
+		if first {
 			end = page.End
 		}
+		if page.End.Era != end.Era {
+			return errRestoredMeanwhile
+		}
 		for _, record := range page.Records {
 			account, err := DecodeAccount(record.Value)
 			if err != nil {
 				log.WithField("key", record.Key).WithError(err).Error("account record can't be decoded; no tokens are taken from the account")
-				pw.markUnreadable(record.Key, record.Offset)
+				pw.markUnreadable(record.Key, record.Position)
 				continue
 			}
-			pw.applyRecord(record.Key, account, record.Offset)
+			pw.applyRecord(record.Key, account, record.Position)
 		}
 		if !page.More || len(page.Records) == 0 {
 			break
@@ -184,9 +191,12 @@
 	return nil
 }
 
+// errRestoredMeanwhile means that the pages of a load are from before and after the log was restored.
+var errRestoredMeanwhile = errors.New("prepaid: the log was restored while accounts were loaded")
+
 // markUnreadable records that the newest record of an account can't be decoded. The granted amount
 // is then unknown, so nothing may be taken until a host that knows it writes the account again.
-func (pw *partitionWriter) markUnreadable(organisation string, offset int64) {
+func (pw *partitionWriter) markUnreadable(organisation string, at eventlog.Position) {
 	a := pw.allocator
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -195,13 +205,13 @@
 		al = &allocation{}
 		a.allocations[organisation] = al
 	}
-	if !al.known || offset > al.offset {
+	if !al.known || al.position.Before(at) {
 		al.unreadable = true
 	}
 }
 
 // applyRecord applies a record of an account.
-func (pw *partitionWriter) applyRecord(organisation string, account Account, offset int64) {
+func (pw *partitionWriter) applyRecord(organisation string, account Account, at eventlog.Position) {
 	a := pw.allocator
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -210,16 +220,16 @@
 		al = &allocation{limit: account.Limit}
 		a.allocations[organisation] = al
 	}
-	if al.known && offset <= al.offset {
+	if al.known && !al.position.Before(at) {
 		return
 	}
-	al.account, al.known, al.offset, al.unreadable = account, true, offset, false
+	al.account, al.known, al.position, al.unreadable = account, true, at, false
 	al.recordDrawn(time.Now())
 	a.notifyWaiters()
 }
 
 // commit credits the tokens of updates that are in the log.
-func (pw *partitionWriter) commit(updates []accountUpdate, at int64) {
+func (pw *partitionWriter) commit(updates []accountUpdate, at eventlog.Position) {
 	a := pw.allocator
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -227,13 +237,13 @@
 		al := a.allocations[update.organisation]
 		al.free += update.taken
 		al.totals.Taken += update.taken
-		if offset := at + int64(i); !al.known || offset > al.offset {
-			al.account, al.known, al.offset = update.next, true, offset
+		if position := at.Plus(i); !al.known || al.position.Before(position) {
+			al.account, al.known, al.position = update.next, true, position
 			al.recordDrawn(time.Now())
 		}
 		log.WithFields(log.Fields{
 			"organisation": update.organisation, "taken": update.taken, "returned": update.returned, "granted": update.next.Granted,
-			"limit": update.next.Limit, "version": update.next.Version, "offset": at + int64(i), "free": al.free,
+			"limit": update.next.Limit, "version": update.next.Version, "offset": at.Plus(i).Offset, "free": al.free,
 		}).Debug("allocation changed")
 	}
 	a.notifyWaiters()
--- a/router/prepaid/append_test.go
+++ b/router/prepaid/append_test.go
@@ -97,11 +97,11 @@
 	drops bool
 }
 
-func (f *droppingLog) AppendAt(ctx context.Context, p eventlog.Partition, at int64, records []eventlog.Record) (int64, error) {
+func (f *droppingLog) AppendAt(ctx context.Context, p eventlog.Partition, at eventlog.Position, records []eventlog.Record) (eventlog.Position, error) {
 	end, err := f.Log.AppendAt(ctx, p, at, records)
 	if !f.drops || err != nil {
 		return end, err
 	}
 	f.log.Trim(p)
-	return 0, memlog.ErrNoResponse
+	return eventlog.Position{}, memlog.ErrNoResponse
 }
--- a/router/prepaid/partition_writer.go
+++ b/router/prepaid/partition_writer.go
@@ -20,7 +20,7 @@
 
 	roundSlot    chan struct{} // capacity 1: holding its token is the right to run a round
 	loaded       bool
-	end          int64 // all records below this offset are known
+	end          eventlog.Position // all records below are known
 	refreshedAt  time.Time
 	conflictRate float64      // smoothed fraction of appends that conflicted
 	failedCalls  atomic.Int64 // consecutive failed calls to the log
@@ -73,7 +73,7 @@
 
 // recordResult records whether the log responded to a call.
 func (pw *partitionWriter) recordResult(err error) {
-	if err == nil || errors.Is(err, eventlog.ErrTrimmed) {
+	if err == nil || mustReload(err) {
 		pw.failedCalls.Store(0)
 	} else {
 		pw.failedCalls.Add(1)
@@ -182,14 +182,14 @@
 		}
 	}
 	if pw.conflictRate > readFirstAbove && pw.changeDue() {
-		if _, err := pw.readNew(ctx, nil, 0); err != nil {
+		if _, err := pw.readNew(ctx, nil, eventlog.Position{}); err != nil {
 			return pw.reloadIfTrimmed(ctx, err)
 		}
 	}
 	for range maxConflicts {
 		updates := pw.prepareUpdates()
 		if len(updates) == 0 && pw.refreshDue() {
-			if _, err := pw.readNew(ctx, nil, 0); err != nil {
+			if _, err := pw.readNew(ctx, nil, eventlog.Position{}); err != nil {
 				return pw.reloadIfTrimmed(ctx, err)
 			}
 			updates = pw.prepareUpdates()
@@ -232,15 +232,21 @@
 	return false
 }
 
-// reloadIfTrimmed reloads the partition if the records to read were trimmed.
+// reloadIfTrimmed reloads the partition if the records to read were trimmed, or the log was restored.
 func (pw *partitionWriter) reloadIfTrimmed(ctx context.Context, err error) error {
-	if errors.Is(err, eventlog.ErrTrimmed) {
+	if mustReload(err) {
 		pw.loaded = false
 		return pw.load(ctx)
 	}
 	return err
 }
 
+// mustReload reports whether an error means that the records from the known end on can't be read.
+func mustReload(err error) bool {
+	var restored *eventlog.EraError
+	return errors.Is(err, eventlog.ErrTrimmed) || errors.As(err, &restored)
+}
+
 func (pw *partitionWriter) hasOrganisations() bool {
 	pw.allocator.mu.Lock()
 	defer pw.allocator.mu.Unlock()
--- a/router/quarantine/fleet_test.go
+++ b/router/quarantine/fleet_test.go
@@ -181,7 +181,7 @@
 	if f.logUnavailable || h.disconnected(time.Now()) {
 		return errDisconnected
 	}
-	rec.Offset = int64(len(f.records))
+	rec.Position.Offset = int64(len(f.records))
 	f.records = append(f.records, rec)
 	return nil
 }
--- a/router/recordpack/recordpack.go
+++ b/router/recordpack/recordpack.go
@@ -37,13 +37,13 @@
 	return w
 }}
 
-// Pack encodes records.
+// Pack encodes records of one era, without it.
 func Pack(records []eventlog.Record) ([]byte, error) {
 	plain := []byte{formatPlain}
 	for _, r := range records {
 		plain = appendField(plain, []byte(r.Key))
 		plain = appendField(plain, r.Value)
-		plain = binary.AppendUvarint(plain, uint64(r.Offset))
+		plain = binary.AppendUvarint(plain, uint64(r.Position.Offset))
 	}
 	if len(plain) < minCompressBytes {
 		return plain, nil
@@ -66,8 +66,8 @@
 	return append(to, field...)
 }
 
-// Unpack decodes the records of a pack.
-func Unpack(pack []byte) ([]eventlog.Record, error) {
+// Unpack decodes the records of a pack, which are of the given era.
+func Unpack(pack []byte, era int64) ([]eventlog.Record, error) {
 	if len(pack) == 0 {
 		return nil, errors.New("empty pack of records")
 	}
@@ -89,6 +89,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("decode record %d of a pack: %w", len(records), err)
 		}
+		r.Position.Era = era
 		records = append(records, r)
 	}
 }
@@ -110,7 +111,7 @@
 	if err != nil {
 		return eventlog.Record{}, unexpectedEOF(err)
 	}
-	return eventlog.Record{Key: string(key), Value: value, Offset: int64(offset)}, nil
+	return eventlog.Record{Key: string(key), Value: value, Position: eventlog.Position{Offset: int64(offset)}}, nil
 }
 
 func readField(in *bufio.Reader) ([]byte, error) {
--- a/router/recordpack/recordpack_test.go
+++ b/router/recordpack/recordpack_test.go
@@ -14,7 +14,7 @@
 func manyRecords() []eventlog.Record {
 	var records []eventlog.Record
 	for i := range 500 {
-		records = append(records, eventlog.Record{Key: fmt.Sprintf("key %d", i), Value: []byte{0, 255, byte(i)}, Offset: int64(i) << 33})
+		records = append(records, eventlog.Record{Key: fmt.Sprintf("key %d", i), Value: []byte{0, 255, byte(i)}, Position: eventlog.Position{Offset: int64(i) << 33}})
 	}
 	return records
 }
@@ -22,16 +22,16 @@
 func TestPackRoundTrip(t *testing.T) {
 	for name, records := range map[string][]eventlog.Record{
 		"none":    nil,
-		"deleted": {{Key: "a", Offset: 7}},
-		"small":   {{Key: "a", Value: []byte("1"), Offset: 7}, {Key: "", Value: []byte("2"), Offset: 0}},
+		"deleted": {{Key: "a", Position: eventlog.Position{Offset: 7}}},
+		"small":   {{Key: "a", Value: []byte("1"), Position: eventlog.Position{Offset: 7}}, {Key: "", Value: []byte("2"), Position: eventlog.Position{Offset: 0}}},
 		"many":    manyRecords(),
-		"large":   {{Key: "config", Value: bigconfig.Routes(1770, 1), Offset: 3}},
+		"large":   {{Key: "config", Value: bigconfig.Routes(1770, 1), Position: eventlog.Position{Offset: 3}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			pack, err := Pack(records)
 			is.NoErr(err)
-			got, err := Unpack(pack)
+			got, err := Unpack(pack, 0)
 			is.NoErr(err)
 			is.Equal(got, records)
 		})
@@ -47,7 +47,7 @@
 }
 
 func TestMalformedPacksAreRejected(t *testing.T) {
-	whole, err := Pack([]eventlog.Record{{Key: "key", Value: []byte("value"), Offset: 300}})
+	whole, err := Pack([]eventlog.Record{{Key: "key", Value: []byte("value"), Position: eventlog.Position{Offset: 300}}})
 	is.New(t).NoErr(err)
 	bad := map[string][]byte{
 		"empty":          nil,
@@ -60,7 +60,7 @@
 	}
 	for name, pack := range bad {
 		t.Run(name, func(t *testing.T) {
-			_, err := Unpack(pack)
+			_, err := Unpack(pack, 0)
 			is.New(t).True(err != nil)
 		})
 	}
--- a/router/replica/merge.go
+++ b/router/replica/merge.go
@@ -1,9 +1,7 @@
 package replica
 
 import (
-	"bytes"
-
-	log "github.com/sirupsen/logrus"
+	"time"
 
 	"maststage.dev/router/eventlog"
 )
@@ -15,32 +13,33 @@
 		return
 	}
 	r.mu.Lock()
-	newer := !r.loaded || update.End > r.end
+	newer := !r.loaded || r.end.Before(update.End)
 	r.mu.Unlock()
 	if newer {
-		r.replace(update.Records, update.End)
+		r.replaceAll(update.Records, update.End)
 	}
 }
 
 // MergeNewest merges the newest records of keys from another replica that knows all records below
 // end. It skips records older than this replica's, and records of keys that this replica would
-// know had they not been deleted.
-func (r *Replica) MergeNewest(records []eventlog.Record, end int64) {
+// know had they not been deleted. A replica of another era of the log has nothing to merge.
+func (r *Replica) MergeNewest(records []eventlog.Record, end eventlog.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.loaded && end.Era != r.end.Era {
+		return
+	}
 	changes := r.apply(r.withoutDeleted(records), true)
 	r.noteInitialMerge(end)
-	if end > r.end {
-		r.end = end
-	}
+	r.end = eventlog.Max(r.end, end)
 	r.loaded = true
 	r.notify(changes)
 }
 
-// noteInitialMerge records at the first merge that tombstones below an offset are unknown.
-func (r *Replica) noteInitialMerge(end int64) {
+// noteInitialMerge records at the first merge that tombstones below a position are unknown.
+func (r *Replica) noteInitialMerge(end eventlog.Position) {
 	if !r.loaded {
-		r.tombstoneHorizon = max(r.tombstoneHorizon, end)
+		r.tombstoneHorizon = eventlog.Max(r.tombstoneHorizon, end)
 	}
 }
 
@@ -53,90 +52,79 @@
 	}
 	kept := make([]eventlog.Record, 0, len(records))
 	for _, rec := range records {
-		if _, had := r.records[rec.Key]; had || rec.Offset >= r.end {
+		if _, had := r.records[rec.Key]; had || !rec.Position.Before(r.end) {
 			kept = append(kept, rec)
 		}
 	}
 	return kept
 }
 
-// Merge applies records that were read from offset from on; all records below end are then known.
-func (r *Replica) Merge(records []eventlog.Record, end, from int64) {
+// Merge applies records that were read from position from on; all records below end are then known.
+func (r *Replica) Merge(records []eventlog.Record, end, from eventlog.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	gap := !r.loaded || from > r.end
-	changes := r.apply(records, gap)
-	if end > r.end {
-		r.end = end
+	if r.loaded && from.Era != r.end.Era {
+		return // the log was restored meanwhile
 	}
+	gap := !r.loaded || r.end.Before(from)
+	changes := r.apply(records, gap)
+	r.end = eventlog.Max(r.end, end)
 	r.loaded = true
 	r.notify(changes)
 }
 
-// replace applies the newest records of all keys and deletes the keys that they lack.
-func (r *Replica) replace(records []eventlog.Record, end int64) {
+// replaceAll replaces all records by the newest ones of all keys, as the log or another host has them. Records from
+// before the log was restored are ignored.
+func (r *Replica) replaceAll(records []eventlog.Record, end eventlog.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	switch {
+	case r.loaded && end.Era > r.end.Era:
+		r.enterEra(records, end)
+	case !r.loaded || end.Era == r.end.Era:
+		r.replace(records, end)
+	}
+}
+
+// replace applies the newest records of all keys and deletes the keys that they lack. The lock is held.
+func (r *Replica) replace(records []eventlog.Record, end eventlog.Position) {
 	present := make(map[string]bool, len(records))
 	for _, rec := range records {
 		present[rec.Key] = true
 	}
 	for key, old := range r.records {
-		if !present[key] && len(old.Value) > 0 && old.Offset < end {
-			records = append(records, eventlog.Record{Key: key, Offset: end - 1})
+		if !present[key] && len(old.Value) > 0 && old.Position.Before(end) {
+			records = append(records, eventlog.Record{Key: key, Position: end.Plus(-1)})
 		}
 	}
-	r.logShorterLog(records, end)
 	changes := r.apply(records, true)
-	r.tombstoneHorizon = max(r.tombstoneHorizon, end)
-	if end > r.end {
-		r.end = end
-	}
+	r.tombstoneHorizon = eventlog.Max(r.tombstoneHorizon, end)
+	r.end = eventlog.Max(r.end, end)
 	r.loaded, r.behind = true, false
 	r.notify(changes)
 }
 
-// logShorterLog logs that the log ends before records that are known, and how many of the records that it now has
-// differ from those but have lower offsets. It logs once until the log has grown beyond them. The lock is held.
-func (r *Replica) logShorterLog(records []eventlog.Record, end int64) {
-	shorter := end < r.end
-	if shorter == r.shorterLogged {
-		return
-	}
-	r.shorterLogged = shorter
-	if !shorter {
-		return
-	}
-	older := 0
-	for _, rec := range records {
-		if old, had := r.records[rec.Key]; had && rec.Offset < old.Offset && !bytes.Equal(rec.Value, old.Value) {
-			older++
-		}
-	}
-	log.WithFields(log.Fields{
-		"topic": r.opts.Partition.Topic, "end": end, "known_end": r.end, "records": len(records), "older_than_known": older,
-	}).Warn("log ends before records that are known")
-}
-
 // apply applies records that are newer than the known ones of their keys; the lock is held.
 func (r *Replica) apply(records []eventlog.Record, gap bool) []Change {
 	var changes []Change
+	now := time.Now()
 	for _, rec := range records {
 		old, had := r.records[rec.Key]
-		if had && old.Offset >= rec.Offset {
+		if had && !old.Position.Before(rec.Position) {
 			continue
 		}
-		next := entry{Record: rec, changedAt: rec.Offset}
-		if r.opts.DedupKey != nil {
-			next.dedupKey = r.opts.DedupKey(rec)
-		}
+		next := r.newEntry(rec)
 		if had && next.dedupKey != nil && next.dedupKey == old.dedupKey {
 			next.changedAt = old.changedAt
 		} else {
 			changes = append(changes, Change{Record: rec, Gap: gap})
 		}
+		if had && r.history.stateOf(next) != r.history.stateOf(old) {
+			r.history.supersede(old, now)
+		}
 		r.records[rec.Key] = next
 	}
+	r.sweepHistory(now)
 	r.dropTombstones()
 	return changes
 }
@@ -152,10 +140,10 @@
 	if dead <= maxTombstones {
 		return
 	}
-	horizon := r.end - maxTombstones/2
-	r.tombstoneHorizon = max(r.tombstoneHorizon, horizon)
+	horizon := r.end.Plus(-maxTombstones / 2)
+	r.tombstoneHorizon = eventlog.Max(r.tombstoneHorizon, horizon)
 	for key, rec := range r.records {
-		if len(rec.Value) == 0 && rec.Offset < horizon {
+		if len(rec.Value) == 0 && rec.Position.Before(horizon) {
 			delete(r.records, key)
 		}
 	}
--- a/router/replica/replica.go
+++ b/router/replica/replica.go
@@ -27,8 +27,8 @@
 // Update holds the newest records of the keys that changed since some offset.
 type Update struct {
 	Records []eventlog.Record
-	End     int64         // all records below are known
-	Age     time.Duration // since the log last confirmed them
+	End     eventlog.Position // all records below are known
+	Age     time.Duration     // since the log last confirmed them
 	// Full means that Records is the whole partition: keys that it lacks were deleted.
 	Full bool
 }
@@ -45,13 +45,19 @@
 	MinInterval time.Duration
 	// Relay asks another host for the changes since an offset. If ok is false, the log is read
 	// instead. nil: the log is always read.
-	Relay func(ctx context.Context, from int64) (update Update, ok bool)
+	Relay func(ctx context.Context, from eventlog.Position) (update Update, ok bool)
 	// Hosts counts the hosts that follow the same partition. The backoff after failed calls
 	// grows with it, so that retries do not keep the log overloaded. nil: few hosts.
 	Hosts func() int
 	// DedupKey returns the comparable part of a record that matters. A record with the same
 	// DedupKey as its predecessor is not reported as a change. nil: each record is.
 	DedupKey func(rec eventlog.Record) any
+	// KeepLost keeps the records of keys that a restored log lacks until they are written again; else such keys count
+	// as deleted.
+	KeepLost bool
+	// OnRestored is called after the log was restored from a copy, with its new era. The replica's lock is held: it
+	// must not call back or block.
+	OnRestored func(era int64)
 	// OnChange is called with the changes of one read, in order of their offsets. The replica's
 	// lock is held: it must not call back or block.
 	OnChange func([]Change)
@@ -65,11 +71,12 @@
 
 	mu               sync.Mutex
 	records          map[string]entry
-	end              int64 // all records below are known
-	tombstoneHorizon int64 // tombstones below it may be missing
+	end              eventlog.Position // all records below are known
+	tombstoneHorizon eventlog.Position // tombstones below it may be missing
+	history          *history
+	sweptAt          time.Time // when history was last swept
 	loaded           bool
 	behind           bool               // the log's last response left records out
-	shorterLogged    bool               // it was logged that the log ends before records that are known
 	lastContact      time.Time          // time of the log's response that the records are based on
 	lastRefresh      time.Time          // start of the newest successful step
 	cancelStep       context.CancelFunc // cancels the step in progress, or the pause after it
@@ -83,7 +90,7 @@
 type partialLoad struct {
 	began    time.Time
 	records  []eventlog.Record
-	end      int64
+	end      eventlog.Position
 	afterKey string // the last key read
 }
 
@@ -95,12 +102,13 @@
 type entry struct {
 	eventlog.Record
 	dedupKey  any
-	changedAt int64 // offset of the first record with this dedupKey
+	changedAt eventlog.Position // of the first record with this dedupKey
+	lost      bool              // it was kept when the log was restored, which lacks it
 }
 
 // New returns an empty replica; Run loads and follows the partition.
 func New(opts Options) *Replica {
-	return &Replica{opts: opts, records: map[string]entry{}}
+	return &Replica{opts: opts, records: map[string]entry{}, history: newHistory()}
 }
 
 // Run follows the log until ctx ends.
@@ -199,19 +207,20 @@
 }
 
 // poll waits for new records from the log.
-func (r *Replica) poll(ctx context.Context, from int64) error {
+func (r *Replica) poll(ctx context.Context, from eventlog.Position) error {
 	c, cancel := patience.New(ctx, patience.Limits{First: r.opts.LongPoll + r.opts.ReadTimeout, Silence: r.opts.ReadTimeout, Most: maxReadTime})
 	defer cancel()
 	batch, err := r.opts.Log.Read(c, r.opts.Partition, from, r.opts.LongPoll)
-	if errors.Is(err, eventlog.ErrTrimmed) {
+	var restored *eventlog.EraError
+	if errors.Is(err, eventlog.ErrTrimmed) || errors.As(err, &restored) {
 		return r.load(ctx)
 	}
-	end := from + int64(len(batch.Records))
+	end := from.Plus(len(batch.Records))
 	// Records received before an error count: the next read continues after them.
 	if err == nil || len(batch.Records) > 0 {
 		r.Merge(batch.Records, end, from)
 	}
-	r.setBehind(err == nil && end < batch.End)
+	r.setBehind(err == nil && end.Before(batch.End))
 	return err
 }
 
@@ -245,17 +254,24 @@
 		if p.afterKey == "" {
 			p.end = page.End
 		}
+		if page.End.Era != p.end.Era {
+			*p = partialLoad{}
+			return errRestoredMeanwhile
+		}
 		p.records = append(p.records, page.Records...)
 		if !page.More || len(page.Records) == 0 {
 			break
 		}
 		p.afterKey = page.Records[len(page.Records)-1].Key
 	}
-	r.replace(p.records, p.end)
+	r.replaceAll(p.records, p.end)
 	*p = partialLoad{}
 	return nil
 }
 
+// errRestoredMeanwhile means that the pages of a load are from before and after the log was restored.
+var errRestoredMeanwhile = errors.New("replica: the log was restored during the load")
+
 // recordRefresh records when a successful step started.
 func (r *Replica) recordRefresh(at time.Time, err error) {
 	r.mu.Lock()
@@ -278,12 +294,12 @@
 	}
 }
 
-// End returns the offset below which all records are known; 0 before the first load.
-func (r *Replica) End() int64 {
+// End returns the position below which all records are known; the zero Position before the first load.
+func (r *Replica) End() eventlog.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.loaded {
-		return 0
+		return eventlog.Position{}
 	}
 	return r.end
 }
@@ -312,27 +328,27 @@
 // staleMargin is how much longer than a long poll and the pause before it a response may take.
 const staleMargin = 300 * time.Millisecond
 
-// UpdateSince returns the records that changed since an offset, for another host. ok is false if
+// UpdateSince returns the records that changed since a position, for another host. ok is false if
 // tombstones among them may be missing.
-func (r *Replica) UpdateSince(offset int64) (update Update, ok bool) {
+func (r *Replica) UpdateSince(from eventlog.Position) (update Update, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	update = Update{End: r.end, Age: time.Since(r.lastContact)}
 	for _, k := range r.records {
-		if k.changedAt >= offset {
+		if !k.changedAt.Before(from) {
 			update.Records = append(update.Records, k.Record)
 		}
 	}
-	return update, offset == 0 || offset >= r.tombstoneHorizon
+	return update, from == eventlog.Position{} || !from.Before(r.tombstoneHorizon)
 }
 
-// CatchUpFrom returns what a host lacks that knows all records below an offset: the changes since
+// CatchUpFrom returns what a host lacks that knows all records below a position: the changes since
 // then, or the whole partition if tombstones among the changes may be missing.
-func (r *Replica) CatchUpFrom(offset int64) Update {
-	if update, ok := r.UpdateSince(offset); ok {
+func (r *Replica) CatchUpFrom(from eventlog.Position) Update {
+	if update, ok := r.UpdateSince(from); ok {
 		return update
 	}
-	update, _ := r.UpdateSince(0)
+	update, _ := r.UpdateSince(eventlog.Position{})
 	update.Full = true
 	return update
 }
--- a/router/replica/replica_test.go
+++ b/router/replica/replica_test.go
@@ -19,6 +19,9 @@
 
 var partition = eventlog.Partition{Topic: "t"}
 
+// at is an offset of a log that was never restored.
+func at(offset int64) eventlog.Position { return eventlog.Position{Offset: offset} }
+
 // follower is a replica that records its changes.
 type follower struct {
 	*Replica
@@ -98,7 +101,7 @@
 	l.Put(partition, "b", nil)
 	until.True(t, "a deletion", func() bool { return f.value("b") == "" })
 	is.Equal(f.gaps("a"), []bool{true, false}) // the initial load may have skipped earlier records
-	is.Equal(f.End(), int64(4))
+	is.Equal(f.End(), at(4))
 }
 
 func TestTrimmedRecordsAreReloaded(t *testing.T) {
@@ -147,18 +150,18 @@
 	until.True(t, "the record", func() bool { return good.value("a") == "1" })
 	l.Put(partition, "a", []byte("2"))
 	l.Put(partition, "dead", nil)
-	until.True(t, "the newest record", func() bool { return good.value("a") == "2" && good.End() == 4 })
+	until.True(t, "the newest record", func() bool { return good.value("a") == "2" && good.End() == at(4) })
 	newer, ok := good.UpdateSince(cut.End())
 	is.True(ok)
 	cut.MergeNewest(newer.Records, newer.End)
 	is.Equal(cut.value("a"), "2")
 	is.Equal(cut.value("dead"), "")
-	is.Equal(cut.End(), int64(4))
+	is.Equal(cut.End(), at(4))
 
 	// An older replica changes nothing.
-	cut.MergeNewest([]eventlog.Record{{Key: "a", Value: []byte("old"), Offset: 0}}, 1)
+	cut.MergeNewest([]eventlog.Record{{Key: "a", Value: []byte("old"), Position: at(0)}}, at(1))
 	is.Equal(cut.value("a"), "2")
-	is.Equal(cut.End(), int64(4))
+	is.Equal(cut.End(), at(4))
 
 	// Reading the log continues where the other replica ended.
 	l.SetFault("cut", memlog.Fault{})
@@ -184,7 +187,7 @@
 		},
 	})
 	put := func(offset int64, value string) {
-		r.Merge([]eventlog.Record{{Key: "k", Value: []byte(value), Offset: offset}}, offset+1, offset)
+		r.Merge([]eventlog.Record{{Key: "k", Value: []byte(value), Position: at(offset)}}, at(offset+1), at(offset))
 	}
 	put(0, "a1")
 	put(1, "a2")
@@ -192,8 +195,8 @@
 	put(3, "b4")
 	is.Equal(reported, []string{"a1", "b3"})
 	since := func(offset int64) int {
-		part, _ := r.UpdateSince(offset)
-		is.Equal(part.End, int64(4))
+		part, _ := r.UpdateSince(at(offset))
+		is.Equal(part.End, at(4))
 		return len(part.Records)
 	}
 	is.Equal(since(2), 1) // b3 has offset 2
@@ -211,10 +214,10 @@
 	relay := true
 	r := New(Options{
 		Log: l.Host("h"), Partition: partition, ReadTimeout: time.Second,
-		Relay: func(_ context.Context, from int64) (Update, bool) {
-			is.Equal(from, int64(1))
-			records := []eventlog.Record{{Key: "k", Value: []byte("2"), Offset: 1}}
-			return Update{Records: records, End: 2, Age: time.Minute}, relay
+		Relay: func(_ context.Context, from eventlog.Position) (Update, bool) {
+			is.Equal(from, at(1))
+			records := []eventlog.Record{{Key: "k", Value: []byte("2"), Position: at(1)}}
+			return Update{Records: records, End: at(2), Age: time.Minute}, relay
 		},
 	})
 	ctx := context.Background()
@@ -226,15 +229,15 @@
 	is.Equal(age, time.Minute)
 	_, after := l.Calls()
 	is.Equal(after, before)
-	is.Equal(r.End(), int64(2))
+	is.Equal(r.End(), at(2))
 	is.Equal(string(r.records["k"].Value), "2")
 
-	r.opts.Relay = func(context.Context, int64) (Update, bool) { return Update{}, false }
+	r.opts.Relay = func(context.Context, eventlog.Position) (Update, bool) { return Update{}, false }
 	l.Put(partition, "k", []byte("2"))
 	l.Put(partition, "k", []byte("3"))
 	_, err = r.step(ctx)
 	is.NoErr(err)
-	is.Equal(r.End(), int64(3))
+	is.Equal(r.End(), at(3))
 }
 
 // busyPages is a log of many pages that refuses every third call.
@@ -248,13 +251,13 @@
 	if l.calls%3 == 0 {
 		return eventlog.Page{}, eventlog.ErrRefused
 	}
-	at := 0
+	n := 0
 	if after != "" {
-		_, _ = fmt.Sscanf(after, "k%d", &at)
-		at++
+		_, _ = fmt.Sscanf(after, "k%d", &n)
+		n++
 	}
-	rec := eventlog.Record{Key: fmt.Sprintf("k%02d", at), Value: []byte("v"), Offset: int64(at)}
-	return eventlog.Page{Records: []eventlog.Record{rec}, More: at < l.pages-1, End: int64(l.pages)}, nil
+	rec := eventlog.Record{Key: fmt.Sprintf("k%02d", n), Value: []byte("v"), Position: at(int64(n))}
+	return eventlog.Page{Records: []eventlog.Record{rec}, More: n < l.pages-1, End: at(int64(l.pages))}, nil
 }
 
 // Guards against loads that never complete: when a large fleet starts at once, the log may refuse one
@@ -285,7 +288,7 @@
 	is := is.New(t)
 	r := New(Options{})
 	r.recordContact(time.Minute, nil)
-	part, _ := r.UpdateSince(0)
+	part, _ := r.UpdateSince(at(0))
 	is.True(part.Age >= time.Minute)
 	is.True(r.Stale(time.Now()))
 }
@@ -296,7 +299,7 @@
 	sent atomic.Int64
 }
 
-func (l *shortResponses) Read(ctx context.Context, p eventlog.Partition, from int64, wait time.Duration) (eventlog.Batch, error) {
+func (l *shortResponses) Read(ctx context.Context, p eventlog.Partition, from eventlog.Position, wait time.Duration) (eventlog.Batch, error) {
 	batch, err := l.Log.Read(ctx, p, from, wait)
 	batch.Records = batch.Records[:min(len(batch.Records), 1)]
 	l.sent.Add(int64(len(batch.Records)))
@@ -314,12 +317,12 @@
 	for i := range 100 {
 		l.Put(partition, "a", []byte(fmt.Sprint(i)))
 	}
-	for r.End() < 101 {
+	for r.End().Before(at(101)) {
 		_, err := r.step(t.Context())
 		is.NoErr(err)
 	}
 	is.Equal(short.sent.Load(), int64(1))
-	known, _ := r.UpdateSince(0)
+	known, _ := r.UpdateSince(at(0))
 	is.Equal(string(known.Records[0].Value), "99")
 
 	// It then follows the log again.
@@ -327,7 +330,7 @@
 	_, err := r.step(t.Context())
 	is.NoErr(err)
 	is.Equal(short.sent.Load(), int64(2))
-	is.Equal(r.End(), int64(102))
+	is.Equal(r.End(), at(102))
 }
 
 // A replica that dropped tombstones reports an update from below them as incomplete.
@@ -335,11 +338,11 @@
 	is := is.New(t)
 	r := New(Options{})
 	for i := range int64(maxTombstones + 1) {
-		r.Merge([]eventlog.Record{{Key: fmt.Sprint(i), Offset: i}}, i+1, i)
+		r.Merge([]eventlog.Record{{Key: fmt.Sprint(i), Position: at(i)}}, at(i+1), at(i))
 	}
-	_, ok := r.UpdateSince(1)
+	_, ok := r.UpdateSince(at(1))
 	is.True(!ok)
-	_, ok = r.UpdateSince(0)
+	_, ok = r.UpdateSince(at(0))
 	is.True(ok) // an empty replica needs no tombstones
 	_, ok = r.UpdateSince(r.End())
 	is.True(ok)
@@ -353,19 +356,19 @@
 	l.Put(partition, "gone", []byte("1"))
 	l.Put(partition, "kept", []byte("1"))
 	other := follow(t, l, "other")
-	until.True(t, "the other replica has both", func() bool { return other.End() == 2 })
-	old, ok := other.UpdateSince(0)
+	until.True(t, "the other replica has both", func() bool { return other.End() == at(2) })
+	old, ok := other.UpdateSince(at(0))
 	is.True(ok)
 	l.Put(partition, "gone", nil)
 	f := follow(t, l, "f")
-	until.True(t, "the log is read", func() bool { return f.End() == 3 })
+	until.True(t, "the log is read", func() bool { return f.End() == at(3) })
 	f.MergeNewest(old.Records, old.End)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, c := range f.changes {
 		is.True(c.Record.Key != "gone")
 	}
-	is.Equal(f.End(), int64(3))
+	is.Equal(f.End(), at(3))
 }
 
 // A replica that was loaded after a key was deleted has no tombstone for it. Guards against it sending
@@ -376,16 +379,16 @@
 	l.Put(partition, "gone", []byte("1"))
 	l.Put(partition, "kept", []byte("1"))
 	older := follow(t, l, "older")
-	until.True(t, "the older replica has both", func() bool { return older.End() == 2 })
+	until.True(t, "the older replica has both", func() bool { return older.End() == at(2) })
 	l.SetFault("older", memlog.Fault{Refuse: true})
 	l.Put(partition, "new", []byte("1"))
 	l.Put(partition, "gone", nil)
 	fresh := follow(t, l, "fresh")
-	until.True(t, "the fresh replica is loaded", func() bool { return fresh.End() == 4 })
-	_, ok := fresh.UpdateSince(2)
+	until.True(t, "the fresh replica is loaded", func() bool { return fresh.End() == at(4) })
+	_, ok := fresh.UpdateSince(at(2))
 	is.True(!ok)
-	older.MergeUpdate(fresh.CatchUpFrom(2))
-	is.Equal(older.End(), int64(4))
+	older.MergeUpdate(fresh.CatchUpFrom(at(2)))
+	is.Equal(older.End(), at(4))
 	older.mu.Lock()
 	defer older.mu.Unlock()
 	last := older.changes[len(older.changes)-1]
--- /dev/null
+++ b/router/replica/restored.go
@@ -0,0 +1,91 @@
+package replica
+
+import (
+	"bytes"
+	"time"
+
+	log "github.com/sirupsen/logrus"
+
+	"maststage.dev/router/eventlog"
+)
+
+// The log may be restored from a copy that lacks its newest records. What it had acknowledged stays valid until it is
+// superseded, so a record of the copy does not replace a newer one that this replica knows. Whether a key that the log
+// lacks was deleted since or lost can't be known; Options.KeepLost decides that.
+
+// enterEra replaces the records after the log was restored. records are the newest ones of the restored log, whose end is
+// in a later era than this replica's. The lock is held.
+func (r *Replica) enterEra(records []eventlog.Record, end eventlog.Position) {
+	now := time.Now()
+	previous, previousEnd := r.records, r.end
+	r.records = make(map[string]entry, len(records))
+	var changes []Change
+	kept, deleted := 0, 0
+	for _, rec := range records {
+		held, had := previous[rec.Key]
+		delete(previous, rec.Key)
+		next := r.newEntry(rec)
+		switch {
+		case had && r.history.isCopied(next):
+			r.keep(held, rec.Position, !bytes.Equal(held.Value, rec.Value))
+			r.history.supersede(next, now) // the log may be restored again
+			kept++
+		case had && r.history.stateOf(held) == r.history.stateOf(next):
+			r.records[rec.Key] = next
+		default:
+			r.records[rec.Key] = next
+			changes = append(changes, Change{Record: rec, Gap: true})
+		}
+	}
+	for key, held := range previous { // the log lacks these keys
+		switch {
+		case len(held.Value) == 0: // the horizon of tombstones covers it
+		case r.opts.KeepLost:
+			// The first record of the era that names the key supersedes it.
+			r.keep(held, eventlog.Position{Era: end.Era}, true)
+			kept++
+		default:
+			deletion := eventlog.Record{Key: key, Position: eventlog.Position{Era: end.Era, Offset: max(end.Offset-1, 0)}}
+			r.records[key] = r.newEntry(deletion)
+			changes = append(changes, Change{Record: deletion, Gap: true})
+			deleted++
+		}
+	}
+	r.end, r.tombstoneHorizon, r.behind = end, end, false
+	log.WithFields(log.Fields{
+		"topic": r.opts.Partition.Topic, "era": end.Era, "end": end.Offset, "known_end": previousEnd.Offset,
+		"records": len(records), "kept": kept, "deleted": deleted, "changes": len(changes),
+	}).Warn("log was restored from a copy")
+	r.notify(changes)
+	if r.opts.OnRestored != nil {
+		r.opts.OnRestored(end.Era)
+	}
+}
+
+// keep keeps a record of an earlier era at a position of the present one. lost says that the log has another one, or
+// none, for its key. The lock is held.
+func (r *Replica) keep(held entry, at eventlog.Position, lost bool) {
+	held.Position, held.changedAt, held.lost = at, at, lost
+	r.records[held.Key] = held
+}
+
+// Lost returns the records that this replica kept when the log was restored and that the log lacks since.
+func (r *Replica) Lost() []eventlog.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var records []eventlog.Record
+	for _, held := range r.records {
+		if held.lost {
+			records = append(records, held.Record)
+		}
+	}
+	return records
+}
+
+// sweepHistory forgets superseded states that no copy has, now and then. The lock is held.
+func (r *Replica) sweepHistory(now time.Time) {
+	if now.Sub(r.sweptAt) > maxCopyAge {
+		r.sweptAt = now
+		r.history.sweep(now)
+	}
+}
--- a/router/target/limitfleet_test.go
+++ b/router/target/limitfleet_test.go
@@ -104,8 +104,8 @@
 // acceptingLog accepts all announcements.
 type acceptingLog struct{ eventlog.Log }
 
-func (acceptingLog) Append(context.Context, eventlog.Partition, []eventlog.Record) (int64, error) {
-	return 0, nil
+func (acceptingLog) Append(context.Context, eventlog.Partition, []eventlog.Record) (eventlog.Position, error) {
+	return eventlog.Position{}, nil
 }
 
 func newLimitFleet(t *testing.T, seed uint64, hostCount, targetCount int, perHost float64) *limitFleet {
--- a/standin/memlog/memlog.go
+++ b/standin/memlog/memlog.go
@@ -31,6 +31,7 @@
 	partitions map[eventlog.Partition]*partition
 	faults     map[string]Fault // by host; "" for all hosts
 	parts      map[eventlog.Partition]Fault
+	era        int64 // how often it was restored
 	appends    int
 	reads      int
 }
@@ -50,7 +51,7 @@
 }
 
 // Host returns a host's access to the log, which may have faults of its own.
-func (l *Log) Host(name string) eventlog.Log { return &view{log: l, host: name} }
+func (l *Log) Host(name string) *View { return &View{log: l, host: name} }
 
 // SetFault sets the fault of the calls of a host, or of all hosts if host is empty.
 func (l *Log) SetFault(host string, f Fault) {
@@ -122,16 +123,21 @@
 }
 
 // Restore replaces the log's content with that of a snapshot, as a store does that comes back from a copy. Later
-// records are lost, and their offsets are given out again.
+// records are lost, and their offsets are given out again in the next era.
 func (l *Log) Restore(s Snapshot) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.era++
 	for p, part := range l.partitions {
 		copied := s.partitions[p]
 		part.records, part.first = slices.Clone(copied.records), copied.first
-		part.newest = maps.Clone(copied.newest)
-		if part.newest == nil {
-			part.newest = map[string]eventlog.Record{}
+		for i := range part.records {
+			part.records[i].Position.Era = l.era
+		}
+		part.newest = map[string]eventlog.Record{}
+		for key, rec := range copied.newest {
+			rec.Position.Era = l.era
+			part.newest[key] = rec
 		}
 		close(part.grown) // reads that wait see the new end
 		part.grown = make(chan struct{})
@@ -147,10 +153,15 @@
 	return part
 }
 
+// position is an offset of the present era.
+func (l *Log) position(offset int64) eventlog.Position {
+	return eventlog.Position{Era: l.era, Offset: offset}
+}
+
 func (l *Log) append(p eventlog.Partition, records []eventlog.Record) (end int64) {
 	part := l.partition(p)
 	for _, rec := range records {
-		rec.Offset = part.end()
+		rec.Position = l.position(part.end())
 		part.records = append(part.records, rec)
 		if len(rec.Value) == 0 {
 			delete(part.newest, rec.Key)
@@ -173,23 +184,23 @@
 	return l.faults[""]
 }
 
-// view is one host's access to the log.
-type view struct {
+// View is one host's access to the log.
+type View struct {
 	log  *Log
 	host string
 }
 
 // AppendAt implements eventlog.Log.
-func (v *view) AppendAt(ctx context.Context, p eventlog.Partition, at int64, records []eventlog.Record) (int64, error) {
+func (v *View) AppendAt(ctx context.Context, p eventlog.Partition, at eventlog.Position, records []eventlog.Record) (eventlog.Position, error) {
 	return v.do(ctx, p, &at, records)
 }
 
 // Append implements eventlog.Log.
-func (v *view) Append(ctx context.Context, p eventlog.Partition, records []eventlog.Record) (int64, error) {
+func (v *View) Append(ctx context.Context, p eventlog.Partition, records []eventlog.Record) (eventlog.Position, error) {
 	return v.do(ctx, p, nil, records)
 }
 
-func (v *view) do(ctx context.Context, p eventlog.Partition, at *int64, records []eventlog.Record) (int64, error) {
+func (v *View) do(ctx context.Context, p eventlog.Partition, at *eventlog.Position, records []eventlog.Record) (eventlog.Position, error) {
 	l := v.log
 	l.mu.Lock()
 	l.appends++
@@ -197,32 +208,50 @@
 	l.mu.Unlock()
 	switch {
 	case fault.Refuse:
-		return 0, eventlog.ErrRefused
+		return eventlog.Position{}, eventlog.ErrRefused
 	case fault.Silent:
 		<-ctx.Done()
-		return 0, ctx.Err()
+		return eventlog.Position{}, ctx.Err()
 	case fault.Late > 0:
 		time.AfterFunc(fault.Late, func() { _, _ = v.apply(p, at, records) })
-		return 0, ErrNoResponse
+		return eventlog.Position{}, ErrNoResponse
 	}
 	end, err := v.apply(p, at, records)
 	if fault.Lose {
-		return 0, ErrNoResponse
+		return eventlog.Position{}, ErrNoResponse
 	}
 	return end, err
 }
 
-func (v *view) apply(p eventlog.Partition, at *int64, records []eventlog.Record) (int64, error) {
+// apply carries out an append. Its condition is an offset alone, as the log does not know in which era it was read.
+func (v *View) apply(p eventlog.Partition, at *eventlog.Position, records []eventlog.Record) (eventlog.Position, error) {
+	l := v.log
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	end := l.partition(p).end()
+	otherEra := at != nil && at.Era != l.era
+	switch {
+	case at != nil && at.Offset != end && otherEra:
+		return eventlog.Position{}, &eventlog.EraError{Era: l.era}
+	case at != nil && at.Offset != end:
+		return eventlog.Position{}, &eventlog.ConflictError{End: l.position(end)}
+	}
+	end = l.append(p, records)
+	if otherEra {
+		return l.position(end), &eventlog.EraError{Era: l.era, Appended: true}
+	}
+	return l.position(end), nil
+}
+
+// Era returns the era that responses name.
+func (v *View) Era() int64 {
 	v.log.mu.Lock()
 	defer v.log.mu.Unlock()
-	if end := v.log.partition(p).end(); at != nil && *at != end {
-		return 0, &eventlog.ConflictError{End: end}
-	}
-	return v.log.append(p, records), nil
+	return v.log.era
 }
 
 // Read implements eventlog.Log.
-func (v *view) Read(ctx context.Context, p eventlog.Partition, from int64, wait time.Duration) (eventlog.Batch, error) {
+func (v *View) Read(ctx context.Context, p eventlog.Partition, from eventlog.Position, wait time.Duration) (eventlog.Batch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -240,25 +269,28 @@
 	}
 }
 
-func (v *view) read(ctx context.Context, p eventlog.Partition, from int64) (eventlog.Batch, <-chan struct{}, error) {
+func (v *View) read(ctx context.Context, p eventlog.Partition, from eventlog.Position) (eventlog.Batch, <-chan struct{}, error) {
 	if err := v.beginRead(ctx, p); err != nil {
 		return eventlog.Batch{}, nil, err
 	}
 	v.log.mu.Lock()
 	defer v.log.mu.Unlock()
 	part := v.log.partition(p)
-	if from < part.first || from > part.end() {
+	if from.Era != v.log.era {
+		return eventlog.Batch{}, nil, &eventlog.EraError{Era: v.log.era}
+	}
+	if from.Offset < part.first || from.Offset > part.end() {
 		return eventlog.Batch{}, nil, eventlog.ErrTrimmed
 	}
-	batch := eventlog.Batch{End: part.end()}
-	if from < part.end() {
-		batch.Records = slices.Clone(part.records[from-part.first:])
+	batch := eventlog.Batch{End: v.log.position(part.end())}
+	if from.Offset < part.end() {
+		batch.Records = slices.Clone(part.records[from.Offset-part.first:])
 	}
 	return batch, part.grown, nil
 }
 
 // beginRead counts a read and applies the host's faults to it.
-func (v *view) beginRead(ctx context.Context, p eventlog.Partition) error {
+func (v *View) beginRead(ctx context.Context, p eventlog.Partition) error {
 	v.log.mu.Lock()
 	v.log.reads++
 	fault := v.log.fault(v.host, p)
@@ -277,14 +309,14 @@
 const pageKeys = 500
 
 // Newest implements eventlog.Log.
-func (v *view) Newest(ctx context.Context, p eventlog.Partition, after string) (eventlog.Page, error) {
+func (v *View) Newest(ctx context.Context, p eventlog.Partition, after string) (eventlog.Page, error) {
 	if err := v.beginRead(ctx, p); err != nil {
 		return eventlog.Page{}, err
 	}
 	v.log.mu.Lock()
 	defer v.log.mu.Unlock()
 	part := v.log.partition(p)
-	page := eventlog.Page{End: part.end()}
+	page := eventlog.Page{End: v.log.position(part.end())}
 	for key, rec := range part.newest {
 		if key > after {
 			page.Records = append(page.Records, rec)
