prepaid, fleet, node: account for grants that a restored log lacks

Callers saw nothing; their organisations used more than they had paid for.

Cause: the account in the log was all that a host took from, though it knew more from before.

An account now says in which era it was written and up to which record of each earlier era it accounts for. A host that reads the account of a new era adds the grants that it knows beyond that and writes it again, by a conditional append, so that what several hosts know adds up and nothing counts twice. Until all known hosts have confirmed that in their announcements, at least half a second and at most ten, nothing is taken from an account, and a lowered budget is not spent; what hosts hold they go on spending. An append that was based on an earlier era and took effect later proves nothing: its tokens are not credited, and its account does not replace the present one. Earlier builds drop the new fields; an account of theirs keeps the bases of the one before it, and they confirm nothing.

Not covered: grants that only hosts knew that died, or stay cut off for more than ten seconds after the return.

prepaid TestRestoredLogDoesNotGrantTokensTwice failed before.

--- a/router/fleet/elect.go
+++ b/router/fleet/elect.go
@@ -37,10 +37,7 @@
 	defer f.mu.Unlock()
 	f.settlingSince = time.Now()
 	f.lastAnnounced = time.Time{}
-	select {
-	case f.announceNow <- struct{}{}:
-	default:
-	}
+	f.requestAnnouncement()
 }
 
 // PulledSince reports whether a pull that started after t has succeeded.
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -28,6 +28,8 @@
 	Address     string `json:"address"` // where other hosts reach it, IP:port
 	Domain      string `json:"domain"`  // failure domain
 	Sequence    int64  `json:"beat"`    // number of this announcement within the incarnation
+	// ConfirmedEra is the newest era of the log in which this host has written again what the log had lost of its grants.
+	ConfirmedEra int64 `json:"era,omitempty"`
 }
 
 // Options configure a Fleet.
@@ -84,6 +86,7 @@
 	silentSince  map[string]time.Time // when an address last failed to respond
 	budgetShares map[string]float64   // of all prepaid tokens, 0 to 1, by organisation
 
+	confirmedEra  int64         // see Host.ConfirmedEra
 	lastAnnounced time.Time     // start of the last successful announcement of this host
 	lastRead      time.Time     // when announcements were last read
 	announceNow   chan struct{} // requests an immediate announcement
@@ -181,6 +184,7 @@
 	self := f.opts.Self
 	for ctx.Err() == nil {
 		self.Sequence++
+		self.ConfirmedEra = f.ownConfirmedEra()
 		pause := f.announceInterval()
 		if err := f.writeAnnouncement(ctx, self); err != nil {
 			pause = min(pause, announceRetryDelay)
@@ -230,14 +234,6 @@
 	return nil
 }
 
-// Announce makes this host announce itself soon: a restored log may lack its announcement.
-func (f *Fleet) Announce() {
-	select {
-	case f.announceNow <- struct{}{}:
-	default:
-	}
-}
-
 // addresses lists the other hosts' addresses in random order. It includes the configured
 // seeds, which are all that a host knows at its start.
 func (f *Fleet) addresses() []string {
--- a/router/node/config.go
+++ b/router/node/config.go
@@ -165,6 +165,7 @@
 	if previous != nil && config.Version <= previous.Version {
 		return
 	}
+	n.allocator.SetLogEra(n.configReplica.End().Era)
 	n.fleet.SetBudgetShares(budgetShares(budgets(config)))
 	n.setColdLimits(config, n.newestSettings().Bounds)
 	n.handler.SetConfig(config)
--- a/router/node/era.go
+++ b/router/node/era.go
@@ -22,6 +22,12 @@
 	rewriteDelay = time.Second
 	// maxRewrites is how often it tries.
 	maxRewrites = 5
+	// confirmInterval is the least time between two reads of the hosts' topic while other hosts have not confirmed.
+	confirmInterval = 500 * time.Millisecond
+	// confirmIntervalPerHost bounds these reads in a large fleet, to 200 a second of all hosts.
+	confirmIntervalPerHost = 5 * time.Millisecond
+	// confirmTime is how long a host waits for the others.
+	confirmTime = 10 * time.Second
 )
 
 // eraSeen notes an era of the log. It does not block.
@@ -49,15 +55,29 @@
 			}
 			newest = era
 			n.observer.Count("log_restored_total")
+			n.allocator.SetLogEra(era)
 			n.fleet.Announce()
 			for _, c := range append(n.servingReplicas(), n.rollouts.states) {
 				c.Refresh()
 			}
+			n.awaitConfirmations(ctx, era)
 			n.rewriteLost(ctx)
 		}
 	}
 }
 
+// awaitConfirmations reads the other hosts' announcements until all have confirmed the era, or confirmTime has passed.
+func (n *Node) awaitConfirmations(ctx context.Context, era int64) {
+	pause := max(confirmInterval, time.Duration(n.fleet.Size())*confirmIntervalPerHost)
+	for end := time.Now().Add(confirmTime); time.Now().Before(end) && ctx.Err() == nil; {
+		wait.For(ctx, wait.Jitter(pause))
+		if n.fleet.HostsConfirmed(era) {
+			return
+		}
+		n.hostsReplica.Refresh()
+	}
+}
+
 // rewriteLost writes the records again that hosts had written and a restored log lacks. One host does that for all.
 func (n *Node) rewriteLost(ctx context.Context) {
 	for range maxRewrites {
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -286,6 +286,8 @@
 		BeforeTransfer:    func(h prepaid.Holding) { n.balances.write([]prepaid.Holding{h}) },
 		FetchHistory:      n.fleet.FetchHistory,
 		AllHostsLost:      n.fleet.AllHostsLost,
+		HostsConfirmed:    func(era int64) bool { return n.hostsReplica.Loaded() && n.fleet.HostsConfirmed(era) },
+		OnConfirmed:       n.fleet.ConfirmEra,
 		LogAvailable:      func() bool { up, _ := n.configReplica.Up(); return up },
 		OnCall:            func(outcome string) { n.observer.Count(fmt.Sprintf("budget_appends_total{outcome=%q}", outcome)) },
 	})
--- a/router/node/restored_test.go
+++ b/router/node/restored_test.go
@@ -1,10 +1,13 @@
 package node
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
+	"maststage.dev/router/eventlog"
+	"maststage.dev/router/quarantine"
 	"maststage.dev/router/target"
 	"maststage.dev/standin/backend"
 	"maststage.dev/standin/memlog"
@@ -118,3 +121,77 @@
 	f.evacuate("z1", true)
 	f.eventually("the next order is followed", func() bool { return h.targets.CountEvacuatedDomains() == 1 })
 }
+
+// Guards against tokens that are spent twice since the restored log lacks grants, with requests at all hosts meanwhile.
+func TestBudgetIsNotOverspentAfterTheLogWasRestored(t *testing.T) {
+	f := newFleet(t)
+	const limit, used = 20_000, 80 // 60 tokens in and 20 out
+	f.publish(config(1, engineRoute, fmt.Sprintf(`,"organisations":[{"name":"o","keys":["k"],"prepaid":%d}]`, limit)))
+	e := f.engine("e1", backend.Behaviour{Events: 20})
+	var hosts []*host
+	for _, name := range []string{"a", "b", "c"} {
+		h := f.start(f.settings(name))
+		f.ready(h)
+		hosts = append(hosts, h)
+	}
+	call := func(n int) {
+		for range n {
+			for _, h := range hosts {
+				f.call(h, "/e/x", "k")
+			}
+		}
+	}
+	call(5)
+	copied := f.log.Snapshot()
+	call(40)
+	f.restore(copied)
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); {
+		call(5)
+	}
+	f.t.Logf("%d requests of %d tokens ran", len(e.Runs()), used)
+	f.is.True(len(e.Runs())*used <= limit)
+	f.is.True(len(e.Runs())*used >= limit*8/10)
+	for _, h := range hosts {
+		f.is.True(h.fleet.HostsConfirmed(1))
+	}
+}
+
+// Guards against notices between hosts that a restored log lacks, so that hosts started later do not know them, and
+// against all hosts writing them again.
+func TestLostNoticesAreWrittenAgainByOneHost(t *testing.T) {
+	f := newFleet(t)
+	f.publish(config(1, plainRoute, ""))
+	f.backend("t1", backend.Behaviour{Body: "one"})
+	var hosts []*host
+	for _, name := range []string{"a", "b", "c"} {
+		h := f.start(f.settings(name))
+		f.ready(h)
+		hosts = append(hosts, h)
+	}
+	digest := strings.Repeat("ab", 16)
+	p, key := eventlog.Partition{Topic: topicHosts}, quarantine.KeyPrefix+digest
+	copied := f.log.Snapshot()
+	f.log.Put(p, key, fmt.Appendf(nil, `{"digest":%q,"host":"a"}`, digest))
+	f.eventually("all hosts know the notice", func() bool {
+		for _, h := range hosts {
+			if h.guard.Len() != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	f.restore(copied)
+	f.eventually("the notice is back", func() bool {
+		_, ok := f.log.Get(p, key)
+		return ok
+	})
+	first, _ := f.log.Get(p, key)
+	time.Sleep(2 * time.Second)
+	again, _ := f.log.Get(p, key)
+	f.is.Equal(again.Position, first.Position)
+	for _, h := range hosts {
+		f.is.Equal(h.guard.Len(), 1)
+		_, announced := f.log.Get(p, h.name)
+		f.is.True(announced)
+	}
+}
--- a/router/prepaid/account.go
+++ b/router/prepaid/account.go
@@ -28,8 +28,17 @@
 	// Writer and Op identify the append that wrote the record.
 	Writer string `json:"writer"`
 	Op     int64  `json:"op"`
+	// Era is that of the log on which the writer based the record, or unknownEra.
+	Era int64 `json:"era"`
+	// Bases are the newest records of earlier eras that the account accounts for, in order of their eras.
+	Bases []Base `json:"bases,omitempty"`
+	// Settled is the newest era in which hosts had time to write again what the log had lost.
+	Settled int64 `json:"settled,omitempty"`
 }
 
+// unknownEra is the era of accounts that earlier builds write, which don't know of eras.
+const unknownEra = -1
+
 // Remaining is what hosts can still take; it is negative if the limit was lowered below Granted.
 func (a Account) Remaining() int64 { return a.Limit - a.Granted }
 
@@ -48,7 +57,7 @@
 
 // DecodeAccount parses the output of Encode.
 func DecodeAccount(data []byte) (Account, error) {
-	var a Account
+	a := Account{Era: unknownEra}
 	if err := json.Unmarshal(data, &a); err != nil {
 		return a, fmt.Errorf("account: %w", err)
 	}
--- a/router/prepaid/allocation.go
+++ b/router/prepaid/allocation.go
@@ -4,8 +4,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"maststage.dev/router/eventlog"
 )
 
 // Sizing holds the parameters that determine how much of a budget a host holds. Tokens that a host
@@ -56,13 +54,15 @@
 // allocation is this host's part of one budget. It is guarded by the Allocator's lock.
 type allocation struct {
 	account            Account
-	known              bool              // account was read from the log
-	unreadable         bool              // the newest record is not a valid account
-	position           eventlog.Position // of the newest record seen
-	version            int64             // of the newest configuration
-	limit              int64             // prepaid amount according to that
-	requiredVersion    int64             // nothing is spent until the account has been seen under this version or later
-	requiredBeforeGap  int64             // 1 + requiredVersion as before versions were missed, one of which may have lowered the limit; 0: none missed
+	known              bool     // account was read from the log
+	unreadable         bool     // the newest record is not a valid account
+	recorded           recorded // the newest record seen
+	rewrite            bool     // the account is to be written again, since the log has less of it
+	version            int64    // of the newest configuration
+	limit              int64    // prepaid amount according to that
+	requiredVersion    int64    // nothing is spent until the account has been seen under this version or later
+	seenVersion        int64    // newest version under which the settled account has been seen
+	requiredBeforeGap  int64    // 1 + requiredVersion as before versions were missed, one of which may have lowered the limit; 0: none missed
 	free               int64
 	reserved           int64
 	totals             Totals
@@ -107,7 +107,7 @@
 // spendable reports whether the host may spend what it holds: it has seen the account under the
 // newest lowering of the limit, and hosts do not hold more than that limit.
 func (al *allocation) spendable() bool {
-	if al.account.Version < al.requiredVersion {
+	if al.seenVersion < al.requiredVersion {
 		return false
 	}
 	return al.currentAccount().Remaining() >= 0
--- a/router/prepaid/allocator.go
+++ b/router/prepaid/allocator.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	log "github.com/sirupsen/logrus"
@@ -55,6 +56,11 @@
 	AllHostsLost func() bool
 	// LogAvailable reports whether the log responds to this host's reads; nil: it always does.
 	LogAvailable func() bool
+	// HostsConfirmed reports whether all other hosts have written again what a restored log lost, in the given era;
+	// nil: it is not known.
+	HostsConfirmed func(era int64) bool
+	// OnConfirmed is called when this host has done so; nil: not called. It must not block.
+	OnConfirmed func(era int64)
 	// OnCall is called with the outcome of each call to the log.
 	OnCall func(outcome string)
 }
@@ -71,6 +77,7 @@
 	transfers   *transferTable
 	nextOp      int64
 	closing     bool
+	logEra      atomic.Int64 // the newest one that is known
 
 	history  LimitHistory
 	gap      versionGap
@@ -388,7 +395,7 @@
 func (al *allocation) holding(organisation string) Holding {
 	return Holding{
 		Organisation: organisation, Free: al.free, Reserved: al.reserved,
-		Granted: al.account.Granted, Limit: al.limit, Offset: al.position.Offset, Keeper: al.keeperSize > 0, Totals: al.totals,
+		Granted: al.account.Granted, Limit: al.limit, Offset: al.recorded.position.Offset, Keeper: al.keeperSize > 0, Totals: al.totals,
 	}
 }
 
--- a/router/prepaid/append.go
+++ b/router/prepaid/append.go
@@ -169,6 +169,7 @@
 		}
 		if first {
 			end = page.End
+			pw.noteEra(end.Era)
 		}
 		if page.End.Era != end.Era {
 			return errRestoredMeanwhile
@@ -187,6 +188,7 @@
 		}
 		after = page.Records[len(page.Records)-1].Key
 	}
+	pw.addLostAccounts(end)
 	pw.end, pw.loaded = end, true
 	return nil
 }
@@ -205,7 +207,7 @@
 		al = &allocation{}
 		a.allocations[organisation] = al
 	}
-	if !al.known || al.position.Before(at) {
+	if !al.known || al.recorded.position.Before(at) {
 		al.unreadable = true
 	}
 }
@@ -220,10 +222,12 @@
 		al = &allocation{limit: account.Limit}
 		a.allocations[organisation] = al
 	}
-	if al.known && !al.position.Before(at) {
+	if al.known && !al.recorded.position.Before(at) {
 		return
 	}
-	al.account, al.known, al.position, al.unreadable = account, true, at, false
+	al.applyRecord(account, at)
+	pw.noteVersion(al)
+	al.unreadable = false
 	al.recordDrawn(time.Now())
 	a.notifyWaiters()
 }
@@ -237,8 +241,9 @@
 		al := a.allocations[update.organisation]
 		al.free += update.taken
 		al.totals.Taken += update.taken
-		if position := at.Plus(i); !al.known || al.position.Before(position) {
-			al.account, al.known, al.position = update.next, true, position
+		if position := at.Plus(i); !al.known || al.recorded.position.Before(position) {
+			al.applyRecord(update.next, position)
+			pw.noteVersion(al)
 			al.recordDrawn(time.Now())
 		}
 		log.WithFields(log.Fields{
--- a/router/prepaid/fuzz_test.go
+++ b/router/prepaid/fuzz_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -30,6 +31,8 @@
 	loans            int
 	lostLoans        []lostLoan
 	keepers          int // hosts that hold tokens for all; 0: each host obtains its own
+	copies           []memlog.Snapshot
+	confirmed        map[string]int64 // the era that each host has confirmed; nil: none does
 }
 
 const fuzzHosts = 3
@@ -42,6 +45,10 @@
 		Sizing:     Sizing{Horizon: 5, FullSpan: 10, MostPart: 0.9, LeastPart: 0.2, EvenPart: 0.5, KeeperHorizon: 5, KeeperPart: 0.5},
 		RetryDelay: time.Nanosecond, Timeout: time.Second, Hosts: func() int { return fuzzHosts },
 	}
+	if m.confirmed != nil {
+		opts.OnConfirmed = func(era int64) { m.confirmed[name] = era }
+		opts.HostsConfirmed = m.othersConfirmed(i)
+	}
 	if m.keepers > 0 {
 		opts.Keepers = func(string) (int, bool) { return m.keepers, i < m.keepers }
 	}
@@ -54,6 +61,7 @@
 func (m *model) round(i int, limit time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	m.hosts[i].SetLogEra(m.log.Host("").Era()) // as the host's replicas notice it
 	_ = m.hosts[i].writers[0].round(ctx)
 }
 
@@ -111,6 +119,73 @@
 	})
 }
 
+// othersConfirmed implements Options.HostsConfirmed for a host.
+func (m *model) othersConfirmed(i int) func(era int64) bool {
+	return func(era int64) bool {
+		for j, other := range m.hosts {
+			if j != i && m.confirmed[other.opts.Host] < era {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// TestNeverOverspentByARestoredLog is TestNeverOverspent with a log that comes back from copies of itself, several times,
+// while hosts are cut off or get no responses. Hosts that die are not in it: what only they knew of lost grants is unknown.
+func TestNeverOverspentByARestoredLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(withoutDeadline{t}, func(t *rapid.T) {
+			m := &model{log: memlog.New(), hosts: make([]*Allocator, fuzzHosts), openReservations: map[*Allocator][]*Reservation{}, confirmed: map[string]int64{}}
+			m.limit = rapid.Int64Range(10, 2000).Draw(t, "limit")
+			m.highest, m.version = m.limit, 1
+			m.keepers = rapid.IntRange(0, fuzzHosts-1).Draw(t, "keepers")
+			for i := range m.hosts {
+				m.start(i)
+			}
+			host := rapid.IntRange(0, fuzzHosts-1)
+			t.Repeat(map[string]func(*rapid.T){
+				"round":    func(t *rapid.T) { m.round(host.Draw(t, "host"), time.Second) },
+				"cutShort": func(t *rapid.T) { m.cutShort(host.Draw(t, "host")) },
+				"reserve": func(t *rapid.T) {
+					m.reserve(host.Draw(t, "host"), rapid.Int64Range(1, 300).Draw(t, "tokens"))
+				},
+				"drain":   func(t *rapid.T) { m.drain(host.Draw(t, "host")) },
+				"exhaust": func(*rapid.T) { m.exhaust() },
+				"rounds": func(*rapid.T) {
+					for i := range m.hosts {
+						m.round(i, time.Second)
+					}
+				},
+				"settle":  func(t *rapid.T) { m.settle(t, host.Draw(t, "host")) },
+				"lend":    func(t *rapid.T) { m.lend(t, host.Draw(t, "from"), host.Draw(t, "to")) },
+				"recall":  func(t *rapid.T) { m.recall(t) },
+				"trim":    func(*rapid.T) { m.log.Trim(eventlog.Partition{Topic: "b"}) },
+				"fault":   func(t *rapid.T) { m.fault(t, host.Draw(t, "host")) },
+				"topUp":   func(t *rapid.T) { m.setLimit(m.limit + rapid.Int64Range(1, 500).Draw(t, "more")) },
+				"lower":   func(t *rapid.T) { m.lower(t) },
+				"copy":    func(*rapid.T) { m.copies = append(m.copies, m.log.Snapshot()) },
+				"restore": func(t *rapid.T) { m.restore(t) },
+				"wait":    func(*rapid.T) { time.Sleep(minSettleTime) },
+				"":        m.check,
+			})
+		})
+	})
+}
+
+// withoutDeadline is a test whose deadline is not asked for, which a synctest bubble does not allow.
+type withoutDeadline struct{ testing.TB }
+
+// restore restores the log from one of its copies. Those that were made later are none of it any more.
+func (m *model) restore(t *rapid.T) {
+	if len(m.copies) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.copies)-1).Draw(t, "copy")
+	m.log.Restore(m.copies[i])
+	m.copies = m.copies[:i+1]
+}
+
 // cutShort lets a host's append be done without a response, and ends the round before the host can
 // find out.
 func (m *model) cutShort(i int) {
--- a/router/prepaid/history.go
+++ b/router/prepaid/history.go
@@ -73,7 +73,7 @@
 		return a.gap, false
 	}
 	for _, al := range a.allocations {
-		if al.requiredBeforeGap > 0 && al.account.Version < al.requiredVersion {
+		if al.requiredBeforeGap > 0 && al.seenVersion < al.requiredVersion {
 			return a.gap, true
 		}
 	}
--- a/router/prepaid/partition_writer.go
+++ b/router/prepaid/partition_writer.go
@@ -21,6 +21,9 @@
 	roundSlot    chan struct{} // capacity 1: holding its token is the right to run a round
 	loaded       bool
 	end          eventlog.Position // all records below are known
+	era          int64             // of the log, as the partition was read last
+	eraSeenAt    time.Time         // when the partition was first read in this era
+	confirmedEra atomic.Int64      // in which the log has all that this host knows of the accounts
 	refreshedAt  time.Time
 	conflictRate float64      // smoothed fraction of appends that conflicted
 	failedCalls  atomic.Int64 // consecutive failed calls to the log
@@ -174,9 +177,10 @@
 		return ctx.Err()
 	}
 	if !pw.hasOrganisations() {
+		pw.confirm(pw.allocator.logEra.Load())
 		return nil
 	}
-	if !pw.loaded {
+	if !pw.loaded || pw.end.Era < pw.allocator.logEra.Load() {
 		if err := pw.load(ctx); err != nil {
 			return err
 		}
@@ -195,9 +199,13 @@
 			updates = pw.prepareUpdates()
 		}
 		if len(updates) == 0 {
+			pw.confirm(pw.end.Era)
 			return nil
 		}
 		done, err := pw.append(ctx, updates)
+		if done && !pw.rewritesDue() {
+			pw.confirm(pw.end.Era)
+		}
 		if done || err != nil {
 			return err
 		}
@@ -309,13 +317,20 @@
 			continue
 		}
 		change := a.change(organisation, al, mayReturn)
+		settled := pw.settled(al.account)
+		if change.Take > 0 && !settled {
+			change = Change{}
+		}
 		next, taken, ok := al.currentAccount().Apply(change)
-		announce := al.account.Version < al.requiredVersion
+		announce := al.account.Version < al.requiredVersion || settled && al.seenVersion < al.requiredVersion || al.rewrite
 		if !ok && !announce || change == (Change{}) && !announce {
 			continue
 		}
 		a.nextOp++
-		next.Writer, next.Op = a.opts.Host, a.nextOp
+		next.Writer, next.Op, next.Era = a.opts.Host, a.nextOp, pw.end.Era
+		if settled {
+			next.Settled = pw.end.Era
+		}
 		if change.Return > 0 {
 			al.free -= change.Return
 			al.totals.Returned += change.Return
--- a/router/prepaid/restored_test.go
+++ b/router/prepaid/restored_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"maststage.dev/router/eventlog"
 	"maststage.dev/standin/memlog"
 )
 
@@ -88,3 +89,59 @@
 	}
 	is.True(spent <= limit)
 }
+
+// at is a position of the log.
+func at(era, offset int64) eventlog.Position { return eventlog.Position{Era: era, Offset: offset} }
+
+// Guards against grants of an earlier era that only a late append has, which took effect behind a record of the present
+// era, and against that append's account replacing the present one.
+func TestLateAppendOfAnEarlierEraDoesNotReplaceTheAccount(t *testing.T) {
+	is := is.New(t)
+	var al allocation
+	al.applyRecord(Account{Writer: "a", Era: 1, Granted: 5}, at(1, 0))
+	al.applyRecord(Account{Writer: "b", Era: 0, Granted: 13}, at(1, 1))
+	is.True(al.rewrite)
+	is.Equal(al.account.Granted, int64(18))
+	is.Equal(al.account.Era, int64(1))
+}
+
+// Guards against grants that several hosts know of, and write again one after the other, that count more than once or are
+// left out.
+func TestLostGrantsCountOnce(t *testing.T) {
+	is := is.New(t)
+	copied := Account{Writer: "a", Era: 0, Granted: 10}
+	var less, more allocation
+	less.applyRecord(Account{Writer: "a", Era: 0, Granted: 30}, at(0, 3))
+	more.applyRecord(Account{Writer: "b", Era: 0, Granted: 50}, at(0, 5))
+	less.applyRecord(copied, at(1, 1))
+	is.True(less.rewrite)
+	written := less.account // and 7 are taken
+	written.Granted += 7
+	more.applyRecord(copied, at(1, 1))
+	more.applyRecord(written, at(1, 2))
+	is.True(more.rewrite)
+	is.Equal(more.account.Granted, int64(57))
+	less.applyRecord(more.account, at(1, 3))
+	is.True(!less.rewrite)
+	is.Equal(less.account.Granted, int64(57))
+
+	// The log is restored once more, from a copy of before both were written.
+	less.applyRecord(copied, at(2, 1))
+	is.Equal(less.account.Granted, int64(57))
+	is.True(less.rewrite)
+}
+
+// Guards against an account of an earlier build, which drops what it does not know, that counts lost grants twice.
+func TestAccountOfAnEarlierBuildKeepsItsBases(t *testing.T) {
+	is := is.New(t)
+	var al allocation
+	al.applyRecord(Account{Writer: "a", Era: 0, Granted: 30}, at(0, 3))
+	al.applyRecord(Account{Writer: "a", Era: 0, Granted: 10}, at(1, 1))
+	al.applyRecord(al.account, at(1, 2))
+	earlier, err := DecodeAccount([]byte(`{"granted":35,"limit":100,"version":1,"writer":"old","op":1}`))
+	is.NoErr(err)
+	al.applyRecord(earlier, at(1, 3))
+	is.Equal(al.account.Granted, int64(35))
+	is.True(!al.rewrite)
+	is.Equal(len(al.account.Bases), 1)
+}
--- a/router/replica/restored_test.go
+++ b/router/replica/restored_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"maststage.dev/router/eventlog"
 	"maststage.dev/standin/memlog"
 	"maststage.dev/standin/until"
 )
@@ -74,3 +75,54 @@
 	l.Put(partition, "deleted", []byte("2"))
 	until.True(t, "the next records", func() bool { return f.value("a") == "next" && f.value("deleted") == "2" })
 }
+
+// Guards against updates of another host that is in another era of the log: an older one would bring records back that
+// the restored log has superseded, and one that is newer but incomplete would leave records out.
+func TestUpdatesOfOtherEras(t *testing.T) {
+	is := is.New(t)
+	in := func(era, offset int64) eventlog.Position { return eventlog.Position{Era: era, Offset: offset} }
+	record := func(value string, at eventlog.Position) eventlog.Record {
+		return eventlog.Record{Key: "a", Value: []byte(value), Position: at}
+	}
+	r := New(Options{Partition: partition})
+	r.Merge([]eventlog.Record{record("1", in(1, 4))}, in(1, 5), in(1, 4))
+
+	r.MergeUpdate(Update{Records: []eventlog.Record{record("old", in(0, 90))}, End: in(0, 91)})
+	r.MergeUpdate(Update{Records: []eventlog.Record{record("old", in(0, 90))}, End: in(0, 91), Full: true})
+	r.Merge([]eventlog.Record{record("old", in(0, 90))}, in(0, 91), in(0, 90))
+	is.Equal(string(r.records["a"].Value), "1")
+	r.MergeUpdate(Update{Records: []eventlog.Record{record("partial", in(2, 2))}, End: in(2, 3)})
+	is.Equal(r.End(), in(1, 5))
+
+	r.MergeUpdate(Update{Records: []eventlog.Record{record("2", in(2, 2))}, End: in(2, 3), Full: true})
+	is.Equal(string(r.records["a"].Value), "2")
+	is.Equal(r.End(), in(2, 3))
+	is.True(r.CatchUpFrom(in(1, 5)).Full) // for a host in an earlier era
+	is.True(!r.CatchUpFrom(in(2, 3)).Full)
+}
+
+// Guards against records that the log lost and that hosts started later never get.
+func TestLostRecordsAreListedUntilTheyAreWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	l := memlog.New()
+	l.Put(partition, "a", []byte("1"))
+	copied := l.Snapshot()
+	r := New(Options{Log: l.Host("h"), Partition: partition, ReadTimeout: time.Second, KeepLost: true})
+	_, err := r.step(t.Context())
+	is.NoErr(err)
+	l.Put(partition, "a", []byte("2"))
+	l.Put(partition, "b", []byte("1"))
+	_, err = r.step(t.Context())
+	is.NoErr(err)
+	l.Restore(copied)
+	_, err = r.step(t.Context())
+	is.NoErr(err)
+	is.Equal(len(r.Lost()), 2)
+	is.Equal(string(r.records["a"].Value), "2")
+	is.Equal(string(r.records["b"].Value), "1")
+	_, err = l.Host("h").AppendAt(t.Context(), partition, r.End(), r.Lost())
+	is.NoErr(err)
+	_, err = r.step(t.Context())
+	is.NoErr(err)
+	is.Equal(len(r.Lost()), 0)
+}
