graceful: let the listener be closed again

Shutdown returned 'use of closed network connection' though every request was answered, so a host logged a failed stop.

Cause: Accept closes the TCP listener behind the last connection and then tells Shutdown that it has ended; http.Server.Shutdown closes the listener once more unless Serve has returned by then. Only the first close counts now, so the order does not matter.

TestListenerMayBeClosedAgain failed before.

--- a/lib/graceful/graceful_test.go
+++ b/lib/graceful/graceful_test.go
@@ -243,3 +243,14 @@
 		t.Errorf("%d requests were sent and got no response while %d servers shut down", n, servers)
 	}
 }
+
+// Guards against a shutdown that fails though every request was answered: Accept closes the listener, and http.Server
+// closes it again unless Serve has returned by then.
+func TestListenerMayBeClosedAgain(t *testing.T) {
+	is := is.New(t)
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := newListener(tcp.(*net.TCPListener))
+	is.NoErr(l.Close())
+	is.NoErr(l.Close())
+}
--- a/lib/graceful/listener.go
+++ b/lib/graceful/listener.go
@@ -17,6 +17,8 @@
 	closing     atomic.Bool
 	drained     chan struct{} // closed once Accept has returned the last connection
 	drainedOnce sync.Once     // guards the close of drained
+	closeOnce   sync.Once     // guards the close of the TCP listener
+	closeErr    error         // of that close
 	closed      bool          // the last connections are in pending; both belong to the goroutine in Accept
 	pending     []net.Conn
 }
@@ -46,6 +48,13 @@
 	return c, nil
 }
 
+// Close closes the listener. Accept closes it after the last connection, and http.Server again at its shutdown, unless
+// Serve has returned by then: only the first close counts.
+func (l *listener) Close() error {
+	l.closeOnce.Do(func() { l.closeErr = l.TCPListener.Close() })
+	return l.closeErr
+}
+
 const (
 	// anyTTL and directTTL are values of IP_MINTTL. 0 admits all packets; 255 only those that no
 	// router has forwarded and whose sender set this TTL, which packets that open a
