replica: drop keys that nobody writes again after the log was restored

The store came back, an evacuation was withdrawn 0.4 s later, and hosts with thin links read the log 3.4 s after its return. The log then had no record of the order, which looks like one that was lost, so they kept it for good.

A key that the log lacks is now kept only as long as its writer needs to write it again, 5 s for the operator's and 30 s for hosts', and counts as deleted after that. replica TestDeletionAfterTheLogWasRestoredIsNoticed is new.

--- a/router/node/era.go
+++ b/router/node/era.go
@@ -18,6 +18,10 @@
 
 // Timing after the log was restored from a copy.
 const (
+	// operatorRewriteTime is how long orders that a restored log lacks are kept for the operator to write them again.
+	operatorRewriteTime = 5 * time.Second
+	// hostsRewriteTime is the same for the records of hosts, of which one may be cut off meanwhile.
+	hostsRewriteTime = 30 * time.Second
 	// rewriteDelay is how long a host waits before it writes lost records again, since their writers may do so.
 	rewriteDelay = time.Second
 	// maxRewrites is how often it tries.
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -169,17 +169,17 @@
 
 func (n *Node) newReplicas() {
 	longPoll, readTimeout := settings.Milliseconds(n.cfg.Log.LongPollMs), settings.Milliseconds(n.cfg.Log.TimeoutMs)
-	newReplica := func(topic string, minInterval time.Duration, onChange func([]replica.Change)) *replica.Replica {
+	newReplica := func(topic string, minInterval, keepLost time.Duration, onChange func([]replica.Change)) *replica.Replica {
 		return replica.New(replica.Options{
 			Log: n.env.Log, Partition: eventlog.Partition{Topic: topic}, LongPoll: longPoll, ReadTimeout: readTimeout, MinInterval: minInterval,
 			OnChange:       onChange,
 			OnConnectivity: func(err error) { n.logConnectivity(topic, err) },
 			Hosts:          n.hostCount,
-			KeepLost:       true, OnRestored: n.eraSeen,
+			KeepLost:       keepLost, OnRestored: n.eraSeen,
 		})
 	}
 	minInterval := settings.Milliseconds(n.cfg.Log.PaceMs)
-	n.configReplica = newReplica(n.env.ConfigTopic, 0, n.configChanged)
+	n.configReplica = newReplica(n.env.ConfigTopic, 0, operatorRewriteTime, n.configChanged)
 	n.targetsReplica = replica.New(replica.Options{
 		Log: n.env.Log, Partition: eventlog.Partition{Topic: n.env.TargetsTopic}, LongPoll: longPoll, ReadTimeout: readTimeout, MinInterval: minInterval,
 		OnChange:       n.targetsChanged,
@@ -191,7 +191,7 @@
 		Hosts:      n.hostCount,
 		OnRestored: n.eraSeen,
 	})
-	n.hostsReplica = newReplica(n.env.HostsTopic, hostsPollInterval, n.hostsChanged)
+	n.hostsReplica = newReplica(n.env.HostsTopic, hostsPollInterval, hostsRewriteTime, n.hostsChanged)
 }
 
 // hostCount counts the hosts as far as they are known.
--- a/router/replica/replica.go
+++ b/router/replica/replica.go
@@ -52,9 +52,9 @@
 	// DedupKey returns the comparable part of a record that matters. A record with the same
 	// DedupKey as its predecessor is not reported as a change. nil: each record is.
 	DedupKey func(rec eventlog.Record) any
-	// KeepLost keeps the records of keys that a restored log lacks until they are written again; else such keys count
-	// as deleted.
-	KeepLost bool
+	// KeepLost is how long records of keys that a restored log lacks are kept for their writers to write them again. Then
+	// the keys count as deleted, as they do at once if it is 0.
+	KeepLost time.Duration
 	// OnRestored is called after the log was restored from a copy, with its new era. The replica's lock is held: it
 	// must not call back or block.
 	OnRestored func(era int64)
@@ -75,6 +75,7 @@
 	tombstoneHorizon eventlog.Position // tombstones below it may be missing
 	history          *history
 	sweptAt          time.Time // when history was last swept
+	unconfirmed      int       // entries with keptUntil
 	loaded           bool
 	behind           bool               // the log's last response left records out
 	lastContact      time.Time          // time of the log's response that the records are based on
@@ -104,6 +105,7 @@
 	dedupKey  any
 	changedAt eventlog.Position // of the first record with this dedupKey
 	lost      bool              // it was kept when the log was restored, which lacks it
+	keptUntil time.Time         // if the log has no record of its key: when the key counts as deleted
 }
 
 // New returns an empty replica; Run loads and follows the partition.
@@ -220,6 +222,9 @@
 	if err == nil || len(batch.Records) > 0 {
 		r.Merge(batch.Records, end, from)
 	}
+	if err == nil {
+		r.dropUnconfirmed(time.Now())
+	}
 	r.setBehind(err == nil && end.Before(batch.End))
 	return err
 }
--- a/router/replica/restored.go
+++ b/router/replica/restored.go
@@ -11,7 +11,7 @@
 
 // The log may be restored from a copy that lacks its newest records. What it had acknowledged stays valid until it is
 // superseded, so a record of the copy does not replace a newer one that this replica knows. Whether a key that the log
-// lacks was deleted since or lost can't be known; Options.KeepLost decides that.
+// lacks was deleted since or lost can't be known: one that was lost is written again within Options.KeepLost.
 
 // enterEra replaces the records after the log was restored. records are the newest ones of the restored log, whose end is
 // in a later era than this replica's. The lock is held.
@@ -21,13 +21,14 @@
 	r.records = make(map[string]entry, len(records))
 	var changes []Change
 	kept, deleted := 0, 0
+	r.unconfirmed = 0
 	for _, rec := range records {
 		held, had := previous[rec.Key]
 		delete(previous, rec.Key)
 		next := r.newEntry(rec)
 		switch {
 		case had && r.history.isCopied(next):
-			r.keep(held, rec.Position, !bytes.Equal(held.Value, rec.Value))
+			r.keep(held, rec.Position, !bytes.Equal(held.Value, rec.Value), time.Time{})
 			r.history.supersede(next, now) // the log may be restored again
 			kept++
 		case had && r.history.stateOf(held) == r.history.stateOf(next):
@@ -40,14 +41,13 @@
 	for key, held := range previous { // the log lacks these keys
 		switch {
 		case len(held.Value) == 0: // the horizon of tombstones covers it
-		case r.opts.KeepLost:
+		case r.opts.KeepLost > 0:
 			// The first record of the era that names the key supersedes it.
-			r.keep(held, eventlog.Position{Era: end.Era}, true)
+			r.keep(held, eventlog.Position{Era: end.Era}, true, now.Add(r.opts.KeepLost))
+			r.unconfirmed++
 			kept++
 		default:
-			deletion := eventlog.Record{Key: key, Position: eventlog.Position{Era: end.Era, Offset: max(end.Offset-1, 0)}}
-			r.records[key] = r.newEntry(deletion)
-			changes = append(changes, Change{Record: deletion, Gap: true})
+			changes = append(changes, r.deleteKey(key, end))
 			deleted++
 		}
 	}
@@ -62,13 +62,41 @@
 	}
 }
 
-// keep keeps a record of an earlier era at a position of the present one. lost says that the log has another one, or
-// none, for its key. The lock is held.
-func (r *Replica) keep(held entry, at eventlog.Position, lost bool) {
-	held.Position, held.changedAt, held.lost = at, at, lost
+// keep keeps a record of an earlier era at a position of the present one, until a time if that is set. lost says that
+// the log has another one, or none, for its key. The lock is held.
+func (r *Replica) keep(held entry, at eventlog.Position, lost bool, until time.Time) {
+	held.Position, held.changedAt, held.lost, held.keptUntil = at, at, lost, until
 	r.records[held.Key] = held
 }
 
+// deleteKey deletes a key that the log does not have below end. The lock is held.
+func (r *Replica) deleteKey(key string, end eventlog.Position) Change {
+	deletion := eventlog.Record{Key: key, Position: eventlog.Position{Era: end.Era, Offset: max(end.Offset-1, 0)}}
+	r.records[key] = r.newEntry(deletion)
+	return Change{Record: deletion, Gap: true}
+}
+
+// dropUnconfirmed deletes the keys that were kept when the log was restored and not written again in time.
+func (r *Replica) dropUnconfirmed(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.unconfirmed == 0 {
+		return
+	}
+	r.unconfirmed = 0
+	var changes []Change
+	for key, held := range r.records {
+		switch {
+		case held.keptUntil.IsZero():
+		case now.Before(held.keptUntil):
+			r.unconfirmed++
+		default:
+			changes = append(changes, r.deleteKey(key, r.end))
+		}
+	}
+	r.notify(changes)
+}
+
 // Lost returns the records that this replica kept when the log was restored and that the log lacks since.
 func (r *Replica) Lost() []eventlog.Record {
 	r.mu.Lock()
--- a/router/replica/restored_test.go
+++ b/router/replica/restored_test.go
@@ -107,7 +107,7 @@
 	l := memlog.New()
 	l.Put(partition, "a", []byte("1"))
 	copied := l.Snapshot()
-	r := New(Options{Log: l.Host("h"), Partition: partition, ReadTimeout: time.Second, KeepLost: true})
+	r := New(Options{Log: l.Host("h"), Partition: partition, ReadTimeout: time.Second, KeepLost: time.Minute})
 	_, err := r.step(t.Context())
 	is.NoErr(err)
 	l.Put(partition, "a", []byte("2"))
@@ -126,3 +126,23 @@
 	is.NoErr(err)
 	is.Equal(len(r.Lost()), 0)
 }
+
+// Guards against a key that was deleted after the log had been restored, before this replica read it, and that stays.
+func TestDeletionAfterTheLogWasRestoredIsNoticed(t *testing.T) {
+	is := is.New(t)
+	l := memlog.New()
+	l.Put(partition, "order", []byte("1"))
+	copied := l.Snapshot()
+	r := New(Options{Log: l.Host("h"), Partition: partition, ReadTimeout: time.Second, KeepLost: 50 * time.Millisecond})
+	_, err := r.step(t.Context())
+	is.NoErr(err)
+	l.Restore(copied)
+	l.Put(partition, "order", nil)
+	_, err = r.step(t.Context())
+	is.NoErr(err)
+	is.Equal(string(r.records["order"].Value), "1") // it may be lost and written again
+	time.Sleep(60 * time.Millisecond)
+	_, err = r.step(t.Context())
+	is.NoErr(err)
+	is.Equal(len(r.records["order"].Value), 0)
+}
