decimal, soak, prepaid, target: share code of the new checks and headers

Numbers without sign or exponent are parsed in one place for limits and Retry-After, soak events of one seed in a few are drawn by one function, and both random tests of budgets share their steps. The backoff that targets ask for has one word in the code.

--- a/proofs/soak/backoff_test.go
+++ b/proofs/soak/backoff_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -25,13 +24,9 @@
 	pauseNotice = 500 * time.Millisecond
 )
 
-// pauses draws the events of a seed in which targets ask for pauses, from a random source of its own.
+// pauses draws the events of a seed in which targets ask for pauses.
 func pauses(seed uint64) []event {
-	random := rand.New(rand.NewPCG(seed, 9))
-	if random.IntN(pauseEvery) != 0 {
-		return nil
-	}
-	return draw(random, pauseKind, maxPauses, minPausing, pauseSpread)
+	return drawInSome(seed, 9, pauseEvery, pauseKind, maxPauses, minPausing, pauseSpread)
 }
 
 // askedPause is what a target that refuses requests asks for.
--- a/proofs/soak/faults_test.go
+++ b/proofs/soak/faults_test.go
@@ -174,6 +174,16 @@
 	return events
 }
 
+// drawInSome is draw for one seed in every, from the seed's random source with this number, so that the other events
+// of a seed stay the same.
+func drawInSome(seed, source uint64, every int, kind string, maxCount int, minLength, spread time.Duration) []event {
+	random := rand.New(rand.NewPCG(seed, source))
+	if random.IntN(every) != 0 {
+		return nil
+	}
+	return draw(random, kind, maxCount, minLength, spread)
+}
+
 // play runs each event at its time and returns when all are over.
 func (w *world) play(ctx context.Context, events []event) {
 	begin := time.Now()
--- a/proofs/soak/leaving_test.go
+++ b/proofs/soak/leaving_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"maststage.dev/platform/platformtest"
@@ -20,13 +19,9 @@
 	unlistedSpread = 4 * time.Second
 )
 
-// announcedExits draws the events of a seed in which targets announce their exit, from a random source of its own.
+// announcedExits draws the events of a seed in which targets announce their exit.
 func announcedExits(seed uint64) []event {
-	random := rand.New(rand.NewPCG(seed, 8))
-	if random.IntN(announceEvery) != 0 {
-		return nil
-	}
-	return draw(random, announceKind, maxAnnounced, minUnlisted, unlistedSpread)
+	return drawInSome(seed, 8, announceEvery, announceKind, maxAnnounced, minUnlisted, unlistedSpread)
 }
 
 // announceExit makes a target announce its exit in each response, and writes its entry when the event ends. Another
--- a/proofs/soak/limit_test.go
+++ b/proofs/soak/limit_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -30,13 +29,9 @@
 	limitServed   = 10               // requests that a target must get to count as serving
 )
 
-// limits draws the limit events of a seed, from a random source of its own.
+// limits draws the limit events of a seed.
 func limits(seed uint64) []event {
-	random := rand.New(rand.NewPCG(seed, 6))
-	if random.IntN(limitEvery) != 0 {
-		return nil
-	}
-	return draw(random, limitKind, maxLimits, minLimited, limitedSpread)
+	return drawInSome(seed, 6, limitEvery, limitKind, maxLimits, minLimited, limitedSpread)
 }
 
 // sentLimit is a limit that a target sends, or has sent, in its responses.
--- a/proofs/soak/restored_test.go
+++ b/proofs/soak/restored_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"math/rand/v2"
 	"time"
 
 	"maststage.dev/router/eventlog"
@@ -23,13 +22,9 @@
 	rewriteWithin = 500 * time.Millisecond // after which operator and targets write again what was lost
 )
 
-// restores draws the events of a seed in which the store is restored, from a random source of its own.
+// restores draws the events of a seed in which the store is restored.
 func restores(seed uint64) []event {
-	random := rand.New(rand.NewPCG(seed, 10))
-	if random.IntN(restoreEvery) != 0 {
-		return nil
-	}
-	return draw(random, restoreKind, maxRestores, minCopyAge, copyAgeSpread)
+	return drawInSome(seed, 10, restoreEvery, restoreKind, maxRestores, minCopyAge, copyAgeSpread)
 }
 
 // write writes a record of the operator or of a target to the store.
--- a/router/forward/kind.go
+++ b/router/forward/kind.go
@@ -11,28 +11,28 @@
 type Kind string
 
 const (
-	OK           Kind = "ok"
-	NoConfig     Kind = "no_configuration" // this host has no configuration yet
-	NoRoute      Kind = "no_route"
-	BadKey       Kind = "bad_key"
-	BadRequest   Kind = "bad_request"
-	TooLarge     Kind = "too_large"
-	OverBudget   Kind = "over_budget"   // larger than the whole budget
-	BudgetWait   Kind = "budget_wait"   // no tokens are available now
-	Stopping     Kind = "stopping"      // this host shuts down too soon to serve it
-	CatchingUp   Kind = "catching_up"   // this host was suspended and has not refreshed its state yet
-	HostBusy     Kind = "host_busy"     // this host's network link or processor is overloaded
-	NoTarget     Kind = "no_target"     // no target was available
-	NoRegion     Kind = "no_region"     // route and organisation have no allowed region in common
-	TargetsFull  Kind = "targets_full"  // the rate limits of all suitable targets are used up
-	TargetsPause Kind = "targets_pause" // all suitable targets asked for a pause
-	Overloaded   Kind = "overloaded"    // all targets attempted refused it without running it
-	Quarantined  Kind = "quarantined"   // it crashes targets; this attempt was not sent
-	TargetFailed Kind = "target_failed" // it may have run, and no complete response arrived
-	Timeout      Kind = "timeout"       // it may have run, and its deadline passed
-	TimeoutUnrun Kind = "timeout_unrun" // its deadline passed, and it has not run
-	CutOff       Kind = "cut_off"       // the response broke off after its beginning was forwarded
-	CallerGone   Kind = "caller_gone"
+	OK             Kind = "ok"
+	NoConfig       Kind = "no_configuration" // this host has no configuration yet
+	NoRoute        Kind = "no_route"
+	BadKey         Kind = "bad_key"
+	BadRequest     Kind = "bad_request"
+	TooLarge       Kind = "too_large"
+	OverBudget     Kind = "over_budget"     // larger than the whole budget
+	BudgetWait     Kind = "budget_wait"     // no tokens are available now
+	Stopping       Kind = "stopping"        // this host shuts down too soon to serve it
+	CatchingUp     Kind = "catching_up"     // this host was suspended and has not refreshed its state yet
+	HostBusy       Kind = "host_busy"       // this host's network link or processor is overloaded
+	NoTarget       Kind = "no_target"       // no target was available
+	NoRegion       Kind = "no_region"       // route and organisation have no allowed region in common
+	TargetsFull    Kind = "targets_full"    // the rate limits of all suitable targets are used up
+	TargetsBackoff Kind = "targets_backoff" // all suitable targets asked for a pause
+	Overloaded     Kind = "overloaded"      // all targets attempted refused it without running it
+	Quarantined    Kind = "quarantined"     // it crashes targets; this attempt was not sent
+	TargetFailed   Kind = "target_failed"   // it may have run, and no complete response arrived
+	Timeout        Kind = "timeout"         // it may have run, and its deadline passed
+	TimeoutUnrun   Kind = "timeout_unrun"   // its deadline passed, and it has not run
+	CutOff         Kind = "cut_off"         // the response broke off after its beginning was forwarded
+	CallerGone     Kind = "caller_gone"
 )
 
 // finalResponse is the response that the host itself sends for a kind.
@@ -46,23 +46,23 @@
 const operatorRetryAfter = time.Hour
 
 var finalResponses = map[Kind]finalResponse{
-	NoConfig:     {http.StatusServiceUnavailable, 500 * time.Millisecond},
-	NoRoute:      {http.StatusNotFound, 0},
-	BadKey:       {http.StatusUnauthorized, 0},
-	BadRequest:   {http.StatusBadRequest, 0},
-	TooLarge:     {http.StatusRequestEntityTooLarge, 0},
-	OverBudget:   {http.StatusPaymentRequired, 0},
-	BudgetWait:   {http.StatusServiceUnavailable, 5 * time.Second},
-	Stopping:     {http.StatusServiceUnavailable, 50 * time.Millisecond},
-	CatchingUp:   {http.StatusServiceUnavailable, 50 * time.Millisecond},
-	HostBusy:     {http.StatusServiceUnavailable, overload.RebalanceTime},
-	NoTarget:     {http.StatusServiceUnavailable, 200 * time.Millisecond},
-	NoRegion:     {http.StatusServiceUnavailable, operatorRetryAfter},
-	TargetsFull:  {http.StatusServiceUnavailable, 200 * time.Millisecond},
-	TargetsPause: {http.StatusServiceUnavailable, time.Second},
-	Overloaded:   {http.StatusServiceUnavailable, 100 * time.Millisecond},
-	Quarantined:  {http.StatusServiceUnavailable, operatorRetryAfter},
-	TargetFailed: {http.StatusBadGateway, 0},
-	Timeout:      {http.StatusGatewayTimeout, 0},
-	TimeoutUnrun: {http.StatusServiceUnavailable, 100 * time.Millisecond},
+	NoConfig:       {http.StatusServiceUnavailable, 500 * time.Millisecond},
+	NoRoute:        {http.StatusNotFound, 0},
+	BadKey:         {http.StatusUnauthorized, 0},
+	BadRequest:     {http.StatusBadRequest, 0},
+	TooLarge:       {http.StatusRequestEntityTooLarge, 0},
+	OverBudget:     {http.StatusPaymentRequired, 0},
+	BudgetWait:     {http.StatusServiceUnavailable, 5 * time.Second},
+	Stopping:       {http.StatusServiceUnavailable, 50 * time.Millisecond},
+	CatchingUp:     {http.StatusServiceUnavailable, 50 * time.Millisecond},
+	HostBusy:       {http.StatusServiceUnavailable, overload.RebalanceTime},
+	NoTarget:       {http.StatusServiceUnavailable, 200 * time.Millisecond},
+	NoRegion:       {http.StatusServiceUnavailable, operatorRetryAfter},
+	TargetsFull:    {http.StatusServiceUnavailable, 200 * time.Millisecond},
+	TargetsBackoff: {http.StatusServiceUnavailable, time.Second},
+	Overloaded:     {http.StatusServiceUnavailable, 100 * time.Millisecond},
+	Quarantined:    {http.StatusServiceUnavailable, operatorRetryAfter},
+	TargetFailed:   {http.StatusBadGateway, 0},
+	Timeout:        {http.StatusGatewayTimeout, 0},
+	TimeoutUnrun:   {http.StatusServiceUnavailable, 100 * time.Millisecond},
 }
--- a/router/forward/limits.go
+++ b/router/forward/limits.go
@@ -22,21 +22,21 @@
 }
 
 // Callers that find all targets paused are told to retry at different times: after what is left of the first pause,
-// up to maxPauseWait, and a random part of half of that within the other bounds.
+// up to maxBackoffWait, and a random part of half of that within the other bounds.
 const (
-	maxPauseWait    = 10 * time.Second
+	maxBackoffWait  = 10 * time.Second
 	minCallerSpread = 500 * time.Millisecond
 	maxCallerSpread = 2 * time.Second
 )
 
-// targetsPause reports whether all targets that could take the request asked for a pause, and if so sets the
+// targetsBackoff reports whether all targets that could take the request asked for a pause, and if so sets the
 // caller's Retry-After.
-func (q *request) targetsPause() bool {
-	left, ok := q.handler.opts.Targets.PauseLeft(q.requirements(nil))
+func (q *request) targetsBackoff() bool {
+	left, ok := q.handler.opts.Targets.BackoffLeft(q.requirements(nil))
 	if !ok {
 		return false
 	}
-	left = min(left, maxPauseWait)
+	left = min(left, maxBackoffWait)
 	q.retryAfter = left + rand.N(min(max(left/2, minCallerSpread), maxCallerSpread))
 	return true
 }
@@ -55,8 +55,8 @@
 		return false
 	}
 	targets, want := q.handler.opts.Targets, q.requirements(q.excluded)
-	pause, paused := targets.PauseLeft(want)
-	if !targets.HasLimitShare(want) && (!paused || pause > maxStreamWait) {
+	left, backoff := targets.BackoffLeft(want)
+	if !targets.HasLimitShare(want) && (!backoff || left > maxStreamWait) {
 		return false
 	}
 	select {
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -103,8 +103,8 @@
 		return TimeoutUnrun, err
 	case kind == Quarantined, kind == NoRegion, kind == TargetsFull:
 		return kind, err
-	case q.targetsPause():
-		return TargetsPause, err
+	case q.targetsBackoff():
+		return TargetsBackoff, err
 	case q.attempts > 0:
 		return Overloaded, err
 	}
--- a/router/limit/limit.go
+++ b/router/limit/limit.go
@@ -5,9 +5,9 @@
 
 import (
 	"fmt"
-	"regexp"
-	"strconv"
 	"strings"
+
+	"maststage.dev/lib/decimal"
 )
 
 // Advertisement is what one response says about its target's limit.
@@ -20,12 +20,6 @@
 // maxPerSecond is above what any target accepts. A larger number is an error.
 const maxPerSecond = 1e6
 
-// decimal matches a number without sign or exponent.
-var decimal = regexp.MustCompile(`^([0-9]+(\.[0-9]*)?|\.[0-9]+)$`)
-
-// maxDigits bounds the length of a number.
-const maxDigits = 64
-
 // ValueError reports an unreadable limit in a response.
 type ValueError struct {
 	Values []string
@@ -46,12 +40,8 @@
 	case len(values) > 1:
 		return s, &ValueError{values, "is given more than once"}
 	}
-	text := strings.TrimSpace(values[0])
-	if len(text) > maxDigits || !decimal.MatchString(text) {
-		return s, &ValueError{values, "is not a decimal number"}
-	}
-	perSecond, err := strconv.ParseFloat(text, 64)
-	if err != nil {
+	perSecond, ok := decimal.Parse(strings.TrimSpace(values[0]))
+	if !ok {
 		return s, &ValueError{values, "is not a decimal number"}
 	}
 	if perSecond > maxPerSecond {
--- a/router/prepaid/era.go
+++ b/router/prepaid/era.go
@@ -103,23 +103,31 @@
 	})
 }
 
+// withKnownEra returns the account of a record at a position of the log with its era, if an earlier build wrote it and
+// dropped what it does not know.
+func (al *allocation) withKnownEra(record Account, at eventlog.Position) Account {
+	switch {
+	case record.Era != unknownEra:
+	case !al.known:
+		record.Era = at.Era
+	case at.Era == al.recorded.position.Era:
+		record.Era, record.Bases, record.Settled = at.Era, al.recorded.account.Bases, al.recorded.account.Settled
+	default:
+		record.Era = al.recorded.position.Era
+	}
+	return record
+}
+
 // applyRecord applies the account's record at a position of the log.
 func (al *allocation) applyRecord(record Account, at eventlog.Position) {
+	record = al.withKnownEra(record, at)
 	sameEra := al.known && at.Era == al.recorded.position.Era
-	switch {
-	case sameEra && record.Era == unknownEra:
-		// An earlier build changed the account and dropped what it does not know.
-		record.Era, record.Bases, record.Settled = at.Era, al.recorded.account.Bases, al.recorded.account.Settled
-	case sameEra && record.Era != at.Era:
+	if sameEra && record.Era != at.Era {
 		// An append that was based on an earlier era took effect late. Its account lacks what this era added, but may
 		// have more of that era.
 		al.account = al.account.covering(record.inEra(at).Bases)
 		al.recorded.position, al.rewrite = at, true
 		return
-	case record.Era == unknownEra && al.known:
-		record.Era = al.recorded.position.Era
-	case record.Era == unknownEra:
-		record.Era = at.Era
 	}
 	var known []Base
 	switch {
--- a/router/prepaid/fuzz_test.go
+++ b/router/prepaid/fuzz_test.go
@@ -84,41 +84,71 @@
 
 func TestNeverOverspent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &model{log: memlog.New(), hosts: make([]*Allocator, fuzzHosts), openReservations: map[*Allocator][]*Reservation{}}
-		m.limit = rapid.Int64Range(10, 2000).Draw(t, "limit")
-		m.highest, m.version = m.limit, 1
-		m.keepers = rapid.IntRange(0, fuzzHosts-1).Draw(t, "keepers")
-		for i := range m.hosts {
-			m.start(i)
-		}
-		host := rapid.IntRange(0, fuzzHosts-1)
-		t.Repeat(map[string]func(*rapid.T){
-			"round":    func(t *rapid.T) { m.round(host.Draw(t, "host"), time.Second) },
-			"cutShort": func(t *rapid.T) { m.cutShort(host.Draw(t, "host")) },
-			"reserve": func(t *rapid.T) {
-				m.reserve(host.Draw(t, "host"), rapid.Int64Range(1, 300).Draw(t, "tokens"))
-			},
-			"drain":   func(t *rapid.T) { m.drain(host.Draw(t, "host")) },
-			"exhaust": func(*rapid.T) { m.exhaust() },
-			"rounds": func(*rapid.T) {
-				for i := range m.hosts {
-					m.round(i, time.Second)
-				}
-			},
-			"settle":  func(t *rapid.T) { m.settle(t, host.Draw(t, "host")) },
-			"kill":    func(t *rapid.T) { m.kill(host.Draw(t, "host")) },
-			"lend":    func(t *rapid.T) { m.lend(t, host.Draw(t, "from"), host.Draw(t, "to")) },
-			"recall":  func(t *rapid.T) { m.recall(t) },
-			"trim":    func(*rapid.T) { m.log.Trim(eventlog.Partition{Topic: "b"}) },
-			"fault":   func(t *rapid.T) { m.fault(t, host.Draw(t, "host")) },
-			"topUp":   func(t *rapid.T) { m.setLimit(m.limit + rapid.Int64Range(1, 500).Draw(t, "more")) },
-			"lower":   func(t *rapid.T) { m.lower(t) },
-			"stopped": func(t *rapid.T) { m.stop(host.Draw(t, "host")) },
-			"":        m.check,
+		m := newModel(t, nil)
+		steps, host := m.steps()
+		steps["kill"] = func(t *rapid.T) { m.kill(host.Draw(t, "host")) }
+		steps["stopped"] = func(t *rapid.T) { m.stop(host.Draw(t, "host")) }
+		t.Repeat(steps)
+	})
+}
+
+// TestNeverOverspentByARestoredLog is TestNeverOverspent with a log that comes back from copies of itself, several times,
+// while hosts are cut off or get no responses. Hosts that die are not in it: what only they knew of lost grants is unknown.
+func TestNeverOverspentByARestoredLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(withoutDeadline{t}, func(t *rapid.T) {
+			m := newModel(t, map[string]int64{})
+			steps, _ := m.steps()
+			steps["copy"] = func(*rapid.T) { m.copies = append(m.copies, m.log.Snapshot()) }
+			steps["restore"] = func(t *rapid.T) { m.restore(t) }
+			steps["wait"] = func(*rapid.T) { time.Sleep(minSettleTime) }
+			t.Repeat(steps)
 		})
 	})
 }
 
+// withoutDeadline is a test whose deadline is not asked for, which a synctest bubble does not allow.
+type withoutDeadline struct{ testing.TB }
+
+// newModel starts hosts with a drawn limit. confirmed is nil if hosts don't confirm eras.
+func newModel(t *rapid.T, confirmed map[string]int64) *model {
+	m := &model{log: memlog.New(), hosts: make([]*Allocator, fuzzHosts), openReservations: map[*Allocator][]*Reservation{}, confirmed: confirmed}
+	m.limit = rapid.Int64Range(10, 2000).Draw(t, "limit")
+	m.highest, m.version = m.limit, 1
+	m.keepers = rapid.IntRange(0, fuzzHosts-1).Draw(t, "keepers")
+	for i := range m.hosts {
+		m.start(i)
+	}
+	return m
+}
+
+// steps are the steps of all tests, and host draws a host.
+func (m *model) steps() (steps map[string]func(*rapid.T), host *rapid.Generator[int]) {
+	host = rapid.IntRange(0, fuzzHosts-1)
+	return map[string]func(*rapid.T){
+		"round":    func(t *rapid.T) { m.round(host.Draw(t, "host"), time.Second) },
+		"cutShort": func(t *rapid.T) { m.cutShort(host.Draw(t, "host")) },
+		"reserve": func(t *rapid.T) {
+			m.reserve(host.Draw(t, "host"), rapid.Int64Range(1, 300).Draw(t, "tokens"))
+		},
+		"drain":   func(t *rapid.T) { m.drain(host.Draw(t, "host")) },
+		"exhaust": func(*rapid.T) { m.exhaust() },
+		"rounds": func(*rapid.T) {
+			for i := range m.hosts {
+				m.round(i, time.Second)
+			}
+		},
+		"settle": func(t *rapid.T) { m.settle(t, host.Draw(t, "host")) },
+		"lend":   func(t *rapid.T) { m.lend(t, host.Draw(t, "from"), host.Draw(t, "to")) },
+		"recall": func(t *rapid.T) { m.recall(t) },
+		"trim":   func(*rapid.T) { m.log.Trim(eventlog.Partition{Topic: "b"}) },
+		"fault":  func(t *rapid.T) { m.fault(t, host.Draw(t, "host")) },
+		"topUp":  func(t *rapid.T) { m.setLimit(m.limit + rapid.Int64Range(1, 500).Draw(t, "more")) },
+		"lower":  func(t *rapid.T) { m.lower(t) },
+		"":       m.check,
+	}, host
+}
+
 // othersConfirmed implements Options.HostsConfirmed for a host.
 func (m *model) othersConfirmed(i int) func(era int64) bool {
 	return func(era int64) bool {
@@ -131,51 +161,6 @@
 	}
 }
 
-// TestNeverOverspentByARestoredLog is TestNeverOverspent with a log that comes back from copies of itself, several times,
-// while hosts are cut off or get no responses. Hosts that die are not in it: what only they knew of lost grants is unknown.
-func TestNeverOverspentByARestoredLog(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		rapid.Check(withoutDeadline{t}, func(t *rapid.T) {
-			m := &model{log: memlog.New(), hosts: make([]*Allocator, fuzzHosts), openReservations: map[*Allocator][]*Reservation{}, confirmed: map[string]int64{}}
-			m.limit = rapid.Int64Range(10, 2000).Draw(t, "limit")
-			m.highest, m.version = m.limit, 1
-			m.keepers = rapid.IntRange(0, fuzzHosts-1).Draw(t, "keepers")
-			for i := range m.hosts {
-				m.start(i)
-			}
-			host := rapid.IntRange(0, fuzzHosts-1)
-			t.Repeat(map[string]func(*rapid.T){
-				"round":    func(t *rapid.T) { m.round(host.Draw(t, "host"), time.Second) },
-				"cutShort": func(t *rapid.T) { m.cutShort(host.Draw(t, "host")) },
-				"reserve": func(t *rapid.T) {
-					m.reserve(host.Draw(t, "host"), rapid.Int64Range(1, 300).Draw(t, "tokens"))
-				},
-				"drain":   func(t *rapid.T) { m.drain(host.Draw(t, "host")) },
-				"exhaust": func(*rapid.T) { m.exhaust() },
-				"rounds": func(*rapid.T) {
-					for i := range m.hosts {
-						m.round(i, time.Second)
-					}
-				},
-				"settle":  func(t *rapid.T) { m.settle(t, host.Draw(t, "host")) },
-				"lend":    func(t *rapid.T) { m.lend(t, host.Draw(t, "from"), host.Draw(t, "to")) },
-				"recall":  func(t *rapid.T) { m.recall(t) },
-				"trim":    func(*rapid.T) { m.log.Trim(eventlog.Partition{Topic: "b"}) },
-				"fault":   func(t *rapid.T) { m.fault(t, host.Draw(t, "host")) },
-				"topUp":   func(t *rapid.T) { m.setLimit(m.limit + rapid.Int64Range(1, 500).Draw(t, "more")) },
-				"lower":   func(t *rapid.T) { m.lower(t) },
-				"copy":    func(*rapid.T) { m.copies = append(m.copies, m.log.Snapshot()) },
-				"restore": func(t *rapid.T) { m.restore(t) },
-				"wait":    func(*rapid.T) { time.Sleep(minSettleTime) },
-				"":        m.check,
-			})
-		})
-	})
-}
-
-// withoutDeadline is a test whose deadline is not asked for, which a synctest bubble does not allow.
-type withoutDeadline struct{ testing.TB }
-
 // restore restores the log from one of its copies. Those that were made later are none of it any more.
 func (m *model) restore(t *rapid.T) {
 	if len(m.copies) == 0 {
--- a/router/prepaid/partition_writer.go
+++ b/router/prepaid/partition_writer.go
@@ -199,12 +199,12 @@
 			updates = pw.prepareUpdates()
 		}
 		if len(updates) == 0 {
-			pw.confirm(pw.end.Era)
+			pw.confirm(pw.era)
 			return nil
 		}
 		done, err := pw.append(ctx, updates)
 		if done && !pw.rewritesDue() {
-			pw.confirm(pw.end.Era)
+			pw.confirm(pw.era)
 		}
 		if done || err != nil {
 			return err
@@ -327,9 +327,9 @@
 			continue
 		}
 		a.nextOp++
-		next.Writer, next.Op, next.Era = a.opts.Host, a.nextOp, pw.end.Era
+		next.Writer, next.Op, next.Era = a.opts.Host, a.nextOp, pw.era
 		if settled {
-			next.Settled = pw.end.Era
+			next.Settled = pw.era
 		}
 		if change.Return > 0 {
 			al.free -= change.Return
--- a/router/retryafter/retryafter.go
+++ b/router/retryafter/retryafter.go
@@ -5,21 +5,15 @@
 	"fmt"
 	"math"
 	"net/http"
-	"regexp"
-	"strconv"
 	"strings"
 	"time"
+
+	"maststage.dev/lib/decimal"
 )
 
 // Max is the longest time that Parse returns. Longer ones are shortened to it.
 const Max = 10 * time.Minute
 
-// decimal matches a number of seconds without sign or exponent. Targets send fractions too.
-var decimal = regexp.MustCompile(`^([0-9]+(\.[0-9]*)?|\.[0-9]+)$`)
-
-// maxDigits bounds the length of a number.
-const maxDigits = 64
-
 // ValueError reports an unreadable Retry-After.
 type ValueError struct {
 	Values []string
@@ -42,11 +36,7 @@
 		return 0, &ValueError{values, "is given more than once"}
 	}
 	text := strings.TrimSpace(values[0])
-	if len(text) <= maxDigits && decimal.MatchString(text) {
-		seconds, err := strconv.ParseFloat(text, 64)
-		if err != nil {
-			return 0, &ValueError{values, "is not a number of seconds"}
-		}
+	if seconds, ok := decimal.Parse(text); ok { // targets send fractions, too
 		return time.Duration(math.Min(seconds, Max.Seconds()) * float64(time.Second)), nil
 	}
 	end, err := http.ParseTime(text)
--- a/router/retryafter/retryafter_test.go
+++ b/router/retryafter/retryafter_test.go
@@ -16,7 +16,7 @@
 func TestParse(t *testing.T) {
 	for text, want := range map[string]time.Duration{
 		"3": 3 * time.Second, "0": 0, "0.5": 500 * time.Millisecond, ".25": 250 * time.Millisecond, " 2 ": 2 * time.Second,
-		"600": Max, "601": Max, "99999999999999999999": Max, strings.Repeat("9", maxDigits): Max,
+		"600": Max, "601": Max, "99999999999999999999": Max, strings.Repeat("9", 64): Max,
 		now.Add(7 * time.Second).Format(http.TimeFormat): 7 * time.Second,
 		now.Add(-time.Hour).Format(http.TimeFormat):      0,
 		now.AddDate(9, 0, 0).Format(http.TimeFormat):     Max,
--- a/router/target/backoff.go
+++ b/router/target/backoff.go
@@ -40,7 +40,7 @@
 	if d <= 0 || !until.After(t.backoff.until) {
 		return
 	}
-	if !t.paused(now) {
+	if !t.inBackoff(now) {
 		r.logAdvisory(t, "target wants no requests for a while", log.Fields{"for": d, "outstanding": t.outstanding})
 	}
 	spread := min(time.Duration(resumeSpread*float64(d)), maxResumeSpread)
@@ -57,8 +57,8 @@
 	}
 }
 
-// paused reports whether this host sends the target no requests because it asked for a pause.
-func (t *Target) paused(now time.Time) bool { return now.Before(t.backoff.resumeAt) }
+// inBackoff reports whether this host sends the target no requests because it asked for a pause.
+func (t *Target) inBackoff(now time.Time) bool { return now.Before(t.backoff.resumeAt) }
 
 // underTest reports whether a request is on its way that shows whether the target takes requests after a pause.
 func (t *Target) underTest(now time.Time) bool {
@@ -78,12 +78,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	return !t.paused(now) && (t.leavingSince.IsZero() || now.Sub(t.leavingSince) < r.opts.DrainLimit)
+	return !t.inBackoff(now) && (t.leavingSince.IsZero() || now.Sub(t.leavingSince) < r.opts.DrainLimit)
 }
 
-// PauseLeft returns the time until the first target takes requests again, if all targets that could take the request
+// BackoffLeft returns the time until the first target takes requests again, if all targets that could take the request
 // asked for a pause. ok is false if there is another, or none at all.
-func (r *Registry) PauseLeft(w Requirements) (left time.Duration, ok bool) {
+func (r *Registry) BackoffLeft(w Requirements) (left time.Duration, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
@@ -92,7 +92,7 @@
 		if !t.ready() || !r.eligible(w, t, now) {
 			continue
 		}
-		if !t.paused(now) {
+		if !t.inBackoff(now) {
 			return 0, false
 		}
 		if first.IsZero() || t.backoff.resumeAt.Before(first) {
@@ -110,7 +110,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, t := range r.targets {
-		if t.paused(now) {
+		if t.inBackoff(now) {
 			n++
 		}
 	}
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -96,7 +96,7 @@
 	good := make([]*Target, 0, len(all))
 	var ejected, leaving []*Target
 	for _, t := range all {
-		if !r.eligible(w, t, now) || t.paused(now) {
+		if !r.eligible(w, t, now) || t.inBackoff(now) {
 			continue
 		}
 		switch {
--- a/router/target/shed.go
+++ b/router/target/shed.go
@@ -98,7 +98,7 @@
 func (r *Registry) allLimited(w Requirements, now time.Time) bool {
 	anyLimited := false
 	for _, t := range r.services[w.Service] {
-		if !t.ready() || !r.eligible(w, t, now) || t.paused(now) {
+		if !t.ready() || !r.eligible(w, t, now) || t.inBackoff(now) {
 			continue
 		}
 		if !t.limit.inForce {
@@ -122,7 +122,7 @@
 // this host and from all hosts. The lock is held.
 func (r *Registry) limitRates(service string, now time.Time) (own, total float64) {
 	for _, t := range r.services[service] {
-		if !t.ready() || !t.limit.inForce || t.paused(now) {
+		if !t.ready() || !t.limit.inForce || t.inBackoff(now) {
 			continue
 		}
 		total += t.limit.perSecond
