--- a/proofs/soak/soak_test.go
+++ b/proofs/soak/soak_test.go
@@ -182,8 +182,9 @@
 	t.Logf("%d fresh seeds", n)
 }
 
-// fixedSeeds run in CI. Together they cover planned work alone, many hosts and all kinds of faults.
-var fixedSeeds = []uint64{1, 2, 3}
+// fixedSeeds run in CI. Together they cover planned work alone, many hosts and all kinds of faults, what targets announce
+// and a store that comes back from a copy.
+var fixedSeeds = []uint64{1, 2, 3, 21}
 
 func TestFixedSeeds(t *testing.T) {
 	for _, seed := range fixedSeeds {
--- a/router/prepaid/restored_test.go
+++ b/router/prepaid/restored_test.go
@@ -145,3 +145,26 @@
 	is.True(!al.rewrite)
 	is.Equal(len(al.account.Bases), 1)
 }
+
+// Guards against tokens that are granted twice since only a host that died knew of the lost grant.
+func TestLostGrantsOfADeadHostAreNotMadeAgain(t *testing.T) {
+	is := is.New(t)
+	const limit = 10_000
+	g := newHostGroup(t, 2)
+	a, stop := g.start("a", nil)
+	b, _ := g.start("b", nil)
+	for _, alloc := range []*Allocator{a, b} {
+		alloc.Configure(1, []Budget{{"org", limit}}, false)
+	}
+	spent := spend(b, "org", 100, 1)
+	copied := g.log.Snapshot()
+	spent += spend(a, "org", 100, 30)
+	stop()
+	g.log.Restore(copied)
+	for range 3 {
+		time.Sleep(500 * time.Millisecond)
+		spent += spend(b, "org", 100, 200)
+	}
+	t.Logf("%d of %d tokens are spent", spent, limit)
+	is.True(spent <= limit)
+}
