node, fleet: follow several restorations of the log in a row, spread confirmations

A host that waited up to ten seconds for the others' confirmations did not tell its budgets of the next era until then; the wait ends now when the log is restored again. The separate announcement after a restoration is gone, as the confirmation is one, and hosts of a large fleet spread it over 2 ms for each of them instead of writing all at once.

--- a/router/fleet/era.go
+++ b/router/fleet/era.go
@@ -1,6 +1,7 @@
 package fleet
 
-// ConfirmEra announces that this host has written again what a restored log had lost of its grants.
+// ConfirmEra announces that this host has written again what a restored log had lost of its grants, and the host
+// itself, whose announcement the log may have lost, too.
 func (f *Fleet) ConfirmEra(era int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -28,9 +29,6 @@
 	return true
 }
 
-// Announce makes this host announce itself soon: a restored log may lack its announcement.
-func (f *Fleet) Announce() { f.requestAnnouncement() }
-
 // requestAnnouncement makes the next announcement due.
 func (f *Fleet) requestAnnouncement() {
 	select {
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -14,6 +14,7 @@
 
 	log "github.com/sirupsen/logrus"
 
+	"maststage.dev/lib/wait"
 	"maststage.dev/router/eventlog"
 	"maststage.dev/router/limit"
 	"maststage.dev/router/prepaid"
@@ -197,6 +198,8 @@
 const (
 	announcePerHost     = 16 * time.Millisecond // per host of the fleet, for some 60 announcements a second in all
 	maxAnnounceInterval = 20 * time.Second      // half as much again is well below peerExpiry
+	// requestSpreadPerHost, per host of the fleet, spreads announcements that all hosts request at the same moment.
+	requestSpreadPerHost = 2 * time.Millisecond
 )
 
 // announceInterval is the mean time between two announcements. It grows with the fleet since
@@ -212,6 +215,7 @@
 	select {
 	case <-ctx.Done():
 	case <-f.announceNow:
+		wait.For(ctx, rand.N(time.Duration(f.Size())*requestSpreadPerHost))
 	}
 }
 
--- a/router/node/era.go
+++ b/router/node/era.go
@@ -60,20 +60,20 @@
 			newest = era
 			n.observer.Count("log_restored_total")
 			n.allocator.SetLogEra(era)
-			n.fleet.Announce()
 			for _, c := range append(n.servingReplicas(), n.rollouts.states) {
 				c.Refresh()
 			}
 			n.awaitConfirmations(ctx, era)
-			n.rewriteLost(ctx)
+			n.rewriteLost(ctx, era)
 		}
 	}
 }
 
-// awaitConfirmations reads the other hosts' announcements until all have confirmed the era, or confirmTime has passed.
+// awaitConfirmations reads the other hosts' announcements until all have confirmed the era, confirmTime has passed or
+// the log was restored again.
 func (n *Node) awaitConfirmations(ctx context.Context, era int64) {
 	pause := max(confirmInterval, time.Duration(n.fleet.Size())*confirmIntervalPerHost)
-	for end := time.Now().Add(confirmTime); time.Now().Before(end) && ctx.Err() == nil; {
+	for end := time.Now().Add(confirmTime); time.Now().Before(end) && n.logEra.Load() == era && ctx.Err() == nil; {
 		wait.For(ctx, wait.Jitter(pause))
 		if n.fleet.HostsConfirmed(era) {
 			return
@@ -83,10 +83,10 @@
 }
 
 // rewriteLost writes the records again that hosts had written and a restored log lacks. One host does that for all.
-func (n *Node) rewriteLost(ctx context.Context) {
+func (n *Node) rewriteLost(ctx context.Context, era int64) {
 	for range maxRewrites {
 		wait.For(ctx, rewriteDelay)
-		if ctx.Err() != nil || !n.fleet.IsPrimary("lost records") {
+		if ctx.Err() != nil || n.logEra.Load() != era || !n.fleet.IsPrimary("lost records") {
 			return
 		}
 		done := n.rewrite(ctx, n.env.HostsTopic, n.hostsReplica, isHostsRecord)
