node: let the last check of an evacuation test wait as its others do

On a busy machine one late answer makes the other domain's target the better choice for a moment, which is by design.

The check now waits for ten calls in a row, as the one before the evacuations does.

--- a/router/node/evacuation_test.go
+++ b/router/node/evacuation_test.go
@@ -46,7 +46,8 @@
 	f.evacuate("elsewhere", true)
 	f.evacuate("z2", false)
 	f.eventually("both are back", func() bool { return h.targets.CountEvacuatedDomains() == 1 })
-	f.is.True(f.only(h, "one"))
+	// Not at the first try: on a busy machine a target that was slow once is passed over for a moment.
+	f.eventually("its own domain serves", func() bool { return f.only(h, "one") })
 }
 
 // A host that can't reach the log learns of evacuations and of their ends from other hosts.
