reach: record the outcome of dials, log when new connections to a service fail

Cause: a host that is cut off from its targets and one whose link is full both log "host is overloaded" with a connect time of 300 ms, and attempts say "not sent" for time-outs and refusals alike. Change: dials are counted by outcome, and the package reach judges for each service whether new connections fail. Nothing acts on it yet. The new setting [host] dial_ip names the local IP of connections to targets; it lets a stand-in tell the hosts' connections apart.

--- a/router/httpconn/pool.go
+++ b/router/httpconn/pool.go
@@ -29,8 +29,12 @@
 	MaxIdle     int
 	// TCPUserTimeout is how long sent bytes may stay unacknowledged before the connection fails.
 	TCPUserTimeout time.Duration
-	// OnDial is called for each new connection.
+	// OnDial is called for each new connection to the address itself.
 	OnDial func()
+	// Dial makes the connections for requests; nil: DialDirect.
+	Dial func(ctx context.Context) (net.Conn, error)
+	// LocalIP is the local address of connections; nil: the system chooses it.
+	LocalIP net.IP
 }
 
 // Pool holds the connections to one target.
@@ -60,6 +64,12 @@
 			Enable: true, Idle: keepAliveProbe, Interval: keepAliveProbe, Count: keepAliveCount,
 		},
 	}
+	if opts.LocalIP != nil {
+		p.dialer.LocalAddr = &net.TCPAddr{IP: opts.LocalIP}
+	}
+	if p.opts.Dial == nil {
+		p.opts.Dial = p.DialDirect
+	}
 	return p
 }
 
@@ -88,7 +98,7 @@
 		c.reused = true
 		return c, nil
 	}
-	return p.dial(ctx)
+	return p.newConn(ctx, p.opts.Dial)
 }
 
 func (p *Pool) takeIdle() (*Conn, error) {
@@ -109,7 +119,8 @@
 	return c, nil
 }
 
-func (p *Pool) dial(ctx context.Context) (*Conn, error) {
+// newConn dials a connection, which counts as open.
+func (p *Pool) newConn(ctx context.Context, dial func(ctx context.Context) (net.Conn, error)) (*Conn, error) {
 	p.mu.Lock()
 	if p.limit > 0 && p.open >= p.limit {
 		p.mu.Unlock()
@@ -117,21 +128,30 @@
 	}
 	p.open++
 	p.mu.Unlock()
-	nc, err := p.dialer.DialContext(ctx, "tcp", p.opts.Address)
+	nc, err := dial(ctx)
 	if err != nil {
 		p.countClosed()
 		return nil, err
 	}
+	return &Conn{pool: p, nc: nc, reader: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+}
+
+// DialDirect dials a connection to the pool's address that doesn't belong to the pool.
+func (p *Pool) DialDirect(ctx context.Context) (net.Conn, error) {
+	nc, err := p.dialer.DialContext(ctx, "tcp", p.opts.Address)
+	if err != nil {
+		return nil, err
+	}
 	if p.opts.OnDial != nil {
 		p.opts.OnDial()
 	}
 	setUserTimeout(nc, p.opts.TCPUserTimeout)
-	return &Conn{pool: p, nc: nc, reader: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+	return nc, nil
 }
 
-// Probe dials a new connection and keeps it for a later request, or returns why that failed.
-func (p *Pool) Probe(ctx context.Context) error {
-	c, err := p.dial(ctx)
+// Probe dials a new connection with dial and keeps it for a later request, or returns why that failed.
+func (p *Pool) Probe(ctx context.Context, dial func(ctx context.Context) (net.Conn, error)) error {
+	c, err := p.newConn(ctx, dial)
 	if err != nil {
 		return err
 	}
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -24,6 +25,7 @@
 	"maststage.dev/router/overload"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/quarantine"
+	"maststage.dev/router/reach"
 	"maststage.dev/router/replica"
 	"maststage.dev/router/retrybudget"
 	"maststage.dev/router/rollout"
@@ -73,6 +75,7 @@
 	observer       *observe.Observer
 	handler        *forward.Handler
 	targets        *target.Registry
+	reach          *reach.Monitor
 	allocator      *prepaid.Allocator
 	fleet          *fleet.Fleet
 	holders        *fleet.Holders
@@ -123,6 +126,7 @@
 		configQueued:   make(chan struct{}, 1),
 		eraChanged:     make(chan struct{}, 1),
 		limitNotices:   newLimitNotices(),
+		reach:          reach.New(),
 	}
 	n.capacity = capacity.New(cfg.Capacity.LinkMbps, n.leaving)
 	n.calls = logcount.New(env.Log, n.countCall)
@@ -136,6 +140,9 @@
 		MaxIdle:     cfg.Targets.MaxIdle,
 		UserTimeout: settings.Milliseconds(cfg.Targets.UserTimeoutMs),
 		OnDial:      func() { n.observer.Count("target_connections_total") },
+		OnDialed:    func(o reach.Outcome) { n.observer.Count(fmt.Sprintf("target_dials_total{outcome=%q}", o)) },
+		LocalIP:     net.ParseIP(cfg.Host.DialIP),
+		Reach:       n.reach,
 		Elected:     n.elected,
 		Hosts:       n.hostCount,
 	})
--- /dev/null
+++ b/router/reach/back.go
@@ -0,0 +1,174 @@
+package reach
+
+import (
+	"time"
+
+	log "github.com/sirupsen/logrus"
+)
+
+// Parameters of the return to connections of this host's own.
+const (
+	// minHold is how long dials must succeed before all requests use them again.
+	minHold = 400 * time.Millisecond
+	// maxHold bounds this time, which doubles each time that the links are lost again within flapTime.
+	maxHold  = 4 * time.Second
+	flapTime = 10 * time.Second
+	// minProofs is how many targets must be reached, unless the service has fewer.
+	minProofs = 3
+	// canaryInterval is the time between two requests that test silent links; it doubles up to maxCanaryInterval.
+	canaryInterval    = 500 * time.Millisecond
+	maxCanaryInterval = 2 * time.Second
+	// maxSilenceAge is how long links count as silent without a test: no request may be fit for one.
+	maxSilenceAge = 5 * time.Second
+)
+
+// back is the state of a service's return to connections of this host's own.
+type back struct {
+	lostAt      time.Time // when the service was last lost
+	returnedAt  time.Time // when it was last reached again
+	hold        time.Duration
+	proofs      map[*Path]bool // targets reached in the current test
+	refuted     map[*Path]bool // targets not reached in the current test
+	proofsSince time.Time      // when the current test began
+	canaryAt    time.Time // newest request that tests silent links
+	canaryGap   time.Duration
+}
+
+// changed applies a change of byDials or bySilence. The lock is held.
+func (s *service) changed(now time.Time) {
+	was := s.cut.Load()
+	s.cut.Store(s.byDials || s.bySilence)
+	switch {
+	case s.cut.Load() && !was:
+		hold := minHold
+		if now.Sub(s.back.returnedAt) < flapTime {
+			hold = min(2*s.back.hold, maxHold)
+		}
+		s.back = back{lostAt: now, returnedAt: s.back.returnedAt, hold: hold, canaryAt: now, canaryGap: canaryInterval}
+	case !s.cut.Load() && was:
+		s.back.returnedAt = now
+		log.WithFields(log.Fields{"service": s.name, "after": now.Sub(s.back.lostAt).Round(time.Millisecond)}).Info("the service is in direct reach again")
+	}
+}
+
+// recordConnected records a dial that succeeded. The lock is held.
+func (s *service) recordConnected(p *Path, now time.Time) {
+	if !s.byDials {
+		return
+	}
+	b := &s.back
+	if len(b.proofs) == 0 {
+		b.proofs, b.refuted, b.proofsSince = map[*Path]bool{}, map[*Path]bool{}, now
+	}
+	b.proofs[p] = true
+	delete(b.refuted, p)
+	if len(b.proofs) >= min(minProofs, len(s.paths)) && now.Sub(b.proofsSince) >= b.hold {
+		s.byDials, s.hung = false, false
+		s.changed(now)
+	}
+}
+
+// recordFailed records a dial that failed. A single target may be gone; as many failures as successes end the test. The
+// lock is held.
+func (s *service) recordFailed(p *Path) {
+	b := &s.back
+	if len(b.proofs) == 0 {
+		return
+	}
+	b.refuted[p] = true
+	delete(b.proofs, p)
+	if len(b.refuted) >= len(b.proofs) {
+		clear(b.proofs)
+	}
+}
+
+// recordReceived records that something arrived on a connection of this host's own. The lock is held.
+func (s *service) recordReceived(now time.Time) {
+	if s.bySilence && now.Sub(s.back.lostAt) >= s.back.hold-minHold {
+		s.bySilence = false
+		s.changed(now)
+	}
+}
+
+// TakeCanary reports whether a request that may be repeated should use a connection of this host's own to test the
+// links: nothing else shows whether connections that were silent carry data again.
+func (p *Path) TakeCanary(now time.Time) bool {
+	if !p.Cut() {
+		return false
+	}
+	p.monitor.mu.Lock()
+	defer p.monitor.mu.Unlock()
+	s := p.service
+	if s.byDials || now.Sub(s.back.canaryAt) < s.back.canaryGap {
+		return false
+	}
+	s.back.canaryAt = now
+	s.back.canaryGap = min(2*s.back.canaryGap, maxCanaryInterval)
+	return true
+}
+
+// Expire ends what has not been tested for too long. It is called every second or so.
+func (m *Monitor) Expire(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.services {
+		if s.bySilence && now.Sub(s.back.lostAt) >= maxSilenceAge && now.Sub(s.back.canaryAt) >= maxSilenceAge {
+			s.bySilence = false
+			s.changed(now)
+		}
+	}
+}
+
+// Parameters of probes.
+const (
+	// probeInterval is the least time between two probes of one target.
+	probeInterval = time.Second
+	// maxProbes bounds the probes of one service at a time.
+	maxProbes = 3
+	// suspicionTime is how long a failure calls for probes of other targets.
+	suspicionTime = 500 * time.Millisecond
+)
+
+// DueProbes returns the targets to dial now: of a service to which new connections fail the one that was not probed for
+// longest, and of a service at which something has just failed some others, which show whether it was that target.
+func (m *Monitor) DueProbes(now time.Time) (targets []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.services {
+		count := 0
+		switch {
+		case s.byDials:
+			count = 1
+		case now.Sub(s.suspectedAt) < suspicionTime:
+			count = maxProbes
+		}
+		for range count {
+			if p := s.nextProbe(now); p != nil {
+				p.probedAt = now
+				targets = append(targets, p.target)
+			}
+		}
+	}
+	return targets
+}
+
+// nextProbe returns the target that was not probed for longest, nil if all were within probeInterval. The lock is held.
+func (s *service) nextProbe(now time.Time) (next *Path) {
+	for _, p := range s.paths {
+		newest := later(p.probedAt, p.connectedAt)
+		if !s.byDials {
+			newest = later(newest, p.failedAt)
+		}
+		if now.Sub(newest) >= probeInterval && (next == nil || p.probedAt.Before(next.probedAt)) {
+			next = p
+		}
+	}
+	return next
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/router/settings/sections.go
+++ b/router/settings/sections.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 )
 
@@ -13,6 +14,7 @@
 	Listen        string   `ini:"listen"`                    // for callers
 	ReadyListen   string   `ini:"ready_listen"`              // for readiness checks
 	PeerListen    string   `ini:"peer_listen"`               // for other hosts
+	DialIP        string   `ini:"dial_ip" default:""`        // local IP of connections to targets; empty: the system chooses it
 	MetricsListen string   `ini:"metrics_listen" default:""` // empty: metrics are not served
 	Seeds         []string `ini:"seeds" default:""`          // peer addresses of hosts to join through
 }
@@ -26,7 +28,12 @@
 		}
 	}
 	if h.MetricsListen != "" {
-		return checkAddress("host", "metrics_listen", h.MetricsListen)
+		if err := checkAddress("host", "metrics_listen", h.MetricsListen); err != nil {
+			return err
+		}
+	}
+	if h.DialIP != "" && net.ParseIP(h.DialIP) == nil {
+		return invalidValue("host", "dial_ip", h.DialIP, "is not an IP address")
 	}
 	return h.checkRegions()
 }
--- a/router/target/exit.go
+++ b/router/target/exit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"syscall"
 	"time"
 
@@ -70,7 +71,7 @@
 func (r *Registry) runProbe(ctx context.Context, t *Target) bool {
 	dial, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	refused := errors.Is(t.Pool.Probe(dial), syscall.ECONNREFUSED)
+	refused := errors.Is(t.Pool.Probe(dial, func(ctx context.Context) (net.Conn, error) { return r.dialDirect(ctx, t) }), syscall.ECONNREFUSED)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !refused || !t.leavingSince.IsZero() {
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -3,6 +3,8 @@
 package target
 
 import (
+	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +14,7 @@
 	"maststage.dev/router/balance"
 	"maststage.dev/router/httpconn"
 	"maststage.dev/router/logging"
+	"maststage.dev/router/reach"
 )
 
 // Target is one incarnation of a back end as this host sees it. Its fields are guarded by the
@@ -42,6 +45,8 @@
 	outstanding   int          // this host's requests in progress
 	pendingTokens float64      // prompt tokens of requests without a response yet
 
+	path *reach.Path // this host's own way to it
+
 	health       health
 	stall        stall
 	promptTokens float64 // sent by this host
@@ -65,6 +70,12 @@
 	MaxIdle     int
 	UserTimeout time.Duration
 	OnDial      func()
+	// LocalIP is the local address of connections to targets; nil: the system chooses it.
+	LocalIP net.IP
+	// Reach judges whether this host reaches targets itself; nil: a monitor of the registry's own.
+	Reach *reach.Monitor
+	// OnDialed counts dials by their outcome; nil: they are not counted.
+	OnDialed func(outcome reach.Outcome)
 	// Elected reports whether this host is one of up to count hosts that share a duty, and how many
 	// such hosts there are. If nil, this host is the only one.
 	Elected func(duty string, count int) (hosts int, self bool)
@@ -100,6 +111,12 @@
 	if opts.Hosts == nil {
 		opts.Hosts = func() int { return 1 }
 	}
+	if opts.Reach == nil {
+		opts.Reach = reach.New()
+	}
+	if opts.OnDialed == nil {
+		opts.OnDialed = func(reach.Outcome) {}
+	}
 	return &Registry{
 		opts:             opts,
 		targets:          map[string]*Target{},
@@ -195,11 +212,13 @@
 func (r *Registry) add(e Entry) *Target {
 	t := &Target{
 		ID: e.ID, Service: e.Service, Address: e.Address, Domain: e.Domain, Version: e.Version, slots: max(e.Slots, 1), weights: balance.WeightsOf(0), incarnation: e.Incarnation(),
-		Pool: httpconn.NewPool(httpconn.Options{
-			Address: e.Address, DialTimeout: r.opts.DialTimeout, IdleTimeout: r.opts.IdleTimeout,
-			MaxIdle: r.opts.MaxIdle, TCPUserTimeout: r.opts.UserTimeout, OnDial: r.opts.OnDial,
-		}),
+		path: r.opts.Reach.Add(e.Service, e.ID),
 	}
+	t.Pool = httpconn.NewPool(httpconn.Options{
+		Address: e.Address, DialTimeout: r.opts.DialTimeout, IdleTimeout: r.opts.IdleTimeout,
+		MaxIdle: r.opts.MaxIdle, TCPUserTimeout: r.opts.UserTimeout, OnDial: r.opts.OnDial, LocalIP: r.opts.LocalIP,
+		Dial: func(ctx context.Context) (net.Conn, error) { return r.dialDirect(ctx, t) },
+	})
 	t.announcedExit = r.announcedExits[e.ID].concerns(e)
 	t.Pool.SetLimit(r.maxConns[e.Service])
 	r.targets[e.ID] = t
@@ -219,6 +238,7 @@
 		}
 	}
 	r.services[t.Service] = kept
+	t.path.Remove()
 	t.Pool.Close()
 }
 
