--- a/proofs/soak/crowd_test.go
+++ b/proofs/soak/crowd_test.go
@@ -31,7 +31,7 @@
 // capacitySettings is the section of a thin host's settings with the speed of its link. The link itself is as fast as
 // any: a host judges by the bytes that it relays.
 func (h *host) capacitySettings() string {
-	if !h.world.thinHosts || h.number%2 != 0 {
+	if !h.world.options.thinHosts || h.number%2 != 0 {
 		return ""
 	}
 	return fmt.Sprintf("[capacity]\nlink_mbps = %g\n", thinLinkMbps)
--- a/proofs/soak/soak_test.go
+++ b/proofs/soak/soak_test.go
@@ -104,7 +104,7 @@
 	events = append(events, pauses(seed)...)
 	events = append(events, restores(seed)...)
 	events = append(events, crowds(seed)...)
-	w := newWorldWith(t, hosts, seed, hasThinHosts(seed))
+	w := newWorldWith(t, hosts, seed, worldOptions{thinHosts: hasThinHosts(seed)})
 	if hasSlowLinks(seed) {
 		w.slowDownLinks()
 		w.addManyRoutes()
@@ -135,7 +135,7 @@
 func (w *world) report(seed uint64, events []event) {
 	w.watch.mu.Lock()
 	defer w.watch.mu.Unlock()
-	w.t.Logf("seed %d: %d hosts, slow links %v, thin hosts %v, %d events, %d requests, %d runs of deadly requests", seed, len(w.hosts), hasSlowLinks(seed), w.thinHosts, len(events), len(w.watch.calls), len(w.watch.deadly))
+	w.t.Logf("seed %d: %d hosts, slow links %v, thin hosts %v, %d events, %d requests, %d runs of deadly requests", seed, len(w.hosts), hasSlowLinks(seed), w.options.thinHosts, len(events), len(w.watch.calls), len(w.watch.deadly))
 	if len(w.watch.violations) == 0 {
 		return
 	}
--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -52,8 +52,8 @@
 	hosts   []*host
 	watch   *watch
 
+	options   worldOptions
 	slowLinks bool // hosts have slow links, and the configuration is large
-	thinHosts bool // some hosts have a slow link in their settings
 
 	replacing sync.WaitGroup // targets that are being replaced after they crashed
 	stopped   bool           // targets are no longer replaced
@@ -65,6 +65,8 @@
 
 	mu      sync.Mutex
 	targets []*targetState
+	cuts    map[int]faultlink.Fault // between hosts and all targets, those in progress
+	nextCut int
 	nextID  int
 	config  platformtest.Config
 	random  *rand.Rand // for the behaviour of targets
@@ -92,6 +94,7 @@
 	*backend.Backend
 	id, service, zone string
 	link              *faultlink.Link // between the hosts and it
+	cuts              map[int]func()  // ends of the cuts in progress, by number; guarded by world.mu
 	mu                sync.Mutex
 	alter             func(*backend.Behaviour) // the injected fault, nil without one
 	leftAt            time.Time                // when the store had the entry that the target leaves
@@ -125,13 +128,20 @@
 }
 
 // newWorld starts a cluster of n hosts.
-func newWorld(t *testing.T, n int, seed uint64) *world { return newWorldWith(t, n, seed, false) }
+func newWorld(t *testing.T, n int, seed uint64) *world {
+	return newWorldWith(t, n, seed, worldOptions{})
+}
+
+// worldOptions are what differs between clusters.
+type worldOptions struct {
+	thinHosts  bool // some hosts have a slow link in their settings
+	ownDialIPs bool // hosts connect to targets from addresses of their own, so that they can be cut off from them
+}
 
-// newWorldWith starts a cluster of n hosts, some of which may have thin links.
-func newWorldWith(t *testing.T, n int, seed uint64, thinHosts bool) *world {
+func newWorldWith(t *testing.T, n int, seed uint64, options worldOptions) *world {
 	w := &world{
-		t: t, dir: t.TempDir(), network: takeNetwork(t), log: memlog.New(), thinHosts: thinHosts,
-		watch: newWatch(), random: rand.New(rand.NewPCG(seed, 1)), written: map[logKey][]byte{},
+		t: t, dir: t.TempDir(), network: takeNetwork(t), log: memlog.New(), options: options,
+		watch: newWatch(), random: rand.New(rand.NewPCG(seed, 1)), written: map[logKey][]byte{}, cuts: map[int]faultlink.Fault{},
 	}
 	for range engineTargets {
 		w.addTarget(engineService)
@@ -165,6 +175,7 @@
 	callersPart
 	readyPart
 	peersPart
+	dialPart
 )
 
 func (w *world) addHost(i int) {
@@ -209,6 +220,9 @@
 		"[output]\nlines_per_second = 2000\nlevel = debug\naccount_s = %g\n",
 		h.name, h.zone, h.listen, h.ready, h.peers, h.world.seeds(), h.store.Address(), logPartitions,
 		drainWithin.Milliseconds(), evacuateWithin.Milliseconds(), graceTime.Seconds(), retryRatio, retrySlack, retryWindow.Seconds(), accountEvery.Seconds())
+	if h.world.options.ownDialIPs {
+		text = strings.Replace(text, "[log]", "dial_ip = "+h.dialIP()+"\n[log]", 1)
+	}
 	text += h.capacitySettings()
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		h.world.t.Error(err)
@@ -330,7 +344,7 @@
 	number := w.nextID
 	w.nextID++
 	w.mu.Unlock()
-	s := &targetState{id: fmt.Sprintf("%s-%d", service, number), service: service, zone: fmt.Sprintf("z%d", number%3)}
+	s := &targetState{id: fmt.Sprintf("%s-%d", service, number), service: service, zone: fmt.Sprintf("z%d", number%3), cuts: map[int]func(){}}
 	names := backend.Names{
 		RequestID: platform.Headers.RequestID, ExpectTarget: platform.Headers.ExpectTarget,
 		LastEventID: platform.Headers.LastEventID, Stamp: platform.Headers.Stamp, NotRun: platform.Headers.NotRun, Limit: platform.Headers.Limit,
@@ -349,6 +363,9 @@
 	s.link = faultlink.Open(w.t, faultlink.Options{Listen: w.address(targetLinkPart, number), To: b.Address()})
 	w.mu.Lock()
 	w.targets = append(w.targets, s)
+	for number, fault := range w.cuts {
+		s.cuts[number] = s.link.Inject(fault)
+	}
 	w.mu.Unlock()
 	w.list(s, platformtest.Ready)
 	go w.replace(s)
--- a/standin/faultlink/conn.go
+++ b/standin/faultlink/conn.go
@@ -18,9 +18,10 @@
 
 // conn is one connection over a link.
 type conn struct {
-	link *Link
-	near net.Conn // to the client
-	far  net.Conn // to the server
+	link   *Link
+	client string   // IP
+	near   net.Conn // to the client
+	far    net.Conn // to the server
 
 	silenced atomic.Bool // drops all bytes from now on
 	lostDown atomic.Bool // bytes were dropped
@@ -51,7 +52,7 @@
 		if c.silenced.Load() {
 			continue
 		}
-		if c.link.active().DropUp {
+		if c.link.active(c.client).DropUp {
 			c.lostUp.Store(true)
 			continue
 		}
@@ -90,7 +91,7 @@
 		if err != nil {
 			return
 		}
-		fault := c.link.active()
+		fault := c.link.active(c.client)
 		switch {
 		case c.silenced.Load():
 			continue
@@ -136,14 +137,18 @@
 
 // reset closes both sides with a TCP reset.
 func (c *conn) reset() {
-	for _, side := range []net.Conn{c.near, c.far} {
-		if tcp, ok := side.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-	}
+	resetOnClose(c.near)
+	resetOnClose(c.far)
 	c.close()
 }
 
+// resetOnClose makes closing a connection send a TCP reset.
+func resetOnClose(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // close closes both sides. It may be called more than once.
 func (c *conn) close() {
 	c.once.Do(func() {
--- a/standin/faultlink/faultlink.go
+++ b/standin/faultlink/faultlink.go
@@ -6,6 +6,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -22,8 +23,15 @@
 	// Reset resets a connection ResetAfter after the next bytes down.
 	Reset      bool
 	ResetAfter time.Duration
+	// Refuse resets new connections.
+	Refuse bool
+	// From lists the IPs of the clients that the fault affects; nil: all.
+	From []string
 }
 
+// affects reports whether the fault affects connections of a client.
+func (f Fault) affects(ip string) bool { return f.From == nil || slices.Contains(f.From, ip) }
+
 // add combines two faults.
 func (f Fault) add(other Fault) Fault {
 	f.Delay = max(f.Delay, other.Delay)
@@ -33,6 +41,7 @@
 	}
 	f.DropDown = f.DropDown || other.DropDown
 	f.DropUp = f.DropUp || other.DropUp
+	f.Refuse = f.Refuse || other.Refuse
 	if other.Reset {
 		f.Reset, f.ResetAfter = true, other.ResetAfter
 	}
@@ -89,9 +98,8 @@
 	l.mu.Lock()
 	delete(l.fault, number)
 	l.mu.Unlock()
-	now := l.active()
 	for _, c := range l.open() {
-		if c.broken(now) {
+		if c.broken(l.active(c.client)) {
 			c.close()
 		}
 	}
@@ -105,13 +113,24 @@
 	}
 }
 
-// active combines the active faults.
-func (l *Link) active() Fault {
+// ResetOpen resets the connections that the given clients have open now.
+func (l *Link) ResetOpen(from []string) {
+	for _, c := range l.open() {
+		if slices.Contains(from, c.client) {
+			c.reset()
+		}
+	}
+}
+
+// active combines the active faults that affect a client.
+func (l *Link) active(client string) Fault {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var all Fault
 	for _, f := range l.fault {
-		all = all.add(f)
+		if f.affects(client) {
+			all = all.add(f)
+		}
 	}
 	return all
 }
@@ -146,12 +165,18 @@
 
 // forward connects to the server and forwards both ways until the connection ends.
 func (l *Link) forward(near net.Conn) {
+	client, _, _ := net.SplitHostPort(near.RemoteAddr().String())
+	if l.active(client).Refuse {
+		resetOnClose(near)
+		_ = near.Close()
+		return
+	}
 	far, err := net.Dial("tcp", l.opts.To)
 	if err != nil {
 		_ = near.Close()
 		return
 	}
-	c := &conn{link: l, near: near, far: far}
+	c := &conn{link: l, client: client, near: near, far: far}
 	l.mu.Lock()
 	l.conns[c] = true
 	l.mu.Unlock()
