tunnel, reach: carry connections to targets through other hosts when a host's own links fail

Symptom: callers of hosts that have lost their links to all targets are refused, or wait until their deadline. Cause: a host's own connection is the only way to a target that it knows. What it then sees of its links it takes for facts about targets and about its own load. Evidence: the incident's lines: new connections to all targets end with time-outs or resets, the links to the log and to other hosts work (they lend and pull), and other hosts serve 461 of 462 at the same moment. Change: reach judges for each service whether new connections fail or open ones are silent, which a host can't tell from targets that are gone. Both only allow another way: a tunnel through another host, which dials the target and copies bytes. The host that has the request keeps all else: tokens, deadline, retries, at most once. Hosts accept a tunnel only with the key that they announce in the log. While a service is out of reach, failures on this host's own links don't eject targets, condemn versions, count as targets that exited or as an overload. Probes and single requests test the links, and a return takes longer each time that they are lost again soon. Why it works: other hosts are asked whether they reach the target by letting them dial it, so that a mistake costs a detour and nothing else.

--- a/router/capacity/host.go
+++ b/router/capacity/host.go
@@ -141,6 +141,9 @@
 	return use / h.capacity
 }
 
+// HasRoom reports whether the host can carry connections of other hosts beside its own.
+func (h *Host) HasRoom(now time.Time) bool { return h.Use(now) < busyFraction }
+
 // decide decides whether the host takes new callers, and which connections it closes.
 func (h *Host) decide(now time.Time) {
 	organisations, total := h.relayed.use(now)
--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -17,6 +17,7 @@
 	"maststage.dev/router/quarantine"
 	"maststage.dev/router/recordpack"
 	"maststage.dev/router/replica"
+	"maststage.dev/router/tunnel"
 )
 
 // Paths of the calls between hosts.
@@ -219,6 +220,9 @@
 	mux.HandleFunc("POST "+pathExits, f.serveExits)
 	mux.HandleFunc("POST "+pathCleared, f.serveCleared)
 	mux.HandleFunc("POST "+pathQuarantine, f.serveQuarantine)
+	if f.opts.Tunnels != nil {
+		mux.Handle("POST "+tunnel.Path, f.opts.Tunnels)
+	}
 	return mux
 }
 
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,10 @@
 	Sequence    int64  `json:"beat"`    // number of this announcement within the incarnation
 	// ConfirmedEra is the newest era of the log in which this host has written again what the log had lost of its grants.
 	ConfirmedEra int64 `json:"era,omitempty"`
+	// TunnelKey is what other hosts present to open a tunnel. Earlier builds open none and announce none.
+	TunnelKey string `json:"tunnel_key,omitempty"`
+	// LinkMbps is the speed of the host's network link in Mbit/s; 0: unknown.
+	LinkMbps float64 `json:"link_mbps,omitempty"`
 }
 
 // Options configure a Fleet.
@@ -62,6 +67,8 @@
 	// Holders tells which hosts hold tokens of budgets that they are not keepers of; also one of the Aggregates. nil:
 	// not known.
 	Holders *Holders
+	// Tunnels serves calls of other hosts that open tunnels. nil: they are refused as unknown.
+	Tunnels http.Handler
 	// OnPull counts pulls by their outcome, PullOK or PullFailed. nil: they are not counted.
 	OnPull func(outcome string)
 }
--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"maststage.dev/router/httpconn"
+	"maststage.dev/router/reach"
 	"maststage.dev/router/rollout"
 	"maststage.dev/router/routing"
 	"maststage.dev/router/target"
+	"maststage.dev/router/tunnel"
 	"maststage.dev/router/unsent"
 )
 
@@ -32,17 +34,18 @@
 	if a.connectionSilent(res) {
 		t.Pool.CloseIdle()
 	}
+	a.recordReach(res)
 	q.charge(a, res)
 	a.probeTargetExit(res)
 	if res == delivered && a.confirmsRun {
 		q.handler.opts.Quarantine.RecordCompletion(q.digest)
 	}
 	targets.EndRequest(t, a.work, a.targetResult(res))
-	if res == notSent && !a.withheld && !q.handler.opts.Overload.Overloaded(time.Now()) {
+	if res == notSent && !a.withheld && !targets.OutOfReach(t) && !q.handler.opts.Overload.Overloaded(time.Now()) {
 		targets.RecordDialFailure(t)
 	}
 	q.handler.opts.Observer.AttemptEnded(Attempt{
-		RequestID: q.id, Number: q.attempts, Target: t.ID, Domain: t.Domain, Result: res.String(),
+		RequestID: q.id, Number: q.attempts, Target: t.ID, Domain: t.Domain, Via: a.via(), Result: res.String(),
 		Status: a.status, ResumedAfter: a.resumedAfter, Duration: time.Since(started), Err: err,
 	})
 	if a.buffered != nil {
@@ -55,8 +58,11 @@
 type attempt struct {
 	request         *request
 	target          *target.Target
-	conn            *httpconn.Conn // may serve another request once it is released
-	reused          bool           // conn had carried responses before
+	conn            *httpconn.Conn    // may serve another request once it is released
+	reused          bool              // conn had carried responses before
+	tunnel          httpconn.Indirect // the connection if another host carries it
+	path            *reach.Path       // this host's own way to the target if conn uses it
+	waits           bool              // path counts the attempt as waiting
 	started         time.Time
 	work            float64 // prompt tokens counted as the target's load until it responds
 	rolloutRequest  rollout.Request
@@ -98,12 +104,12 @@
 	case errored:
 		return target.Errored
 	case broken, silent, cutOff:
-		if a.callerDelay >= minCallerDelay {
+		if a.callerDelay >= minCallerDelay || a.saysNothing() {
 			return target.Abandoned
 		}
 		return target.Broken
 	case outOfTime:
-		if a.status == 0 {
+		if a.status == 0 && !a.saysNothing() {
 			return target.Broken
 		}
 	}
@@ -132,7 +138,10 @@
 	if err != nil {
 		return a.adjustResult(ctx, notSent, err)
 	}
-	a.conn, a.reused = conn, conn.Reused()
+	a.conn, a.reused, a.tunnel = conn, conn.Reused(), conn.Indirect()
+	if a.tunnel == nil {
+		a.path = a.target.Path()
+	}
 	if !q.handler.opts.Targets.AdmitsNow(a.target) {
 		conn.Release()
 		a.withheld = true
@@ -155,6 +164,8 @@
 		return a.adjustResult(ctx, broken, f)
 	}
 	a.countSent()
+	a.path.BeginWait(time.Now())
+	a.waits = true
 	a.stopWaiting = q.handler.waiting.add(q.digest, conn)
 	defer a.stopWaiting()
 	return a.receive(ctx)
@@ -176,12 +187,16 @@
 	if !a.request.route.Repeatable() {
 		maxIdle = maxIdleUnsafe
 	}
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout+tunnel.DialTimeout)
 	defer cancel()
 	start := time.Now()
-	conn, err := a.target.Pool.Get(dialCtx, maxIdle)
+	conn, err := a.request.handler.opts.Targets.GetConn(dialCtx, a.target, maxIdle, a.request.route.Repeatable())
 	if now := time.Now(); a.measuresDial(ctx, conn, err) {
-		a.request.handler.opts.Overload.RecordDial(a.target.ID, now.Sub(start), now)
+		took := now.Sub(start)
+		if err == nil {
+			took = conn.DialTime() // a tunnel passes this host's link, too
+		}
+		a.request.handler.opts.Overload.RecordDial(a.target.ID, took, now)
 	}
 	return conn, err
 }
@@ -215,7 +230,7 @@
 // receive reads the head of the response that belongs to the request.
 func (a *attempt) receive(ctx context.Context) (result, error) {
 	q := a.request
-	a.silence = q.startSilenceTimer(a.conn, a.target.ID)
+	a.silence = q.startSilenceTimer(a)
 	defer a.silence.stop()
 	for range maxMisdelivered {
 		resp, f := a.conn.Receive()
@@ -243,6 +258,7 @@
 	q := a.request
 	names := q.handler.names
 	a.status = resp.StatusCode
+	a.recordReceived()
 	a.stopWaiting()
 	a.unsent.Read()
 	a.recordAdvisories(resp)
--- a/router/forward/observer.go
+++ b/router/forward/observer.go
@@ -23,6 +23,7 @@
 	Number       int
 	Target       string
 	Domain       string
+	Via          string // the host that carried the connection, empty if it was direct
 	Result       string
 	Status       int
 	ResumedAfter string // the id of the event after which the stream resumed
--- a/router/forward/silence.go
+++ b/router/forward/silence.go
@@ -51,6 +51,10 @@
 	conn    *httpconn.Conn
 	claim   func() bool // claims a retry, see request.claimRetry
 	timer   *time.Timer
+	// judge reports whether the target's service is out of reach; early calls it when a response on a connection of this
+	// host's own has not begun for Registry.LinkSilence. Both are nil on other connections.
+	judge func() bool
+	early *time.Timer
 
 	mu        sync.Mutex
 	startedAt time.Time     // of the current timeout
@@ -61,13 +65,26 @@
 	aborted   bool
 }
 
-func (q *request) startSilenceTimer(conn *httpconn.Conn, target string) *silenceTimer {
-	s := &silenceTimer{request: q, conn: conn, startedAt: time.Now(), timeout: q.firstByteTimeout()}
-	s.claim = func() bool { return q.claimRetry(target) }
+func (q *request) startSilenceTimer(a *attempt) *silenceTimer {
+	s := &silenceTimer{request: q, conn: a.conn, startedAt: time.Now(), timeout: q.firstByteTimeout()}
+	s.claim = func() bool { return q.claimRetry(a.target.ID) }
 	s.timer = time.AfterFunc(s.timeout, s.expire)
+	if a.path != nil {
+		targets := q.handler.opts.Targets
+		limit := targets.LinkSilence(a.target)
+		s.judge = func() bool { return targets.JudgeSilence(a.target, limit) }
+		s.early = time.AfterFunc(limit, s.judgeEarly)
+	}
 	return s
 }
 
+// judgeEarly abandons the target early if its service is out of reach.
+func (s *silenceTimer) judgeEarly() {
+	if s.judge() {
+		s.expire()
+	}
+}
+
 // minStall is the delay of the timer from which this host counts as stalled: it may then not have
 // read the target's response yet. Timers of a busy host are not as late.
 const minStall = 250 * time.Millisecond
@@ -76,6 +93,9 @@
 func (s *silenceTimer) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.aborted {
+		return
+	}
 	now := time.Now()
 	if late := now.Sub(s.startedAt) - s.timeout; !s.stopped && !s.paused && !s.stalled && late > minStall {
 		s.stalled, s.startedAt = true, now
@@ -105,6 +125,7 @@
 	}
 	s.mu.Lock()
 	s.startedAt, s.timeout, s.stalled, s.paused = time.Now(), d, false, false
+	s.stopEarly()
 	s.mu.Unlock()
 	s.timer.Reset(d)
 }
@@ -115,6 +136,14 @@
 	defer s.mu.Unlock()
 	s.stopped = true
 	s.timer.Stop()
+	s.stopEarly()
+}
+
+// stopEarly stops the early judgement: something has arrived. The lock is held.
+func (s *silenceTimer) stopEarly() {
+	if s.early != nil {
+		s.early.Stop()
+	}
 }
 
 // result returns silent if the timer aborted the connection, else res.
--- a/router/forward/stream.go
+++ b/router/forward/stream.go
@@ -36,6 +36,7 @@
 		n, err := resp.Body.Read(buffer)
 		if n > 0 {
 			a.target.RecordActivity(time.Now())
+			a.path.RecordReceived(time.Now())
 			data := buffer[:n]
 			before := s.scanner.Events()
 			complete := s.scanner.Scan(data)
--- a/router/forward/versions.go
+++ b/router/forward/versions.go
@@ -48,6 +48,9 @@
 	default:
 		outcome.Failed = true
 	}
+	if outcome.Failed && a.status == 0 && (a.saysNothing() || a.conn == nil && a.target.Path().Cut()) {
+		outcome.Failed, outcome.Inconclusive = false, true
+	}
 	if cold {
 		return outcome
 	}
--- a/router/httpconn/conn.go
+++ b/router/httpconn/conn.go
@@ -24,6 +24,9 @@
 	reader *bufio.Reader
 	reused bool
 
+	indirect Indirect // nc if another host carries the connection, else nil
+	dialTime time.Duration
+
 	idleSince time.Time
 	idleUntil time.Time
 	keepAlive time.Duration // by the target's Keep-Alive header, less a margin; 0: not given
@@ -39,6 +42,12 @@
 // Reused reports whether the connection carried an earlier request.
 func (c *Conn) Reused() bool { return c.reused }
 
+// Indirect returns the connection that another host carries, nil if this one is direct.
+func (c *Conn) Indirect() Indirect { return c.indirect }
+
+// DialTime is how long the connection took to be made.
+func (c *Conn) DialTime() time.Duration { return c.dialTime }
+
 // Request is a request to send. Head holds the request line, all headers and the empty line.
 type Request struct {
 	Method string
@@ -201,7 +210,7 @@
 
 // openAndIdle reports whether the connection is open and has nothing to read.
 func (c *Conn) openAndIdle() bool {
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || c.indirect != nil && c.indirect.Buffered() > 0 {
 		return false
 	}
 	raw, ok := rawConn(c.nc)
--- a/router/httpconn/pool.go
+++ b/router/httpconn/pool.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"syscall"
@@ -37,6 +38,16 @@
 	LocalIP net.IP
 }
 
+// Indirect is a connection that another host carries.
+type Indirect interface {
+	net.Conn
+	Host() string             // that carries it
+	DialTime() time.Duration  // that the connection itself took
+	ReusableUntil() time.Time // no request may begin later
+	Buffered() int            // bytes that arrived and were not read
+	Blame()                   // records that the connection broke or fell silent
+}
+
 // Pool holds the connections to one target.
 type Pool struct {
 	opts   Options
@@ -55,15 +66,21 @@
 	keepAliveCount = 4           // unanswered probes after which the connection fails
 )
 
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveProbe, Interval: keepAliveProbe, Count: keepAliveCount}
+
+// DetectDead sets the same options on a connection as on those of a pool, so that it fails as soon once its other side
+// is gone.
+func DetectDead(nc net.Conn, userTimeout time.Duration) {
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		_ = tcp.SetKeepAliveConfig(keepAlive) // without it, the system's defaults apply
+	}
+	setUserTimeout(nc, userTimeout)
+}
+
 // NewPool returns an empty pool.
 func NewPool(opts Options) *Pool {
 	p := &Pool{opts: opts}
-	p.dialer = net.Dialer{
-		Timeout: opts.DialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveProbe, Interval: keepAliveProbe, Count: keepAliveCount,
-		},
-	}
+	p.dialer = net.Dialer{Timeout: opts.DialTimeout, KeepAliveConfig: keepAlive}
 	if opts.LocalIP != nil {
 		p.dialer.LocalAddr = &net.TCPAddr{IP: opts.LocalIP}
 	}
@@ -128,12 +145,18 @@
 	}
 	p.open++
 	p.mu.Unlock()
+	began := time.Now()
 	nc, err := dial(ctx)
 	if err != nil {
 		p.countClosed()
 		return nil, err
 	}
-	return &Conn{pool: p, nc: nc, reader: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+	c := &Conn{pool: p, nc: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), dialTime: time.Since(began)}
+	c.indirect, _ = nc.(Indirect)
+	if c.indirect != nil {
+		c.dialTime = c.indirect.DialTime()
+	}
+	return c, nil
 }
 
 // DialDirect dials a connection to the pool's address that doesn't belong to the pool.
@@ -149,6 +172,11 @@
 	return nc, nil
 }
 
+// GetDirect dials a new connection to the pool's address.
+func (p *Pool) GetDirect(ctx context.Context, dial func(ctx context.Context) (net.Conn, error)) (*Conn, error) {
+	return p.newConn(ctx, dial)
+}
+
 // Probe dials a new connection with dial and keeps it for a later request, or returns why that failed.
 func (p *Pool) Probe(ctx context.Context, dial func(ctx context.Context) (net.Conn, error)) error {
 	c, err := p.newConn(ctx, dial)
@@ -159,6 +187,25 @@
 	return nil
 }
 
+// errClosedAtOnce means that a new connection was closed by the other side before anything was sent.
+var errClosedAtOnce = fmt.Errorf("httpconn: the new connection was closed at once: %w", syscall.ECONNRESET)
+
+// ProbeSettled is Probe for links that may accept connections and reset them at once: it waits for settle before it keeps
+// the connection.
+func (p *Pool) ProbeSettled(ctx context.Context, dial func(ctx context.Context) (net.Conn, error), settle time.Duration) error {
+	c, err := p.newConn(ctx, dial)
+	if err != nil {
+		return err
+	}
+	time.Sleep(settle)
+	if !c.openAndIdle() {
+		c.Close()
+		return errClosedAtOnce
+	}
+	p.putIdle(c)
+	return nil
+}
+
 // readBufferBytes is the size of the read buffer of a connection in bytes.
 const readBufferBytes = 2048
 
@@ -182,6 +229,9 @@
 	if c.keepAlive > 0 {
 		c.idleUntil = now.Add(min(p.opts.IdleTimeout, c.keepAlive))
 	}
+	if c.indirect != nil && c.indirect.ReusableUntil().Before(c.idleUntil) {
+		c.idleUntil = c.indirect.ReusableUntil()
+	}
 	p.idle = append(p.idle, c)
 	p.mu.Unlock()
 }
@@ -227,12 +277,24 @@
 }
 
 // CloseIdle closes the idle connections, for use when one of the same age went silent.
-func (p *Pool) CloseIdle() {
+func (p *Pool) CloseIdle() { p.closeIdle(func(*Conn) bool { return true }) }
+
+// CloseIdleDirect closes the idle connections that no other host carries.
+func (p *Pool) CloseIdleDirect() { p.closeIdle(func(c *Conn) bool { return c.indirect == nil }) }
+
+func (p *Pool) closeIdle(closes func(c *Conn) bool) {
 	p.mu.Lock()
-	idle := p.idle
-	p.idle = nil
+	var kept, closed []*Conn
+	for _, c := range p.idle {
+		if closes(c) {
+			closed = append(closed, c)
+		} else {
+			kept = append(kept, c)
+		}
+	}
+	p.idle = kept
 	p.mu.Unlock()
-	for _, c := range idle {
+	for _, c := range closed {
 		c.Close()
 	}
 }
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -34,6 +34,7 @@
 	"maststage.dev/router/streampace"
 	"maststage.dev/router/suspend"
 	"maststage.dev/router/target"
+	"maststage.dev/router/tunnel"
 	"maststage.dev/router/unread"
 	"maststage.dev/router/unsent"
 )
@@ -76,6 +77,9 @@
 	handler        *forward.Handler
 	targets        *target.Registry
 	reach          *reach.Monitor
+	tunnels        *tunnel.Dialer
+	tunnelServer   *tunnel.Server
+	tunnelKey      string // that other hosts have to present
 	allocator      *prepaid.Allocator
 	fleet          *fleet.Fleet
 	holders        *fleet.Holders
@@ -143,6 +147,7 @@
 		OnDialed:    func(o reach.Outcome) { n.observer.Count(fmt.Sprintf("target_dials_total{outcome=%q}", o)) },
 		LocalIP:     net.ParseIP(cfg.Host.DialIP),
 		Reach:       n.reach,
+		Tunnels:     n.newTunnels(),
 		Elected:     n.elected,
 		Hosts:       n.hostCount,
 	})
@@ -151,6 +156,7 @@
 	n.rollouts = n.newRollouts(incarnation)
 	n.newGuard()
 	n.holders = fleet.NewHolders(n.heldForItself)
+	n.newTunnelServer()
 	n.newFleet(incarnation)
 	n.guard.SetPeers(n.fleet)
 	n.retries = retrybudget.NewSet(retryLimits(cfg), n.knownHosts, time.Now())
@@ -242,8 +248,10 @@
 	n.fleet = fleet.New(fleet.Options{
 		Self: fleet.Host{
 			Name: n.cfg.Host.Name, Incarnation: incarnation, Address: n.cfg.Host.PeerListen, Domain: n.cfg.Host.Domain,
+			TunnelKey: n.tunnelKey, LinkMbps: n.cfg.Capacity.LinkMbps,
 		},
-		Log: n.env.Log, Topic: n.env.HostsTopic, Seeds: n.cfg.Host.Seeds,
+		Tunnels: n.tunnelServer,
+		Log:     n.env.Log, Topic: n.env.HostsTopic, Seeds: n.cfg.Host.Seeds,
 		AnnounceInterval: announceInterval, PullInterval: pullInterval, CallTimeout: peerTimeout,
 		Replicas: map[string]*replica.Replica{
 			n.env.ConfigTopic:  n.configReplica,
--- a/router/node/stop.go
+++ b/router/node/stop.go
@@ -129,6 +129,11 @@
 	if err := n.server.Shutdown(c); err != nil {
 		_ = n.server.Close()
 	}
+	// Requests of other hosts end, too; none of them begins on a tunnel after its maximum age.
+	for n.tunnelServer.Open() > 0 && time.Now().Before(deadline) {
+		wait.For(c, drainPollInterval)
+	}
+	n.tunnelServer.Close()
 	for _, s := range n.auxServers {
 		_ = s.Close()
 	}
--- a/router/observe/observe.go
+++ b/router/observe/observe.go
@@ -67,7 +67,7 @@
 	}
 	entry.WithFields(log.Fields{
 		"request": t.RequestID, "try": t.Number, "target": t.Target, "domain": t.Domain, "result": t.Result,
-		"status": t.Status, "behind": t.ResumedAfter, "took": t.Duration.Round(time.Millisecond),
+		"status": t.Status, "via": t.Via, "behind": t.ResumedAfter, "took": t.Duration.Round(time.Millisecond),
 	}).WithError(t.Err).Info("attempt failed")
 }
 
--- a/router/reach/back.go
+++ b/router/reach/back.go
@@ -30,7 +30,8 @@
 	proofs      map[*Path]bool // targets reached in the current test
 	refuted     map[*Path]bool // targets not reached in the current test
 	proofsSince time.Time      // when the current test began
-	canaryAt    time.Time // newest request that tests silent links
+	silentAt    time.Time      // when links were last found silent
+	canaryAt    time.Time      // newest request that tests silent links
 	canaryGap   time.Duration
 }
 
@@ -44,7 +45,7 @@
 		if now.Sub(s.back.returnedAt) < flapTime {
 			hold = min(2*s.back.hold, maxHold)
 		}
-		s.back = back{lostAt: now, returnedAt: s.back.returnedAt, hold: hold, canaryAt: now, canaryGap: canaryInterval}
+		s.back = back{lostAt: now, returnedAt: s.back.returnedAt, hold: hold, silentAt: now, canaryAt: now, canaryGap: canaryInterval}
 	case !s.cut.Load() && was:
 		s.back.returnedAt = now
 		log.WithFields(log.Fields{"service": s.name, "after": now.Sub(s.back.lostAt).Round(time.Millisecond)}).Info("the service is in direct reach again")
@@ -84,7 +85,7 @@
 
 // recordReceived records that something arrived on a connection of this host's own. The lock is held.
 func (s *service) recordReceived(now time.Time) {
-	if s.bySilence && now.Sub(s.back.lostAt) >= s.back.hold-minHold {
+	if s.bySilence && now.Sub(s.back.silentAt) >= s.back.hold-minHold {
 		s.bySilence = false
 		s.changed(now)
 	}
@@ -107,7 +108,7 @@
 	return true
 }
 
-// Expire ends what has not been tested for too long. It is called every second or so.
+// Expire ends what has not been tested for too long.
 func (m *Monitor) Expire(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -129,6 +130,18 @@
 	suspicionTime = 500 * time.Millisecond
 )
 
+// NeedsProbes reports whether any service is out of reach or may be.
+func (m *Monitor) NeedsProbes(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.services {
+		if s.cut.Load() || now.Sub(s.suspectedAt) < suspicionTime {
+			return true
+		}
+	}
+	return false
+}
+
 // DueProbes returns the targets to dial now: of a service to which new connections fail the one that was not probed for
 // longest, and of a service at which something has just failed some others, which show whether it was that target.
 func (m *Monitor) DueProbes(now time.Time) (targets []string) {
--- a/router/reach/reach.go
+++ b/router/reach/reach.go
@@ -37,9 +37,6 @@
 	failingPerConnected = 4
 	// minSilent is how many targets of a service must be silent, unless it has fewer.
 	minSilent = 2
-	// SilenceLimit is how long a request waits for the beginning of its response until its target counts as silent.
-	// It is longer than most responses take to begin, and a mistake only costs a detour.
-	SilenceLimit = 600 * time.Millisecond
 	// silenceWindow is how long a request that was given up for silence counts.
 	silenceWindow = 2 * time.Second
 )
@@ -243,7 +240,7 @@
 }
 
 // isSilent reports whether requests to the target wait or were given up, and nothing arrived since.
-func (p *Path) isSilent(now time.Time) bool {
+func (p *Path) isSilent(limit time.Duration, now time.Time) bool {
 	heard := time.Unix(0, p.heardAt.Load())
 	if p.silentAt.After(heard) && now.Sub(p.silentAt) <= silenceWindow {
 		return true
@@ -252,11 +249,12 @@
 	if heard.After(since) {
 		since = heard
 	}
-	return p.waiting > 0 && now.Sub(since) >= SilenceLimit
+	return p.waiting > 0 && now.Sub(since) >= limit
 }
 
-// JudgeSilence judges a service at which a request has waited for SilenceLimit.
-func (p *Path) JudgeSilence(now time.Time) {
+// JudgeSilence judges a service at which a request has waited for limit, which should be longer than most responses
+// there take to begin: if too short, requests make a detour for nothing.
+func (p *Path) JudgeSilence(limit time.Duration, now time.Time) {
 	if p == nil {
 		return
 	}
@@ -266,14 +264,18 @@
 	s.suspectedAt = now
 	silent := 0
 	for _, other := range s.paths {
-		if now.Sub(time.Unix(0, other.heardAt.Load())) < SilenceLimit {
+		if now.Sub(time.Unix(0, other.heardAt.Load())) < limit {
 			return
 		}
-		if other.isSilent(now) {
+		if other.isSilent(limit, now) {
 			silent++
 		}
 	}
-	if s.bySilence || silent < min(minSilent, len(s.paths)) {
+	if s.bySilence {
+		s.back.silentAt = now
+		return
+	}
+	if silent < min(minSilent, len(s.paths)) {
 		return
 	}
 	s.bySilence = true
@@ -284,6 +286,20 @@
 // Cut reports whether the service is out of direct reach.
 func (p *Path) Cut() bool { return p != nil && p.service.cut.Load() }
 
+// DialsFailSince reports whether new connections to the service have failed since t or longer.
+func (p *Path) DialsFailSince(t time.Time) bool {
+	p.monitor.mu.Lock()
+	defer p.monitor.mu.Unlock()
+	return p.service.byDials && !p.service.back.lostAt.After(t)
+}
+
+// OpenConnectionsDead reports whether open connections to the service are probably dead, too.
+func (p *Path) OpenConnectionsDead() bool {
+	p.monitor.mu.Lock()
+	defer p.monitor.mu.Unlock()
+	return p.service.bySilence || p.service.hung
+}
+
 // CutServices counts the services that are out of direct reach.
 func (m *Monitor) CutServices() (n int) {
 	m.mu.Lock()
--- a/router/target/exit.go
+++ b/router/target/exit.go
@@ -8,6 +8,8 @@
 	"time"
 
 	log "github.com/sirupsen/logrus"
+
+	"maststage.dev/router/tunnel"
 )
 
 // exitProbe checks whether a target's process has exited. Concurrent callers share one probe.
@@ -71,7 +73,8 @@
 func (r *Registry) runProbe(ctx context.Context, t *Target) bool {
 	dial, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	refused := errors.Is(t.Pool.Probe(dial, func(ctx context.Context) (net.Conn, error) { return r.dialDirect(ctx, t) }), syscall.ECONNREFUSED)
+	err := t.Pool.Probe(dial, func(ctx context.Context) (net.Conn, error) { return r.dialDirect(ctx, t) })
+	refused := errors.Is(err, syscall.ECONNREFUSED) && r.refusesOthers(ctx, t)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !refused || !t.leavingSince.IsZero() {
@@ -83,3 +86,13 @@
 	}).Warn("target process exited")
 	return true
 }
+
+// refusesOthers reports whether a target that refuses connections of this host refuses those of another host as well, or
+// of this one alone if no other can be asked and the service seems to be in reach.
+func (r *Registry) refusesOthers(ctx context.Context, t *Target) bool {
+	if r.opts.Tunnels == nil {
+		return true
+	}
+	err := t.Pool.Probe(ctx, func(ctx context.Context) (net.Conn, error) { return r.dialTunnel(ctx, t) })
+	return errors.Is(err, tunnel.ErrTargetRefused) || err != nil && !t.path.Cut()
+}
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -76,6 +76,8 @@
 	Reach *reach.Monitor
 	// OnDialed counts dials by their outcome; nil: they are not counted.
 	OnDialed func(outcome reach.Outcome)
+	// Tunnels opens connections through other hosts; nil: there are none.
+	Tunnels Tunnels
 	// Elected reports whether this host is one of up to count hosts that share a duty, and how many
 	// such hosts there are. If nil, this host is the only one.
 	Elected func(duty string, count int) (hosts int, self bool)
@@ -85,7 +87,8 @@
 
 // Registry holds the targets of all services. It is safe for concurrent use.
 type Registry struct {
-	opts Options
+	opts    Options
+	probing atomic.Bool // rounds of probes are running
 
 	mu               sync.Mutex
 	targets          map[string]*Target
@@ -217,7 +220,7 @@
 	t.Pool = httpconn.NewPool(httpconn.Options{
 		Address: e.Address, DialTimeout: r.opts.DialTimeout, IdleTimeout: r.opts.IdleTimeout,
 		MaxIdle: r.opts.MaxIdle, TCPUserTimeout: r.opts.UserTimeout, OnDial: r.opts.OnDial, LocalIP: r.opts.LocalIP,
-		Dial: func(ctx context.Context) (net.Conn, error) { return r.dialDirect(ctx, t) },
+		Dial: func(ctx context.Context) (net.Conn, error) { return r.dial(ctx, t) },
 	})
 	t.announcedExit = r.announcedExits[e.ID].concerns(e)
 	t.Pool.SetLimit(r.maxConns[e.Service])
@@ -262,6 +265,13 @@
 	r.opts.Regions = regions
 }
 
+// RegionOf returns the region of a failure domain, "" if it lies in none.
+func (r *Registry) RegionOf(domain string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.opts.Regions[domain]
+}
+
 // SetDrainLimit sets how long a leaving target may still be chosen.
 func (r *Registry) SetDrainLimit(d time.Duration) {
 	r.mu.Lock()
