node, reach, tunnel, soak: tests of hosts cut off from targets, cuts in the soak

Cause: one test of whole processes showed the mend; links that refuse or ignore connections, and the decisions alone, had none. Change: the judgement of reach and the tunnels have tests without other processes; hosts with links of their own (standin/gate, which can refuse or ignore new connections and hold open ones) show that streams that run as the links are lost end whole, that no target is ejected and no request quarantined, that what may run once does, and that the host returns to its own links. A request that was given up for silence may be retried later if its retry was not granted at once: the stream would wait for its deadline, as nothing more arrives. A service with only unsafe requests tests silent links with one of them in 5 s instead of returning to them untested. The check of served requests allows ten and one in 50 failures, as the platform's rule does; in the tests of before, which send 150 and more to cut hosts, that changes nothing.

--- a/proofs/soak/faults_test.go
+++ b/proofs/soak/faults_test.go
@@ -92,6 +92,8 @@
 		return stallReaders
 	case crowdKind:
 		return crowd
+	case cutKind:
+		return cutFromTargets
 	}
 	return strikes[kind]
 }
--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -63,13 +63,14 @@
 	writing sync.Mutex        // held while operator or targets write to the store, and while it is restored
 	written map[logKey][]byte // the newest value that they wrote for each key; nil after a deletion
 
-	mu      sync.Mutex
-	targets []*targetState
-	cuts    map[int]faultlink.Fault // between hosts and all targets, those in progress
-	nextCut int
-	nextID  int
-	config  platformtest.Config
-	random  *rand.Rand // for the behaviour of targets
+	mu         sync.Mutex
+	targets    []*targetState
+	cuts       map[int]faultlink.Fault // between hosts and all targets, those in progress
+	nextCut    int
+	playedCuts []playedCut
+	nextID     int
+	config     platformtest.Config
+	random     *rand.Rand // for the behaviour of targets
 }
 
 // host is one maststage-router process.
--- a/router/forward/silence.go
+++ b/router/forward/silence.go
@@ -55,6 +55,8 @@
 	// host's own has not begun for Registry.LinkSilence. Both are nil on other connections.
 	judge func() bool
 	early *time.Timer
+	// outOfReach reports whether this host's own links to the service fail, and the connection uses them.
+	outOfReach func() bool
 
 	mu        sync.Mutex
 	startedAt time.Time     // of the current timeout
@@ -68,6 +70,7 @@
 func (q *request) startSilenceTimer(a *attempt) *silenceTimer {
 	s := &silenceTimer{request: q, conn: a.conn, startedAt: time.Now(), timeout: q.firstByteTimeout()}
 	s.claim = func() bool { return q.claimRetry(a.target.ID) }
+	s.outOfReach = a.path.Cut
 	s.timer = time.AfterFunc(s.timeout, s.expire)
 	if a.path != nil {
 		targets := q.handler.opts.Targets
@@ -102,9 +105,18 @@
 		s.timer.Reset(s.timeout)
 		return
 	}
-	if !s.stopped && !s.paused && s.claim() {
+	if s.stopped || s.paused {
+		return
+	}
+	if s.claim() {
 		s.aborted = true
 		s.conn.Abort()
+		return
+	}
+	if s.outOfReach() {
+		// Nothing more will arrive here, and a retry may be granted later.
+		s.startedAt = now
+		s.timer.Reset(s.timeout)
 	}
 }
 
--- a/router/reach/back.go
+++ b/router/reach/back.go
@@ -18,8 +18,9 @@
 	// canaryInterval is the time between two requests that test silent links; it doubles up to maxCanaryInterval.
 	canaryInterval    = 500 * time.Millisecond
 	maxCanaryInterval = 2 * time.Second
-	// maxSilenceAge is how long links count as silent without a test: no request may be fit for one.
-	maxSilenceAge = 5 * time.Second
+	// unsafeCanaryInterval is the time without a test after which a request that must not be repeated is one. It may be
+	// lost; but a service may have no others.
+	unsafeCanaryInterval = 5 * time.Second
 )
 
 // back is the state of a service's return to connections of this host's own.
@@ -91,35 +92,27 @@
 	}
 }
 
-// TakeCanary reports whether a request that may be repeated should use a connection of this host's own to test the
-// links: nothing else shows whether connections that were silent carry data again.
-func (p *Path) TakeCanary(now time.Time) bool {
+// TakeCanary reports whether a request should use a connection of this host's own to test the links: nothing else shows
+// whether connections that were silent carry data again. repeatable says that another attempt may follow.
+func (p *Path) TakeCanary(repeatable bool, now time.Time) bool {
 	if !p.Cut() {
 		return false
 	}
 	p.monitor.mu.Lock()
 	defer p.monitor.mu.Unlock()
-	s := p.service
-	if s.byDials || now.Sub(s.back.canaryAt) < s.back.canaryGap {
+	b := &p.service.back
+	gap := b.canaryGap
+	if !repeatable {
+		gap = unsafeCanaryInterval
+	}
+	if p.service.byDials || now.Sub(b.canaryAt) < gap {
 		return false
 	}
-	s.back.canaryAt = now
-	s.back.canaryGap = min(2*s.back.canaryGap, maxCanaryInterval)
+	b.canaryAt = now
+	b.canaryGap = min(2*b.canaryGap, maxCanaryInterval)
 	return true
 }
 
-// Expire ends what has not been tested for too long.
-func (m *Monitor) Expire(now time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, s := range m.services {
-		if s.bySilence && now.Sub(s.back.lostAt) >= maxSilenceAge && now.Sub(s.back.canaryAt) >= maxSilenceAge {
-			s.bySilence = false
-			s.changed(now)
-		}
-	}
-}
-
 // Parameters of probes.
 const (
 	// probeInterval is the least time between two probes of one target.
--- a/router/target/reach.go
+++ b/router/target/reach.go
@@ -117,9 +117,9 @@
 }
 
 // GetConn returns a connection to the target for a request: an idle one that was unused for at most maxUnused, or a new
-// one. Requests that may be repeated also test links that were silent.
+// one. Some requests test links that were silent, mostly such that may be repeated.
 func (r *Registry) GetConn(ctx context.Context, t *Target, maxUnused time.Duration, repeatable bool) (*httpconn.Conn, error) {
-	if repeatable && t.path.TakeCanary(time.Now()) {
+	if t.path.TakeCanary(repeatable, time.Now()) {
 		return t.Pool.GetDirect(ctx, func(ctx context.Context) (net.Conn, error) { return r.dialDirect(ctx, t) })
 	}
 	return t.Pool.Get(ctx, maxUnused)
@@ -200,7 +200,6 @@
 				}
 			}
 			time.Sleep(reachInterval)
-			r.opts.Reach.Expire(time.Now())
 		}
 	})
 }
