soak: test that brittle targets do not fall over

Targets that say that they are brittle fall over when they have to turn away more than a few requests a second, and no host reads it. Change: stand-in targets with four places and a queue of four, none from 3 s on, which fall over for 3 s once they turned away more than three requests in a second; 60 callers at 8 hosts and ten targets, 120 at 24 and 20, once with a host killed and one frozen, once with three hosts cut off from the targets. Bounds are those of the platform's rule for the falls, and 0.9 of the places in use while callers press.

--- a/proofs/soak/callers_test.go
+++ b/proofs/soak/callers_test.go
@@ -36,6 +36,7 @@
 	stamp            string
 	limit            string    // sent with the response
 	leaving          bool      // the response announced its target's exit
+	retryAfter       string    // seconds
 	headAt           time.Time // when the response header arrived
 	body             string
 	err              error
@@ -151,6 +152,7 @@
 	defer resp.Body.Close()
 	c.status, c.stamp = resp.StatusCode, resp.Header.Get(platform.Headers.Stamp)
 	c.limit, c.headAt = resp.Header.Get(platform.Headers.Limit), time.Now()
+	c.retryAfter = resp.Header.Get(platform.Headers.RetryAfter)
 	c.leaving = resp.Header.Get(platform.Headers.Leaving) != ""
 	data, err := io.ReadAll(resp.Body)
 	c.body, c.err = string(data), err
--- a/proofs/soak/deadly_test.go
+++ b/proofs/soak/deadly_test.go
@@ -92,7 +92,7 @@
 	s.leftAt = time.Now()
 	s.mu.Unlock()
 	s.link.Close()
-	time.Sleep(replaceDelay)
+	time.Sleep(max(replaceDelay, s.room.downTime()))
 	w.write(platformtest.Servers, s.id, nil)
 	if !w.isStopped() {
 		w.addTarget(s.service)
--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -68,6 +68,7 @@
 	cuts       map[int]faultlink.Fault // between hosts and all targets, those in progress
 	nextCut    int
 	playedCuts []playedCut
+	brittle    brittleness
 	nextID     int
 	config     platformtest.Config
 	random     *rand.Rand // for the behaviour of targets
@@ -103,6 +104,8 @@
 	limits            []sentLimit              // all limits that it has sent
 	leaving           bool                     // its responses announce its exit
 	pause             *askedPause              // what it asks for now, nil if nothing
+	room              *room                    // its places if they are few, else nil
+	brittle           func() []string          // what it says of being brittle
 	refusals          []refusal                // all that asked for pauses
 }
 
@@ -137,6 +140,7 @@
 type worldOptions struct {
 	thinHosts  bool // some hosts have a slow link in their settings
 	ownDialIPs bool // hosts connect to targets from addresses of their own, so that they can be cut off from them
+	brittle    int  // number of plain targets with few places, which fall over while they are brittle; 0: usual ones
 }
 
 func newWorldWith(t *testing.T, n int, seed uint64, options worldOptions) *world {
@@ -147,7 +151,7 @@
 	for range engineTargets {
 		w.addTarget(engineService)
 	}
-	for range plainTargets {
+	for range max(plainTargets, options.brittle) {
 		w.addTarget(plainService)
 	}
 	w.firstConfig()
@@ -349,7 +353,7 @@
 	names := backend.Names{
 		RequestID: platform.Headers.RequestID, ExpectTarget: platform.Headers.ExpectTarget,
 		LastEventID: platform.Headers.LastEventID, Stamp: platform.Headers.Stamp, NotRun: platform.Headers.NotRun, Limit: platform.Headers.Limit,
-		Leaving: platform.Headers.Leaving,
+		Leaving: platform.Headers.Leaving, Brittle: brittleHeader,
 	}
 	b, err := backend.Start(s.id, names, func(run backend.Run) backend.Behaviour { return w.behaviour(s, run) })
 	if err != nil {
@@ -357,6 +361,9 @@
 		return
 	}
 	s.Backend = b
+	if w.options.brittle > 0 && service == plainService {
+		s.room, s.brittle = w.newRoom(s), w.brittleValue
+	}
 	w.t.Cleanup(func() {
 		w.endReplacing() // also if the test ended early
 		b.Close()
@@ -375,7 +382,7 @@
 // list writes a target's entry.
 func (w *world) list(s *targetState, state string) {
 	w.write(platformtest.Servers, s.id, platformtest.Encode(platformtest.Server{
-		Service: s.service, Address: s.link.Address(), Zone: s.zone, State: state, Slots: targetSlots,
+		Service: s.service, Address: s.link.Address(), Zone: s.zone, State: state, Slots: s.slots(),
 	}))
 }
 
@@ -399,6 +406,7 @@
 	if s.service == engineService {
 		b = backend.Behaviour{Delay: engineDelay, Gap: eventGap, Events: eventsOf(run.ID)}
 	}
+	s.addRoom(&b)
 	s.addLimit(&b)
 	s.addLeaving(&b)
 	w.addPause(s, run, &b)
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -17,7 +17,7 @@
 
 // Names are the headers that the backend reads and writes.
 type Names struct {
-	RequestID, ExpectTarget, LastEventID, Stamp, NotRun, Limit, Leaving string
+	RequestID, ExpectTarget, LastEventID, Stamp, NotRun, Limit, Leaving, Brittle string
 }
 
 // Behaviour is how a request is answered. The zero value responds at once.
@@ -41,6 +41,8 @@
 	Limit         []string      // values of the limit header of each response
 	Leaving       bool          // each response announces the backend's exit
 	RetryAfter    string        // of a refusal; empty: none
+	Brittle       []string      // values of the brittle header of each response
+	Slots         *Slots        // bounds the requests that run and wait; nil: no bound
 }
 
 // Run is one request that the backend began to run.
@@ -195,14 +197,14 @@
 		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n", b.names.RequestID, run.ID, b.advisoryLines(how))
 		return true
 	}
-	if how.Refuse {
+	if how.Refuse || !how.Slots.enter() {
 		fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\n%sContent-Length: 0\r\n\r\n", b.names.RequestID, run.ID, b.names.NotRun, b.advisoryLines(how))
 		return true
 	}
 	return b.run(c, reader, &run, how)
 }
 
-// run records a request, runs it and reports whether the connection stays open.
+// run records a request that has a place, runs it and reports whether the connection stays open.
 func (b *Backend) run(c net.Conn, reader *bufio.Reader, run *Run, how Behaviour) bool {
 	run.From = 1
 	if last, err := strconv.Atoi(run.Header.Get(b.names.LastEventID)); err == nil {
@@ -213,6 +215,7 @@
 	b.mu.Unlock()
 	gone, done := watch(reader)
 	keepOpen := b.work(c, run, how, gone)
+	how.Slots.leave()
 	if keepOpen {
 		<-done // the next request has arrived, or the connection was closed
 	}
@@ -297,6 +300,9 @@
 	for _, value := range how.Limit {
 		fmt.Fprintf(&h, "%s: %s\r\n", b.names.Limit, value)
 	}
+	for _, value := range how.Brittle {
+		fmt.Fprintf(&h, "%s: %s\r\n", b.names.Brittle, value)
+	}
 	if how.Leaving {
 		fmt.Fprintf(&h, "%s: 1\r\n", b.names.Leaving)
 	}
