target: a target that refuses connections has exited unless another host reaches it

Symptom: a request that crashes targets is not quarantined, and goes on crashing them. Cause: since hosts ask each other whether a refused connection is their own link's fault, an exit counted only if another host was refused as well. While targets crash one after the other, all hosts take the service for out of reach, answer that they can't tell, and no exit counts. Change: a refused connection means an exit unless another host connects. A refusal by one host is no longer the end of the search: its own links may be lost, too. Why it works: links of some hosts are found out by any host that still connects, and where none does, nobody uses the target.

--- a/router/target/exit.go
+++ b/router/target/exit.go
@@ -8,8 +8,6 @@
 	"time"
 
 	log "github.com/sirupsen/logrus"
-
-	"maststage.dev/router/tunnel"
 )
 
 // exitProbe checks whether a target's process has exited. Concurrent callers share one probe.
@@ -87,12 +85,11 @@
 	return true
 }
 
-// refusesOthers reports whether a target that refuses connections of this host refuses those of another host as well, or
-// of this one alone if no other can be asked and the service seems to be in reach.
+// refusesOthers reports whether none of the other hosts that were asked reaches a target that refuses connections of this
+// host. Hosts that lost their own links, too, can't tell; a few are asked.
 func (r *Registry) refusesOthers(ctx context.Context, t *Target) bool {
 	if r.opts.Tunnels == nil {
 		return true
 	}
-	err := t.Pool.Probe(ctx, func(ctx context.Context) (net.Conn, error) { return r.dialTunnel(ctx, t) })
-	return errors.Is(err, tunnel.ErrTargetRefused) || err != nil && !t.path.Cut()
+	return t.Pool.Probe(ctx, func(ctx context.Context) (net.Conn, error) { return r.dialTunnel(ctx, t) }) != nil
 }
--- a/router/tunnel/dialer.go
+++ b/router/tunnel/dialer.go
@@ -101,10 +101,6 @@
 			}
 			last = r.err
 			d.recordFailure(r, service)
-			if errors.Is(r.err, ErrTargetRefused) {
-				go closeLate(results, pending)
-				return nil, r.err
-			}
 			askNext()
 		}
 	}
--- a/router/tunnel/tunnel_test.go
+++ b/router/tunnel/tunnel_test.go
@@ -235,8 +235,22 @@
 	f.is.Equal(refused.reason, unknownTarget)
 }
 
-// A target that refuses the connections of another host is gone; the others aren't asked.
-func TestTargetThatRefusesAnotherHost(t *testing.T) {
+// A host whose own links refuse connections takes the target for gone; others still reach it.
+func TestRefusalOfOneHostIsNotEnough(t *testing.T) {
+	f := newFleet(t, echo)
+	for range 3 {
+		broken := f.options()
+		broken.Dial = func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+		f.addHost(broken)
+	}
+	f.addHost(f.options())
+	d := f.dialer()
+	for range 10 {
+		f.is.Equal(f.dial(d).Host(), "h3")
+	}
+}
+
+func TestTargetThatRefusesAllHosts(t *testing.T) {
 	f := newFleet(t, func(net.Conn) {})
 	f.is.NoErr(f.target.Close())
 	for range 3 {
