permit: schedule the places of brittle targets for all hosts

Symptom: targets that say that they are brittle fall over again and again, and callers are hardly served. Cause: no host reads it, and each sends by its own load. What a target has to turn away is a sum over all hosts. Change: platform/ decodes the header into a number, with a fault for each value that can't be used (the target counts as the least tolerant then). For a service with brittle targets one host, the same in every host's view, schedules their places: hosts ask it for a permit before each attempt, over one connection each, and return it afterwards. It hands out as many as there are places, the most urgent first, refuses at once what can't be served in time, lets a place rest for a moment between two requests, and stops at half of the refusals a second that a target can bear. If it dies, hosts tell the next one which places they use, and that one hands out nothing for 0.7 s; the places of a host that dies come free. Where no target says that it is brittle nothing is asked. Weighed: shares of each host by rule, as for limits, leave places unused where callers press at hosts without one (40 places, 87 hosts); sending through the owner of a place carries each request twice and breaks it as the owner dies.

--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -13,6 +13,7 @@
 
 	"maststage.dev/lib/patience"
 	"maststage.dev/router/eventlog"
+	"maststage.dev/router/permit"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/quarantine"
 	"maststage.dev/router/recordpack"
@@ -223,6 +224,9 @@
 	if f.opts.Tunnels != nil {
 		mux.Handle("POST "+tunnel.Path, f.opts.Tunnels)
 	}
+	if f.opts.Permits != nil {
+		mux.Handle("POST "+permit.Path, f.opts.Permits)
+	}
 	return mux
 }
 
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -32,8 +32,9 @@
 	Sequence    int64  `json:"beat"`    // number of this announcement within the incarnation
 	// ConfirmedEra is the newest era of the log in which this host has written again what the log had lost of its grants.
 	ConfirmedEra int64 `json:"era,omitempty"`
-	// TunnelKey is what other hosts present to open a tunnel. Earlier builds open none and announce none.
-	TunnelKey string `json:"tunnel_key,omitempty"`
+	// PeerKey is what other hosts present to open tunnels and sessions of permits. Earlier builds know neither and announce
+	// none.
+	PeerKey string `json:"peer_key,omitempty"`
 	// LinkMbps is the speed of the host's network link in Mbit/s; 0: unknown.
 	LinkMbps float64 `json:"link_mbps,omitempty"`
 }
@@ -69,6 +70,8 @@
 	Holders *Holders
 	// Tunnels serves calls of other hosts that open tunnels. nil: they are refused as unknown.
 	Tunnels http.Handler
+	// Permits serves the sessions in which other hosts ask for permits. nil: they are refused as unknown.
+	Permits http.Handler
 	// OnPull counts pulls by their outcome, PullOK or PullFailed. nil: they are not counted.
 	OnPull func(outcome string)
 }
--- a/router/forward/advisories.go
+++ b/router/forward/advisories.go
@@ -12,7 +12,7 @@
 const leavingValue = "1"
 
 // recordAdvisories records what a response says about its target beside the request: that it is about to exit, for
-// how long it wants no requests, and its rate limit. It ignores a response to a misdirected request, which another
+// how long it wants no requests, that it is brittle, and its rate limit. It ignores a response to a misdirected request, which another
 // target sent.
 func (a *attempt) recordAdvisories(resp *http.Response) {
 	if resp.StatusCode == http.StatusMisdirectedRequest {
@@ -25,6 +25,7 @@
 		return // it need not come from the target itself
 	}
 	a.recordLeaving(resp)
+	a.recordBrittle(resp)
 	a.recordLimit(resp, refusal)
 }
 
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -12,6 +12,7 @@
 
 	"maststage.dev/router/capacity"
 	"maststage.dev/router/overload"
+	"maststage.dev/router/permit"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/quarantine"
 	"maststage.dev/router/retrybudget"
@@ -50,6 +51,11 @@
 	Overload   *overload.Monitor
 	// Capacity measures the use of the link; nil: its capacity is unknown.
 	Capacity *capacity.Host
+	// Permits hands out places at brittle targets; nil: none is needed.
+	Permits Permits
+	// DecodeBrittle reads what a response says of its target's brittleness. An error means that the target says that it is
+	// brittle, but not how much; nil: targets don't say.
+	DecodeBrittle func(h http.Header) (Brittleness, error)
 	// Quarantine is consulted before each attempt and notified of its result.
 	Quarantine Quarantine
 	Observer   Observer
@@ -138,6 +144,7 @@
 	retryAfter     time.Duration    // overrides the Retry-After of the kind unless 0
 	tracked        *unread.Response // nil until the first write to the caller
 	bufferReserved int64            // bytes reserved to buffer a response
+	permit         *permit.Permit   // of the current attempt, nil if it needs none
 	load           capacity.Request // as it counts on the link
 	linkBytes      float64          // of the response, on the link
 	outcome        Outcome
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -66,7 +66,15 @@
 		if t == nil {
 			return q.giveUp(q.noTargetKind(), errors.Join(last, errors.New("no target is available")))
 		}
+		t, err := q.acquirePermit(ctx, t)
+		if t == nil {
+			if q.ctx.Err() != nil {
+				return CallerGone, last
+			}
+			return q.giveUp(TargetsFull, errors.Join(last, err))
+		}
 		res, err := q.attemptTarget(ctx, t)
+		q.endPermit(res)
 		last = err
 		switch {
 		case res == delivered:
--- a/router/forward/silence.go
+++ b/router/forward/silence.go
@@ -55,7 +55,7 @@
 	// host's own has not begun for Registry.LinkSilence. Both are nil on other connections.
 	judge func() bool
 	early *time.Timer
-	// outOfReach reports whether this host's own links to the service fail, and the connection uses them.
+	// outOfReach reports whether this host's own links to the service fail, and the connection uses them; nil: they don't.
 	outOfReach func() bool
 
 	mu        sync.Mutex
@@ -113,7 +113,7 @@
 		s.conn.Abort()
 		return
 	}
-	if s.outOfReach() {
+	if s.outOfReach != nil && s.outOfReach() {
 		// Nothing more will arrive here, and a retry may be granted later.
 		s.startedAt = now
 		s.timer.Reset(s.timeout)
--- a/router/node/gauges.go
+++ b/router/node/gauges.go
@@ -23,6 +23,8 @@
 	n.observer.RegisterGauge("services_out_of_reach", func() float64 { return float64(n.reach.CutServices()) })
 	n.observer.RegisterGauge("tunnels_open", func() float64 { return float64(n.tunnels.Open()) })
 	n.observer.RegisterGauge("tunnels_carried", func() float64 { return float64(n.tunnelServer.Open()) })
+	n.observer.RegisterGauge("targets_brittle", func() float64 { return float64(n.targets.CountBrittle()) })
+	n.observer.RegisterGauge("permits_scheduled", func() float64 { return float64(n.permitServer.InUse()) })
 	n.observer.RegisterGauge("targets_announced_exit", func() float64 { return float64(n.targets.CountAnnouncedExits()) })
 	n.observer.RegisterGauge("targets_backing_off", func() float64 { return float64(n.targets.CountBackingOff(time.Now())) })
 	for topic, c := range map[string]*replica.Replica{
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -23,6 +23,7 @@
 	"maststage.dev/router/logging"
 	"maststage.dev/router/observe"
 	"maststage.dev/router/overload"
+	"maststage.dev/router/permit"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/quarantine"
 	"maststage.dev/router/reach"
@@ -63,6 +64,8 @@
 	EncodeState func(r rollout.Record) eventlog.Record
 	// DecodeState decodes the records of rollout states; ok is false for all others.
 	DecodeState func(rec eventlog.Record) (r rollout.Record, ok bool, err error)
+	// DecodeBrittle reads what a target's response says of its brittleness, see forward.Options. nil: they don't say.
+	DecodeBrittle func(h http.Header) (forward.Brittleness, error)
 	// ReadyPath is the path of the platform's readiness check.
 	ReadyPath string
 }
@@ -79,7 +82,9 @@
 	reach          *reach.Monitor
 	tunnels        *tunnel.Dialer
 	tunnelServer   *tunnel.Server
-	tunnelKey      string // that other hosts have to present
+	permits        *permit.Client
+	permitServer   *permit.Server
+	peerKey        string // that other hosts have to present to open tunnels and sessions of permits
 	allocator      *prepaid.Allocator
 	fleet          *fleet.Fleet
 	holders        *fleet.Holders
@@ -136,20 +141,22 @@
 	n.calls = logcount.New(env.Log, n.countCall)
 	n.env.Log = n.calls
 	n.targets = target.NewRegistry(target.Options{
-		Domain:      cfg.Host.Domain,
-		Regions:     cfg.Host.RegionOf(),
-		DrainLimit:  drainWindow(settings.Milliseconds(cfg.Bounds.DrainMs)),
-		DialTimeout: settings.Milliseconds(cfg.Targets.DialMs),
-		IdleTimeout: settings.Milliseconds(cfg.Targets.IdleMs),
-		MaxIdle:     cfg.Targets.MaxIdle,
-		UserTimeout: settings.Milliseconds(cfg.Targets.UserTimeoutMs),
-		OnDial:      func() { n.observer.Count("target_connections_total") },
-		OnDialed:    func(o reach.Outcome) { n.observer.Count(fmt.Sprintf("target_dials_total{outcome=%q}", o)) },
-		LocalIP:     net.ParseIP(cfg.Host.DialIP),
-		Reach:       n.reach,
-		Tunnels:     n.newTunnels(),
-		Elected:     n.elected,
-		Hosts:       n.hostCount,
+		Domain:             cfg.Host.Domain,
+		Regions:            cfg.Host.RegionOf(),
+		DrainLimit:         drainWindow(settings.Milliseconds(cfg.Bounds.DrainMs)),
+		DialTimeout:        settings.Milliseconds(cfg.Targets.DialMs),
+		IdleTimeout:        settings.Milliseconds(cfg.Targets.IdleMs),
+		MaxIdle:            cfg.Targets.MaxIdle,
+		UserTimeout:        settings.Milliseconds(cfg.Targets.UserTimeoutMs),
+		OnDial:             func() { n.observer.Count("target_connections_total") },
+		OnDialed:           func(o reach.Outcome) { n.observer.Count(fmt.Sprintf("target_dials_total{outcome=%q}", o)) },
+		LocalIP:            net.ParseIP(cfg.Host.DialIP),
+		Reach:              n.reach,
+		Tunnels:            n.newTunnels(),
+		OnBrittle:          n.brittle,
+		OnMalformedBrittle: func(error) { n.observer.Count("brittle_unreadable_total") },
+		Elected:            n.elected,
+		Hosts:              n.hostCount,
 	})
 	n.targets.SetLimitBounds(limitBounds(cfg.Bounds))
 	n.newReplicas()
@@ -157,6 +164,7 @@
 	n.newGuard()
 	n.holders = fleet.NewHolders(n.heldForItself)
 	n.newTunnelServer()
+	n.newPermits(incarnation)
 	n.newFleet(incarnation)
 	n.guard.SetPeers(n.fleet)
 	n.retries = retrybudget.NewSet(retryLimits(cfg), n.knownHosts, time.Now())
@@ -167,7 +175,7 @@
 	}, func() { n.observer.Count("unread_requests_aborted_total") })
 	n.handler = forward.New(forward.Options{
 		Names: env.Headers, Targets: n.targets, Budgets: n.allocator, Retries: n.retries,
-		StreamPace: streampace.New(), Overload: n.overload, Capacity: n.capacity, Quarantine: n.guard, Unread: n.unread, Unsent: n.unsent,
+		StreamPace: streampace.New(), Overload: n.overload, Capacity: n.capacity, Permits: n.permits, DecodeBrittle: env.DecodeBrittle, Quarantine: n.guard, Unread: n.unread, Unsent: n.unsent,
 		Observer: n.observer, CloseConnections: n.closesAll, MayBegin: n.admits, Suspended: n.suspendedTime, Rollouts: n.rollouts,
 	})
 	n.suspensions = suspend.New(clocks, n.resumed)
@@ -248,10 +256,10 @@
 	n.fleet = fleet.New(fleet.Options{
 		Self: fleet.Host{
 			Name: n.cfg.Host.Name, Incarnation: incarnation, Address: n.cfg.Host.PeerListen, Domain: n.cfg.Host.Domain,
-			TunnelKey: n.tunnelKey, LinkMbps: n.cfg.Capacity.LinkMbps,
+			PeerKey: n.peerKey, LinkMbps: n.cfg.Capacity.LinkMbps,
 		},
-		Tunnels: n.tunnelServer,
-		Log:     n.env.Log, Topic: n.env.HostsTopic, Seeds: n.cfg.Host.Seeds,
+		Tunnels: n.tunnelServer, Permits: n.permitServer,
+		Log: n.env.Log, Topic: n.env.HostsTopic, Seeds: n.cfg.Host.Seeds,
 		AnnounceInterval: announceInterval, PullInterval: pullInterval, CallTimeout: peerTimeout,
 		Replicas: map[string]*replica.Replica{
 			n.env.ConfigTopic:  n.configReplica,
--- a/router/node/stop.go
+++ b/router/node/stop.go
@@ -134,6 +134,7 @@
 		wait.For(c, drainPollInterval)
 	}
 	n.tunnelServer.Close()
+	n.permitServer.Close()
 	for _, s := range n.auxServers {
 		_ = s.Close()
 	}
--- a/router/node/tunnels.go
+++ b/router/node/tunnels.go
@@ -23,9 +23,9 @@
 
 // newTunnelServer makes what opens such connections for other hosts.
 func (n *Node) newTunnelServer() {
-	n.tunnelKey = rand.Text()
+	n.peerKey = rand.Text()
 	n.tunnelServer = tunnel.NewServer(tunnel.ServerOptions{
-		Key: n.tunnelKey, Dial: n.targets.DialFor, Stopping: n.Draining,
+		Key: n.peerKey, Dial: n.targets.DialFor, Stopping: n.Draining,
 		Busy: func() bool {
 			now := time.Now()
 			return !n.capacity.HasRoom(now) || n.overload.Overloaded(now)
--- a/router/target/target.go
+++ b/router/target/target.go
@@ -36,6 +36,7 @@
 	cold         cold
 	limit        advertisedLimit
 	backoff      backoff
+	brittle      brittle
 	// announcedExit means that a response of the target announced its exit.
 	announcedExit bool
 
@@ -74,6 +75,10 @@
 	LocalIP net.IP
 	// Reach judges whether this host reaches targets itself; nil: a monitor of the registry's own.
 	Reach *reach.Monitor
+	// OnBrittle is called as targets of a service begin to be brittle; nil: nobody is. It must not block.
+	OnBrittle func(service string)
+	// OnMalformedBrittle counts responses that don't say readably how brittle their target is; nil: they are not counted.
+	OnMalformedBrittle func(err error)
 	// OnDialed counts dials by their outcome; nil: they are not counted.
 	OnDialed func(outcome reach.Outcome)
 	// Tunnels opens connections through other hosts; nil: there are none.
@@ -101,6 +106,7 @@
 	dueNotices       map[*Target]struct{}        // targets whose limits this host has to publish or check again
 	publishedNotices map[string]*publishedNotice // the newest notices read from the log, by target
 	shedders         map[string]*shedder         // by service
+	brittle          map[string]brittleService   // services with brittle targets
 	announcedExits   map[string]announcedExit    // the newest of each id
 	balance          *balance.Estimates
 	advisoryLog      *logging.Limiter // bounds log lines about what targets' responses advise
@@ -117,6 +123,12 @@
 	if opts.Reach == nil {
 		opts.Reach = reach.New()
 	}
+	if opts.OnBrittle == nil {
+		opts.OnBrittle = func(string) {}
+	}
+	if opts.OnMalformedBrittle == nil {
+		opts.OnMalformedBrittle = func(error) {}
+	}
 	if opts.OnDialed == nil {
 		opts.OnDialed = func(reach.Outcome) {}
 	}
@@ -132,6 +144,7 @@
 		dueNotices:       map[*Target]struct{}{},
 		publishedNotices: map[string]*publishedNotice{},
 		shedders:         map[string]*shedder{},
+		brittle:          map[string]brittleService{},
 		announcedExits:   map[string]announcedExit{},
 		balance:          balance.New(opts.Hosts),
 		advisoryLog:      logging.NewLimiter(advisoryLogLinesPerSecond),
