reach: keep requests off links that are known to be silent

Cause: where connections are accepted and pass nothing, probes of new connections succeed; they were kept for requests, which were lost on them, and each loss called for more probes. Tests by requests that had no retry left were lost, too, and a host with one request to each of two services took long to notice. Evidence: 35 attempts of the cut hosts ended with their connections as the cut ended, without via= and none of them after a refused tunnel. Change: services whose links are silent are not probed by dials, and such a connection isn't kept. One request in ten at most tests the links, and one that can't be retried only after 10 s. Silent targets of all services count together.

--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -190,7 +190,11 @@
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout+tunnel.DialTimeout)
 	defer cancel()
 	start := time.Now()
-	conn, err := a.request.handler.opts.Targets.GetConn(dialCtx, a.target, maxIdle, a.request.route.Repeatable())
+	q := a.request
+	retry := func() bool {
+		return q.route.Repeatable() && q.handler.opts.Retries.ForService(q.service).Available(start)
+	}
+	conn, err := q.handler.opts.Targets.GetConn(dialCtx, a.target, maxIdle, retry)
 	if now := time.Now(); a.measuresDial(ctx, conn, err) {
 		took := now.Sub(start)
 		if err == nil {
--- a/router/httpconn/pool.go
+++ b/router/httpconn/pool.go
@@ -190,9 +190,9 @@
 // errClosedAtOnce means that a new connection was closed by the other side before anything was sent.
 var errClosedAtOnce = fmt.Errorf("httpconn: the new connection was closed at once: %w", syscall.ECONNRESET)
 
-// ProbeSettled is Probe for links that may accept connections and reset them at once: it waits for settle before it keeps
-// the connection.
-func (p *Pool) ProbeSettled(ctx context.Context, dial func(ctx context.Context) (net.Conn, error), settle time.Duration) error {
+// ProbeSettled is Probe for links that may accept connections and reset them at once, or pass nothing: it waits for settle
+// before it keeps the connection, if it keeps it.
+func (p *Pool) ProbeSettled(ctx context.Context, dial func(ctx context.Context) (net.Conn, error), settle time.Duration, keeps func() bool) error {
 	c, err := p.newConn(ctx, dial)
 	if err != nil {
 		return err
@@ -202,6 +202,10 @@
 		c.Close()
 		return errClosedAtOnce
 	}
+	if !keeps() {
+		c.Close()
+		return nil
+	}
 	p.putIdle(c)
 	return nil
 }
--- a/router/permit/client_test.go
+++ b/router/permit/client_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -137,12 +138,21 @@
 // The places of a host that dies come free.
 func TestPlacesOfADeadHostComeFree(t *testing.T) {
 	s := newSchedulers(t, 1)
-	dead, other := s.client("dead"), s.client("other")
+	var died atomic.Bool
+	dead := NewClient(Options{Self: "dead", Server: NewServer(key), Schedulers: func(string) ([]Host, int) {
+		if died.Load() {
+			return nil, -1
+		}
+		return s.hosts, -1
+	}})
 	s.ask(dead)
-	dead.sessions[s.hosts[0].Address].drop()
-	dead.opts.Schedulers = func(string) ([]Host, int) { return nil, -1 }
-	dead.rankings = map[string]ranking{}
-	s.ask(other).End(Ended)
+	died.Store(true)
+	time.Sleep(2 * rankingMaxAge)
+	dead.mu.Lock()
+	session := dead.sessions[s.hosts[0].Address]
+	dead.mu.Unlock()
+	session.drop()
+	s.ask(s.client("other")).End(Ended)
 }
 
 // A scheduler that is frozen is passed over.
--- a/router/reach/back.go
+++ b/router/reach/back.go
@@ -18,9 +18,12 @@
 	// canaryInterval is the time between two requests that test silent links; it doubles up to maxCanaryInterval.
 	canaryInterval    = 500 * time.Millisecond
 	maxCanaryInterval = 2 * time.Second
-	// unsafeCanaryInterval is the time without a test after which a request that must not be repeated is one. It may be
-	// lost; but a service may have no others.
-	unsafeCanaryInterval = 5 * time.Second
+	// requestsPerCanary is how many requests at least there are for each: a test may cost a retry, of which hosts have
+	// one for five requests.
+	requestsPerCanary = 10
+	// unsafeCanaryInterval is the time without a test after which a request that can't be retried is one. It may be lost;
+	// but a service may have no others.
+	unsafeCanaryInterval = 10 * time.Second
 )
 
 // back is the state of a service's return to connections of this host's own.
@@ -34,6 +37,7 @@
 	silentAt    time.Time      // when links were last found silent
 	canaryAt    time.Time      // newest request that tests silent links
 	canaryGap   time.Duration
+	requests    int // since the newest one
 }
 
 // changed applies a change of byDials or bySilence. The lock is held.
@@ -93,22 +97,23 @@
 }
 
 // TakeCanary reports whether a request should use a connection of this host's own to test the links: nothing else shows
-// whether connections that were silent carry data again. repeatable says that another attempt may follow.
-func (p *Path) TakeCanary(repeatable bool, now time.Time) bool {
+// whether connections that were silent carry data again. retry says that another attempt may follow.
+func (p *Path) TakeCanary(retry bool, now time.Time) bool {
 	if !p.Cut() {
 		return false
 	}
 	p.monitor.mu.Lock()
 	defer p.monitor.mu.Unlock()
 	b := &p.service.back
+	b.requests++
 	gap := b.canaryGap
-	if !repeatable {
+	if !retry {
 		gap = unsafeCanaryInterval
 	}
-	if p.service.byDials || now.Sub(b.canaryAt) < gap {
+	if p.service.byDials || now.Sub(b.canaryAt) < gap || b.requests < requestsPerCanary {
 		return false
 	}
-	b.canaryAt = now
+	b.canaryAt, b.requests = now, 0
 	b.canaryGap = min(2*b.canaryGap, maxCanaryInterval)
 	return true
 }
@@ -145,7 +150,7 @@
 		switch {
 		case s.byDials:
 			count = 1
-		case now.Sub(s.suspectedAt) < suspicionTime:
+		case !s.bySilence && now.Sub(s.suspectedAt) < suspicionTime:
 			count = maxProbes
 		}
 		for range count {
--- a/router/reach/reach.go
+++ b/router/reach/reach.go
@@ -262,20 +262,15 @@
 	defer p.monitor.mu.Unlock()
 	s := p.service
 	s.suspectedAt = now
-	silent := 0
-	for _, other := range s.paths {
-		if now.Sub(time.Unix(0, other.heardAt.Load())) < limit {
-			return
-		}
-		if other.isSilent(limit, now) {
-			silent++
-		}
+	silent, heard := s.silence(limit, now)
+	if heard {
+		return
 	}
 	if s.bySilence {
 		s.back.silentAt = now
 		return
 	}
-	if silent < min(minSilent, len(s.paths)) {
+	if silent < min(minSilent, len(s.paths)) && !p.monitor.silentTogether(s, limit, now) {
 		return
 	}
 	s.bySilence = true
@@ -283,6 +278,39 @@
 	log.WithFields(log.Fields{"service": s.name, "targets": len(s.paths), "silent": silent}).Warn("open connections to the service are silent")
 }
 
+// silence counts the targets that are silent; heard means that something arrived from any within limit.
+func (s *service) silence(limit time.Duration, now time.Time) (silent int, heard bool) {
+	for _, p := range s.paths {
+		if now.Sub(time.Unix(0, p.heardAt.Load())) < limit {
+			return 0, true
+		}
+		if p.isSilent(limit, now) {
+			silent++
+		}
+	}
+	return silent, false
+}
+
+// silentTogether reports whether a service with a silent target and the others of this host have enough silent targets
+// together, and nothing arrived from any: a host with little traffic seldom has two requests to one service. The lock is
+// held.
+func (m *Monitor) silentTogether(s *service, limit time.Duration, now time.Time) bool {
+	total, _ := s.silence(limit, now)
+	if total == 0 {
+		return false
+	}
+	for _, other := range m.services {
+		silent, heard := other.silence(limit, now)
+		if heard {
+			return false
+		}
+		if other != s {
+			total += silent
+		}
+	}
+	return total >= minSilent
+}
+
 // Cut reports whether the service is out of direct reach.
 func (p *Path) Cut() bool { return p != nil && p.service.cut.Load() }
 
@@ -293,6 +321,13 @@
 	return p.service.byDials && !p.service.back.lostAt.After(t)
 }
 
+// Silent reports whether connections to the service pass nothing, also where new ones succeed.
+func (p *Path) Silent() bool {
+	p.monitor.mu.Lock()
+	defer p.monitor.mu.Unlock()
+	return p.service.bySilence
+}
+
 // OpenConnectionsDead reports whether open connections to the service are probably dead, too.
 func (p *Path) OpenConnectionsDead() bool {
 	p.monitor.mu.Lock()
--- a/router/reach/reach_test.go
+++ b/router/reach/reach_test.go
@@ -143,13 +143,70 @@
 		p.connect(2 * limit)
 	}
 	is.True(paths[0].Cut())
-	is.True(!paths[0].TakeCanary(true, at(2*limit)))
+	for range requestsPerCanary {
+		is.True(!paths[0].TakeCanary(true, at(2*limit)))
+	}
 	is.True(paths[0].TakeCanary(true, at(limit+canaryInterval)))
 	is.True(!paths[1].TakeCanary(true, at(limit+canaryInterval+time.Millisecond)))
 	paths[0].RecordReceived(at(time.Second))
 	is.True(!paths[0].Cut())
 }
 
+// A dial shows nothing of links that are silent.
+func TestSilentLinksAreNotProbed(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	paths := add(m, "a", 4)
+	for _, p := range paths[:2] {
+		p.BeginWait(at(0))
+	}
+	paths[0].JudgeSilence(limit, at(limit))
+	is.True(paths[0].Silent())
+	is.Equal(len(m.DueProbes(at(limit))), 0)
+}
+
+// Few requests are tests, as each may cost a retry.
+func TestFewRequestsAreCanaries(t *testing.T) {
+	is := is.New(t)
+	paths := add(New(), "a", 4)
+	for _, p := range paths[:2] {
+		p.BeginWait(at(0))
+	}
+	paths[0].JudgeSilence(limit, at(limit))
+	taken := 0
+	for i := range 100 {
+		if paths[0].TakeCanary(true, at(limit+time.Duration(i)*time.Minute)) {
+			taken++
+		}
+	}
+	is.Equal(taken, 100/requestsPerCanary)
+}
+
+// A host with little traffic has one request to each of two services.
+func TestSilenceOfTwoServicesCountsTogether(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	a, b, idle := add(m, "a", 4), add(m, "b", 4), add(m, "idle", 4)
+	a[0].BeginWait(at(0))
+	a[0].JudgeSilence(limit, at(limit))
+	is.True(!a[0].Cut())
+	b[0].BeginWait(at(0))
+	b[0].JudgeSilence(limit, at(limit))
+	is.True(b[0].Cut())
+	a[0].JudgeSilence(limit, at(limit))
+	is.True(a[0].Cut())
+	is.True(!idle[0].Cut())
+
+	m = New()
+	a, b = add(m, "a", 4), add(m, "b", 4)
+	c := add(m, "c", 4)
+	a[0].BeginWait(at(0))
+	b[0].BeginWait(at(0))
+	c[0].RecordReceived(at(limit / 2))
+	b[0].JudgeSilence(limit, at(limit))
+	is.True(!b[0].Cut())
+}
+
 // A service without requests that may be repeated tests its links with others, now and then.
 func TestUnsafeRequestsTestSilentLinksRarely(t *testing.T) {
 	is := is.New(t)
--- a/router/retrybudget/retrybudget.go
+++ b/router/retrybudget/retrybudget.go
@@ -107,15 +107,27 @@
 func (b *Budget) Spend(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.available(now) {
+		return false
+	}
+	b.retries.add(b.slot(now))
+	return true
+}
+
+// Available reports whether the budget has a retry now.
+func (b *Budget) Available(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.available(now)
+}
+
+// available is Available. The lock is held.
+func (b *Budget) available(now time.Time) bool {
 	slot := b.slot(now)
 	// Requests count over the window without its oldest part, retries over more than the window:
 	// both err on the safe side.
 	allowed := safetyFactor * (b.limits.Ratio*b.requests.sum(slot, slotsPerWindow) + b.slackShare(now))
-	if b.retries.sum(slot, slotsPerWindow+1)+1 > allowed {
-		return false
-	}
-	b.retries.add(slot)
-	return true
+	return b.retries.sum(slot, slotsPerWindow+1)+1 <= allowed
 }
 
 // Set holds a budget for each service.
--- a/router/target/reach.go
+++ b/router/target/reach.go
@@ -62,6 +62,7 @@
 func (r *Registry) dialTunnel(ctx context.Context, t *Target) (net.Conn, error) {
 	nc, err := r.opts.Tunnels.Dial(ctx, t.Service, t.ID)
 	if err != nil {
+		log.WithFields(log.Fields{"target": t.ID, "service": t.Service}).WithError(err).Debug("no tunnel to the target")
 		return nil, err // not nc, which would be an interface that isn't nil
 	}
 	return nc, nil
@@ -117,9 +118,9 @@
 }
 
 // GetConn returns a connection to the target for a request: an idle one that was unused for at most maxUnused, or a new
-// one. Some requests test links that were silent, mostly such that may be repeated.
-func (r *Registry) GetConn(ctx context.Context, t *Target, maxUnused time.Duration, repeatable bool) (*httpconn.Conn, error) {
-	if t.path.TakeCanary(repeatable, time.Now()) {
+// one. Some requests test links that were silent, mostly such that may be retried, as retry reports.
+func (r *Registry) GetConn(ctx context.Context, t *Target, maxUnused time.Duration, retry func() bool) (*httpconn.Conn, error) {
+	if t.path.Cut() && t.path.TakeCanary(retry(), time.Now()) {
 		return t.Pool.GetDirect(ctx, func(ctx context.Context) (net.Conn, error) { return r.dialDirect(ctx, t) })
 	}
 	return t.Pool.Get(ctx, maxUnused)
@@ -209,7 +210,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	began := time.Now()
-	err := t.Pool.ProbeSettled(ctx, t.Pool.DialDirect, settleTime)
+	err := t.Pool.ProbeSettled(ctx, t.Pool.DialDirect, settleTime, func() bool { return !t.path.Silent() })
 	if errors.Is(err, httpconn.ErrConnLimit) || errors.Is(err, httpconn.ErrClosed) {
 		return
 	}
