permit, target: count a permit's target as chosen, name connections of this host's own once

Cause: a permit may be for another target than the one that was chosen; its share of a limit was not counted. And the same closure stood three times.

--- a/router/forward/permits.go
+++ b/router/forward/permits.go
@@ -63,7 +63,11 @@
 		}
 		return nil, err
 	}
-	t := targets.Get(p.Target())
+	if p.Target() == preferred.ID {
+		q.permit = p
+		return preferred, nil
+	}
+	t := targets.Take(p.Target())
 	if t == nil {
 		p.End(permit.Ended)
 		return nil, errors.New("the target is gone")
--- a/router/httpconn/pool.go
+++ b/router/httpconn/pool.go
@@ -172,8 +172,8 @@
 	return nc, nil
 }
 
-// GetDirect dials a new connection to the pool's address.
-func (p *Pool) GetDirect(ctx context.Context, dial func(ctx context.Context) (net.Conn, error)) (*Conn, error) {
+// Dial returns a new connection that dial makes.
+func (p *Pool) Dial(ctx context.Context, dial func(ctx context.Context) (net.Conn, error)) (*Conn, error) {
 	return p.newConn(ctx, dial)
 }
 
--- a/router/permit/scheduler_test.go
+++ b/router/permit/scheduler_test.go
@@ -16,8 +16,8 @@
 	m.Run()
 }
 
-// bench is a scheduler in virtual time.
-type bench struct {
+// simulation is a scheduler in virtual time.
+type simulation struct {
 	*scheduler
 	is      *is.I
 	now     time.Time
@@ -26,15 +26,15 @@
 	refused map[permitKey]time.Duration
 }
 
-func newBench(t *testing.T) *bench {
+func newSimulation(t *testing.T) *simulation {
 	now := time.Unix(1000, 0)
-	b := &bench{scheduler: newScheduler(now), is: is.New(t), now: now, granted: map[permitKey]string{}, refused: map[permitKey]time.Duration{}}
+	b := &simulation{scheduler: newScheduler(now), is: is.New(t), now: now, granted: map[permitKey]string{}, refused: map[permitKey]time.Duration{}}
 	b.pass(settleTime)
 	return b
 }
 
 // pass lets time pass.
-func (b *bench) pass(d time.Duration) {
+func (b *simulation) pass(d time.Duration) {
 	end := b.now.Add(d)
 	for {
 		at, ok := b.next(b.now)
@@ -55,7 +55,7 @@
 	return list
 }
 
-func (b *bench) askFor(host string, r Request) permitKey {
+func (b *simulation) askFor(host string, r Request) permitKey {
 	b.nextID++
 	key := permitKey{host, b.nextID}
 	b.ask(key, r, b.now, func(reply Reply) {
@@ -69,7 +69,7 @@
 }
 
 func TestNoMorePermitsThanPlaces(t *testing.T) {
-	b := newBench(t)
+	b := newSimulation(t)
 	for range 20 {
 		b.askFor("h", Request{Targets: targets(2, 4), MaxWait: time.Second})
 	}
@@ -79,7 +79,7 @@
 }
 
 func TestMoreUrgentRequestsComeFirst(t *testing.T) {
-	b := newBench(t)
+	b := newSimulation(t)
 	first := b.askFor("h", Request{Targets: targets(1, 1), MaxWait: time.Minute})
 	later := b.askFor("h", Request{Targets: targets(1, 1), Priority: 2, MaxWait: time.Minute})
 	urgent := b.askFor("h", Request{Targets: targets(1, 1), Priority: 1, MaxWait: time.Minute})
@@ -95,7 +95,7 @@
 
 // What can't have a place in time is refused at once, the others when their time has run out.
 func TestRequestsAreRefusedInTime(t *testing.T) {
-	b := newBench(t)
+	b := newSimulation(t)
 	b.askFor("h", Request{Targets: targets(1, 1), MaxWait: time.Minute})
 	patient := b.askFor("h", Request{Targets: targets(1, 1), MaxWait: time.Second})
 	b.askFor("h", Request{Targets: targets(1, 1), MaxWait: time.Second})
@@ -109,7 +109,7 @@
 
 // A place that came free is used after a moment, as its target may take one to free it; longer after a refusal.
 func TestPlacesRestBetweenRequests(t *testing.T) {
-	b := newBench(t)
+	b := newSimulation(t)
 	first := b.askFor("h", Request{Targets: targets(1, 1), MaxWait: time.Minute})
 	second := b.askFor("h", Request{Targets: targets(1, 1), MaxWait: time.Minute})
 	b.end(first, Ended, b.now)
@@ -127,7 +127,7 @@
 // A target that turns requests away for a reason that the scheduler doesn't see gets so few that it doesn't fall over.
 func TestRefusalsStayWithinTheTolerance(t *testing.T) {
 	for _, tolerance := range []int{1, 2, 3, 10} {
-		b := newBench(t)
+		b := newSimulation(t)
 		var refusals []time.Time
 		for end := b.now.Add(20 * time.Second); b.now.Before(end); b.pass(time.Millisecond) {
 			key := b.askFor("h", Request{Targets: []Target{{ID: "t", Slots: 4, Tolerance: tolerance}}, MaxWait: time.Millisecond})
@@ -151,7 +151,7 @@
 
 // The permits of a host whose connection broke come free, unless it comes back in time.
 func TestPermitsOfLostHosts(t *testing.T) {
-	b := newBench(t)
+	b := newSimulation(t)
 	dead := b.askFor("dead", Request{Targets: targets(1, 2), MaxWait: time.Minute})
 	back := b.askFor("back", Request{Targets: targets(1, 2), MaxWait: time.Minute})
 	b.askFor("dead", Request{Targets: targets(1, 2), MaxWait: time.Minute})
@@ -171,7 +171,7 @@
 // A scheduler that takes over hands out nothing until hosts have told it what they use.
 func TestNewSchedulerWaitsForPermitsInUse(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b := &bench{scheduler: newScheduler(now), is: is.New(t), now: now, granted: map[permitKey]string{}, refused: map[permitKey]time.Duration{}}
+	b := &simulation{scheduler: newScheduler(now), is: is.New(t), now: now, granted: map[permitKey]string{}, refused: map[permitKey]time.Duration{}}
 	asked := b.askFor("h", Request{Targets: targets(1, 1), MaxWait: time.Minute})
 	b.pass(settleTime / 2)
 	b.is.Equal(b.granted[asked], "")
@@ -184,7 +184,7 @@
 }
 
 func TestWithdrawnRequestsGetNothing(t *testing.T) {
-	b := newBench(t)
+	b := newSimulation(t)
 	first := b.askFor("h", Request{Targets: targets(1, 1), MaxWait: time.Minute})
 	gone := b.askFor("h", Request{Targets: targets(1, 1), MaxWait: time.Minute})
 	b.end(gone, Ended, b.now)
@@ -199,7 +199,7 @@
 func TestPlacesAreUsedUnderLoad(t *testing.T) {
 	for _, hosts := range []int{2, 8, 87, 300, 1000} {
 		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
-			b := newBench(t)
+			b := newSimulation(t)
 			random := rand.New(rand.NewPCG(uint64(hosts), 1))
 			const slots, work = 4, 100 * time.Millisecond
 			list := targets(10, slots)
--- a/router/target/brittle.go
+++ b/router/target/brittle.go
@@ -126,11 +126,19 @@
 	}
 }
 
-// Get returns a target by its id, nil if it is not known any more.
-func (r *Registry) Get(id string) *Target {
+// Take returns the target that a permit is for, nil if it is not known any more, and counts the request as Choose does.
+func (r *Registry) Take(id string) *Target {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.targets[id]
+	t := r.targets[id]
+	if t == nil {
+		return nil
+	}
+	t.pauseFrom = time.Now()
+	if t.limit.inForce {
+		t.limit.sent++
+	}
+	return t
 }
 
 // CountBrittle counts the targets that say that they are brittle.
--- a/router/target/exit.go
+++ b/router/target/exit.go
@@ -71,7 +71,7 @@
 func (r *Registry) runProbe(ctx context.Context, t *Target) bool {
 	dial, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	err := t.Pool.Probe(dial, func(ctx context.Context) (net.Conn, error) { return r.dialDirect(ctx, t) })
+	err := t.Pool.Probe(dial, r.direct(t))
 	refused := errors.Is(err, syscall.ECONNREFUSED) && r.refusesOthers(ctx, t)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -91,5 +91,6 @@
 	if r.opts.Tunnels == nil {
 		return true
 	}
-	return t.Pool.Probe(ctx, func(ctx context.Context) (net.Conn, error) { return r.dialTunnel(ctx, t) }) != nil
+	throughOthers := func(ctx context.Context) (net.Conn, error) { return r.dialTunnel(ctx, t) }
+	return t.Pool.Probe(ctx, throughOthers) != nil
 }
--- a/router/target/reach.go
+++ b/router/target/reach.go
@@ -79,6 +79,11 @@
 	return nc, err
 }
 
+// direct returns dialDirect for one target.
+func (r *Registry) direct(t *Target) func(ctx context.Context) (net.Conn, error) {
+	return func(ctx context.Context) (net.Conn, error) { return r.dialDirect(ctx, t) }
+}
+
 // recordDial records the outcome of a dial that began at began.
 func (r *Registry) recordDial(t *Target, err error, began time.Time) {
 	outcome := dialOutcome(err)
@@ -121,7 +126,7 @@
 // one. Some requests test links that were silent, mostly such that may be retried, as retry reports.
 func (r *Registry) GetConn(ctx context.Context, t *Target, maxUnused time.Duration, retry func() bool) (*httpconn.Conn, error) {
 	if t.path.Cut() && t.path.TakeCanary(retry(), time.Now()) {
-		return t.Pool.GetDirect(ctx, func(ctx context.Context) (net.Conn, error) { return r.dialDirect(ctx, t) })
+		return t.Pool.Dial(ctx, r.direct(t))
 	}
 	return t.Pool.Get(ctx, maxUnused)
 }
