target, reach: use what is reached of a service whose other targets are gone

Symptom: where most targets of a service are gone for all hosts, a target that is reached gets new connections from probes only, one a second, and requests beyond are refused at once. Cause: a service out of direct reach returned only once three targets were reached, also where no other host helped, and requests were refused by the state of the service, not of the target. Targets that no other host reached either were not ejected, since all failures of such a service counted as the links' fault. Change: if no tunnel to the service was opened for a second, one dial that succeeds ends the state, and only targets whose own newest dial failed are passed over. What another host doesn't reach either counts against the target. Earlier failures are forgotten once as the service is lost, not at each failure. Half of the targets may be gone for a return.

--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -41,7 +41,7 @@
 		q.handler.opts.Quarantine.RecordCompletion(q.digest)
 	}
 	targets.EndRequest(t, a.work, a.targetResult(res))
-	if res == notSent && !a.withheld && !targets.OutOfReach(t) && !q.handler.opts.Overload.Overloaded(time.Now()) {
+	if res == notSent && !a.withheld && (!targets.OutOfReach(t) || errors.Is(err, tunnel.ErrNotReached)) && !q.handler.opts.Overload.Overloaded(time.Now()) {
 		targets.RecordDialFailure(t)
 	}
 	q.handler.opts.Observer.AttemptEnded(Attempt{
--- a/router/node/cut_test.go
+++ b/router/node/cut_test.go
@@ -180,7 +180,7 @@
 	}
 }
 
-// A target that is gone for all hosts is no reason to doubt the links: requests fail at once, and exits are recorded.
+// Targets that are gone for all hosts are refused at once, and one that comes up is used at once.
 func TestTargetsThatAreGoneForAll(t *testing.T) {
 	f := newCutFleet(t)
 	h := f.hosts[0]
@@ -198,4 +198,14 @@
 		f.is.True(got.status == http.StatusServiceUnavailable || got.status == http.StatusBadGateway)
 		f.is.True(time.Since(began) < time.Second)
 	}
+	time.Sleep(cutDetection)
+	f.backend("new", backend.Behaviour{Body: "whole"})
+	began := time.Now()
+	for f.call(h, "/r/", "").status != http.StatusOK && time.Since(began) < cutReturn {
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.is.True(time.Since(began) < time.Second)
+	for range 50 {
+		f.is.Equal(f.call(h, "/r/", "").status, http.StatusOK)
+	}
 }
--- a/router/reach/back.go
+++ b/router/reach/back.go
@@ -68,14 +68,34 @@
 	}
 	b.proofs[p] = true
 	delete(b.refuted, p)
-	if len(b.proofs) >= min(minProofs, len(s.paths)) && now.Sub(b.proofsSince) >= b.hold {
+	if len(b.proofs) >= min(minProofs, len(s.paths)-len(b.refuted)) && now.Sub(b.proofsSince) >= b.hold {
 		s.byDials, s.hung = false, false
 		s.changed(now)
 	}
 }
 
-// recordFailed records a dial that failed. A single target may be gone; as many failures as successes end the test. The
-// lock is held.
+// EndDialTest ends the test of new connections: a dial has succeeded, and no other host reaches the targets better.
+func (p *Path) EndDialTest(now time.Time) {
+	p.monitor.mu.Lock()
+	defer p.monitor.mu.Unlock()
+	if s := p.service; s.byDials {
+		s.byDials, s.hung = false, false
+		s.changed(now)
+	}
+}
+
+// LostSince returns since when the service is out of reach, the zero time if it isn't.
+func (p *Path) LostSince() time.Time {
+	p.monitor.mu.Lock()
+	defer p.monitor.mu.Unlock()
+	if !p.service.cut.Load() {
+		return time.Time{}
+	}
+	return p.service.back.lostAt
+}
+
+// recordFailed records a dial that failed. Some targets may be gone; more failures than successes end the test. The lock
+// is held.
 func (s *service) recordFailed(p *Path) {
 	b := &s.back
 	if len(b.proofs) == 0 {
@@ -83,7 +103,7 @@
 	}
 	b.refuted[p] = true
 	delete(b.proofs, p)
-	if len(b.refuted) >= len(b.proofs) {
+	if len(b.refuted) > len(b.proofs) {
 		clear(b.proofs)
 	}
 }
--- a/router/reach/reach.go
+++ b/router/reach/reach.go
@@ -314,11 +314,13 @@
 // Cut reports whether the service is out of direct reach.
 func (p *Path) Cut() bool { return p != nil && p.service.cut.Load() }
 
-// DialsFailSince reports whether new connections to the service have failed since t or longer.
-func (p *Path) DialsFailSince(t time.Time) bool {
+// DialFailedSince reports whether the newest dial to the target failed after t, and new connections to the service have
+// failed for longer.
+func (p *Path) DialFailedSince(t time.Time) bool {
 	p.monitor.mu.Lock()
 	defer p.monitor.mu.Unlock()
-	return p.service.byDials && !p.service.back.lostAt.After(t)
+	s := p.service
+	return s.byDials && !s.back.lostAt.After(t) && p.failedAt.After(p.connectedAt) && p.failedAt.After(t)
 }
 
 // Silent reports whether connections to the service pass nothing, also where new ones succeed.
--- a/router/reach/reach_test.go
+++ b/router/reach/reach_test.go
@@ -283,6 +283,40 @@
 	is.True(!paths[0].Cut())
 }
 
+// Half of the targets are gone; the others are reached again.
+func TestReturnWithHalfOfTheTargets(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	paths := add(m, "a", 4)
+	cutOff(paths, dialTime)
+	byName := map[string]*Path{}
+	for _, p := range paths {
+		byName[p.target] = p
+	}
+	for now := time.Second; now < 20*time.Second && paths[0].Cut(); now += 100 * time.Millisecond {
+		for _, id := range m.DueProbes(at(now)) {
+			if p := byName[id]; p == paths[1] || p == paths[2] {
+				p.RecordDial(Refused, at(now), at(now))
+			} else {
+				p.connect(now)
+			}
+		}
+	}
+	is.True(!paths[0].Cut())
+}
+
+// If no other host reaches the targets, one that connects ends the test.
+func TestReturnAtOnceIfNoHostHelps(t *testing.T) {
+	is := is.New(t)
+	paths := add(New(), "a", 12)
+	cutOff(paths, dialTime)
+	is.Equal(paths[0].LostSince(), at(dialTime))
+	paths[5].connect(time.Second)
+	paths[5].EndDialTest(at(time.Second))
+	is.True(!paths[0].Cut())
+	is.True(paths[0].LostSince().IsZero())
+}
+
 // A failure calls for a few probes of other targets, which tell a lost link from a target that is gone.
 func TestFailureCallsForProbes(t *testing.T) {
 	is := is.New(t)
--- a/router/target/health.go
+++ b/router/target/health.go
@@ -62,6 +62,7 @@
 	medianGap     float64   // median of the targets' median gaps, in seconds
 	gapAt         time.Time // when medianGap was updated
 	speedsAt      time.Time // when the targets' speeds were updated
+	lostSince     time.Time // since when it was out of reach as failures of its targets were last forgotten
 }
 
 // medianInterval is the minimum time between two updates of a median.
--- a/router/target/reach.go
+++ b/router/target/reach.go
@@ -18,8 +18,8 @@
 // Tunnels opens connections to targets through other hosts; *tunnel.Dialer implements it.
 type Tunnels interface {
 	Dial(ctx context.Context, service, target string) (*tunnel.Conn, error)
-	// OpenedSince reports whether a tunnel was opened after t.
-	OpenedSince(t time.Time) bool
+	// OpenedSince reports whether a tunnel to a service was opened after t.
+	OpenedSince(service string, t time.Time) bool
 }
 
 // Parameters of probes of a service that may be out of reach.
@@ -27,7 +27,8 @@
 	reachInterval = 100 * time.Millisecond // between rounds of probes
 	// settleTime is how long a probe's connection must live: a link may accept connections and reset them at once.
 	settleTime = 50 * time.Millisecond
-	// hopelessAge is how long no tunnel was opened until requests to a service that is out of reach are refused at once.
+	// hopelessAge is how long no tunnel to a service was opened until other hosts count as no help. A target that is not
+	// reached either is then not tried again for as long.
 	hopelessAge = time.Second
 )
 
@@ -39,23 +40,39 @@
 	if r.opts.Tunnels == nil {
 		return r.dialDirect(ctx, t)
 	}
+	var tunnelErr error
 	if t.path.Cut() {
-		if nc, err := r.dialTunnel(ctx, t); err == nil {
+		nc, err := r.dialTunnel(ctx, t)
+		if err == nil {
 			return nc, nil
 		}
-		if t.path.DialsFailSince(time.Now().Add(-hopelessAge)) && !r.opts.Tunnels.OpenedSince(time.Now().Add(-hopelessAge)) {
-			return nil, errOutOfReach // probes tell when the target is reached again
+		tunnelErr = err
+		if t.path.DialFailedSince(time.Now().Add(-hopelessAge)) && !r.othersHelp(t) {
+			return nil, errors.Join(errOutOfReach, tunnelErr) // probes tell when the target is reached again
 		}
-		return r.dialDirect(ctx, t)
 	}
 	nc, err := r.dialDirect(ctx, t)
-	if err == nil || !t.path.Cut() {
-		return nc, err
+	if err == nil || tunnelErr != nil || !t.path.Cut() {
+		return nc, joinErrors(err, tunnelErr)
+	}
+	tunnelled, terr := r.dialTunnel(ctx, t)
+	if terr != nil {
+		return nil, errors.Join(err, terr)
 	}
-	if tunnelled, terr := r.dialTunnel(ctx, t); terr == nil {
-		return tunnelled, nil
+	return tunnelled, nil
+}
+
+// joinErrors joins the error of a dial, if there is one, with that of a tunnel.
+func joinErrors(dial, tunnel error) error {
+	if dial == nil {
+		return nil
 	}
-	return nil, err
+	return errors.Join(dial, tunnel)
+}
+
+// othersHelp reports whether another host has lately reached targets of the service.
+func (r *Registry) othersHelp(t *Target) bool {
+	return r.opts.Tunnels != nil && r.opts.Tunnels.OpenedSince(t.Service, time.Now().Add(-hopelessAge))
 }
 
 // dialTunnel opens a tunnel to a target.
@@ -89,8 +106,11 @@
 	outcome := dialOutcome(err)
 	r.opts.OnDialed(outcome)
 	t.path.RecordDial(outcome, began, time.Now())
-	if outcome != reach.Connected {
+	switch {
+	case outcome != reach.Connected:
 		r.suspect(t)
+	case t.path.Cut() && !r.othersHelp(t):
+		t.path.EndDialTest(time.Now())
 	}
 }
 
@@ -178,11 +198,16 @@
 	if !t.path.Cut() {
 		return
 	}
-	dead := t.path.OpenConnectionsDead()
+	dead, since := t.path.OpenConnectionsDead(), t.path.LostSince()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	stats := r.statsOf(t.Service)
+	forgives := !stats.lostSince.Equal(since)
+	stats.lostSince = since
 	for _, other := range r.services[t.Service] {
-		other.health.consecutiveBroken, other.health.ejectedUntil = 0, time.Time{}
+		if forgives {
+			other.health.consecutiveBroken, other.health.ejectedUntil = 0, time.Time{}
+		}
 		if dead {
 			other.Pool.CloseIdleDirect()
 		}
--- a/router/tunnel/dialer.go
+++ b/router/tunnel/dialer.go
@@ -46,11 +46,11 @@
 	return n
 }
 
-// OpenedSince reports whether a tunnel was opened after t.
-func (d *Dialer) OpenedSince(t time.Time) bool {
+// OpenedSince reports whether a tunnel to a service was opened after t.
+func (d *Dialer) OpenedSince(service string, t time.Time) bool {
 	d.hosts.mu.Lock()
 	defer d.hosts.mu.Unlock()
-	return d.hosts.lastOpened.After(t)
+	return d.hosts.lastOpened[service].After(t)
 }
 
 // result is the outcome of the call to one host.
@@ -77,7 +77,7 @@
 		asked[host.Name] = true
 		pending++
 		go func() {
-			conn, err := d.ask(ctx, host, target)
+			conn, err := d.ask(ctx, host, service, target)
 			results <- result{host, conn, err}
 		}()
 		return true
@@ -130,7 +130,7 @@
 }
 
 // ask opens a tunnel through one host.
-func (d *Dialer) ask(ctx context.Context, host Host, target string) (*Conn, error) {
+func (d *Dialer) ask(ctx context.Context, host Host, service, target string) (*Conn, error) {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, hostTimeout)
 	defer cancel()
@@ -153,7 +153,7 @@
 	now := time.Now()
 	return &Conn{
 		Conn: nc, reader: reader, host: host.Name, dialTime: now.Sub(began), openedAt: now,
-		blame: func() { d.hosts.blame(host.Name) }, release: d.hosts.opened(host.Name, now),
+		blame: func() { d.hosts.blame(host.Name) }, release: d.hosts.opened(host.Name, service, now),
 	}, nil
 }
 
--- a/router/tunnel/hosts.go
+++ b/router/tunnel/hosts.go
@@ -38,11 +38,11 @@
 	open       map[string]int          // tunnels of this host
 	avoid      map[string]time.Time    // until when
 	avoidOnly  map[serviceOf]time.Time // the same for tunnels to one service
-	lastOpened time.Time               // newest tunnel
+	lastOpened map[string]time.Time    // newest tunnel, by service
 }
 
 func newHosts(list func() []Host) *hosts {
-	return &hosts{list: list, open: map[string]int{}, avoid: map[string]time.Time{}, avoidOnly: map[serviceOf]time.Time{}}
+	return &hosts{list: list, open: map[string]int{}, avoid: map[string]time.Time{}, avoidOnly: map[serviceOf]time.Time{}, lastOpened: map[string]time.Time{}}
 }
 
 // pick draws a host for a tunnel to a service: of two drawn by the speed of their links the one with fewer tunnels of this
@@ -115,11 +115,11 @@
 }
 
 // opened records a tunnel; the returned function records its end.
-func (h *hosts) opened(host string, now time.Time) (release func()) {
+func (h *hosts) opened(host, service string, now time.Time) (release func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.open[host]++
-	h.lastOpened = now
+	h.lastOpened[service] = now
 	return func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
--- a/router/tunnel/tunnel.go
+++ b/router/tunnel/tunnel.go
@@ -52,8 +52,8 @@
 var (
 	// ErrNoHost means that no other host can be asked.
 	ErrNoHost = errors.New("tunnel: no other host can be asked")
-	// ErrTargetRefused means that another host reached the target's machine, and nobody listens at its address.
-	ErrTargetRefused = errors.New("tunnel: the target refuses connections of another host")
+	// ErrNotReached means that another host did not reach the target either, although it reaches others of the service.
+	ErrNotReached = errors.New("tunnel: another host does not reach the target")
 )
 
 // refusalError is the refusal of a host.
@@ -67,7 +67,7 @@
 }
 
 func (e *refusalError) Is(target error) bool {
-	return target == ErrTargetRefused && e.reason == targetRefused
+	return target == ErrNotReached && (e.reason == targetRefused || e.reason == unreachable)
 }
 
 // Times of a tunnel.
