--- a/proofs/soak/cut_test.go
+++ b/proofs/soak/cut_test.go
@@ -227,7 +227,10 @@
 			stop()
 			traffic.Wait()
 			w.check()
-			w.checkCut(c.cut, begin, end)
+			during, after := w.checkCut(c.cut, begin, end)
+			if during[1].sent == 0 || after[1].sent == 0 {
+				w.watch.violation("served when cut off", "nothing was sent to the hosts that were cut off")
+			}
 			w.report(uint64(seed+1), nil)
 		})
 	}
@@ -281,12 +284,11 @@
 
 // checkCut: from cutContact after the beginning of a cut on, the hosts that are cut off serve first attempts at least
 // minCutShare times as often as the others, and from cutReturn after its end on all serve alike.
-// A few failures don't count, as in the platform's rule.
-func (w *world) checkCut(isCut func(h *host) bool, begin, end time.Time) {
+// A few failures don't count, as in the platform's rule. It returns the first attempts at the others and at cut hosts.
+func (w *world) checkCut(isCut func(h *host) bool, begin, end time.Time) (during, after [2]tally) {
 	w.watch.mu.Lock()
 	calls := w.watch.calls
 	w.watch.mu.Unlock()
-	var during, after [2]tally
 	byPath := map[string]tally{} // of cut hosts
 	for _, c := range calls {
 		if c.tenant != largeTenant || isDeadly(c.path) || isLarge(c.path) {
@@ -315,4 +317,5 @@
 			w.watch.violation("served when cut off", "%s the cut, cut hosts served %d of %d, the others %d of %d", when, t[1].served, t[1].sent, t[0].served, t[0].sent)
 		}
 	}
+	return during, after
 }
