eventlog, fleet, node: seams for a simulated fleet, interface to groups of the log

Cause: a fleet of 300 to 1,000 hosts can't be run in one process, since hosts call each other over TCP, and the log's division of partitions among members of a group had no interface.

Change: the calls between hosts go through a transport that tests may replace; what a node runs beside its servers is started in one place; eventlog.Groups is the interface to the groups of the log. No logic changed.

--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -159,16 +159,17 @@
 	timeout time.Duration // of a call with a short response
 }
 
-func newClient(timeout time.Duration) *client {
-	return &client{
-		timeout: timeout,
-		http: &http.Client{Transport: &http.Transport{
+// newClient returns a client whose calls use transport, TCP connections if it is nil.
+func newClient(timeout time.Duration, transport http.RoundTripper) *client {
+	if transport == nil {
+		transport = &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: max(timeout, pullTimeout)}).DialContext,
 			MaxIdleConnsPerHost: 1,
 			IdleConnTimeout:     5 * time.Second,
 			DisableCompression:  true,
-		}},
+		}
 	}
+	return &client{timeout: timeout, http: &http.Client{Transport: transport}}
 }
 
 // maxFetchTime bounds a fetch that keeps making progress; another host may be faster.
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -74,6 +74,8 @@
 	Tunnels http.Handler
 	// Permits serves the sessions in which other hosts ask for permits. nil: they are refused as unknown.
 	Permits http.Handler
+	// Transport carries the calls to other hosts; nil: TCP connections.
+	Transport http.RoundTripper
 	// OnPull counts pulls by their outcome, PullOK or PullFailed. nil: they are not counted.
 	OnPull func(outcome string)
 }
@@ -129,7 +131,7 @@
 
 // New returns a fleet that knows this host alone; HandleChanges adds the others.
 func New(opts Options) *Fleet {
-	calls := newClient(opts.CallTimeout)
+	calls := newClient(opts.CallTimeout, opts.Transport)
 	return &Fleet{
 		opts: opts, client: calls, recalls: newRecaller(calls, opts.Self.Name+"/"+opts.Self.Incarnation),
 		settlingSince: time.Now(), lastAnnounced: time.Now(), lastRead: time.Now(), createdAt: time.Now(), seeds: opts.Seeds, hosts: map[string]peerState{}, silentSince: map[string]time.Time{},
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -43,7 +43,9 @@
 // Environment is a router's interface to the systems around it: the shared log, and names and formats.
 // It makes no decisions.
 type Environment struct {
-	Log     eventlog.Log
+	Log eventlog.Log
+	// Groups divides duties among hosts that don't know each other yet. nil: there are none.
+	Groups  eventlog.Groups
 	Headers forward.Headers
 	// Topics of the shared log. Hosts, Budgets and Archive are private to the routers.
 	ConfigTopic, TargetsTopic, HostsTopic, BudgetsTopic, ArchiveTopic string
@@ -68,6 +70,8 @@
 	DecodeBrittle func(h http.Header) (forward.Brittleness, error)
 	// ReadyPath is the path of the platform's readiness check.
 	ReadyPath string
+	// PeerTransport carries the calls to other hosts; nil: TCP connections.
+	PeerTransport http.RoundTripper
 }
 
 // Node is one router host.
@@ -258,7 +262,7 @@
 			Name: n.cfg.Host.Name, Incarnation: incarnation, Address: n.cfg.Host.PeerListen, Domain: n.cfg.Host.Domain,
 			PeerKey: n.peerKey, LinkMbps: n.cfg.Capacity.LinkMbps,
 		},
-		Tunnels: n.tunnelServer, Permits: n.permitServer,
+		Tunnels: n.tunnelServer, Permits: n.permitServer, Transport: n.env.PeerTransport,
 		Log: n.env.Log, Topic: n.env.HostsTopic, Seeds: n.cfg.Host.Seeds,
 		AnnounceInterval: announceInterval, PullInterval: pullInterval, CallTimeout: peerTimeout,
 		Replicas: map[string]*replica.Replica{
@@ -374,6 +378,20 @@
 	if err := n.listen(); err != nil {
 		return err
 	}
+	n.startTasks(ctx)
+	logLast := n.startBalanceLog(ctx)
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-n.stopping:
+	}
+	n.drain(ctx)
+	logLast()
+	return nil
+}
+
+// startTasks starts all that runs beside the servers, until ctx ends.
+func (n *Node) startTasks(ctx context.Context) {
 	guard.Go("configuration copy", func() { n.configReplica.Run(ctx) })
 	guard.Go("targets copy", func() { n.targetsReplica.Run(ctx) })
 	guard.Go("hosts copy", func() { n.hostsReplica.Run(ctx) })
@@ -390,15 +408,6 @@
 	guard.Go("eras of the log", func() { n.followEras(ctx) })
 	guard.Go("suspensions", func() { n.suspensions.Run(ctx) })
 	guard.Go("housekeeping", func() { n.housekeeping(ctx) })
-	logLast := n.startBalanceLog(ctx)
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-n.stopping:
-	}
-	n.drain(ctx)
-	logLast()
-	return nil
 }
 
 // Draining reports whether a graceful shutdown has begun.
