--- a/router/fleet/pull.go
+++ b/router/fleet/pull.go
@@ -35,7 +35,7 @@
 type puller struct {
 	fleet      *Fleet
 	failureLog *logging.Limiter // limits log lines about failed pulls
-	fetching   sync.Mutex       // held while a pull fetches records
+	fetching   chan struct{}    // holds a token while a pull fetches records
 	inFlight   sync.WaitGroup
 
 	mu         sync.Mutex
@@ -44,7 +44,7 @@
 }
 
 func newPuller(f *Fleet) *puller {
-	return &puller{fleet: f, failureLog: logging.NewLimiter(failedPullLogRate), inProgress: map[string]bool{}}
+	return &puller{fleet: f, failureLog: logging.NewLimiter(failedPullLogRate), inProgress: map[string]bool{}, fetching: make(chan struct{}, 1)}
 }
 
 // run pulls while replicas are stale, until ctx ends.
@@ -157,8 +157,12 @@
 	for _, e := range ends.Quarantine {
 		p.fleet.opts.Quarantine.HandleNotice(quarantine.Notice{Entry: e})
 	}
-	p.fetching.Lock()
-	defer p.fetching.Unlock()
+	select {
+	case p.fetching <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-p.fetching }()
 	missing := p.fleet.topicsBehind(ends)
 	if len(missing) == 0 {
 		p.fleet.recordPull(asked)
--- a/standin/memlog/memlog.go
+++ b/standin/memlog/memlog.go
@@ -31,6 +31,9 @@
 	partitions map[eventlog.Partition]*partition
 	faults     map[string]Fault // by host; "" for all hosts
 	parts      map[eventlog.Partition]Fault
+	groups     map[string]*group
+	limits     Limits
+	load       load
 	era        int64 // how often it was restored
 	appends    int
 	reads      int
@@ -47,7 +50,7 @@
 
 // New returns an empty log.
 func New() *Log {
-	return &Log{partitions: map[eventlog.Partition]*partition{}, faults: map[string]Fault{}, parts: map[eventlog.Partition]Fault{}}
+	return &Log{partitions: map[eventlog.Partition]*partition{}, groups: map[string]*group{}, faults: map[string]Fault{}, parts: map[eventlog.Partition]Fault{}}
 }
 
 // Host returns a host's access to the log, which may have faults of its own.
@@ -67,7 +70,7 @@
 	l.parts[p] = f
 }
 
-// Calls is the number of appends and reads so far, refused ones included.
+// Calls is the number of appends and of other calls so far, refused ones included.
 func (l *Log) Calls() (appends, reads int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -216,6 +219,9 @@
 		time.AfterFunc(fault.Late, func() { _, _ = v.apply(p, at, records) })
 		return eventlog.Position{}, ErrNoResponse
 	}
+	if err := l.admitAppend(ctx, p); err != nil {
+		return eventlog.Position{}, err
+	}
 	end, err := v.apply(p, at, records)
 	if fault.Lose {
 		return eventlog.Position{}, ErrNoResponse
@@ -254,10 +260,19 @@
 func (v *View) Read(ctx context.Context, p eventlog.Partition, from eventlog.Position, wait time.Duration) (eventlog.Batch, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	if err := v.beginRead(ctx, p, readWorth); err != nil {
+		return eventlog.Batch{}, err
+	}
 	for {
 		batch, grown, err := v.read(ctx, p, from)
-		if err != nil || len(batch.Records) > 0 || wait <= 0 {
-			return batch, err
+		if len(batch.Records) > 0 {
+			err = v.log.transfer(ctx, batch.Records)
+		}
+		if err != nil {
+			return eventlog.Batch{}, err
+		}
+		if len(batch.Records) > 0 || wait <= 0 {
+			return batch, nil
 		}
 		select {
 		case <-grown:
@@ -270,7 +285,7 @@
 }
 
 func (v *View) read(ctx context.Context, p eventlog.Partition, from eventlog.Position) (eventlog.Batch, <-chan struct{}, error) {
-	if err := v.beginRead(ctx, p); err != nil {
+	if err := v.applyFault(ctx, p); err != nil {
 		return eventlog.Batch{}, nil, err
 	}
 	v.log.mu.Lock()
@@ -289,10 +304,21 @@
 	return batch, part.grown, nil
 }
 
-// beginRead counts a read and applies the host's faults to it.
-func (v *View) beginRead(ctx context.Context, p eventlog.Partition) error {
+// beginRead counts a call other than an append, and applies the host's faults and the limits to it.
+func (v *View) beginRead(ctx context.Context, p eventlog.Partition, worth int) error {
 	v.log.mu.Lock()
 	v.log.reads++
+	v.log.load.Reads++
+	v.log.mu.Unlock()
+	if err := v.applyFault(ctx, p); err != nil {
+		return err
+	}
+	return v.log.admitRead(worth)
+}
+
+// applyFault applies the host's faults to a call other than an append.
+func (v *View) applyFault(ctx context.Context, p eventlog.Partition) error {
+	v.log.mu.Lock()
 	fault := v.log.fault(v.host, p)
 	v.log.mu.Unlock()
 	if fault.Refuse {
@@ -310,9 +336,18 @@
 
 // Newest implements eventlog.Log.
 func (v *View) Newest(ctx context.Context, p eventlog.Partition, after string) (eventlog.Page, error) {
-	if err := v.beginRead(ctx, p); err != nil {
+	if err := v.beginRead(ctx, p, readWorth); err != nil {
+		return eventlog.Page{}, err
+	}
+	page := v.page(p, after)
+	if err := v.log.transfer(ctx, page.Records); err != nil {
 		return eventlog.Page{}, err
 	}
+	return page, nil
+}
+
+// page returns a page of the newest records.
+func (v *View) page(p eventlog.Partition, after string) eventlog.Page {
 	v.log.mu.Lock()
 	defer v.log.mu.Unlock()
 	part := v.log.partition(p)
@@ -326,5 +361,5 @@
 	if len(page.Records) > pageKeys {
 		page.Records, page.More = page.Records[:pageKeys], true
 	}
-	return page, nil
+	return page
 }
