platform, logcount: join groups of the store and read who owns their partitions

Cause: hosts that don't know each other yet can't agree on who reads the log. The store divides partitions among the members of a group and tells anyone who owns them, and no call of ours used it.

Rows of a response are checked one by one.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 
 # Decoders of what others write, each with its fuzz test, and how many inputs CI gives each: a count
 # and not a time, as the go command now and then fails at the end of -fuzztime without an input to show.
-DECODERS = platform:FuzzDecodeServer platform:FuzzDecodeConfig platform:FuzzDecodeEvacuation router/prepaid:FuzzDecodeAccount router/limit:FuzzParse router/retryafter:FuzzParse
+DECODERS = platform:FuzzDecodeServer platform:FuzzDecodeConfig platform:FuzzDecodeEvacuation platform:FuzzGroupRows router/prepaid:FuzzDecodeAccount router/limit:FuzzParse router/retryafter:FuzzParse
 DECODEINPUTS ?= 150000
 
 fuzz-decoders: ## bytes of other writers, each decoder for DECODEINPUTS of them
--- a/router/logcount/logcount.go
+++ b/router/logcount/logcount.go
@@ -29,7 +29,7 @@
 // Key identifies a counter.
 type Key struct {
 	Topic   string
-	Call    string // append, read or newest
+	Call    string // append, read, newest, join or owners
 	Outcome string
 }
 
--- a/router/logcount/logcount_test.go
+++ b/router/logcount/logcount_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -34,3 +36,43 @@
 	is.Equal(notified, 4)
 	counted.LogCounts()
 }
+
+// Guards against calls about groups that are missing in the load that a host puts on the log, or count under a wrong
+// outcome.
+func TestGroupCallsAreCountedByOutcome(t *testing.T) {
+	is := is.New(t)
+	l := memlog.New()
+	view := l.Host("h")
+	notified := 0
+	counts := New(view, func(Key, int64) { notified++ })
+	groups := NewGroups(view, counts)
+	m := eventlog.Membership{Group: "g", Member: "h", Topic: "t", TTL: time.Minute}
+	for range 2 {
+		assignment, err := groups.Join(t.Context(), m)
+		is.NoErr(err)
+		is.True(len(assignment.Partitions) > 0) // results are passed on
+	}
+	owners, err := groups.Owners(t.Context(), "g")
+	is.NoErr(err)
+	is.True(len(owners) > 0)
+
+	l.SetFault("h", memlog.Fault{Refuse: true})
+	_, err = groups.Join(t.Context(), m)
+	is.True(errors.Is(err, eventlog.ErrRefused))
+	_, err = groups.Owners(t.Context(), "g")
+	is.True(errors.Is(err, eventlog.ErrRefused))
+
+	l.SetFault("h", memlog.Fault{Silent: true})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = groups.Join(ctx, m)
+	is.True(errors.Is(err, context.Canceled))
+	_, err = groups.Owners(ctx, "g")
+	is.True(errors.Is(err, context.Canceled))
+
+	is.Equal(counts.Counts(), map[Key]Count{
+		{"g", "join", OK}: {Calls: 2}, {"g", "join", Refused}: {Calls: 1}, {"g", "join", Unknown}: {Calls: 1},
+		{"g", "owners", OK}: {Calls: 1}, {"g", "owners", Refused}: {Calls: 1}, {"g", "owners", Unknown}: {Calls: 1},
+	})
+	is.Equal(notified, 7)
+}
