replica: follow another host in place of the log, with ages and gaps

Cause: a replica that can't be had from the log was loaded and polled from it all the same, so each host asked the log for everything. What another host passed on carried no age when nothing had changed, and counted as a gap in the versions of the configuration even if nothing was missing.

Change: Options.Follow asks a host that reads the log for this one; while it says so the log is not called, whatever it returns. An update says whether other records of its keys are missing, and which records were kept though a restored log lacks them. Replica.Confirm makes a replica as fresh as another one that knows no more; Replica.Age tells how old it is. A response that left records out, or a load that was resumed, does not make it fresh. A step that Refresh cancels is no failure.

--- a/router/replica/merge.go
+++ b/router/replica/merge.go
@@ -8,8 +8,9 @@
 
 // MergeUpdate merges an update from another host's replica.
 func (r *Replica) MergeUpdate(update Update) {
+	defer r.markKept(update)
 	if !update.Full {
-		r.MergeNewest(update.Records, update.End)
+		r.mergeNewest(update.Records, update.End, !update.Complete)
 		return
 	}
 	r.mu.Lock()
@@ -24,12 +25,17 @@
 // end. It skips records older than this replica's, and records of keys that this replica would
 // know had they not been deleted. A replica of another era of the log has nothing to merge.
 func (r *Replica) MergeNewest(records []eventlog.Record, end eventlog.Position) {
+	r.mergeNewest(records, end, true)
+}
+
+// mergeNewest is MergeNewest; gap says that other records of the keys may be missing.
+func (r *Replica) mergeNewest(records []eventlog.Record, end eventlog.Position, gap bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.loaded && end.Era != r.end.Era {
 		return
 	}
-	changes := r.apply(r.withoutDeleted(records), true)
+	changes := r.apply(r.withoutDeleted(records), gap || !r.loaded)
 	r.noteInitialMerge(end)
 	r.end = eventlog.Max(r.end, end)
 	r.loaded = true
@@ -114,9 +120,19 @@
 			continue
 		}
 		next := r.newEntry(rec)
+		switch {
+		case gap:
+			next.aloneFrom = rec.Position
+		case had:
+			next.aloneFrom = old.Position.Plus(1)
+		}
 		if had && next.dedupKey != nil && next.dedupKey == old.dedupKey {
 			next.changedAt = old.changedAt
+			if !gap {
+				next.aloneFrom = old.aloneFrom
+			}
 		} else {
+			r.changesEnd = eventlog.Max(r.changesEnd, rec.Position.Plus(1))
 			changes = append(changes, Change{Record: rec, Gap: gap})
 		}
 		if had && r.history.stateOf(next) != r.history.stateOf(old) {
@@ -149,7 +165,10 @@
 	}
 }
 
+// notify reports changes. The lock is held.
 func (r *Replica) notify(changes []Change) {
+	close(r.changed)
+	r.changed = make(chan struct{})
 	if len(changes) > 0 && r.opts.OnChange != nil {
 		r.opts.OnChange(changes)
 	}
--- a/router/replica/replica.go
+++ b/router/replica/replica.go
@@ -31,6 +31,11 @@
 	Age     time.Duration     // since the log last confirmed them
 	// Full means that Records is the whole partition: keys that it lacks were deleted.
 	Full bool
+	// Kept are the keys whose records were kept when the log was restored, as it lacks them, each with the time until the
+	// key counts as deleted; 0 means that it has another record of the key.
+	Kept map[string]time.Duration
+	// Complete means that no other records of these keys are between that offset and End.
+	Complete bool
 }
 
 // Options configure a Replica.
@@ -41,8 +46,16 @@
 	LongPoll time.Duration
 	// ReadTimeout is how long the log may be silent, beyond LongPoll.
 	ReadTimeout time.Duration
+	// LongPollNow returns a shorter time if one applies now. nil: LongPoll.
+	LongPollNow func() time.Duration
 	// MinInterval is the minimum time between the starts of two reads.
 	MinInterval time.Duration
+	// Interval returns the minimum time that applies now. nil: MinInterval.
+	Interval func() time.Duration
+	// Follow asks another host, which reads the log for this one, for the changes since a position, the zero Position
+	// before the first load. If following is false, this host reads the log itself; with an error it does not, and
+	// asks again after a pause. nil: this host always reads the log itself.
+	Follow func(ctx context.Context, from eventlog.Position) (update Update, following bool, err error)
 	// Relay asks another host for the changes since an offset. If ok is false, the log is read
 	// instead. nil: the log is always read.
 	Relay func(ctx context.Context, from eventlog.Position) (update Update, ok bool)
@@ -74,8 +87,10 @@
 	end              eventlog.Position // all records below are known
 	tombstoneHorizon eventlog.Position // tombstones below it may be missing
 	history          *history
-	sweptAt          time.Time // when history was last swept
-	unconfirmed      int       // entries with keptUntil
+	sweptAt          time.Time         // when history was last swept
+	changesEnd       eventlog.Position // all changes are below it
+	changed          chan struct{}     // closed and replaced at each merge
+	unconfirmed      int               // entries with keptUntil
 	loaded           bool
 	behind           bool               // the log's last response left records out
 	lastContact      time.Time          // time of the log's response that the records are based on
@@ -104,13 +119,14 @@
 	eventlog.Record
 	dedupKey  any
 	changedAt eventlog.Position // of the first record with this dedupKey
+	aloneFrom eventlog.Position // no other change of the key is at this position or after it
 	lost      bool              // it was kept when the log was restored, which lacks it
 	keptUntil time.Time         // if the log has no record of its key: when the key counts as deleted
 }
 
 // New returns an empty replica; Run loads and follows the partition.
 func New(opts Options) *Replica {
-	return &Replica{opts: opts, records: map[string]entry{}, history: newHistory()}
+	return &Replica{opts: opts, records: map[string]entry{}, history: newHistory(), changed: make(chan struct{})}
 }
 
 // Run follows the log until ctx ends.
@@ -118,16 +134,20 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		started := time.Now()
-		age, err := r.cancellableStep(ctx)
+		age, cancelled, err := r.cancellableStep(ctx)
 		if ctx.Err() != nil {
 			return
 		}
+		if cancelled {
+			continue
+		}
 		r.recordContact(age, err)
 		r.recordRefresh(started.Add(-age), err)
-		pause := r.opts.MinInterval - time.Since(started)
+		pause := r.interval() - time.Since(started)
 		if err != nil {
-			pause = wait.Jitter(backoff)
-			backoff = min(backoff*2, r.backoffLimit())
+			limit := r.backoffLimit(err)
+			pause = wait.Jitter(min(backoff, limit))
+			backoff = min(backoff*2, limit)
 		} else {
 			backoff = minBackoff
 		}
@@ -135,6 +155,14 @@
 	}
 }
 
+// interval is the minimum time between the starts of two reads now.
+func (r *Replica) interval() time.Duration {
+	if r.opts.Interval == nil {
+		return r.opts.MinInterval
+	}
+	return r.opts.Interval()
+}
+
 // rest pauses for up to pause; Refresh may end it.
 func (r *Replica) rest(ctx context.Context, pause time.Duration) {
 	ctx, cancel := r.withRefreshCancel(ctx)
@@ -152,10 +180,11 @@
 }
 
 // cancellableStep runs a step that Refresh may cancel.
-func (r *Replica) cancellableStep(ctx context.Context) (age time.Duration, err error) {
+func (r *Replica) cancellableStep(ctx context.Context) (age time.Duration, cancelled bool, err error) {
 	ctx, cancel := r.withRefreshCancel(ctx)
 	defer cancel()
-	return r.step(ctx)
+	age, err = r.step(ctx)
+	return age, err != nil && ctx.Err() != nil, err
 }
 
 // Refresh cancels the read in progress, or the pause after it, so that a new read starts soon.
@@ -181,23 +210,40 @@
 	backoffPerHost = 2 * time.Millisecond // in a large fleet: 500 calls a second from all hosts
 )
 
-// backoffLimit is the maximum pause after a failed step.
-func (r *Replica) backoffLimit() time.Duration {
-	if r.opts.Hosts == nil {
+// errOutdated means that the log has not responded to another host for a while.
+var errOutdated = errors.New("another host's records are outdated")
+
+// ErrNoReader means that no host responded that reads the log for this one. The log was not called.
+var ErrNoReader = errors.New("no host that reads the log responded")
+
+// backoffLimit is the maximum pause after a step that failed with err.
+func (r *Replica) backoffLimit(err error) time.Duration {
+	if r.opts.Hosts == nil || errors.Is(err, ErrNoReader) {
 		return maxBackoff
 	}
 	return max(maxBackoff, time.Duration(r.opts.Hosts())*backoffPerHost)
 }
 
-// step loads the newest records from the log if the replica is empty or far behind. Otherwise it asks
-// a relay or, if that does not respond, long-polls the log, and loads if the log has trimmed the
-// replica's offset. age is how old the response is.
+// step asks the host that reads the log for this one, if there is one. Otherwise it loads the newest records from
+// the log if the replica is empty or far behind, or else asks a relay or, if that does not respond, long-polls the
+// log, and loads if the log has trimmed the replica's offset. age is how old the response is.
 func (r *Replica) step(ctx context.Context) (age time.Duration, err error) {
 	r.mu.Lock()
 	loaded, behind, from := r.loaded, r.behind, r.end
 	r.mu.Unlock()
+	if r.opts.Follow != nil {
+		update, following, err := r.opts.Follow(ctx, from)
+		switch {
+		case err != nil:
+			return 0, err
+		case following:
+			r.MergeUpdate(update)
+			r.dropUnconfirmed(time.Now())
+			return update.Age, nil
+		}
+	}
 	if !loaded || behind {
-		return 0, r.load(ctx)
+		return r.load(ctx)
 	}
 	if r.opts.Relay != nil {
 		if update, ok := r.opts.Relay(ctx, from); ok {
@@ -205,14 +251,14 @@
 			return update.Age, nil
 		}
 	}
-	return 0, r.poll(ctx, from)
+	return r.poll(ctx, from)
 }
 
 // poll waits for new records from the log.
-func (r *Replica) poll(ctx context.Context, from eventlog.Position) error {
+func (r *Replica) poll(ctx context.Context, from eventlog.Position) (age time.Duration, err error) {
 	c, cancel := patience.New(ctx, patience.Limits{First: r.opts.LongPoll + r.opts.ReadTimeout, Silence: r.opts.ReadTimeout, Most: maxReadTime})
 	defer cancel()
-	batch, err := r.opts.Log.Read(c, r.opts.Partition, from, r.opts.LongPoll)
+	batch, err := r.opts.Log.Read(c, r.opts.Partition, from, r.longPoll())
 	var restored *eventlog.EraError
 	if errors.Is(err, eventlog.ErrTrimmed) || errors.As(err, &restored) {
 		return r.load(ctx)
@@ -226,7 +272,15 @@
 		r.dropUnconfirmed(time.Now())
 	}
 	r.setBehind(err == nil && end.Before(batch.End))
-	return err
+	return 0, err
+}
+
+// longPoll is how long the log may hold a read now.
+func (r *Replica) longPoll() time.Duration {
+	if r.opts.LongPollNow == nil {
+		return r.opts.LongPoll
+	}
+	return min(r.opts.LongPollNow(), r.opts.LongPoll)
 }
 
 // setBehind records whether a response was too short for all records. The rest is then loaded by
@@ -243,8 +297,8 @@
 const maxReadTime = 16 * time.Second
 
 // load reads the newest record of each key. Its pages are not one snapshot, so the replica then
-// follows the log from the end that the first page reported.
-func (r *Replica) load(ctx context.Context) error {
+// follows the log from the end that the first page reported. age is how old that is.
+func (r *Replica) load(ctx context.Context) (age time.Duration, err error) {
 	p := &r.partial
 	if p.afterKey == "" || time.Since(p.began) > partialLoadTTL {
 		*p = partialLoad{began: time.Now()}
@@ -254,14 +308,14 @@
 		page, err := r.opts.Log.Newest(c, r.opts.Partition, p.afterKey)
 		cancel()
 		if err != nil {
-			return err
+			return 0, err
 		}
 		if p.afterKey == "" {
 			p.end = page.End
 		}
 		if page.End.Era != p.end.Era {
 			*p = partialLoad{}
-			return errRestoredMeanwhile
+			return 0, errRestoredMeanwhile
 		}
 		p.records = append(p.records, page.Records...)
 		if !page.More || len(page.Records) == 0 {
@@ -270,8 +324,9 @@
 		p.afterKey = page.Records[len(page.Records)-1].Key
 	}
 	r.replaceAll(p.records, p.end)
+	age = time.Since(p.began)
 	*p = partialLoad{}
-	return nil
+	return age, nil
 }
 
 // errRestoredMeanwhile means that the pages of a load are from before and after the log was restored.
@@ -288,8 +343,12 @@
 
 func (r *Replica) recordContact(age time.Duration, err error) {
 	r.mu.Lock()
-	if err == nil {
-		r.lastContact = time.Now().Add(-age)
+	// A response that left records out does not make the replica fresh.
+	if at := time.Now().Add(-age); err == nil && !r.behind && at.After(r.lastContact) {
+		r.lastContact = at
+	}
+	if err == nil && age > r.FreshFor()+relayMargin {
+		err = errOutdated
 	}
 	changed := r.up != (err == nil) || !r.called
 	r.up, r.called = err == nil, true
@@ -323,13 +382,29 @@
 	return r.up, r.lastContact
 }
 
+// Age is how long ago the log last confirmed that this replica knows all records, directly or to another host. It is
+// very long before the first time.
+func (r *Replica) Age() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.lastContact)
+}
+
 // Stale reports whether the log has not responded for longer than a long poll should take.
 func (r *Replica) Stale(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return now.Sub(r.lastContact) > r.opts.LongPoll+r.opts.MinInterval+staleMargin
+	return now.Sub(r.lastContact) > r.FreshFor()
+}
+
+// FreshFor is how old the records of a replica that reads the log get as long as the log responds.
+func (r *Replica) FreshFor() time.Duration {
+	return r.opts.LongPoll + r.opts.MinInterval + staleMargin
 }
 
+// relayMargin is how much older than those of a replica that reads the log the records of one that follows it get.
+const relayMargin = 500 * time.Millisecond
+
 // staleMargin is how much longer than a long poll and the pause before it a response may take.
 const staleMargin = 300 * time.Millisecond
 
@@ -338,19 +413,71 @@
 func (r *Replica) UpdateSince(from eventlog.Position) (update Update, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	update = Update{End: r.end, Age: time.Since(r.lastContact)}
+	update = Update{End: r.end, Age: time.Since(r.lastContact), Complete: true}
+	ok = from == eventlog.Position{} || !from.Before(r.tombstoneHorizon)
+	if !from.Before(r.changesEnd) {
+		return update, ok
+	}
 	for _, k := range r.records {
 		if !k.changedAt.Before(from) {
 			update.Records = append(update.Records, k.Record)
+			update.Complete = update.Complete && !from.Before(k.aloneFrom)
+			update.noteKept(k)
 		}
 	}
-	return update, from == eventlog.Position{} || !from.Before(r.tombstoneHorizon)
+	return update, ok
+}
+
+// noteKept adds an entry to Kept if it was kept when the log was restored.
+func (u *Update) noteKept(k entry) {
+	if !k.lost {
+		return
+	}
+	if u.Kept == nil {
+		u.Kept = map[string]time.Duration{}
+	}
+	u.Kept[k.Key] = 0
+	if !k.keptUntil.IsZero() {
+		u.Kept[k.Key] = max(time.Until(k.keptUntil), time.Millisecond)
+	}
+}
+
+// WaitForChange waits until the replica has changes at a position or after it, at most for the given time.
+func (r *Replica) WaitForChange(ctx context.Context, from eventlog.Position, most time.Duration) {
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	for {
+		r.mu.Lock()
+		news, changed := r.loaded && from.Before(r.changesEnd), r.changed
+		r.mu.Unlock()
+		if news {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Confirm notes that another host knows all records below end as of a time ago. If this replica knows as many, it is
+// as fresh.
+func (r *Replica) Confirm(end eventlog.Position, age time.Duration) {
+	at := time.Now().Add(-age)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.loaded && end.Era == r.end.Era && !r.end.Before(end) && at.After(r.lastContact) {
+		r.lastContact = at
+	}
 }
 
 // CatchUpFrom returns what a host lacks that knows all records below a position: the changes since
 // then, or the whole partition if tombstones among the changes may be missing.
 func (r *Replica) CatchUpFrom(from eventlog.Position) Update {
-	if update, ok := r.UpdateSince(from); ok {
+	if update, ok := r.UpdateSince(from); ok && from != (eventlog.Position{}) {
 		return update
 	}
 	update, _ := r.UpdateSince(eventlog.Position{})
--- a/router/replica/replica_test.go
+++ b/router/replica/replica_test.go
@@ -277,9 +277,9 @@
 // The maximum backoff grows with the fleet so that retries of all hosts do not overload the log.
 func TestBackoffGrowsWithTheFleet(t *testing.T) {
 	is := is.New(t)
-	is.Equal(New(Options{}).backoffLimit(), maxBackoff)
-	is.Equal(New(Options{Hosts: func() int { return 90 }}).backoffLimit(), maxBackoff)
-	is.Equal(New(Options{Hosts: func() int { return 2000 }}).backoffLimit(), 4*time.Second)
+	is.Equal(New(Options{}).backoffLimit(eventlog.ErrRefused), maxBackoff)
+	is.Equal(New(Options{Hosts: func() int { return 90 }}).backoffLimit(eventlog.ErrRefused), maxBackoff)
+	is.Equal(New(Options{Hosts: func() int { return 2000 }}).backoffLimit(eventlog.ErrRefused), 4*time.Second)
 }
 
 // The age of an update is that of the log's response that it is based on, however many hosts relayed
@@ -313,12 +313,13 @@
 	l.Put(partition, "a", []byte("0"))
 	short := &shortResponses{Log: l.Host("h")}
 	r := New(Options{Log: short, Partition: partition, LongPoll: 50 * time.Millisecond, ReadTimeout: 100 * time.Millisecond})
-	is.NoErr(r.load(t.Context()))
+	_, err := r.load(t.Context())
+	is.NoErr(err)
 	for i := range 100 {
 		l.Put(partition, "a", []byte(fmt.Sprint(i)))
 	}
 	for r.End().Before(at(101)) {
-		_, err := r.step(t.Context())
+		_, err = r.step(t.Context())
 		is.NoErr(err)
 	}
 	is.Equal(short.sent.Load(), int64(1))
@@ -327,7 +328,7 @@
 
 	// It then follows the log again.
 	l.Put(partition, "a", []byte("next"))
-	_, err := r.step(t.Context())
+	_, err = r.step(t.Context())
 	is.NoErr(err)
 	is.Equal(short.sent.Load(), int64(2))
 	is.Equal(r.End(), at(102))
--- a/router/replica/restored.go
+++ b/router/replica/restored.go
@@ -51,7 +51,7 @@
 			deleted++
 		}
 	}
-	r.end, r.tombstoneHorizon, r.behind = end, end, false
+	r.end, r.tombstoneHorizon, r.changesEnd, r.behind = end, end, end, false
 	log.WithFields(log.Fields{
 		"topic": r.opts.Partition.Topic, "era": end.Era, "end": end.Offset, "known_end": previousEnd.Offset,
 		"records": len(records), "kept": kept, "deleted": deleted, "changes": len(changes),
@@ -69,10 +69,32 @@
 	r.records[held.Key] = held
 }
 
+// markKept notes which records of an update another host kept when the log was restored: this replica keeps them as long.
+func (r *Replica) markKept(update Update) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, rec := range update.Records {
+		left, kept := update.Kept[rec.Key]
+		held, known := r.records[rec.Key]
+		if !kept || !known || held.Position != rec.Position || held.lost {
+			continue
+		}
+		held.lost = true
+		if left > 0 {
+			held.keptUntil = time.Now().Add(left)
+			r.unconfirmed++
+		}
+		r.records[rec.Key] = held
+	}
+}
+
 // deleteKey deletes a key that the log does not have below end. The lock is held.
 func (r *Replica) deleteKey(key string, end eventlog.Position) Change {
 	deletion := eventlog.Record{Key: key, Position: eventlog.Position{Era: end.Era, Offset: max(end.Offset-1, 0)}}
-	r.records[key] = r.newEntry(deletion)
+	deleted := r.newEntry(deletion)
+	deleted.aloneFrom = deletion.Position.Plus(1) // the log may have lost others
+	r.records[key] = deleted
+	r.changesEnd = eventlog.Max(r.changesEnd, deletion.Position.Plus(1))
 	return Change{Record: deletion, Gap: true}
 }
 
