forward, observe: log the age of the configuration that refused a request

Cause: a host answers 404, 401 or 402 by its configuration alone. Lines of such requests had the version, but not whether the host could know that it is the newest: a refusal by a configuration that nobody confirmed for 30 s looked like any other.

Change: forward.Options.ConfigAge gives the time since the log confirmed the configuration, directly or through another host. Outcomes of the kinds that rest on it alone have it, and their lines as config_age. No request is answered differently.

Measured: forward TestRefusalsByTheConfigurationHaveItsAge and observe TestRefusalsByTheConfigurationTellItsAge pass, and fail with the age left out of the outcome and of the line. All tests of forward and observe pass.

--- a/router/forward/admit.go
+++ b/router/forward/admit.go
@@ -24,7 +24,7 @@
 	}
 	q.route = q.config.Match(q.r.Host, q.path())
 	if q.route == nil {
-		return NoRoute, nil
+		return q.refuseByConfig(NoRoute), nil
 	}
 	if kind := q.authenticate(); kind != OK {
 		return kind, nil
@@ -68,11 +68,25 @@
 		q.organisation = q.config.ByKey(key)
 	}
 	if q.organisation == nil && !q.route.Public && len(q.config.Organisations) > 0 {
-		return BadKey
+		return q.refuseByConfig(BadKey)
 	}
 	return OK
 }
 
+// refuseByConfig returns the kind of a request that is refused by the configuration alone, and notes how old that is.
+func (q *request) refuseByConfig(kind Kind) Kind {
+	q.outcome.ConfigAge = q.handler.configAge()
+	return kind
+}
+
+// configAge returns how long ago the configuration was last confirmed to be the newest.
+func (h *Handler) configAge() time.Duration {
+	if h.opts.ConfigAge == nil {
+		return 0
+	}
+	return h.opts.ConfigAge()
+}
+
 // regions returns the regions that both the request's configuration and the newest one allow: a
 // waiting or retried request must not go to a region that was closed meanwhile.
 func (q *request) regions() routing.Regions {
@@ -172,7 +186,7 @@
 	}
 	q.outcome.Budget, _ = q.handler.opts.Budgets.Holding(q.organisation.Name)
 	if errors.Is(err, prepaid.ErrTooLarge) {
-		return OverBudget, err
+		return q.refuseByConfig(OverBudget), err
 	}
 	return BudgetWait, err
 }
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -72,6 +72,8 @@
 	MayBegin func(ctx context.Context, arrived time.Time, streaming bool) Kind
 	// Suspended returns the length of all suspensions of the host; nil: never suspended.
 	Suspended func() time.Duration
+	// ConfigAge returns how long ago the configuration was last confirmed to be the newest; nil: it always is.
+	ConfigAge func() time.Duration
 }
 
 // Handler serves callers.
--- a/router/forward/harness_test.go
+++ b/router/forward/harness_test.go
@@ -146,6 +146,7 @@
 	backends   map[string]*backend.Backend
 	draining   atomic.Bool
 	admits     atomic.Bool
+	configAge  atomic.Int64 // a time.Duration
 	nextID     int
 }
 
@@ -181,6 +182,7 @@
 		Names: testHeaders, Targets: f.targets, Budgets: f.budgets, Observer: f.recorder, StreamPace: f.streamPace, Overload: f.overload, Capacity: f.capacity,
 		Retries:          retrybudget.NewSet(retrybudget.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, one, time.Time{}),
 		CloseConnections: func() bool { return f.draining.Load() || f.overload.IsUnready(time.Now()) }, MayBegin: f.mayBegin,
+		ConfigAge: func() time.Duration { return time.Duration(f.configAge.Load()) },
 	})
 	f.configure(testConfig)
 	f.server = httptest.NewServer(f.handler)
--- a/router/forward/kind.go
+++ b/router/forward/kind.go
@@ -35,6 +35,15 @@
 	CallerGone     Kind = "caller_gone"
 )
 
+// RestsOnConfig reports whether a host refuses requests of this kind by its configuration alone.
+func (k Kind) RestsOnConfig() bool {
+	switch k {
+	case NoRoute, BadKey, OverBudget:
+		return true
+	}
+	return false
+}
+
 // finalResponse is the response that the host itself sends for a kind.
 type finalResponse struct {
 	status     int
--- a/router/forward/observer.go
+++ b/router/forward/observer.go
@@ -50,6 +50,7 @@
 	Organisation   string
 	Service        string
 	ConfigVersion  int64
+	ConfigAge      time.Duration // since the configuration was last confirmed to be the newest, set if Kind rests on it
 	Kind           Kind
 	Status         int
 	Attempts       int
--- a/router/observe/observe.go
+++ b/router/observe/observe.go
@@ -110,6 +110,9 @@
 	if e.Kind != forward.OK && e.Digest != (quarantine.Digest{}) {
 		fields["digest"] = e.Digest
 	}
+	if e.Kind.RestsOnConfig() {
+		fields["config_age"] = e.ConfigAge.Round(time.Millisecond)
+	}
 	addBudgetFields(fields, e.Kind, e.Budget)
 	entry = entry.WithFields(fields)
 	if e.Err != nil {
