--- a/router/archive/archive.go
+++ b/router/archive/archive.go
@@ -32,6 +32,8 @@
 	// Partitions is how many partitions of the topic hold the same snapshots, since single partitions
 	// may be unreachable.
 	Partitions int
+	// MayLoad reports whether snapshots may be loaded now. nil: always.
+	MayLoad func() bool
 	// IsWriter reports whether this host is the one that writes snapshots.
 	IsWriter func() bool
 }
@@ -61,8 +63,10 @@
 func (a *Archive) Run(ctx context.Context) {
 	wait.For(ctx, a.opts.FallbackDelay)
 	for pause := a.opts.FallbackDelay; ctx.Err() == nil && len(a.unloadedTopics()) > 0; pause = min(2*pause, maxLoadDelay) {
-		if err := a.load(ctx); err != nil {
-			log.WithError(err).Debug("cannot load snapshots of topics")
+		if a.opts.MayLoad == nil || a.opts.MayLoad() {
+			if err := a.load(ctx); err != nil {
+				log.WithError(err).Debug("cannot load snapshots of topics")
+			}
 		}
 		wait.For(ctx, wait.Jitter(pause))
 	}
--- a/router/archive/archive_test.go
+++ b/router/archive/archive_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -81,6 +83,46 @@
 	until.True(t, "the list is followed again", func() bool { return c.End().Offset == 4 })
 }
 
+// Guards against hosts that all read the snapshots from a log that can't bear it, or start from an old snapshot, while
+// others read the log for them; and against hosts that never load one.
+func TestSnapshotsAreLoadedOnlyWhenAllowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := memlog.New()
+		l.Put(listed, "a", []byte("1"))
+		_, stop := start(t, l, "h1", true)
+		time.Sleep(time.Second)
+		is.True(archived(l))
+		stop()
+
+		var allowed atomic.Bool
+		c := replica.New(replica.Options{})
+		a := New(Options{
+			Log: l.Host("h2"), Topic: "copies", Replicas: map[string]*replica.Replica{"list": c}, WriteInterval: time.Second,
+			FallbackDelay: time.Second, CallTimeout: time.Second, MaxRecordBytes: 1000, Partitions: 3,
+			MayLoad: allowed.Load, IsWriter: func() bool { return false },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			a.Run(ctx)
+		}()
+		_, before := l.Calls()
+		time.Sleep(time.Minute)
+		_, after := l.Calls()
+		is.Equal(after, before)
+		is.True(!c.Loaded())
+
+		allowed.Store(true)
+		time.Sleep(2 * maxLoadDelay) // the longest pause, with jitter
+		is.True(c.Loaded())
+		is.Equal(c.End(), eventlog.Position{Offset: 1})
+		cancel()
+		<-ended
+	})
+}
+
 func TestOnlyTheWriterWrites(t *testing.T) {
 	is := is.New(t)
 	l := memlog.New()
