--- a/router/prepaid/allocator.go
+++ b/router/prepaid/allocator.go
@@ -60,6 +60,10 @@
 	AllHostsLost func() bool
 	// LogAvailable reports whether the log responds to this host's reads; nil: it always does.
 	LogAvailable func() bool
+	// PeakHosts counts the hosts whose calls the log may get at once; nil: Hosts.
+	PeakHosts func() int
+	// LogSilence is how long ago the log last responded, while it is not available. nil: since that is noticed.
+	LogSilence func() time.Duration
 	// HostsConfirmed reports whether all other hosts have written again what a restored log lost, in the given era;
 	// nil: it is not known.
 	HostsConfirmed func(era int64) bool
@@ -167,6 +171,11 @@
 		default:
 		}
 	}
+	a.RequestRounds()
+}
+
+// RequestRounds makes all accounts be checked soon, for example since more is known of the fleet.
+func (a *Allocator) RequestRounds() {
 	for _, pw := range a.writers {
 		pw.requestRound()
 	}
--- a/router/prepaid/retry_after.go
+++ b/router/prepaid/retry_after.go
@@ -184,7 +184,12 @@
 // watchLog observes outages of the log until ctx ends.
 func (a *Allocator) watchLog(ctx context.Context) {
 	for ctx.Err() == nil {
-		a.outages.observe(!a.mayReturn(), time.Now())
+		now := time.Now()
+		if away := !a.mayReturn(); away && a.opts.LogSilence != nil {
+			a.outages.observe(away, now.Add(-a.opts.LogSilence()))
+		} else {
+			a.outages.observe(away, now)
+		}
 		wait.For(ctx, outageCheckInterval)
 	}
 }
