fleet, node: a few hosts of a large fleet read the log for all others

What callers saw: on 984 hosts proper requests were turned away with 401 and 404 by a configuration of 30 s before, and model requests refused since hosts knew a tenth of the targets.

Cause: what hosts read of the log grows with the fleet.

Refused calls are repeated by pauses that go by the hosts that a host knows, a few at a start, so the log stays overloaded for good. Class: congestion collapse by a load that grows with the number of callers, with a fall-back that all take at once.

Change: in a fleet of over 300 hosts at most eight read the topics. The log itself deals their places among the hosts with fast links that join a group, from the first call on, so hosts need not know each other; a silent one is replaced after 3 s. All others follow a reader, in their failure domain if there is one, by calls that it holds until something changes, and never call the log for a topic: if one reader is silent they ask another. The age of what they have travels with it. Until a host knows the size of the fleet it reads nothing but who the readers are; a small fleet then reads as before. The hosts that relay the list in fleets of nine and more are called relays now. The lines `source of the log's topics changed` and the gauge log_source tell from where a host has the topics; lines about hosts that joined are bounded.

--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -40,6 +40,8 @@
 	Eras map[string]int64 `json:"eras,omitempty"`
 	// EndsOnly asks for the end offsets of the topics, without records.
 	EndsOnly bool `json:"ends_only,omitempty"`
+	// WaitMs is how long the responder may wait for changes. Earlier builds respond at once.
+	WaitMs int64 `json:"wait_ms,omitempty"`
 	// Host is the asking host, and Offers are its figures. Both are absent in most calls.
 	Host   string  `json:"host,omitempty"`
 	Offers figures `json:"offers,omitempty"`
@@ -69,6 +71,8 @@
 	Topics map[string]topicUpdate `json:"topics"`
 	// Quarantine lists quarantined requests that may be missing from the topic.
 	Quarantine []quarantine.Entry `json:"quarantine,omitempty"`
+	// HeldMs is how long the responder waited for changes.
+	HeldMs int64 `json:"held_ms,omitempty"`
 	// Summaries answers a request with offers.
 	Summaries figures `json:"summaries,omitempty"`
 }
@@ -77,23 +81,53 @@
 type topicUpdate struct {
 	Packed []byte `json:"packed,omitempty"` // the records, by recordpack
 	End    int64  `json:"end"`
-	Era    int64  `json:"era,omitempty"`   // of End and of the records
-	AgeMs  int64  `json:"age_ms"`          // since the log last confirmed them
-	Full   bool   `json:"whole,omitempty"` // the records are the whole topic
+	Era    int64  `json:"era,omitempty"` // of End and of the records
+	AgeMs  int64  `json:"age_ms"`        // since the log last confirmed them
+	// Aged means that AgeMs is set though no records were asked for. Earlier builds leave it 0 then.
+	Aged     bool `json:"aged,omitempty"`
+	Full     bool `json:"whole,omitempty"`    // the records are the whole topic
+	Complete bool `json:"complete,omitempty"` // see replica.Update
+	// KeptMs is replica.Update.Kept, in milliseconds.
+	KeptMs map[string]int64 `json:"kept_ms,omitempty"`
 }
 
 func newTopicUpdate(changed replica.Update) (topicUpdate, error) {
 	packed, err := recordpack.Pack(changed.Records)
-	return topicUpdate{Packed: packed, End: changed.End.Offset, Era: changed.End.Era, AgeMs: changed.Age.Milliseconds(), Full: changed.Full}, err
+	update := topicUpdate{
+		Packed: packed, End: changed.End.Offset, Era: changed.End.Era, AgeMs: changed.Age.Milliseconds(), Full: changed.Full, Complete: changed.Complete,
+	}
+	for key, left := range changed.Kept {
+		if update.KeptMs == nil {
+			update.KeptMs = map[string]int64{}
+		}
+		update.KeptMs[key] = left.Milliseconds()
+	}
+	return update, err
 }
 
 // end is the position below which the responder knows all records.
 func (p topicUpdate) end() eventlog.Position { return eventlog.Position{Era: p.Era, Offset: p.End} }
 
+// maxAge bounds the ages that other hosts name. That of records which the log never confirmed is the longest duration, and
+// would overflow when the time of a call is added.
+const maxAge = 24 * time.Hour
+
+// age is how long ago the log confirmed the responder's records.
+func (p topicUpdate) age() time.Duration {
+	return time.Duration(min(max(p.AgeMs, 0), maxAge.Milliseconds())) * time.Millisecond
+}
+
 // update decodes the response for one topic.
 func (p topicUpdate) update() (replica.Update, error) {
 	records, err := recordpack.Unpack(p.Packed, p.Era)
-	return replica.Update{Records: records, End: p.end(), Age: time.Duration(p.AgeMs) * time.Millisecond, Full: p.Full}, err
+	update := replica.Update{Records: records, End: p.end(), Age: p.age(), Full: p.Full, Complete: p.Complete}
+	for key, ms := range p.KeptMs {
+		if update.Kept == nil {
+			update.Kept = map[string]time.Duration{}
+		}
+		update.Kept[key] = time.Duration(ms) * time.Millisecond
+	}
+	return update, err
 }
 
 type lendRequest struct {
@@ -159,12 +193,19 @@
 	timeout time.Duration // of a call with a short response
 }
 
-// newClient returns a client whose calls use transport, TCP connections if it is nil.
-func newClient(timeout time.Duration, transport http.RoundTripper) *client {
+// Idle connections to another host. If they all went silent, each would cost a call.
+const (
+	maxIdleConns       = 1
+	maxIdleFollowConns = 3 // a follower makes one call for each topic at once
+)
+
+// newClient returns a client whose calls use transport, or TCP connections if it is nil, of which at most maxIdle to
+// each host are kept.
+func newClient(timeout time.Duration, transport http.RoundTripper, maxIdle int) *client {
 	if transport == nil {
 		transport = &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: max(timeout, pullTimeout)}).DialContext,
-			MaxIdleConnsPerHost: 1,
+			MaxIdleConnsPerHost: maxIdle,
 			IdleConnTimeout:     5 * time.Second,
 			DisableCompression:  true,
 		}
@@ -247,16 +288,25 @@
 		response.Quarantine = f.opts.Quarantine.Unpersisted()
 	}
 	for topic, c := range f.opts.Replicas {
+		from, wanted := request.from(topic, c.End().Era)
+		if !wanted {
+			continue
+		}
+		if request.WaitMs > 0 {
+			began := time.Now()
+			c.WaitForChange(r.Context(), from, min(time.Duration(request.WaitMs)*time.Millisecond, followHold))
+			response.HeldMs += time.Since(began).Milliseconds()
+		}
+		age := c.Age() // read before the end, so that it is not that of a later response with more records
 		end := c.End()
-		from, wanted := request.from(topic, end.Era)
-		if !wanted || end.Before(from) {
+		if !c.Loaded() || end.Before(from) {
 			continue
 		}
 		if request.EndsOnly {
-			response.Topics[topic] = topicUpdate{End: end.Offset, Era: end.Era}
+			response.Topics[topic] = topicUpdate{End: end.Offset, Era: end.Era, AgeMs: age.Milliseconds(), Aged: true}
 			continue
 		}
-		part, err := newTopicUpdate(c.CatchUpFrom(from))
+		part, err := f.packs.update(topic, c, from)
 		if err != nil {
 			log.WithField("topic", topic).WithError(err).Error("cannot encode records for another host")
 			continue
--- a/router/fleet/exchange.go
+++ b/router/fleet/exchange.go
@@ -8,9 +8,9 @@
 )
 
 // Hosts of a failure domain tell each other small figures, for example how loaded they are, in the calls that relay
-// the list of targets: each host offers its own figures to a reader of its domain, which answers with a summary of
+// the list of targets: each host offers its own figures to a relay of its domain, which answers with a summary of
 // all offers. So no call is made for them, and each host sends and receives as much in a domain of any size. A
-// different reader is asked each time, as each knows only the offers that it was sent. In a fleet without relays
+// different relay is asked each time, as each knows only the offers that it was sent. In a fleet without relays
 // a host's summary holds its own offer alone.
 
 // Aggregate is a summary of figures of the hosts of a failure domain. Its methods may be called concurrently.
@@ -28,7 +28,7 @@
 // figures are the offers or the summaries of a call, by the name of their aggregate.
 type figures map[string]json.RawMessage
 
-// exchangeInterval is the time between two exchanges of a host. It bounds how old figures are, and what readers
+// exchangeInterval is the time between two exchanges of a host. It bounds how old figures are, and what relays
 // send and decode.
 const exchangeInterval = time.Second
 
@@ -37,10 +37,10 @@
 	host       string
 	aggregates map[string]Aggregate
 	due        time.Time // of the next exchange; guarded by Fleet.mu
-	turn       int       // of the readers; guarded by Fleet.mu
+	turn       int       // of the relays; guarded by Fleet.mu
 }
 
-// exchangeDue reports whether the next call to a reader exchanges figures, and if so which reader's turn it is.
+// exchangeDue reports whether the next call to a relay exchanges figures, and if so which relay's turn it is.
 func (f *Fleet) exchangeDue(now time.Time) (turn int, due bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -53,7 +53,7 @@
 	return e.turn, true
 }
 
-// offers returns this host's figures for a reader.
+// offers returns this host's figures for a relay.
 func (e *exchanger) offers(now time.Time) figures {
 	return e.encode(func(a Aggregate) json.RawMessage { return a.Offer(now) })
 }
@@ -79,7 +79,7 @@
 	e.decode(host, offers, func(a Aggregate, offer json.RawMessage) error { return a.Collect(host, offer, now) })
 }
 
-// apply applies the summaries of a reader.
+// apply applies the summaries of a relay.
 func (e *exchanger) apply(from string, summaries figures, now time.Time) {
 	e.decode(from, summaries, func(a Aggregate, summary json.RawMessage) error { return a.Apply(summary, now) })
 }
@@ -97,7 +97,7 @@
 	}
 }
 
-// exchangeWithSelf is the exchange of a host that is a reader itself.
+// exchangeWithSelf is the exchange of a host that is a relay itself.
 func (e *exchanger) exchangeWithSelf(now time.Time) {
 	e.collect(e.host, e.offers(now), now)
 	e.apply(e.host, e.summaries(now), now)
--- a/router/fleet/exchange_test.go
+++ b/router/fleet/exchange_test.go
@@ -105,7 +105,7 @@
 	}
 	readers := 0
 	for i, f := range fleets {
-		if len(f.readers("list", 0)) == 0 {
+		if len(f.relays("list", 0)) == 0 {
 			readers++
 			continue
 		}
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"maststage.dev/lib/wait"
 	"maststage.dev/router/eventlog"
 	"maststage.dev/router/limit"
+	"maststage.dev/router/logging"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/quarantine"
 	"maststage.dev/router/replica"
@@ -48,6 +49,10 @@
 	AnnounceInterval time.Duration // between announcements
 	PullInterval     time.Duration // between checks whether a pull is needed
 	CallTimeout      time.Duration // of a call to another host
+	// Groups divides the readers' places among hosts; nil: each host reads the log itself.
+	Groups eventlog.Groups
+	// OnSource is called when reads in progress are from another source than this host has now. nil: nothing is called.
+	OnSource func()
 	// Replicas holds the replicas of the log's topics that hosts pull from each other, by topic.
 	Replicas map[string]*replica.Replica
 	Lend     func(ctx context.Context, ask prepaid.LoanRequest) prepaid.Loan
@@ -102,6 +107,9 @@
 	transferSeq   atomic.Int64 // transfers offered in this incarnation
 	settlingSince time.Time
 	exchange      exchanger
+	readers       *readers
+	followClient  *client
+	packs         packCache
 
 	mu           sync.Mutex
 	seeds        []string
@@ -118,10 +126,15 @@
 	cachedPeers   []string // names of the active peers, as of cachedPeersAt
 	cachedPeersAt time.Time
 
-	createdAt    time.Time // when this host started
-	topicRead    bool      // the topic of announcements has been read
-	initialEnd   int64     // end offset of the topic when it was first read
-	cachedLost   bool      // result of AllHostsLost, as of cachedLostAt
+	joinedLog    *logging.Limiter // limits lines about hosts that joined
+	createdAt    time.Time        // when this host started
+	lastJoined   time.Time        // when another host was first seen
+	sizeKnown    bool             // see countsAllHosts
+	peak         int              // see PeakSize
+	peakAt       time.Time
+	topicRead    bool  // the topic of announcements has been read
+	initialEnd   int64 // end offset of the topic when it was first read
+	cachedLost   bool  // result of AllHostsLost, as of cachedLostAt
 	cachedLostAt time.Time
 }
 
@@ -129,15 +142,20 @@
 // because hosts that are cut off from the log still use their share.
 const peerExpiry = 45 * time.Second
 
+// joinedLinesPerSecond bounds the log lines about hosts that joined: a host learns of all others at once.
+const joinedLinesPerSecond = 50
+
 // New returns a fleet that knows this host alone; HandleChanges adds the others.
 func New(opts Options) *Fleet {
-	calls := newClient(opts.CallTimeout, opts.Transport)
-	return &Fleet{
-		opts: opts, client: calls, recalls: newRecaller(calls, opts.Self.Name+"/"+opts.Self.Incarnation),
+	calls := newClient(opts.CallTimeout, opts.Transport, maxIdleConns)
+	f := &Fleet{
+		opts: opts, client: calls, followClient: newClient(opts.CallTimeout, opts.Transport, maxIdleFollowConns), recalls: newRecaller(calls, opts.Self.Name+"/"+opts.Self.Incarnation),
 		settlingSince: time.Now(), lastAnnounced: time.Now(), lastRead: time.Now(), createdAt: time.Now(), seeds: opts.Seeds, hosts: map[string]peerState{}, silentSince: map[string]time.Time{},
-		announceNow: make(chan struct{}, 1),
-		exchange:    exchanger{host: opts.Self.Name, aggregates: opts.Aggregates},
+		announceNow: make(chan struct{}, 1), joinedLog: logging.NewLimiter(joinedLinesPerSecond),
+		exchange: exchanger{host: opts.Self.Name, aggregates: opts.Aggregates},
 	}
+	f.readers = newReaders(f, opts.Groups, opts.OnSource)
+	return f
 }
 
 // HandleChanges applies announcements from the replica of the topic.
@@ -169,8 +187,13 @@
 		}
 		old, had := f.hosts[name]
 		again := had && old.host.Incarnation == h.Incarnation
+		if !had {
+			f.lastJoined = time.Now()
+		}
 		if !again {
-			log.WithFields(log.Fields{"peer": name, "incarnation": h.Incarnation, "address": h.Address}).Info("host joined")
+			if ok, skipped := f.joinedLog.Allow(time.Now()); ok {
+				log.WithFields(log.Fields{"peer": name, "incarnation": h.Incarnation, "address": h.Address, "skipped": skipped}).Info("host joined")
+			}
 		}
 		f.hosts[name] = peerState{host: h, lastSeen: time.Now(), restarted: again && old.restarted || !again && h.Sequence <= f.maxSequence(time.Now()), reannounced: again}
 	}
@@ -198,6 +221,7 @@
 	all.Go(func() { f.announce(ctx) })
 	all.Go(func() { newPuller(f).run(ctx) })
 	all.Go(func() { f.recalls.run(ctx) })
+	all.Go(func() { f.readers.run(ctx) })
 	all.Wait()
 }
 
@@ -242,14 +266,19 @@
 	}
 }
 
-const announceRetryDelay = 500 * time.Millisecond
+const (
+	announceRetryDelay = 500 * time.Millisecond
+	// announceTimeout is longer than the log takes to append the announcements of a thousand hosts that start at once. A
+	// host that gave up earlier would announce itself again while its first announcement still waits.
+	announceTimeout = 3 * time.Second
+)
 
 func (f *Fleet) writeAnnouncement(ctx context.Context, self Host) error {
 	value, err := json.Marshal(self)
 	if err != nil {
 		return err
 	}
-	c, cancel := context.WithTimeout(ctx, f.opts.CallTimeout)
+	c, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	began := time.Now()
 	if _, err = f.opts.Log.Append(c, f.partition(), []eventlog.Record{{Key: self.Name, Value: value}}); err != nil {
--- a/router/fleet/fleet_test.go
+++ b/router/fleet/fleet_test.go
@@ -124,14 +124,14 @@
 	is := is.New(t)
 	small := newFleet(Host{Name: "h0", Domain: "z0"})
 	announceHosts(small, makeHosts(keeper.SmallFleet, 3)...)
-	is.Equal(len(small.readers("list", 0)), 0)
+	is.Equal(len(small.relays("list", 0)), 0)
 	all := makeHosts(87, 3)
 	readers := map[string]bool{}
 	asked := map[string]bool{}
 	for _, self := range all {
 		f := newFleet(self)
 		announceHosts(f, all...)
-		list := f.readers("list", 0)
+		list := f.relays("list", 0)
 		if len(list) == 0 {
 			readers[self.Address] = true
 		}
@@ -172,7 +172,7 @@
 	}
 	f := newFleet(Host{Name: "another", Domain: "z0"})
 	announceHosts(f, all...)
-	if len(f.readers("list", 0)) == 0 {
+	if len(f.relays("list", 0)) == 0 {
 		t.Fatal("the host is a reader itself")
 	}
 	_, ok := f.Relay(context.Background(), "list", eventlog.Position{})
--- a/router/fleet/pull.go
+++ b/router/fleet/pull.go
@@ -14,6 +14,7 @@
 	"maststage.dev/router/eventlog"
 	"maststage.dev/router/logging"
 	"maststage.dev/router/quarantine"
+	"maststage.dev/router/replica"
 )
 
 // Bounds on pulls.
@@ -62,16 +63,23 @@
 // staleTopics lists the topics for which the log has not responded for a while, each with the
 // position from which records are missing.
 func (f *Fleet) staleTopics() map[string]eventlog.Position {
-	now := time.Now()
 	topics := map[string]eventlog.Position{}
 	for topic, c := range f.opts.Replicas {
-		if c.Stale(now) {
+		if c.Age() > f.freshFor(c) {
 			topics[topic] = c.End()
 		}
 	}
 	return topics
 }
 
+// freshFor is how old the records of a replica get as long as the log responds.
+func (f *Fleet) freshFor(c *replica.Replica) time.Duration {
+	if f.readers.current() == following {
+		return 2*c.FreshFor() + followHold // the reader's records may be old already
+	}
+	return c.FreshFor()
+}
+
 // startRound starts pulls from some hosts and does not wait for them, so that a silent host does
 // not delay the next round.
 func (p *puller) startRound(ctx context.Context, topics map[string]eventlog.Position) {
@@ -163,11 +171,13 @@
 		return ctx.Err()
 	}
 	defer func() { <-p.fetching }()
+	p.fleet.confirm(topics, ends, time.Since(asked))
 	missing := p.fleet.topicsBehind(ends)
 	if len(missing) == 0 {
 		p.fleet.recordPull(asked)
 		return nil
 	}
+	began := time.Now()
 	var response pullResponse
 	if err := calls.fetch(ctx, address, pathPull, newPullRequest(missing), &response); err != nil {
 		return err
@@ -175,15 +185,15 @@
 	p.mu.Lock()
 	p.lastSource = address
 	p.mu.Unlock()
-	if err := p.fleet.merge(address, missing, response); err != nil {
+	if err := p.fleet.merge(address, missing, response, time.Since(began)); err != nil {
 		return err
 	}
 	p.fleet.recordPull(asked)
 	return nil
 }
 
-// merge applies the records of the topics that were requested from another host.
-func (f *Fleet) merge(address string, requested map[string]eventlog.Position, response pullResponse) error {
+// merge applies the records of the topics that were requested from another host. took is the duration of the call.
+func (f *Fleet) merge(address string, requested map[string]eventlog.Position, response pullResponse, took time.Duration) error {
 	for topic, encoded := range response.Topics {
 		if _, wanted := requested[topic]; !wanted {
 			continue
@@ -196,10 +206,21 @@
 			"peer": address, "topic": topic, "records": len(update.Records), "end": update.End, "bytes": len(encoded.Packed),
 		}).Info("pulled missed log records from another host")
 		f.opts.Replicas[topic].MergeUpdate(update)
+		f.opts.Replicas[topic].Confirm(update.End, update.Age+took)
 	}
 	return nil
 }
 
+// confirm notes for topics in which another host is not ahead of this one how fresh that makes this host. took is the
+// duration of the call.
+func (f *Fleet) confirm(topics map[string]eventlog.Position, other pullResponse, took time.Duration) {
+	for topic := range topics {
+		if part, found := other.Topics[topic]; found && part.Aged {
+			f.opts.Replicas[topic].Confirm(part.end(), part.age()+took)
+		}
+	}
+}
+
 // topicsBehind lists the topics in which another host is ahead of this one, each with the position
 // from which this host lacks records.
 func (f *Fleet) topicsBehind(other pullResponse) map[string]eventlog.Position {
--- /dev/null
+++ b/router/fleet/readers.go
@@ -0,0 +1,478 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	log "github.com/sirupsen/logrus"
+
+	"maststage.dev/lib/rendezvous"
+	"maststage.dev/lib/wait"
+	"maststage.dev/router/eventlog"
+)
+
+// What hosts read of the log would grow with the fleet if each read it. In a large fleet a few readers follow the log,
+// and all other hosts follow a reader. The log itself divides the readers' places among the hosts that join a group, so
+// that all agree on them before they know each other. A host that follows readers never falls back on the log: it
+// asks another reader, and once the log has given a silent reader's place to another host, that one.
+
+// Bounds on readers.
+const (
+	// maxDirectHosts is the size of a fleet up to which each host reads the log itself.
+	maxDirectHosts = 300
+	// minFollowedHosts is the size down to which a fleet that has readers keeps them.
+	minFollowedHosts = 250
+	// maxReaders bounds the hosts that read the log for all others. Each reads every heartbeat of every target.
+	maxReaders = 8
+	// minReaderMbps is the speed of the link from which a host reads for others: a few megabytes for each of a
+	// hundred hosts that start at once take some seconds.
+	minReaderMbps = 100
+)
+
+// Timing of the readers' group.
+const (
+	readerTTL         = 3 * time.Second // of a place without a join
+	joinInterval      = time.Second
+	joinRetryInterval = 200 * time.Millisecond // after a failed join, and while places are being divided
+	// ownersInterval is the time between looks at who the readers are, ownersRetryDelay while there are none or one does
+	// not respond, and ownersErrorDelay after a look that failed.
+	ownersInterval   = 3 * time.Second
+	ownersRetryDelay = 300 * time.Millisecond
+	ownersErrorDelay = time.Second
+	// firstLookDelay leaves hosts with faster links the time to join first.
+	firstLookDelay = 100 * time.Millisecond
+	// checkInterval is the time between checks of whether readers are needed, undecidedPause at the start.
+	checkInterval  = time.Second
+	undecidedPause = 50 * time.Millisecond
+	// noReaderTime is how long there are no readers with fast links before hosts with slower ones join.
+	noReaderTime = 2 * time.Second
+	// maxUndecidedTime is the time after which a host that can't learn of readers reads the log itself; half of it at least.
+	maxUndecidedTime = 2 * time.Minute
+	// minEmptyLooks is the number of looks that found no readers after which a host reads the announcements from the log.
+	// Looks that failed count once it has run for announcementsDelay: until then the log may refuse all that hosts ask.
+	minEmptyLooks      = 2
+	announcementsDelay = 4 * time.Second
+)
+
+const (
+	readersGroup = "readers"
+	// A member's text is its name, its address, the class of its link and, if it has one, its failure domain.
+	minMemberFields = 3
+	fastMember      = "fast"
+	slowMember      = "slow"
+)
+
+// mode says from where this host has the topics of the log.
+type mode int
+
+const (
+	undecided mode = iota // not known yet; the log is not read
+	direct                // from the log
+	reading               // from the log, for other hosts too
+	following             // from a reader
+)
+
+var modeNames = [...]string{undecided: "undecided", direct: "direct", reading: "reading", following: "following"}
+
+func (m mode) String() string { return modeNames[m] }
+
+// reader is a host that reads the log for others, as it describes itself in the group.
+type reader struct {
+	address, domain string
+	fast            bool // its link is
+}
+
+// readers decides from where this host has the topics of the log.
+type readers struct {
+	fleet  *Fleet
+	groups eventlog.Groups
+
+	wasLarge  bool      // the fleet has been too large to read directly
+	unheardAt time.Time // when the announcements were last found to be outdated
+
+	mu            sync.Mutex
+	mode          mode
+	changed       chan struct{} // closed and replaced when mode or looked change
+	others        []reader      // the other readers, by address
+	lookUp        chan struct{} // requests a look at who the readers are
+	onChange      func()        // called after the mode changed, except when it is first decided
+	generation    int64
+	joined        time.Time     // start of the last successful join
+	place         bool          // the last join gave this host a place
+	since         time.Time     // when the mode changed, or a reader last responded
+	looked        time.Time     // start of the last look at who the readers are
+	lookedFor     bool          // a look was requested
+	lookFailed    bool          // the last look failed
+	slowSince     time.Time     // since when no reader with a fast link is known; zero: one is, or nothing is known
+	undecidedTime time.Duration // see maxUndecidedTime
+	emptyLooks    int           // looks that found no readers, see minEmptyLooks
+}
+
+// newReaders returns readers that have all hosts read the log if groups is nil.
+func newReaders(f *Fleet, groups eventlog.Groups, onChange func()) *readers {
+	r := &readers{fleet: f, groups: groups, changed: make(chan struct{}), lookUp: make(chan struct{}, 1), onChange: onChange, undecidedTime: maxUndecidedTime/2 + rand.N(maxUndecidedTime/2)}
+	if groups == nil {
+		r.mode = direct
+	}
+	return r
+}
+
+// run keeps the mode up to date until ctx ends.
+func (r *readers) run(ctx context.Context) {
+	if r.groups == nil {
+		return
+	}
+	if !r.fastLink() {
+		wait.For(ctx, wait.Jitter(firstLookDelay))
+	}
+	for ctx.Err() == nil {
+		r.wait(ctx, min(r.round(ctx), checkInterval))
+	}
+}
+
+// wait waits for a pause, or a shorter one if a look at the readers is requested.
+func (r *readers) wait(ctx context.Context, pause time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, pause)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-r.lookUp:
+		wait.For(ctx, wait.Jitter(ownersRetryDelay))
+	}
+}
+
+// fastLink reports whether this host's link is fast enough to read for others, as far as its speed is known.
+func (r *readers) fastLink() bool {
+	speed := r.fleet.opts.Self.LinkMbps
+	return speed == 0 || speed >= minReaderMbps
+}
+
+// round updates the mode and returns the pause until the next round.
+func (r *readers) round(ctx context.Context) time.Duration {
+	if r.readsDirectly() {
+		r.setMode(direct)
+		return checkInterval
+	}
+	pause := checkInterval
+	if r.joins() {
+		pause = r.join(ctx)
+		if r.hasPlace() && r.fastLink() {
+			r.setMode(reading)
+			return pause
+		}
+	} else {
+		r.leave()
+	}
+	if err := r.lookAtOwners(ctx); err != nil {
+		pause = min(pause, wait.Jitter(ownersErrorDelay))
+	}
+	switch {
+	case r.hasPlace():
+		r.setMode(reading)
+		return pause
+	case r.hasReaders() || r.current() == reading:
+		r.setMode(following)
+		return pause
+	case r.current() == undecided && time.Since(r.fleet.createdAt) > r.undecidedTime:
+		r.setMode(direct)
+	case r.current() == undecided:
+		return min(pause, wait.Jitter(undecidedPause))
+	}
+	return min(pause, wait.Jitter(ownersRetryDelay))
+}
+
+// readsDirectly reports whether the fleet is known to be small enough for each host to read the log.
+func (r *readers) readsDirectly() bool {
+	f := r.fleet
+	limit := maxDirectHosts
+	if m := r.current(); m == following || m == reading {
+		limit = minFollowedHosts
+	}
+	if f.Size() > limit {
+		r.wasLarge = true
+		return false
+	}
+	return f.countsAllHosts() && (!r.wasLarge || r.announcementsHeard())
+}
+
+// announcementsHeard reports whether this host has read announcements for long enough to know of all hosts. One that
+// read none for a while has forgotten the others: that makes no fleet small.
+func (r *readers) announcementsHeard() bool {
+	f := r.fleet
+	c := f.opts.Replicas[f.opts.Topic]
+	now := time.Now()
+	if c != nil && c.Age() > f.freshFor(c) {
+		r.unheardAt = now
+	}
+	return now.Sub(r.unheardAt) > 2*maxAnnounceInterval
+}
+
+// joins reports whether this host takes a place among the readers if there is one.
+func (r *readers) joins() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fastLink() || !r.slowSince.IsZero() && time.Since(r.slowSince) > noReaderTime
+}
+
+// join joins the group and returns the pause until the next join.
+func (r *readers) join(ctx context.Context) time.Duration {
+	call, cancel := context.WithTimeout(ctx, r.fleet.opts.CallTimeout)
+	defer cancel()
+	began := time.Now()
+	assignment, err := r.groups.Join(call, eventlog.Membership{
+		Group: readersGroup, Member: r.member(), Topic: r.fleet.opts.Topic, TTL: readerTTL, Generation: r.generation,
+	})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		if time.Since(r.joined) > readerTTL {
+			r.place = false // another host may have it by now
+		}
+		return wait.Jitter(joinRetryInterval)
+	}
+	dividing := assignment.Generation != r.generation
+	r.joined, r.generation = began, assignment.Generation
+	r.place = slices.ContainsFunc(assignment.Partitions, func(number int) bool { return number < maxReaders })
+	if dividing {
+		return wait.Jitter(joinRetryInterval)
+	}
+	return wait.Jitter(joinInterval)
+}
+
+// leave gives up the place of this host, which others get once it has not joined for a while.
+func (r *readers) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.place = false
+}
+
+func (r *readers) hasPlace() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.place
+}
+
+// lookAtOwners reads who the readers are, unless that was done lately.
+func (r *readers) lookAtOwners(ctx context.Context) error {
+	if !r.lookDue() {
+		return nil
+	}
+	call, cancel := context.WithTimeout(ctx, r.fleet.opts.CallTimeout)
+	defer cancel()
+	began := time.Now()
+	owners, err := r.groups.Owners(call, readersGroup)
+	if err == nil {
+		r.setOwners(owners, began)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.looked, r.lookedFor, r.lookFailed = began, false, err != nil
+	if len(r.others) == 0 && (err == nil || time.Since(r.fleet.createdAt) > announcementsDelay) {
+		r.emptyLooks++
+	}
+	r.signal()
+	return err
+}
+
+// lookDue reports whether it is time for a look at who the readers are.
+func (r *readers) lookDue() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	pause := ownersInterval - checkInterval/2
+	switch {
+	case r.lookFailed:
+		pause = ownersErrorDelay / 2
+	case r.lookedFor || len(r.others) == 0:
+		pause = ownersRetryDelay
+	}
+	return time.Since(r.looked) > pause
+}
+
+// member is how this host describes itself in the group.
+func (r *readers) member() string {
+	self := r.fleet.opts.Self
+	speed := slowMember
+	if r.fastLink() {
+		speed = fastMember
+	}
+	return strings.Join([]string{self.Name, self.Address, speed, self.Domain}, " ")
+}
+
+// parseMember reads how a host described itself.
+func parseMember(text string) (m reader, ok bool) {
+	fields := strings.Fields(text)
+	if len(fields) < minMemberFields {
+		return reader{}, false
+	}
+	m = reader{address: fields[1], fast: fields[2] == fastMember}
+	if len(fields) > minMemberFields {
+		m.domain = fields[minMemberFields]
+	}
+	return m, true
+}
+
+// setOwners replaces the readers that this host knows.
+func (r *readers) setOwners(owners []eventlog.Owner, at time.Time) {
+	var others []reader
+	fast := false
+	for _, owner := range owners {
+		m, ok := parseMember(owner.Member)
+		if !ok || owner.Partition >= maxReaders || m.address == r.fleet.opts.Self.Address || slices.Contains(others, m) {
+			continue
+		}
+		others = append(others, m)
+		fast = fast || m.fast
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case fast:
+		r.slowSince = time.Time{}
+	case r.slowSince.IsZero():
+		r.slowSince = at
+	}
+	r.others = others
+}
+
+// signal wakes those that wait for a change. The lock is held.
+func (r *readers) signal() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *readers) hasReaders() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.others) > 0
+}
+
+func (r *readers) current() mode {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mode
+}
+
+// setMode changes the mode.
+func (r *readers) setMode(m mode) {
+	r.mu.Lock()
+	old := r.mode
+	if old == m {
+		r.mu.Unlock()
+		return
+	}
+	r.mode, r.since = m, time.Now()
+	r.signal()
+	known := len(r.others)
+	r.mu.Unlock()
+	log.WithFields(log.Fields{"before": old, "now": m, "hosts": r.fleet.Size(), "readers": known}).Info("source of the log's topics changed")
+	if old != undecided && r.onChange != nil {
+		r.onChange()
+	}
+}
+
+// requestLook requests a look at who the readers are.
+func (r *readers) requestLook() {
+	r.mu.Lock()
+	r.lookedFor = true
+	r.mu.Unlock()
+	select {
+	case r.lookUp <- struct{}{}:
+	default:
+	}
+}
+
+// responded notes that a reader responded.
+func (r *readers) responded() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.since = time.Now()
+}
+
+// await waits until this host knows from where it has a topic, and returns it. The announcements of hosts tell whether
+// readers are needed, so they are read from the log if there are no readers yet.
+func (r *readers) await(ctx context.Context, topic string) mode {
+	announcements := topic == r.fleet.opts.Topic && !r.fleet.hostsLoaded()
+	for {
+		r.mu.Lock()
+		m, changed := r.mode, r.changed
+		if m == undecided && announcements && r.emptyLooks >= minEmptyLooks {
+			m = direct
+		}
+		r.mu.Unlock()
+		if m != undecided {
+			return m
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return undecided
+		}
+	}
+}
+
+// ranked lists the readers' addresses in the order in which this host asks them: those with fast links first, then those
+// in its failure domain, otherwise in an order that differs between hosts.
+func (r *readers) ranked() []string {
+	r.mu.Lock()
+	others := slices.Clone(r.others)
+	r.mu.Unlock()
+	others = rendezvous.Rank(r.fleet.opts.Self.Name, others, func(other reader) string { return other.address })
+	slices.SortStableFunc(others, func(a, b reader) int { return cmp.Compare(r.distance(a), r.distance(b)) })
+	addresses := make([]string, 0, len(others))
+	for _, other := range others {
+		addresses = append(addresses, other.address)
+	}
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	return r.fleet.silentLast(addresses)
+}
+
+// next returns the reader to ask next, "" if all known ones were tried.
+func (r *readers) next(tried map[string]bool) string {
+	for _, address := range r.ranked() {
+		if !tried[address] {
+			return address
+		}
+	}
+	return ""
+}
+
+// distance ranks a reader by its link and its failure domain, the best first.
+func (r *readers) distance(other reader) (rank int) {
+	if !other.fast {
+		rank += 2
+	}
+	if other.domain != r.fleet.opts.Self.Domain {
+		rank++
+	}
+	return rank
+}
+
+// ReadsLog reports whether this host reads the log itself, and if so whether for others too.
+func (f *Fleet) ReadsLog() (reads, forOthers bool) {
+	m := f.readers.current()
+	return m == direct || m == reading, m == reading
+}
+
+// SourceSince reports whether it is decided from where this host has the log's topics, and since when no reader has
+// responded to it: zero if it reads the log itself.
+func (f *Fleet) SourceSince() (decided bool, silent time.Time) {
+	r := f.readers
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.mode == following {
+		silent = r.since
+	}
+	return r.mode != undecided, silent
+}
+
+// Source names the source of the log's topics, for log lines and metrics.
+func (f *Fleet) Source() string { return f.readers.current().String() }
+
+// Sources lists what Source may return.
+func Sources() []string { return modeNames[:] }
--- a/router/fleet/relay.go
+++ b/router/fleet/relay.go
@@ -13,24 +13,28 @@
 )
 
 // Bounds on relays. The list of targets grows with their number, and so does the load on the log
-// from each reader of the list; in a large fleet a few hosts of each failure domain read it and
+// from each relay of the list; in a large fleet a few hosts of each failure domain read it and
 // relay its changes to the others.
 const (
-	hostsPerReader  = 12                     // in a failure domain
-	maxReadersAsked = 2                      // before the log is read instead
-	relayTimeout    = 150 * time.Millisecond // for a response
-	relayMaxAge     = 900 * time.Millisecond // older responses are ignored
+	hostsPerRelay  = 12                     // in a failure domain
+	maxRelaysAsked = 2                      // before the log is read instead
+	relayTimeout   = 150 * time.Millisecond // for a response
+	relayMaxAge    = 900 * time.Millisecond // older responses are ignored
 )
 
-// Relay asks a reader of a topic in this host's failure domain for the changes from a position
-// on. ok is false if this host is a reader itself, or no reader has a fresh response.
+// Relay asks a relay of a topic in this host's failure domain for the changes from a position
+// on. ok is false if this host is a relay itself, or no relay has a fresh response.
 func (f *Fleet) Relay(ctx context.Context, topic string, from eventlog.Position) (update replica.Update, ok bool) {
+	if _, forOthers := f.ReadsLog(); forOthers {
+		f.exchangeFigures(ctx)
+		return replica.Update{}, false
+	}
 	turn, exchange := f.exchangeDue(time.Now())
-	readers := f.readers(topic, turn)
-	if exchange && len(readers) == 0 {
+	relays := f.relays(topic, turn)
+	if exchange && len(relays) == 0 {
 		f.exchange.exchangeWithSelf(time.Now())
 	}
-	for _, address := range readers[:min(len(readers), maxReadersAsked)] {
+	for _, address := range relays[:min(len(relays), maxRelaysAsked)] {
 		request := newPullRequest(map[string]eventlog.Position{topic: from})
 		if exchange {
 			request.Host, request.Offers = f.opts.Self.Name, f.exchange.offers(time.Now())
@@ -59,9 +63,9 @@
 	return replica.Update{}, false
 }
 
-// readers lists the addresses of the hosts that read a topic for this one, in an order that differs
-// between hosts and turns. It is empty in a small fleet and if this host is a reader.
-func (f *Fleet) readers(topic string, turn int) []string {
+// relays lists the addresses of the hosts that read a topic for this one, in an order that differs
+// between hosts and turns. It is empty in a small fleet and if this host is a relay.
+func (f *Fleet) relays(topic string, turn int) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	domains, total := f.domainSizes()
@@ -70,7 +74,7 @@
 	}
 	same := append(f.domainPeers(), peerState{host: f.opts.Self})
 	ranked := rendezvous.Rank(topic, same, func(peer peerState) string { return peer.host.Name })
-	ranked = ranked[:min(len(ranked), readerCount(domains[f.opts.Self.Domain]))]
+	ranked = ranked[:min(len(ranked), relayCount(domains[f.opts.Self.Domain]))]
 	for _, peer := range ranked {
 		if peer.host.Name == f.opts.Self.Name {
 			return nil
@@ -79,4 +83,4 @@
 	return f.rotatedAddresses(topic, ranked, turn)
 }
 
-func readerCount(hosts int) int { return (hosts + hostsPerReader - 1) / hostsPerReader }
+func relayCount(hosts int) int { return (hosts + hostsPerRelay - 1) / hostsPerRelay }
--- a/router/node/config.go
+++ b/router/node/config.go
@@ -173,6 +173,7 @@
 	fields := log.Fields{
 		"version": config.Version, "routes": len(config.Routes), "organisations": len(config.Organisations),
 		"bytes": decoded.bytes, "skipped": decoded.skipped, "gap": decoded.gap,
+		"age": n.configReplica.Age().Round(time.Millisecond), "source": n.fleet.Source(),
 	}
 	if previous != nil {
 		fields["before"] = previous.Version
--- a/router/node/gauges.go
+++ b/router/node/gauges.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"maststage.dev/router/fleet"
 	"maststage.dev/router/logcount"
 	"maststage.dev/router/replica"
 )
@@ -34,6 +35,9 @@
 		n.observer.RegisterGauge(fmt.Sprintf("copy_era{topic=%q}", topic), func() float64 { return float64(c.End().Era) })
 		n.observer.RegisterGauge(fmt.Sprintf("copy_age_seconds{topic=%q}", topic), func() float64 { return replicaAge(c) })
 	}
+	for _, source := range fleet.Sources() {
+		n.observer.RegisterGauge(fmt.Sprintf("log_source{source=%q}", source), func() float64 { return gaugeOf(n.fleet.Source() == source) })
+	}
 	n.observer.RegisterGauge("budgets_held_elsewhere", func() float64 { return float64(n.holders.Len(time.Now())) })
 	n.observer.RegisterGauge("quarantine_entries", func() float64 { return float64(n.guard.Len()) })
 	n.observer.RegisterGauge("domains_evacuated", func() float64 { return float64(n.targets.CountEvacuatedDomains()) })
@@ -68,10 +72,13 @@
 		return
 	}
 	n.observer.RegisterGauge("link_use_ratio", func() float64 { return n.capacity.Use(time.Now()) })
-	n.observer.RegisterGauge("host_takes_callers", func() float64 {
-		if n.capacity.Out(time.Now()) {
-			return 0
-		}
+	n.observer.RegisterGauge("host_takes_callers", func() float64 { return gaugeOf(!n.capacity.Out(time.Now())) })
+}
+
+// gaugeOf is the value of a gauge that is 1 while something holds.
+func gaugeOf(holds bool) float64 {
+	if holds {
 		return 1
-	})
+	}
+	return 0
 }
--- a/router/node/node_test.go
+++ b/router/node/node_test.go
@@ -106,3 +106,19 @@
 		f.is.True(strings.Contains(string(text), want))
 	}
 }
+
+// Guards against a gauge that shows no source of the log's topics, or several.
+func TestGaugeShowsTheSourceOfTheLog(t *testing.T) {
+	f := newFleet(t)
+	h := f.start(f.settings("h1"))
+	f.publish(config(1, plainRoute, ""))
+	f.ready(h)
+	resp, err := http.Get("http://" + h.cfg.Host.MetricsListen + "/metrics")
+	f.is.NoErr(err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	f.is.NoErr(err)
+	for source, value := range map[string]int{"undecided": 0, "direct": 1, "reading": 0, "following": 0} {
+		f.is.True(strings.Contains(string(body), fmt.Sprintf("maststage_log_source{source=%q} %d\n", source, value)))
+	}
+}
--- a/router/node/rollouts.go
+++ b/router/node/rollouts.go
@@ -55,6 +55,7 @@
 		LongPoll: settings.Milliseconds(n.cfg.Log.LongPollMs), ReadTimeout: settings.Milliseconds(n.cfg.Log.TimeoutMs),
 		OnChange:       r.statesChanged,
 		OnConnectivity: func(err error) { n.logConnectivity(n.env.StatusTopic, err) },
+		Hosts:          n.peakHostCount,
 		KeepLost:       hostsRewriteTime, OnRestored: n.eraSeen,
 	})
 	return r
--- a/router/node/suspend.go
+++ b/router/node/suspend.go
@@ -37,9 +37,7 @@
 	n.observer.Count("suspensions_total")
 	n.targets.CloseIdle()
 	n.fleet.Resumed()
-	for _, c := range n.servingReplicas() {
-		c.Refresh()
-	}
+	n.refreshReplicas()
 }
 
 // servingReplicas lists the replicas that a host needs to serve.
