--- a/router/target/target.go
+++ b/router/target/target.go
@@ -110,8 +110,12 @@
 	announcedExits   map[string]announcedExit    // the newest of each id
 	balance          *balance.Estimates
 	advisoryLog      *logging.Limiter // bounds log lines about what targets' responses advise
+	listedLog        *logging.Limiter // bounds log lines about targets that are listed
 }
 
+// listedLogLinesPerSecond bounds the log lines about targets that are listed: a host learns of all at once.
+const listedLogLinesPerSecond = 50
+
 // NewRegistry returns an empty registry.
 func NewRegistry(opts Options) *Registry {
 	if opts.Elected == nil {
@@ -148,6 +152,7 @@
 		announcedExits:   map[string]announcedExit{},
 		balance:          balance.New(opts.Hosts),
 		advisoryLog:      logging.NewLimiter(advisoryLogLinesPerSecond),
+		listedLog:        logging.NewLimiter(listedLogLinesPerSecond),
 	}
 }
 
@@ -167,7 +172,9 @@
 	}
 	if t == nil {
 		t = r.add(e)
-		log.WithFields(log.Fields{"target": e.Incarnation(), "service": e.Service, "address": e.Address, "domain": e.Domain, "version": e.Version}).Info("target listed")
+		if ok, skipped := r.listedLog.Allow(now); ok {
+			log.WithFields(log.Fields{"target": e.Incarnation(), "service": e.Service, "address": e.Address, "domain": e.Domain, "version": e.Version, "skipped": skipped}).Info("target listed")
+		}
 	}
 	if !e.StartedAt.IsZero() {
 		t.incarnation = e.Incarnation()
