forward, node: refuse for now what an unconfirmed configuration refuses

What callers saw: 401 and 404 for routes and keys that the newest configuration has.

Cause: a host says "no such route" and "no such key" by whatever configuration it has, however long ago the log, or a host that the log answers, said that there is no newer one.

Change: 404, 401, 402, 413 and 400 that rest on the configuration alone become 503 `unconfirmed` once three quarters of the time in which a change has to be in force (bounds.config_ms) have passed since that, or while a host that was suspended refreshes its state. Retry-After is an eighth of the age, 0.3 to 5 s: another host may know better at once; in an outage of the log callers with a wrong key or route come back seldom, and get their 401 or 404 as soon as one host in reach is answered by the log. A revoked key stays refused. What the configuration allows is served at any age.

Measured: without the comparison forward TestOldConfigurationRefusesForNow fails in all its cases (404, 401, 402 in place of 503) and node TestHostWithoutConfirmationRefusesForNow, TestConfirmationFromAnotherHostCounts and TestRevokedKeyIsRefusedWithoutTheLog fail; with it they pass.

--- a/router/forward/admit.go
+++ b/router/forward/admit.go
@@ -73,10 +73,16 @@
 	return OK
 }
 
-// refuseByConfig returns the kind of a request that is refused by the configuration alone, and notes how old that is.
+// refuseByConfig returns the kind of a request that is refused by the configuration alone: the given one, or Unconfirmed if
+// other hosts may have a newer configuration, which allows it.
 func (q *request) refuseByConfig(kind Kind) Kind {
-	q.outcome.ConfigAge = q.handler.configAge()
-	return kind
+	age := q.handler.configAge()
+	q.outcome.ConfigAge = age
+	if limit := q.handler.opts.ConfigAgeLimit; limit == nil || age <= limit() {
+		return kind
+	}
+	q.retryAfter = unconfirmedRetryAfter(age)
+	return Unconfirmed
 }
 
 // configAge returns how long ago the configuration was last confirmed to be the newest.
@@ -127,7 +133,7 @@
 	reader := io.Reader(q.r.Body)
 	if maxBytes := q.config.Limits.MaxBodyBytes; maxBytes > 0 {
 		if q.r.ContentLength > maxBytes {
-			return TooLarge, nil
+			return q.refuseByConfig(TooLarge), nil
 		}
 		reader = http.MaxBytesReader(q.w, q.r.Body, maxBytes)
 	}
@@ -135,7 +141,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return TooLarge, err
+		return q.refuseByConfig(TooLarge), err
 	case err != nil && q.ctx.Err() != nil:
 		return CallerGone, err
 	case err != nil:
@@ -168,7 +174,8 @@
 		return OK, nil
 	}
 	if !ok {
-		return BadRequest, errors.New("request has no valid maximum token usage")
+		// Whether it needs one is up to the configuration.
+		return q.refuseByConfig(BadRequest), errors.New("request has no valid maximum token usage")
 	}
 	reservation, err := q.handler.opts.Budgets.ReserveFor(q.ctx, prepaid.Request{
 		Organisation: q.organisation.Name, Tokens: u.in + u.out, Priority: q.route.Priority,
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -74,6 +74,8 @@
 	Suspended func() time.Duration
 	// ConfigAge returns how long ago the configuration was last confirmed to be the newest; nil: it always is.
 	ConfigAge func() time.Duration
+	// ConfigAgeLimit returns the age above which other hosts may have a newer configuration; nil: there is none.
+	ConfigAgeLimit func() time.Duration
 }
 
 // Handler serves callers.
--- a/router/forward/harness_test.go
+++ b/router/forward/harness_test.go
@@ -161,6 +161,9 @@
  "limits":{"max_body_bytes":100000},
  "organisations":[{"name":"org","keys":["k1","k2"],"priority":1}]}`
 
+// testConfigAgeLimit is the age above which the configuration of the tests counts as unconfirmed.
+const testConfigAgeLimit = time.Second
+
 // testLinkMbps is a link that no test fills unless it means to.
 const testLinkMbps = 100
 
@@ -182,7 +185,8 @@
 		Names: testHeaders, Targets: f.targets, Budgets: f.budgets, Observer: f.recorder, StreamPace: f.streamPace, Overload: f.overload, Capacity: f.capacity,
 		Retries:          retrybudget.NewSet(retrybudget.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, one, time.Time{}),
 		CloseConnections: func() bool { return f.draining.Load() || f.overload.IsUnready(time.Now()) }, MayBegin: f.mayBegin,
-		ConfigAge: func() time.Duration { return time.Duration(f.configAge.Load()) },
+		ConfigAge:      func() time.Duration { return time.Duration(f.configAge.Load()) },
+		ConfigAgeLimit: func() time.Duration { return testConfigAgeLimit },
 	})
 	f.configure(testConfig)
 	f.server = httptest.NewServer(f.handler)
--- a/router/forward/kind.go
+++ b/router/forward/kind.go
@@ -18,6 +18,7 @@
 	BadRequest     Kind = "bad_request"
 	TooLarge       Kind = "too_large"
 	OverBudget     Kind = "over_budget"     // larger than the whole budget
+	Unconfirmed    Kind = "unconfirmed"     // this host's configuration refuses it, and a newer one may not
 	BudgetWait     Kind = "budget_wait"     // no tokens are available now
 	Stopping       Kind = "stopping"        // this host shuts down too soon to serve it
 	CatchingUp     Kind = "catching_up"     // this host was suspended and has not refreshed its state yet
@@ -35,10 +36,10 @@
 	CallerGone     Kind = "caller_gone"
 )
 
-// RestsOnConfig reports whether a host refuses requests of this kind by its configuration alone.
+// RestsOnConfig reports whether a host refuses requests of this kind by its configuration, of BadRequest a part.
 func (k Kind) RestsOnConfig() bool {
 	switch k {
-	case NoRoute, BadKey, OverBudget:
+	case NoRoute, BadKey, TooLarge, BadRequest, OverBudget, Unconfirmed:
 		return true
 	}
 	return false
@@ -54,6 +55,23 @@
 // the configuration. It is longer than any caller waits for a response.
 const operatorRetryAfter = time.Hour
 
+// Bounds of the Retry-After of unconfirmed requests.
+const (
+	// minUnconfirmedRetryAfter is about the time until this host has asked others.
+	minUnconfirmedRetryAfter = 300 * time.Millisecond
+	// maxUnconfirmedRetryAfter bounds what a caller loses after the end of a long outage.
+	maxUnconfirmedRetryAfter = 5 * time.Second
+	// unconfirmedAgePerRetry is how many times longer an outage has lasted than a caller waits: waits that grow with it
+	// keep the retries of a long one few.
+	unconfirmedAgePerRetry = 8
+)
+
+// unconfirmedRetryAfter is the Retry-After of requests that a configuration of the given age refuses.
+func unconfirmedRetryAfter(age time.Duration) time.Duration {
+	wait := min(max(age/unconfirmedAgePerRetry, minUnconfirmedRetryAfter), maxUnconfirmedRetryAfter)
+	return wait.Round(time.Millisecond)
+}
+
 var finalResponses = map[Kind]finalResponse{
 	NoConfig:       {http.StatusServiceUnavailable, 500 * time.Millisecond},
 	NoRoute:        {http.StatusNotFound, 0},
@@ -61,6 +79,7 @@
 	BadRequest:     {http.StatusBadRequest, 0},
 	TooLarge:       {http.StatusRequestEntityTooLarge, 0},
 	OverBudget:     {http.StatusPaymentRequired, 0},
+	Unconfirmed:    {http.StatusServiceUnavailable, minUnconfirmedRetryAfter},
 	BudgetWait:     {http.StatusServiceUnavailable, 5 * time.Second},
 	Stopping:       {http.StatusServiceUnavailable, 50 * time.Millisecond},
 	CatchingUp:     {http.StatusServiceUnavailable, 50 * time.Millisecond},
--- a/router/node/config.go
+++ b/router/node/config.go
@@ -181,6 +181,24 @@
 	log.WithFields(fields).Info("configuration applied")
 }
 
+// confirmedFraction is the fraction of config_ms for which a confirmation that the configuration is the newest counts. The
+// rest covers its delivery to this host. A long poll without records must end within that fraction.
+const confirmedFraction = 0.75
+
+// configAge is how long ago the configuration was last confirmed to be the newest. A host that was suspended does not know
+// it until it has refreshed its state: its clock stood still.
+func (n *Node) configAge() time.Duration {
+	if n.catchingUp() {
+		return n.configAgeLimit() + time.Millisecond
+	}
+	return n.configReplica.Age()
+}
+
+// configAgeLimit is the age above which other hosts may have a newer configuration in force.
+func (n *Node) configAgeLimit() time.Duration {
+	return time.Duration(confirmedFraction * float64(settings.Milliseconds(n.newestSettings().Bounds.ConfigMs)))
+}
+
 func budgets(c *routing.Config) []prepaid.Budget {
 	var list []prepaid.Budget
 	for _, t := range c.Organisations {
--- a/router/node/config_test.go
+++ b/router/node/config_test.go
@@ -130,3 +130,85 @@
 	q.add(configChange{value: make([]byte, 2*maxPendingConfigBytes)})
 	is.Equal(len(q.takeAll()), 1) // the newest is always kept
 }
+
+// addedRoute is a route that a later version adds.
+var addedRoute = strings.Replace(plainRoute, "/r/", "/new/", 1)
+
+// Guards against a host without the log that says of a route which was added meanwhile that there is none.
+func TestHostWithoutConfirmationRefusesForNow(t *testing.T) {
+	for name, fault := range map[string]memlog.Fault{"refused": {Refuse: true}, "silent": {Silent: true}} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			f.bounds = "config_ms = 800\n"
+			h := f.start(f.settings("h1"))
+			f.publish(config(1, plainRoute, ""))
+			f.backend("t1", backend.Behaviour{Body: "one"})
+			f.ready(h)
+			f.eventually("it serves", func() bool { return f.call(h, "/r/x", "").status == 200 })
+			f.is.Equal(f.call(h, "/new/x", "").status, 404)
+
+			f.log.SetFault("", fault)
+			f.publish(config(2, plainRoute+","+addedRoute, ""))
+			f.eventually("its configuration is old", func() bool { return h.configReplica.Age() > h.configAgeLimit() })
+			for range 20 {
+				f.is.Equal(f.call(h, "/new/x", "").status, 503)
+				f.is.Equal(f.call(h, "/r/x", "").status, 200)
+				time.Sleep(20 * time.Millisecond)
+			}
+			f.log.SetFault("", memlog.Fault{})
+			f.eventually("it serves the added route", func() bool { return f.call(h, "/new/x", "").status == 200 })
+			f.eventually("it knows again that there is no such route", func() bool { return f.call(h, "/none/x", "").status == 404 })
+		})
+	}
+}
+
+// Guards against a host that stays unsure, or behind, although another one tells it that its configuration is the newest.
+func TestConfirmationFromAnotherHostCounts(t *testing.T) {
+	f := newFleet(t)
+	a := f.start(f.settings("a"))
+	b := f.start(f.settings("b", a.cfg.Host.PeerListen))
+	f.publish(config(1, plainRoute, ""))
+	f.backend("t1", backend.Behaviour{Body: "one"})
+	f.ready(a)
+	f.ready(b)
+	f.eventually("b serves", func() bool { return f.call(b, "/r/x", "").status == 200 })
+	f.log.SetFault("b", memlog.Fault{Silent: true})
+	refusesForGood := func() {
+		f.t.Helper()
+		for end := time.Now().Add(2 * b.configAgeLimit()); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			f.is.Equal(f.call(b, "/none/x", "").status, 404)
+		}
+	}
+	refusesForGood()
+	f.publish(config(2, plainRoute+","+addedRoute, ""))
+	f.eventually("b serves the added route", func() bool { return f.call(b, "/new/x", "").status == 200 })
+	refusesForGood()
+
+	f.log.SetFault("a", memlog.Fault{Silent: true})
+	f.eventually("nobody can tell", func() bool { return f.call(b, "/none/x", "").status == 503 })
+}
+
+// Guards against a revoked key that passes while nobody confirms the configuration.
+func TestRevokedKeyIsRefusedWithoutTheLog(t *testing.T) {
+	f := newFleet(t)
+	f.bounds = "config_ms = 800\n"
+	h := f.start(f.settings("h1"))
+	f.publish(config(1, plainRoute, `,"organisations":[{"name":"o","keys":["k1","k2"]}]`))
+	f.backend("t1", backend.Behaviour{Body: "one"})
+	f.ready(h)
+	f.eventually("it serves", func() bool { return f.call(h, "/r/x", "k1").status == 200 })
+	f.publish(config(2, plainRoute, `,"organisations":[{"name":"o","keys":["k2"]}]`))
+	f.eventually("the key is refused", func() bool { return f.call(h, "/r/x", "k1").status == 401 })
+
+	f.log.SetFault("", memlog.Fault{Silent: true})
+	refusals := map[int]int{}
+	for end := time.Now().Add(3 * h.configAgeLimit()); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		refusals[f.call(h, "/r/x", "k1").status]++
+		f.is.Equal(f.call(h, "/r/x", "k2").status, 200)
+	}
+	f.is.Equal(len(refusals), 2) // first 401, then 503
+	f.is.True(refusals[401] > 0)
+	f.is.True(refusals[503] > 0)
+	f.log.SetFault("", memlog.Fault{})
+	f.eventually("the key is refused for good again", func() bool { return f.call(h, "/r/x", "k1").status == 401 })
+}
--- a/router/observe/observe_test.go
+++ b/router/observe/observe_test.go
@@ -27,7 +27,7 @@
 		is.True(strings.Contains(out.String(), "request ended"))
 		return out.String()
 	}
-	for _, kind := range []forward.Kind{forward.NoRoute, forward.BadKey, forward.OverBudget} {
+	for _, kind := range []forward.Kind{forward.NoRoute, forward.BadKey, forward.OverBudget, forward.Unconfirmed} {
 		is.True(strings.Contains(line(kind), "config_age=30s"))
 	}
 	for _, kind := range []forward.Kind{forward.OK, forward.NoTarget, forward.TargetFailed} {
--- a/router/settings/sections.go
+++ b/router/settings/sections.go
@@ -81,6 +81,7 @@
 	RetryRatio   float64 `ini:"retry_ratio" default:"0.2"`   // attempts beyond the first that reach targets, per request
 	RetrySlack   float64 `ini:"retry_slack" default:"20"`    // such attempts on top of the ratio, across all hosts
 	RetryWindowS float64 `ini:"retry_window_s" default:"10"` // the two retry bounds hold in any window of this length
+	ConfigMs     float64 `ini:"config_ms" default:"2000"`    // after this time a change of the configuration is in force at all hosts
 	EvacuateMs   float64 `ini:"evacuate_ms" default:"0"`     // after this time an evacuated failure domain gets no new requests
 	// In any second all hosts together send a cold target at most cold_overrun times the
 	// rate that it can take, plus cold_slack requests.
@@ -101,6 +102,9 @@
 	if b.RetryWindowS <= 0 {
 		return invalidValue("bounds", "retry_window_s", "0", "is not above 0")
 	}
+	if b.ConfigMs <= 0 {
+		return invalidValue("bounds", "config_ms", fmt.Sprint(b.ConfigMs), "is not above 0")
+	}
 	if b.ExposureShare <= 0 || b.ExposureShare > 1 {
 		return invalidValue("bounds", "exposure_share", fmt.Sprint(b.ExposureShare), "is not a share above 0 and up to 1")
 	}
--- a/router/settings/settings_test.go
+++ b/router/settings/settings_test.go
@@ -56,6 +56,7 @@
 		{"too few partitions", "partitions =", "partitions = 0", `section [log]: key "partitions"`},
 		{"negative", "partitions =", "[bounds]\nretry_ratio = -1", `section [bounds]: key "retry_ratio": "-1" is not a number from 0`},
 		{"zero retry window", "partitions =", "[bounds]\nretry_window_s = 0", `section [bounds]: key "retry_window_s"`},
+		{"zero time of a change of the configuration", "partitions =", "[bounds]\nconfig_ms = 0", `section [bounds]: key "config_ms": "0" is not above 0`},
 		{"zero cold overrun", "partitions =", "[bounds]\ncold_overrun = 0", `section [bounds]: key "cold_overrun": "0" is not above 0`},
 		{"zero unread bytes of targets", "partitions =", "[targets]\nunread_bytes = 0", `section [targets]: key "unread_bytes": "0" is not above 0`},
 		{"zero unread bytes of a target", "partitions =", "[targets]\nunread_bytes_per_target = 0", `section [targets]: key "unread_bytes_per_target": "0" is not above 0`},
