soak: notice a late configuration also where the host says that it can't tell

Cause: the check of a configuration's age looked at 404 alone; a host that is late and knows that it can't tell answers 503 now, so the check would have become weaker.

Change: a host that answers 503 to the newest version's route and to a route that no version has counts as late, under the same conditions and the same bound of 2 s.

--- a/proofs/soak/probe_test.go
+++ b/proofs/soak/probe_test.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// noVersion is a version that is never published.
+const noVersion = -1
+
 // Figures of the probes.
 const (
 	probePause   = 250 * time.Millisecond
@@ -33,6 +36,11 @@
 			served = max(served, version)
 		case http.StatusNotFound:
 			w.checkConfigAge(h, version, published, started)
+		case http.StatusServiceUnavailable:
+			// A host that can't tell whether its configuration is the newest refuses a route of no version likewise.
+			if w.versionStatus(client, h, noVersion, random) == http.StatusServiceUnavailable {
+				w.checkConfigAge(h, version, published, started)
+			}
 		}
 		if served > 1 && w.versionStatus(client, h, served, random) == http.StatusNotFound && h.isStart(starts) {
 			w.watch.violation("configuration", "%s reverted to a version before %d", h.name, served)
