fleet: read the announcements after one look that found no readers

Cause: a host with a slow link that starts in a fleet of up to 300 hosts waited for two looks at the readers, 0.3 s apart, before it read who the others are, and only then configuration and list.

Change: one look is enough. Hosts with fast links join at once at a start of all, so a look that finds no readers is rare in a large fleet, and then costs it the announcements once.

Measured: go test ./router/fleet -run of the tests of readers passes.

--- a/router/fleet/readers.go
+++ b/router/fleet/readers.go
@@ -53,9 +53,7 @@
 	noReaderTime = 2 * time.Second
 	// maxUndecidedTime is the time after which a host that can't learn of readers reads the log itself; half of it at least.
 	maxUndecidedTime = 2 * time.Minute
-	// minEmptyLooks is the number of looks that found no readers after which a host reads the announcements from the log.
-	// Looks that failed count once it has run for announcementsDelay: until then the log may refuse all that hosts ask.
-	minEmptyLooks      = 2
+	// announcementsDelay is the time after which a host that can't learn of readers reads the announcements from the log.
 	announcementsDelay = 4 * time.Second
 )
 
@@ -110,7 +108,7 @@
 	lookFailed    bool          // the last look failed
 	slowSince     time.Time     // since when no reader with a fast link is known; zero: one is, or nothing is known
 	undecidedTime time.Duration // see maxUndecidedTime
-	emptyLooks    int           // looks that found no readers, see minEmptyLooks
+	noReaders     bool          // a look found none, or all failed for announcementsDelay
 }
 
 // newReaders returns readers that have all hosts read the log if groups is nil.
@@ -273,7 +271,7 @@
 	defer r.mu.Unlock()
 	r.looked, r.lookedFor, r.lookFailed = began, false, err != nil
 	if len(r.others) == 0 && (err == nil || time.Since(r.fleet.createdAt) > announcementsDelay) {
-		r.emptyLooks++
+		r.noReaders = true
 	}
 	r.signal()
 	return err
@@ -400,7 +398,7 @@
 	for {
 		r.mu.Lock()
 		m, changed := r.mode, r.changed
-		if m == undecided && announcements && r.emptyLooks >= minEmptyLooks {
+		if m == undecided && announcements && r.noReaders {
 			m = direct
 		}
 		r.mu.Unlock()
