--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -252,7 +252,7 @@
 // announceInterval is the mean time between two announcements. It grows with the fleet since
 // all hosts read each announcement.
 func (f *Fleet) announceInterval() time.Duration {
-	return max(f.opts.AnnounceInterval, min(time.Duration(f.Size())*announcePerHost, maxAnnounceInterval))
+	return max(f.opts.AnnounceInterval, min(time.Duration(f.PeakSize())*announcePerHost, maxAnnounceInterval))
 }
 
 // waitForAnnounce waits until the next announcement is due or requested.
@@ -262,7 +262,7 @@
 	select {
 	case <-ctx.Done():
 	case <-f.announceNow:
-		wait.For(ctx, rand.N(time.Duration(f.Size())*requestSpreadPerHost))
+		wait.For(ctx, rand.N(time.Duration(f.PeakSize())*requestSpreadPerHost))
 	}
 }
 
