--- a/router/node/node.go
+++ b/router/node/node.go
@@ -14,7 +14,6 @@
 
 	"maststage.dev/lib/graceful"
 	"maststage.dev/lib/guard"
-	"maststage.dev/router/archive"
 	"maststage.dev/router/capacity"
 	"maststage.dev/router/eventlog"
 	"maststage.dev/router/fleet"
@@ -236,65 +235,9 @@
 	n.hostsReplica = newReplica(n.env.HostsTopic, hostsPollInterval, hostsRewriteTime, n.hostsChanged)
 }
 
-// follow returns how a topic is followed at another host that reads the log.
-func (n *Node) follow(topic string) func(context.Context, eventlog.Position) (replica.Update, bool, error) {
-	return func(ctx context.Context, from eventlog.Position) (replica.Update, bool, error) {
-		return n.fleet.Follow(ctx, topic, from)
-	}
-}
-
-// Intervals between reads of a topic that this host follows at another one, or reads for others. Together they are no
-// longer than hostsPollInterval, so that news take as long as where each host reads the log.
-const (
-	followInterval = 2 * time.Second
-	readInterval   = time.Second
-	// followedListInterval is that of the list of targets: while many targets start, each call brings many entries.
-	followedListInterval = time.Second
-	readerLongPoll       = 400 * time.Millisecond
-)
-
-// topicInterval returns the minimum time between two reads of a topic, of which a host that reads alone makes one every
-// interval.
-func (n *Node) topicInterval(interval time.Duration) time.Duration {
-	switch reads, forOthers := n.fleet.ReadsLog(); {
-	case forOthers:
-		return min(interval, readInterval)
-	case !reads:
-		return min(interval, followInterval)
-	}
-	return interval
-}
-
-// longPoll is how long the log may hold a read of this host. What a host reads for others is older when they have it.
-func (n *Node) longPoll() time.Duration {
-	if _, forOthers := n.fleet.ReadsLog(); forOthers {
-		return readerLongPoll
-	}
-	return settings.Milliseconds(n.cfg.Log.LongPollMs)
-}
-
-// listInterval is the minimum time between two reads of the list of targets.
-func (n *Node) listInterval() time.Duration {
-	interval := settings.Milliseconds(n.cfg.Log.PaceMs)
-	if reads, _ := n.fleet.ReadsLog(); !reads {
-		return max(interval, followedListInterval)
-	}
-	return interval
-}
-
-// refreshReplicas starts new reads of all topics.
-func (n *Node) refreshReplicas() {
-	for _, c := range n.servingReplicas() {
-		c.Refresh()
-	}
-}
-
 // hostCount counts the hosts as far as they are known.
 func (n *Node) hostCount() int { return n.fleet.Size() }
 
-// peakHostCount counts the hosts that may call the log at once.
-func (n *Node) peakHostCount() int { return n.fleet.PeakSize() }
-
 // noTarget is the deduplication key of an entry that names no usable target.
 type noTarget struct{}
 
@@ -319,14 +262,6 @@
 	peerTimeout       = 500 * time.Millisecond
 )
 
-// groups returns the log's groups, of which calls are counted, nil if there are none.
-func (n *Node) groups() eventlog.Groups {
-	if n.env.Groups == nil {
-		return nil
-	}
-	return logcount.NewGroups(n.env.Groups, n.calls)
-}
-
 func (n *Node) newFleet(incarnation string) {
 	n.fleet = fleet.New(fleet.Options{
 		Self: fleet.Host{
@@ -360,54 +295,6 @@
 	})
 }
 
-// Parameters of the archive.
-const (
-	// archiveInterval bounds the age of the snapshot that a host starts with. A snapshot costs some
-	// 30 KB at each of archivePartitions partitions.
-	archiveInterval      = time.Second
-	archiveFallbackDelay = 150 * time.Millisecond
-	archivePartitions    = 3
-	// readerPatience is how long a host that follows readers waits for one before it loads snapshots.
-	readerPatience = 3 * time.Second
-	// sourcePatience is the same until the host knows whether it follows readers.
-	sourcePatience = 500 * time.Millisecond
-)
-
-// newArchive makes the archive, which has snapshots of configuration and targets for starts while
-// parts of the log are unreachable.
-func (n *Node) newArchive() *archive.Archive {
-	return archive.New(archive.Options{
-		Log: n.env.Log, Topic: n.env.ArchiveTopic, MaxRecordBytes: n.env.MaxRecordBytes,
-		Partitions:    min(archivePartitions, n.cfg.Log.Partitions),
-		WriteInterval: archiveInterval, FallbackDelay: archiveFallbackDelay, CallTimeout: settings.Milliseconds(n.cfg.Log.TimeoutMs),
-		Replicas: map[string]*replica.Replica{
-			n.env.ConfigTopic:  n.configReplica,
-			n.env.TargetsTopic: n.targetsReplica,
-		},
-		MayLoad:  n.needsSnapshots,
-		IsWriter: n.writesSnapshots,
-	})
-}
-
-// needsSnapshots reports whether neither the log nor a reader provides the topics. If all hosts of a large fleet started
-// from snapshots at once, the log would have to send each of them to each host.
-func (n *Node) needsSnapshots() bool {
-	decided, since := n.fleet.SourceSince()
-	switch {
-	case !decided:
-		return time.Since(n.started) > sourcePatience
-	case since.IsZero():
-		return true
-	}
-	return time.Since(since) > readerPatience
-}
-
-// writesSnapshots reports whether this host is the one that writes snapshots. Until it knows the others, each host
-// would be.
-func (n *Node) writesSnapshots() bool {
-	return n.fleet.SizeKnown() && n.fleet.IsPrimary(n.env.ArchiveTopic)
-}
-
 func (n *Node) newAllocator(incarnation string) {
 	b := n.cfg.Budgets
 	n.allocator = prepaid.New(prepaid.Options{
@@ -440,29 +327,6 @@
 	})
 }
 
-// unknownSize is the number of hosts that is assumed while it is not known: a small fleet loses little by it in its first
-// seconds, and the accounts of a large one are not read by all hosts at once.
-const unknownSize = 1000
-
-// hostsToShareWith is the number of hosts, this one included, that the log's calls for accounts are divided among.
-func (n *Node) hostsToShareWith() int {
-	if !n.fleet.SizeKnown() {
-		return max(n.fleet.Size(), unknownSize)
-	}
-	return n.fleet.Size()
-}
-
-// peakHosts is the number of hosts, this one included, that the log's calls for accounts may come from at once.
-func (n *Node) peakHosts() int { return max(n.fleet.PeakSize(), n.hostsToShareWith()) }
-
-// logSilence is how long ago the log last responded, as far as a host that follows readers noticed it late.
-func (n *Node) logSilence() time.Duration {
-	if reads, _ := n.fleet.ReadsLog(); reads || !n.configReplica.Loaded() {
-		return 0
-	}
-	return n.configReplica.Age()
-}
-
 // keepers returns how many hosts hold the tokens of a budget and whether this host is one of them.
 // self is false until this host knows the others: it would otherwise assume that it is the only host,
 // and take an allocation sized for a single one.
