--- a/router/node/config.go
+++ b/router/node/config.go
@@ -186,7 +186,7 @@
 const confirmedFraction = 0.75
 
 // configAge is how long ago the configuration was last confirmed to be the newest. A host that was suspended does not know
-// it until it has refreshed its state: its clock stood still.
+// it until it has refreshed its state: its clock stopped meanwhile.
 func (n *Node) configAge() time.Duration {
 	if n.catchingUp() {
 		return n.configAgeLimit() + time.Millisecond
