--- a/router/forward/admit.go
+++ b/router/forward/admit.go
@@ -52,7 +52,8 @@
 		return Quarantined, nil
 	}
 	q.head = h.commonHead(q.r, q.body)
-	q.callerLastEventID = q.r.Header.Get(h.names.LastEventID)
+	q.callerLastEventID, q.resumes = q.r.Header.Get(h.names.LastEventID), q.r.Header.Get(h.names.Resumes)
+	q.outcome.ResumedAfter, q.outcome.Resumes = q.callerLastEventID, q.resumes
 	h.opts.Retries.ForService(q.service).CountRequest(q.arrived)
 	return q.reserve()
 }
--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -45,7 +45,7 @@
 		targets.RecordDialFailure(t)
 	}
 	q.handler.opts.Observer.AttemptEnded(Attempt{
-		RequestID: q.id, Number: q.attempts, Target: t.ID, Domain: t.Domain, Via: a.via(), Result: res.String(),
+		RequestID: q.id, Number: q.attempts, Target: t.ID, Domain: t.Domain, Version: t.Version, Via: a.via(), Result: res.String(),
 		Status: a.status, ResumedAfter: a.resumedAfter, Duration: time.Since(started), Err: err,
 	})
 	if a.buffered != nil {
@@ -72,6 +72,7 @@
 	callerDelay     time.Duration // time spent writing to the caller since lastEvent
 	pastCallerDelay time.Duration // sum of callerDelay up to lastEvent
 	events          int           // received
+	forwarding      bool          // events were forwarded
 	maybeSent       bool          // the target may have received the request
 	withheld        bool          // not sent, though the target could be reached
 	status          int
@@ -147,7 +148,7 @@
 		a.withheld = true
 		return notSent, errors.New("target asked for a pause or announced its exit")
 	}
-	q.outcome.Target = a.target.ID
+	q.outcome.Target, q.outcome.Version = a.target.ID, a.target.Version
 	left, limited := q.timeLeft()
 	if !limited {
 		left = defaultDeadline
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -132,6 +132,7 @@
 	usage             usage
 	promptParts       string // header value; all parts but the last give the affinity
 	callerLastEventID string // from the caller's own request
+	resumes           string // the attempt that brought the first event of a stream that the caller resumes
 
 	reservation    *prepaid.Reservation
 	excluded       map[string]bool
--- a/router/forward/harness_test.go
+++ b/router/forward/harness_test.go
@@ -38,7 +38,7 @@
 // testHeaders are header names of these tests only.
 var testHeaders = Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Organisation: "X-Org", ExpectTarget: "X-Expect",
-	Usage: "X-Tokens", PromptParts: "X-Parts", LastEventID: "Last-Event-Id", Priority: "X-Priority",
+	Usage: "X-Tokens", PromptParts: "X-Parts", LastEventID: "Last-Event-Id", Resumes: "X-Resumes", Priority: "X-Priority",
 	Stamp: "X-Stamp", NotRun: "X-Not-Run", Limit: "X-Limit", Leaving: "X-Leaving", RetryAfter: "Retry-After", Internal: []string{"X-Memory"},
 }
 
@@ -68,6 +68,8 @@
 	outcomes []Outcome
 	attempts []Attempt
 	exits    []TargetExit
+
+	resumptions []StreamResumption
 }
 
 func (r *recorder) AttemptEnded(a Attempt) {
@@ -82,6 +84,12 @@
 	r.outcomes = append(r.outcomes, o)
 }
 
+func (r *recorder) StreamResumed(s StreamResumption) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.resumptions = append(r.resumptions, s)
+}
+
 func (r *recorder) TargetExited(e TargetExit) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/router/forward/headers.go
+++ b/router/forward/headers.go
@@ -21,6 +21,7 @@
 	Usage        string // tokens of the prompt and maximum output tokens
 	PromptParts  string // ID:TOKENS,... in order; the last part is unique to the request
 	LastEventID  string // the stream resumes after this event
+	Resumes      string // names the attempt that brought the first event of the stream that a caller resumes
 	Priority     string // 0 (most urgent) to 9
 	Stamp        string // a target's signature of its response
 	NotRun       string // the target did not run the request
@@ -41,7 +42,7 @@
 func (h Headers) canonical() Headers {
 	for _, name := range []*string{
 		&h.RequestID, &h.Deadline, &h.Key, &h.Organisation, &h.ExpectTarget, &h.Usage, &h.PromptParts,
-		&h.LastEventID, &h.Priority, &h.Stamp, &h.NotRun, &h.Limit, &h.Leaving, &h.RetryAfter,
+		&h.LastEventID, &h.Resumes, &h.Priority, &h.Stamp, &h.NotRun, &h.Limit, &h.Leaving, &h.RetryAfter,
 	} {
 		*name = textproto.CanonicalMIMEHeaderKey(*name)
 	}
--- a/router/forward/observer.go
+++ b/router/forward/observer.go
@@ -15,6 +15,8 @@
 	RequestEnded(o Outcome)
 	// TargetExited reports an attempt that broke off because its target exited.
 	TargetExited(e TargetExit)
+	// StreamResumed reports that events of a resumed stream are forwarded.
+	StreamResumed(r StreamResumption)
 }
 
 // Attempt describes one attempt of a request at a target.
@@ -23,6 +25,7 @@
 	Number       int
 	Target       string
 	Domain       string
+	Version      string // software version of the target
 	Via          string // the host that carried the connection, empty if it was direct
 	Result       string
 	Status       int
@@ -42,6 +45,19 @@
 	SinceFirstEvent time.Duration // 0 if no event had arrived
 }
 
+// StreamResumption describes a stream that a target resumes.
+type StreamResumption struct {
+	RequestID    string
+	FirstAttempt string // id of the attempt that brought the first event; empty if the caller did not name it
+	ByCaller     bool   // with a request of its own, else by this host within its response
+	Service      string
+	Target       string
+	Version      string // software version of the target
+	Began        string // version that brought the first event
+	BeganKnown   bool   // Began is set
+	ResumedAfter string // the id of the event after which the stream resumes
+}
+
 // Outcome describes how a request ended.
 type Outcome struct {
 	RequestID      string
@@ -55,6 +71,9 @@
 	Status         int
 	Attempts       int
 	Target         string // the last one
+	Version        string // software version of Target
+	Resumes        string // the attempt that brought the first event, as the caller names it
+	ResumedAfter   string // the caller's last event
 	Events         int
 	TokensReserved int64
 	TokensUsed     int64
--- a/router/forward/stream.go
+++ b/router/forward/stream.go
@@ -14,7 +14,8 @@
 // stream is the state of an event stream across attempts.
 type stream struct {
 	scanner  sse.Scanner
-	headSent bool // the head was sent to the caller
+	headSent bool   // the head was sent to the caller
+	version  string // of the target that brought the first event
 	control  *http.ResponseController
 }
 
@@ -42,6 +43,7 @@
 			complete := s.scanner.Scan(data)
 			a.countEvents(s.scanner.Events() - before)
 			if complete > 0 {
+				a.beginEvents()
 				if werr := a.sendToCaller(func() error { return q.sendEvents(resp, pending, data[:complete]) }); werr != nil {
 					a.conn.Finish(false)
 					return callerGone, werr
@@ -61,6 +63,30 @@
 	}
 }
 
+// beginEvents notes the target's version before the first events of the attempt are forwarded.
+func (a *attempt) beginEvents() {
+	if a.forwarding {
+		return
+	}
+	a.forwarding = true
+	q := a.request
+	began, known := q.stream.version, q.stream.headSent
+	if !known {
+		q.stream.version = a.target.Version
+	}
+	if a.resumedAfter == "" {
+		return
+	}
+	r := StreamResumption{
+		RequestID: q.id, FirstAttempt: q.id, Service: q.service, Target: a.target.ID, Version: a.target.Version,
+		Began: began, BeganKnown: known, ResumedAfter: a.resumedAfter,
+	}
+	if q.callerLastEventID != "" {
+		r.FirstAttempt, r.ByCaller = q.resumes, !known
+	}
+	q.handler.opts.Observer.StreamResumed(r)
+}
+
 // endStream checks that the target's stream ended after a complete event, and completes the
 // caller's response.
 func (a *attempt) endStream(ctx context.Context, resp *http.Response, pending []byte) (result, error) {
--- a/router/node/harness_test.go
+++ b/router/node/harness_test.go
@@ -49,7 +49,7 @@
 
 var headers = forward.Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline", Key: "X-Key", Organisation: "X-Org", ExpectTarget: "X-Expect",
-	Usage: "X-Tokens", PromptParts: "X-Parts", LastEventID: "Last-Event-Id", Priority: "X-Priority",
+	Usage: "X-Tokens", PromptParts: "X-Parts", LastEventID: "Last-Event-Id", Resumes: "X-Resumes", Priority: "X-Priority",
 	Stamp: "X-Stamp", NotRun: "X-Not-Run", Limit: "X-Limit", RetryAfter: "Retry-After",
 }
 
--- a/router/observe/observe.go
+++ b/router/observe/observe.go
@@ -66,7 +66,7 @@
 		return
 	}
 	entry.WithFields(log.Fields{
-		"request": t.RequestID, "try": t.Number, "target": t.Target, "domain": t.Domain, "result": t.Result,
+		"request": t.RequestID, "try": t.Number, "target": t.Target, "domain": t.Domain, "version": t.Version, "result": t.Result,
 		"status": t.Status, "via": t.Via, "behind": t.ResumedAfter, "took": t.Duration.Round(time.Millisecond),
 	}).WithError(t.Err).Info("attempt failed")
 }
@@ -107,6 +107,12 @@
 		"events": e.Events, "reserved": e.TokensReserved, "used": e.TokensUsed,
 		"first": e.FirstByte.Round(time.Millisecond), "took": e.Duration.Round(time.Millisecond),
 	}
+	if e.Version != "" {
+		fields["version"] = e.Version
+	}
+	if e.ResumedAfter != "" || e.Resumes != "" {
+		fields["resumes"], fields["behind"] = e.Resumes, e.ResumedAfter
+	}
 	if e.Kind != forward.OK && e.Digest != (quarantine.Digest{}) {
 		fields["digest"] = e.Digest
 	}
