--- a/proofs/soak/deadly_test.go
+++ b/proofs/soak/deadly_test.go
@@ -94,7 +94,11 @@
 	s.link.Close()
 	time.Sleep(max(replaceDelay, s.room.downTime()))
 	w.write(platformtest.Servers, s.id, nil)
-	if !w.isStopped() {
+	switch {
+	case w.isStopped():
+	case s.version != "":
+		w.startTarget(w.successor(s))
+	default:
 		w.addTarget(s.service)
 	}
 }
--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -95,6 +96,8 @@
 type targetState struct {
 	*backend.Backend
 	id, service, zone string
+	version           string          // software version
+	place             int             // number of its address
 	link              *faultlink.Link // between the hosts and it
 	cuts              map[int]func()  // ends of the cuts in progress, by number; guarded by world.mu
 	mu                sync.Mutex
@@ -138,9 +141,12 @@
 
 // worldOptions are what differs between clusters.
 type worldOptions struct {
-	thinHosts  bool // some hosts have a slow link in their settings
-	ownDialIPs bool // hosts connect to targets from addresses of their own, so that they can be cut off from them
-	brittle    int  // number of plain targets with few places, which fall over while they are brittle; 0: usual ones
+	thinHosts  bool     // some hosts have a slow link in their settings
+	ownDialIPs bool     // hosts connect to targets from addresses of their own, so that they can be cut off from them
+	engines    int      // number of engine targets; 0: the usual number
+	versions   []string // software versions of the engine targets, evenly divided; nil: one
+	unframed   bool     // responses of engine targets have neither a length nor chunks
+	brittle    int      // number of plain targets with few places, which fall over while they are brittle; 0: usual ones
 }
 
 func newWorldWith(t *testing.T, n int, seed uint64, options worldOptions) *world {
@@ -148,7 +154,7 @@
 		t: t, dir: t.TempDir(), network: takeNetwork(t), log: memlog.New(), options: options,
 		watch: newWatch(), random: rand.New(rand.NewPCG(seed, 1)), written: map[logKey][]byte{}, cuts: map[int]faultlink.Fault{},
 	}
-	for range engineTargets {
+	for range cmp.Or(options.engines, engineTargets) {
 		w.addTarget(engineService)
 	}
 	for range max(plainTargets, options.brittle) {
@@ -343,13 +349,22 @@
 	return false
 }
 
-// addTarget starts a target and writes its entry.
+// addTarget starts a target at an address of its own and writes its entry.
 func (w *world) addTarget(service string) {
 	w.mu.Lock()
 	number := w.nextID
 	w.nextID++
 	w.mu.Unlock()
-	s := &targetState{id: fmt.Sprintf("%s-%d", service, number), service: service, zone: fmt.Sprintf("z%d", number%3), cuts: map[int]func(){}}
+	version := ""
+	if service == engineService && len(w.options.versions) > 0 {
+		version = w.options.versions[number%len(w.options.versions)]
+	}
+	w.startTarget(&targetState{id: fmt.Sprintf("%s-%d", service, number), service: service, zone: fmt.Sprintf("z%d", number%3), version: version, place: number, cuts: map[int]func(){}})
+}
+
+// startTarget starts a target that is described but not running and writes its entry.
+func (w *world) startTarget(s *targetState) {
+	service := s.service
 	names := backend.Names{
 		RequestID: platform.Headers.RequestID, ExpectTarget: platform.Headers.ExpectTarget,
 		LastEventID: platform.Headers.LastEventID, Stamp: platform.Headers.Stamp, NotRun: platform.Headers.NotRun, Limit: platform.Headers.Limit,
@@ -368,7 +383,7 @@
 		w.endReplacing() // also if the test ended early
 		b.Close()
 	})
-	s.link = faultlink.Open(w.t, faultlink.Options{Listen: w.address(targetLinkPart, number), To: b.Address()})
+	s.link = faultlink.Open(w.t, faultlink.Options{Listen: w.address(targetLinkPart, s.place), To: b.Address()})
 	w.mu.Lock()
 	w.targets = append(w.targets, s)
 	for number, fault := range w.cuts {
@@ -382,7 +397,7 @@
 // list writes a target's entry.
 func (w *world) list(s *targetState, state string) {
 	w.write(platformtest.Servers, s.id, platformtest.Encode(platformtest.Server{
-		Service: s.service, Address: s.link.Address(), Zone: s.zone, State: state, Slots: s.slots(),
+		Service: s.service, Address: s.link.Address(), Zone: s.zone, Version: s.version, State: state, Slots: s.slots(),
 	}))
 }
 
@@ -398,6 +413,9 @@
 	if isDeadly(run.URI) {
 		return w.crashBehaviour()
 	}
+	if isResumed(run.URI) {
+		return w.versionedBehaviour(s, run)
+	}
 	if isLarge(run.URI) {
 		return backend.Behaviour{Delay: plainDelay, Body: largeBody}
 	}
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -25,6 +25,7 @@
 	Status        int           // 0: 200
 	Delay         time.Duration // before the response begins
 	Events        int           // number of events of a stream; 0: a whole response
+	Mark          string        // added to the data of each event; empty: nothing
 	Gap           time.Duration // between events
 	Body          string        // of a whole response
 	Refuse        bool          // refuse, and say that the request was not run
@@ -337,7 +338,14 @@
 }
 
 // Event is the text of one event of a stream.
-func Event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, id, n) }
+func Event(id string, n int) string { return markedEvent(id, n, "") }
+
+func markedEvent(id string, n int, mark string) string {
+	if mark != "" {
+		mark = " " + mark
+	}
+	return fmt.Sprintf("id: %d\ndata: %s-%d%s\n\n", n, id, n, mark)
+}
 
 // stream sends events, in chunked encoding unless NoLength, and reports whether all were sent.
 func (b *Backend) stream(c net.Conn, run *Run, how Behaviour, gone <-chan struct{}) bool {
@@ -352,7 +360,7 @@
 		if n > run.From && !b.pause(run, gone, how.Gap) {
 			return false
 		}
-		text := Event(run.ID, n)
+		text := markedEvent(run.ID, n, how.Mark)
 		if how.BreakAfter > 0 && n-run.From >= how.BreakAfter {
 			b.breakOff(c, text, how)
 			return false
