soak: a failing test of a part of prompts that crashes targets

One part has answers without framing. Targets are back after 2 s.

The line 'target exited during the attempt' names organisation and shared parts, which hypothesis 1 of docs/incidents/parts-that-crash-targets.md needs; no decision changes.

--- a/proofs/soak/checks_test.go
+++ b/proofs/soak/checks_test.go
@@ -46,7 +46,7 @@
 	runs := map[string][]backend.Run{}
 	for _, s := range w.allTargets() {
 		for _, run := range s.Runs() {
-			if isDeadly(run.URI) || isLarge(run.URI) || isResumed(run.URI) {
+			if isDeadly(run.URI) || isLarge(run.URI) || isResumed(run.URI) || isParted(run.URI) {
 				continue
 			}
 			runs[run.ID] = append(runs[run.ID], run)
--- a/proofs/soak/deadly_test.go
+++ b/proofs/soak/deadly_test.go
@@ -92,7 +92,7 @@
 	s.leftAt = time.Now()
 	s.mu.Unlock()
 	s.link.Close()
-	time.Sleep(max(replaceDelay, s.room.downTime()))
+	time.Sleep(max(replaceDelay, w.options.downTime, s.room.downTime()))
 	w.write(platformtest.Servers, s.id, nil)
 	switch {
 	case w.isStopped():
--- a/proofs/soak/watch_test.go
+++ b/proofs/soak/watch_test.go
@@ -20,6 +20,7 @@
 	stops       []interval
 	evacuations []interval            // by failure domain, from the store's response on
 	deadly      []time.Time           // arrivals of deadly requests
+	crashing    []time.Time           // arrivals of requests with a part that crashes targets
 	impairments map[*host][]*interval // restarts, stalls and cut connections of hosts
 	// interruptions are the restarts and pauses of hosts' processes.
 	interruptions map[*host][]*interval
--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -141,12 +141,13 @@
 
 // worldOptions are what differs between clusters.
 type worldOptions struct {
-	thinHosts  bool     // some hosts have a slow link in their settings
-	ownDialIPs bool     // hosts connect to targets from addresses of their own, so that they can be cut off from them
-	engines    int      // number of engine targets; 0: the usual number
-	versions   []string // software versions of the engine targets, evenly divided; nil: one
-	unframed   bool     // responses of engine targets have neither a length nor chunks
-	brittle    int      // number of plain targets with few places, which fall over while they are brittle; 0: usual ones
+	thinHosts  bool          // some hosts have a slow link in their settings
+	ownDialIPs bool          // hosts connect to targets from addresses of their own, so that they can be cut off from them
+	engines    int           // number of engine targets; 0: the usual number
+	versions   []string      // software versions of the engine targets, evenly divided; nil: one
+	downTime   time.Duration // of engine targets that crashed; the usual one if shorter
+	unframed   bool          // responses of engine targets have neither a length nor chunks
+	brittle    int           // number of plain targets with few places, which fall over while they are brittle; 0: usual ones
 }
 
 func newWorldWith(t *testing.T, n int, seed uint64, options worldOptions) *world {
@@ -416,6 +417,9 @@
 	if isResumed(run.URI) {
 		return w.versionedBehaviour(s, run)
 	}
+	if isParted(run.URI) {
+		return w.partedBehaviour(run)
+	}
 	if isLarge(run.URI) {
 		return backend.Behaviour{Delay: plainDelay, Body: largeBody}
 	}
--- a/router/forward/observer.go
+++ b/router/forward/observer.go
@@ -40,6 +40,8 @@
 	Digest          quarantine.Digest
 	Target          string
 	Service         string
+	Organisation    string
+	SharedParts     string        // of the prompt, as the caller names them; empty if there are none
 	Events          int           // received before the exit
 	Duration        time.Duration // of the attempt
 	SinceFirstEvent time.Duration // 0 if no event had arrived
--- a/router/forward/targetexit.go
+++ b/router/forward/targetexit.go
@@ -67,7 +67,7 @@
 	q := a.request
 	exit := TargetExit{
 		RequestID: q.id, Digest: q.digest, Target: q.handler.opts.Targets.Incarnation(a.target).String(), Service: q.service,
-		Events: a.events, Duration: now.Sub(a.started),
+		Organisation: q.organisationName(), SharedParts: sharedPrefix(q.promptParts), Events: a.events, Duration: now.Sub(a.started),
 	}
 	if a.events > 0 {
 		exit.SinceFirstEvent = now.Sub(a.firstEvent)
--- a/router/observe/observe.go
+++ b/router/observe/observe.go
@@ -81,7 +81,7 @@
 	}
 	entry.WithFields(log.Fields{
 		"request": b.RequestID, "digest": b.Digest, "target": b.Target, "service": b.Service,
-		"events": b.Events, "took": b.Duration.Round(time.Millisecond), "ran": b.SinceFirstEvent.Round(time.Millisecond),
+		"organisation": b.Organisation, "parts": b.SharedParts, "events": b.Events, "took": b.Duration.Round(time.Millisecond), "ran": b.SinceFirstEvent.Round(time.Millisecond),
 	}).Info("target exited during the attempt")
 }
 
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -39,6 +39,7 @@
 	NoStamp       bool          // omit the stamp
 	EarlyResponse bool          // respond before the body is read
 	Crash         bool          // close the backend and all its connections after Delay
+	CrashAfter    int           // close the backend and all its connections after this many events; 0: never
 	Limit         []string      // values of the limit header of each response
 	Leaving       bool          // each response announces the backend's exit
 	RetryAfter    string        // of a refusal; empty: none
@@ -361,6 +362,10 @@
 			return false
 		}
 		text := markedEvent(run.ID, n, how.Mark)
+		if how.CrashAfter > 0 && n-run.From >= how.CrashAfter {
+			b.Close()
+			return false
+		}
 		if how.BreakAfter > 0 && n-run.From >= how.BreakAfter {
 			b.breakOff(c, text, how)
 			return false
