forward: find out whether a target exited at the end of an unframed response

Cause: the end of such a response is the end of its connection, which a crash looks like. Change: at the end of an unframed response the host connects to the target once more, after the end was read. If nobody accepts connections there any more, the response has broken off: it is resumed or cut. Planned exits count, too.

The new forward test fails on (whole answer after 4 of 10 events) and passes now, beside the tests of unframed responses that were there.

--- a/router/forward/buffered.go
+++ b/router/forward/buffered.go
@@ -77,6 +77,10 @@
 	if !fits {
 		return a.forwardUnbuffered(ctx, resp, body)
 	}
+	if err := a.checkEnd(resp); err != nil {
+		a.conn.Finish(false)
+		return a.adjustResult(ctx, broken, err)
+	}
 	a.conn.Finish(true)
 	buffered := &bufferedResponse{resp: resp, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError && q.route.Repeatable() {
@@ -106,6 +110,10 @@
 		}
 		return a.adjustResult(ctx, cutOff, fmt.Errorf("target broke the response off: %w", err))
 	}
+	if err := a.checkEnd(resp); err != nil {
+		a.conn.Finish(false)
+		return a.adjustResult(ctx, cutOff, err)
+	}
 	a.conn.Finish(true)
 	return delivered, nil
 }
--- a/router/forward/responses_test.go
+++ b/router/forward/responses_test.go
@@ -319,3 +319,33 @@
 	f.is.True(f.arrivals()-requests <= int(0.2*requests+50))
 	f.is.True(f.arrivals() > requests)
 }
+
+// Guards against an unframed response that looks whole though its target exited in the middle of it, and against taking one
+// whose target lives on for broken off.
+func TestUnframedResponseCutByTheTargetsExitIsNotWhole(t *testing.T) {
+	t.Run("stream that may not be repeated", func(t *testing.T) {
+		f := newFixture(t)
+		f.add("e1", "engine", backend.Behaviour{Events: 10, NoLength: true, CrashAfter: 4})
+		got := f.do(f.request("POST", "/once/x", "p"))
+		f.is.True(got.err != nil)
+		f.is.Equal(got.body, events("r1", 4))
+		f.is.Equal(f.recorder.waitOutcome(t, "r1").Kind, CutOff)
+	})
+	t.Run("stream that another target resumes", func(t *testing.T) {
+		f := newFixture(t)
+		how := breakOnce(backend.Behaviour{Events: 10, NoLength: true, CrashAfter: 4}, backend.Behaviour{Events: 10, NoLength: true})
+		f.add("e1", "engine", backend.Behaviour{}).SetBehaviour(how)
+		f.add("e2", "engine", backend.Behaviour{}).SetBehaviour(how)
+		got := f.do(f.request("POST", "/stream/x", "p"))
+		f.is.NoErr(got.err)
+		f.is.Equal(got.body, events("r1", 10))
+	})
+	t.Run("target lives on", func(t *testing.T) {
+		f := newFixture(t)
+		f.add("e1", "engine", backend.Behaviour{Events: 10, NoLength: true})
+		got := f.do(f.request("POST", "/stream/x", "p"))
+		f.is.NoErr(got.err)
+		f.is.Equal(got.body, events("r1", 10))
+		f.is.Equal(f.runCount(), 1)
+	})
+}
--- a/router/forward/stream.go
+++ b/router/forward/stream.go
@@ -96,6 +96,10 @@
 		a.conn.Finish(false)
 		return a.adjustResult(ctx, broken, errors.New("target ended the stream inside an event"))
 	}
+	if err := a.checkEnd(resp); err != nil {
+		a.conn.Finish(false)
+		return a.adjustResult(ctx, broken, err)
+	}
 	if !q.stream.headSent {
 		q.sendStreamHead(resp)
 	}
--- a/router/forward/targetexit.go
+++ b/router/forward/targetexit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"sync"
@@ -10,6 +11,7 @@
 	"maststage.dev/lib/guard"
 	"maststage.dev/router/httpconn"
 	"maststage.dev/router/quarantine"
+	"maststage.dev/router/target"
 )
 
 // content returns what identifies equal requests to the quarantine.
@@ -21,12 +23,33 @@
 	return c
 }
 
+// isFramed reports whether the end of a response shows in the response itself. Otherwise its target's exit looks like the
+// end of the response.
+func isFramed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // provesRun reports whether a response, once complete, proves that its target ran the request
-// and survived. A failure may have been sent before the run, and without framing the target's
-// exit looks like the end of the response.
+// and survived. A failure may have been sent before the run.
 func provesRun(resp *http.Response) bool {
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	return framed && resp.StatusCode < http.StatusMultipleChoices
+	return isFramed(resp) && resp.StatusCode < http.StatusMultipleChoices
+}
+
+// errExitedAtEnd means that an unframed response ended since its target exited.
+var errExitedAtEnd = errors.New("target exited at the end of an unframed response")
+
+// checkEnd checks a response that was read to its end. It returns errExitedAtEnd if the response is unframed and its target
+// is gone: it may have broken off anywhere.
+func (a *attempt) checkEnd(resp *http.Response) error {
+	if isFramed(resp) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(a.request.ctx, exitProbeTimeout)
+	defer cancel()
+	if a.request.handler.opts.Targets.ProbePresence(ctx, a.target) == target.Gone {
+		return errExitedAtEnd
+	}
+	return nil
 }
 
 const (
--- a/router/target/exit.go
+++ b/router/target/exit.go
@@ -12,9 +12,10 @@
 
 // exitProbe checks whether a target's process has exited. Concurrent callers share one probe.
 type exitProbe struct {
-	began  time.Time
-	done   chan struct{} // closed once exited is set
-	exited bool
+	began    time.Time
+	done     chan struct{} // closed once the results are set
+	presence Presence      // of a process at the target's address
+	exited   bool          // the target is gone and had not announced that
 }
 
 // Limits of exit probes.
@@ -41,48 +42,78 @@
 // exit of a target that was known to be leaving. Data that other requests still read is no evidence against an
 // exit: it may have been in flight. ProbeExited returns false if ctx ends first.
 func (r *Registry) ProbeExited(ctx context.Context, t *Target) bool {
-	probe, owner := r.joinProbe(t)
+	probe := r.probeSince(ctx, t, time.Now().Add(-probeMaxAge))
+	return probe != nil && probe.exited
+}
+
+// Presence says whether a process accepts connections at a target's address.
+type Presence int
+
+// The presences.
+const (
+	PresenceUnknown Presence = iota
+	Present
+	Gone
+)
+
+// ProbePresence connects to a target's address, no earlier than it is called. Unlike ProbeExited it also notices the planned
+// exit of a target. The result is PresenceUnknown if ctx ends first.
+func (r *Registry) ProbePresence(ctx context.Context, t *Target) Presence {
+	probe := r.probeSince(ctx, t, time.Now())
+	if probe == nil {
+		return PresenceUnknown
+	}
+	return probe.presence
+}
+
+// probeSince returns a completed probe that began at a time or later, or that found that the target has exited; nil if ctx
+// ends first.
+func (r *Registry) probeSince(ctx context.Context, t *Target, since time.Time) *exitProbe {
+	probe, owner := r.joinProbe(t, since)
 	if owner {
-		probe.exited = r.runProbe(ctx, t)
+		r.runProbe(ctx, t, probe)
 		close(probe.done)
 	}
 	select {
 	case <-probe.done:
-		return probe.exited
+		return probe
 	case <-ctx.Done():
-		return false
+		return nil
 	}
 }
 
 // joinProbe returns the current probe, or starts one; owner means that the caller has to run it and close
 // done.
-func (r *Registry) joinProbe(t *Target) (probe *exitProbe, owner bool) {
+func (r *Registry) joinProbe(t *Target, since time.Time) (probe *exitProbe, owner bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
-	if t.probe != nil && (t.exited || now.Sub(t.probe.began) < probeMaxAge) {
+	if t.probe != nil && (t.exited || !t.probe.began.Before(since)) {
 		return t.probe, false
 	}
-	t.probe = &exitProbe{began: now, done: make(chan struct{})}
+	t.probe = &exitProbe{began: time.Now(), done: make(chan struct{})}
 	return t.probe, true
 }
 
-// runProbe connects to the target's address and records an exit if the connection is refused.
-func (r *Registry) runProbe(ctx context.Context, t *Target) bool {
+// runProbe connects to the target's address, sets the results of the probe and records an exit if the connection is refused.
+func (r *Registry) runProbe(ctx context.Context, t *Target, probe *exitProbe) {
 	dial, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	err := t.Pool.Probe(dial, r.direct(t))
-	refused := errors.Is(err, syscall.ECONNREFUSED) && r.refusesOthers(ctx, t)
+	switch {
+	case err == nil:
+		probe.presence = Present
+	case errors.Is(err, syscall.ECONNREFUSED) && r.refusesOthers(ctx, t):
+		probe.presence = Gone
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !refused || !t.leavingSince.IsZero() {
-		return false
+	if probe.presence != Gone || !t.leavingSince.IsZero() {
+		return
 	}
-	t.exited, t.exitedAt = true, time.Now()
+	probe.exited, t.exited, t.exitedAt = true, true, time.Now()
 	log.WithFields(log.Fields{
 		"target": t.ID, "service": t.Service, "address": t.Address, "outstanding": t.outstanding,
 	}).Warn("target process exited")
-	return true
 }
 
 // refusesOthers reports whether none of the other hosts that were asked reaches a target that refuses connections of this
