quarantine: count target exits under parts of prompts, too

Cause: exits were counted by the digest of organisation, method, host, path and body, and no two of these requests are alike: of 87 broken attempts three digests came twice. Class: evidence is kept by a key that the fault does not follow.

Change: what is counted, decided, announced and kept is a request or a shared part, in the one mechanism that was there. A part counts for the organisation whose requests it breaks, and for all once two organisations' were: nobody can have a part of others quarantined alone. Only exits before or shortly after the first event count. What clears a part is a request with it that a target survived: ten events and 0.5 s, or its end. A part that was survived before the exits needs five of them, not three, and the guilty one's exits stop counting against it.

Why it works: the guilty part is the one that no target survives; three exits decide, over all hosts, so two sends are left to bear of those that are allowed.

--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -263,6 +263,7 @@
 	mux.HandleFunc("POST "+pathRollout, f.serveRollout)
 	mux.HandleFunc("POST "+pathExits, f.serveExits)
 	mux.HandleFunc("POST "+pathCleared, f.serveCleared)
+	mux.HandleFunc("POST "+pathSurvived, f.serveSurvived)
 	mux.HandleFunc("POST "+pathQuarantine, f.serveQuarantine)
 	if f.opts.StreamVersions != nil {
 		mux.HandleFunc("POST "+pathStreams, f.serveStreams)
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -40,6 +40,8 @@
 	LinkMbps float64 `json:"link_mbps,omitempty"`
 	// StreamVersions says that the host remembers for others at which version streams began. Earlier builds don't.
 	StreamVersions bool `json:"stream_versions,omitempty"`
+	// PromptParts says that the host counts target exits under parts of prompts. Earlier builds don't.
+	PromptParts bool `json:"prompt_parts,omitempty"`
 }
 
 // Options configure a Fleet.
--- a/router/fleet/quarantine.go
+++ b/router/fleet/quarantine.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	log "github.com/sirupsen/logrus"
 
@@ -16,6 +17,7 @@
 const (
 	pathExits      = "/fleet/ends"
 	pathCleared    = "/fleet/cleared"
+	pathSurvived   = "/fleet/survived"
 	pathQuarantine = "/fleet/quarantine"
 )
 
@@ -35,6 +37,7 @@
 type Quarantine interface {
 	AddReports(reports []quarantine.Report)
 	IsCleared(d quarantine.Digest) bool
+	SurvivedAgo(part quarantine.Digest) (ago time.Duration, ok bool)
 	HandleNotice(n quarantine.Notice)
 	Unpersisted() []quarantine.Entry
 }
@@ -55,13 +58,18 @@
 type emptyResponse struct{}
 
 // CountingHosts lists the addresses of the hosts, other than this one, that count the target exits
-// under a request, and this host's rank among all of them; for a host that does not count, rank is
-// their number.
-func (f *Fleet) CountingHosts(d quarantine.Digest) (others []string, rank int) {
+// under a request or a part, and this host's rank among all of them; for a host that does not count,
+// rank is their number. Hosts of earlier builds don't count exits under parts.
+func (f *Fleet) CountingHosts(kind quarantine.Kind, d quarantine.Digest) (others []string, rank int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	self := f.opts.Self.Name
-	names := append([]string{self}, f.activePeers()...)
+	names := []string{self}
+	for _, name := range f.activePeers() {
+		if kind == quarantine.KindRequest || f.hosts[name].host.PromptParts {
+			names = append(names, name)
+		}
+	}
 	ranked := rendezvous.Rank(d.String(), names, func(name string) string { return name })
 	ranked = ranked[:min(len(ranked), countingHosts)]
 	rank = len(ranked)
@@ -98,6 +106,42 @@
 	return cleared.Load()
 }
 
+type survivedRequest struct {
+	Part quarantine.Digest `json:"part"`
+}
+
+type survivedResponse struct {
+	Survived bool  `json:"survived"`
+	AgoMs    int64 `json:"ago_ms"`
+}
+
+// Survived asks all hosts, this one included, how long ago a target last survived a part of prompts.
+func (f *Fleet) Survived(ctx context.Context, part quarantine.Digest) (ago time.Duration, ok bool) {
+	ago, ok = f.opts.Quarantine.SurvivedAgo(part)
+	var mu sync.Mutex
+	f.forEach(f.addresses(), func(address string) {
+		var response survivedResponse
+		if err := f.client.callWithTimeout(ctx, address, pathSurvived, survivedRequest{Part: part}, &response); err != nil || !response.Survived {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if theirs := time.Duration(response.AgoMs) * time.Millisecond; !ok || theirs < ago {
+			ago, ok = theirs, true
+		}
+	})
+	return ago, ok
+}
+
+func (f *Fleet) serveSurvived(w http.ResponseWriter, r *http.Request) {
+	var request survivedRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	ago, ok := f.opts.Quarantine.SurvivedAgo(request.Part)
+	writeJSON(w, survivedResponse{Survived: ok, AgoMs: ago.Milliseconds()})
+}
+
 // Broadcast sends a notice to all other hosts, and again to those that did not respond.
 func (f *Fleet) Broadcast(ctx context.Context, n quarantine.Notice) {
 	addresses := f.addresses()
--- a/router/forward/admit.go
+++ b/router/forward/admit.go
@@ -44,8 +44,9 @@
 	if kind, err := q.readBody(); kind != OK {
 		return kind, err
 	}
+	q.readPrompt()
 	q.digest = q.content().Digest()
-	if h.opts.Quarantine.IsQuarantined(q.digest) {
+	if q.quarantined() {
 		return Quarantined, nil
 	}
 	q.head = h.commonHead(q.r, q.body)
@@ -168,7 +169,6 @@
 		return OK, nil
 	}
 	header := q.r.Header
-	q.promptParts = header.Get(q.handler.names.PromptParts)
 	u, ok := parseUsage(header.Get(q.handler.names.Usage))
 	q.usage = u
 	if q.organisation == nil || q.organisation.Prepaid == nil {
--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -40,6 +40,9 @@
 	if res == delivered && a.confirmsRun {
 		q.handler.opts.Quarantine.RecordCompletion(q.digest)
 	}
+	if res == delivered && a.survivedAtEnd {
+		q.handler.opts.Quarantine.RecordSurvival(q.parts)
+	}
 	targets.EndRequest(t, a.work, a.targetResult(res))
 	if res == notSent && !a.withheld && (!targets.OutOfReach(t) || errors.Is(err, tunnel.ErrNotReached)) && !q.handler.opts.Overload.Overloaded(time.Now()) {
 		targets.RecordDialFailure(t)
@@ -73,6 +76,8 @@
 	pastCallerDelay time.Duration // sum of callerDelay up to lastEvent
 	events          int           // received
 	forwarding      bool          // events were forwarded
+	survived        bool          // see noteSurvival
+	survivedAtEnd   bool          // the target was there after the complete response
 	maybeSent       bool          // the target may have received the request
 	withheld        bool          // not sent, though the target could be reached
 	status          int
@@ -167,7 +172,7 @@
 	a.countSent()
 	a.path.BeginWait(time.Now())
 	a.waits = true
-	a.stopWaiting = q.handler.waiting.add(q.digest, conn)
+	a.stopWaiting = q.handler.waiting.add(q.digests(), conn)
 	defer a.stopWaiting()
 	return a.receive(ctx)
 }
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -40,6 +40,14 @@
 	RecordExit(r quarantine.Report)
 	// RecordCompletion records that a target ran a request to completion.
 	RecordCompletion(d quarantine.Digest)
+	// QuarantinedPart reports whether a request with these parts may be sent, and returns the entry if it is held.
+	QuarantinedPart(parts []quarantine.Part) (quarantine.Entry, quarantine.Hold)
+	// PartExits returns the target exits that this host attributes to one of the parts.
+	PartExits(parts []quarantine.Part) int
+	// RecordPartExits records that a request with these parts broke off because its target exited.
+	RecordPartExits(r quarantine.Report, parts []quarantine.Part, sent time.Time)
+	// RecordSurvival records that a target survived a request with these parts.
+	RecordSurvival(parts []quarantine.Part)
 }
 
 // Options configure a Handler.
@@ -133,6 +141,8 @@
 	head              []byte
 	body              []byte
 	digest            quarantine.Digest // identifies equal requests
+	parts             []quarantine.Part // of the prompt, those that other requests may share
+	partTrial         bool              // the first attempt tries whether the target survives the parts
 	usage             usage
 	promptParts       string                // header value; all parts but the last give the affinity
 	callerLastEventID string                // from the caller's own request
--- a/router/forward/harness_test.go
+++ b/router/forward/harness_test.go
@@ -133,10 +133,14 @@
 // noPeers stands for the other hosts of a single host.
 type noPeers struct{}
 
-func (noPeers) CountingHosts(quarantine.Digest) (others []string, place int) { return nil, 0 }
-func (noPeers) Report(context.Context, string, []quarantine.Report) error    { return nil }
-func (noPeers) Cleared(context.Context, quarantine.Digest) bool              { return false }
-func (noPeers) Broadcast(context.Context, quarantine.Notice)                 {}
+func (noPeers) CountingHosts(quarantine.Kind, quarantine.Digest) (others []string, place int) {
+	return nil, 0
+}
+func (noPeers) Report(context.Context, string, []quarantine.Report) error { return nil }
+func (noPeers) Cleared(context.Context, quarantine.Digest) bool           { return false }
+func (noPeers) Broadcast(context.Context, quarantine.Notice)              {}
+
+func (noPeers) Survived(context.Context, quarantine.Digest) (time.Duration, bool) { return 0, false }
 
 func (noPeers) Holders(streamversion.Key) []string { return nil }
 func (noPeers) Tell(context.Context, string, []streamversion.Announcement) error {
--- a/router/forward/headers.go
+++ b/router/forward/headers.go
@@ -186,6 +186,19 @@
 	return parts[:i]
 }
 
+// sharedPartIDs lists the ids of the parts of the prompt that other requests may share.
+func sharedPartIDs(parts string) (ids []string) {
+	prefix := sharedPrefix(parts)
+	if prefix == "" {
+		return nil
+	}
+	for part := range strings.SplitSeq(prefix, ",") {
+		id, _, _ := strings.Cut(strings.TrimSpace(part), ":")
+		ids = append(ids, id)
+	}
+	return ids
+}
+
 // sharedTokens counts the tokens of the parts of the prompt that other requests may share. Parts are written
 // ID:TOKENS; one without a count has none.
 func sharedTokens(parts string) (tokens float64) {
--- a/router/forward/observer.go
+++ b/router/forward/observer.go
@@ -64,6 +64,7 @@
 type Outcome struct {
 	RequestID      string
 	Digest         quarantine.Digest // zero if the body was not read
+	QuarantinedAs  quarantine.Digest // what the request was refused for: its own digest or that of a part; zero: for neither
 	Route          string
 	Organisation   string
 	Service        string
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -50,7 +50,7 @@
 	unreachable := 0
 	var last error
 	for {
-		if q.handler.opts.Quarantine.IsQuarantined(q.digest) {
+		if q.quarantined() {
 			return q.giveUp(Quarantined, last)
 		}
 		if q.regions().Empty() {
--- a/router/forward/stream.go
+++ b/router/forward/stream.go
@@ -41,6 +41,7 @@
 			before := s.scanner.Events()
 			complete := s.scanner.Scan(data)
 			a.countEvents(s.scanner.Events() - before)
+			a.noteSurvival()
 			if complete > 0 {
 				a.beginEvents()
 				if werr := a.sendToCaller(func() error { return q.sendEvents(resp, pending, data[:complete]) }); werr != nil {
--- a/router/forward/targetexit.go
+++ b/router/forward/targetexit.go
@@ -23,6 +23,34 @@
 	return c
 }
 
+// readPrompt reads the parts of the request's prompt.
+func (q *request) readPrompt() {
+	if q.engine == nil {
+		return
+	}
+	q.promptParts = q.r.Header.Get(q.handler.names.PromptParts)
+	q.parts = quarantine.PartsOf(q.service, q.organisationName(), sharedPartIDs(q.promptParts))
+}
+
+// quarantined reports whether the request must not be sent, for itself or for a part of its prompt.
+func (q *request) quarantined() bool {
+	guard := q.handler.opts.Quarantine
+	if guard.IsQuarantined(q.digest) {
+		q.outcome.QuarantinedAs = q.digest
+		return true
+	}
+	if q.partTrial && q.attempts == 0 {
+		return false
+	}
+	e, hold := guard.QuarantinedPart(q.parts)
+	q.partTrial = hold == quarantine.Trial && q.attempts == 0
+	if hold == quarantine.NotHeld || q.partTrial {
+		return false
+	}
+	q.outcome.QuarantinedAs = e.Digest
+	return true
+}
+
 // isFramed reports whether the end of a response shows in the response itself. Otherwise its target's exit looks like the
 // end of the response.
 func isFramed(resp *http.Response) bool {
@@ -41,13 +69,18 @@
 // checkEnd checks a response that was read to its end. It returns errExitedAtEnd if the response is unframed and its target
 // is gone: it may have broken off anywhere.
 func (a *attempt) checkEnd(resp *http.Response) error {
+	succeeded := resp.StatusCode < http.StatusMultipleChoices
 	if isFramed(resp) {
+		a.survivedAtEnd = succeeded
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(a.request.ctx, exitProbeTimeout)
 	defer cancel()
-	if a.request.handler.opts.Targets.ProbePresence(ctx, a.target) == target.Gone {
+	switch a.request.handler.opts.Targets.ProbePresence(ctx, a.target) {
+	case target.Gone:
 		return errExitedAtEnd
+	case target.Present:
+		a.survivedAtEnd = succeeded
 	}
 	return nil
 }
@@ -79,6 +112,7 @@
 		exited := h.opts.Targets.ProbeExited(ctx, t)
 		if exited {
 			h.opts.Quarantine.RecordExit(report)
+			h.opts.Quarantine.RecordPartExits(report, q.parts, a.started)
 			h.opts.Observer.TargetExited(exit)
 		}
 		probe <- exited
@@ -120,7 +154,33 @@
 		}
 	case <-time.After(exitProbeWait):
 	}
-	return q.brokeEarly && q.handler.opts.Quarantine.TargetExits(q.digest) >= maxExitsPerRequest
+	guard := q.handler.opts.Quarantine
+	return q.brokeEarly && max(guard.TargetExits(q.digest), guard.PartExits(q.parts)) >= maxExitsPerRequest
+}
+
+// digests lists what the request can be quarantined as.
+func (q *request) digests() []quarantine.Digest {
+	list := append(make([]quarantine.Digest, 0, 1+2*len(q.parts)), q.digest)
+	for _, p := range q.parts {
+		list = append(list, p.Own, p.Common)
+	}
+	return list
+}
+
+// A request proves that its target survives the parts of its prompt once the target has sent this much of its response.
+// Targets that crash do so within 0.11 s after they began to run.
+const (
+	survivalTime   = 500 * time.Millisecond // since the first event
+	survivalEvents = 10                     // a suspended host reads late what was sent before its target crashed
+)
+
+// noteSurvival notes, once, that the target has survived the parts of the request's prompt.
+func (a *attempt) noteSurvival() {
+	if a.survived || a.events < survivalEvents || a.lastEvent.Sub(a.firstEvent) < survivalTime {
+		return
+	}
+	a.survived = true
+	a.request.handler.opts.Quarantine.RecordSurvival(a.request.parts)
 }
 
 // waitingAttempts holds the connections of attempts whose response has not begun, so that the
@@ -136,16 +196,23 @@
 }
 
 // add registers an attempt; done removes it and may be called more than once.
-func (w *waitingAttempts) add(d quarantine.Digest, conn *httpconn.Conn) (done func()) {
+func (w *waitingAttempts) add(digests []quarantine.Digest, conn *httpconn.Conn) (done func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.conns[d] = append(w.conns[d], conn)
-	return func() { w.remove(d, conn) }
+	for _, d := range digests {
+		w.conns[d] = append(w.conns[d], conn)
+	}
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, d := range digests {
+			w.remove(d, conn)
+		}
+	}
 }
 
+// remove removes an attempt of one digest. The lock is held.
 func (w *waitingAttempts) remove(d quarantine.Digest, conn *httpconn.Conn) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	rest := slices.DeleteFunc(w.conns[d], func(c *httpconn.Conn) bool { return c == conn })
 	if len(rest) == 0 {
 		delete(w.conns, d)
@@ -163,5 +230,5 @@
 	}
 }
 
-// AbortWaiting aborts the attempts of a newly quarantined request whose response has not begun.
+// AbortWaiting aborts the attempts of a newly quarantined request, or with a quarantined part, whose response has not begun.
 func (h *Handler) AbortWaiting(d quarantine.Digest) { h.waiting.abort(d) }
--- a/router/forward/targetexit_test.go
+++ b/router/forward/targetexit_test.go
@@ -139,3 +139,45 @@
 	is.Equal(f.runCount(), 4)
 	is.Equal(f.guard.Len(), 0)
 }
+
+// partedRequest is a request of which no two are alike, with the given parts before its last one.
+func (f *fixture) partedRequest(parts string) *http.Request {
+	f.t.Helper()
+	req := f.request("POST", "/stream/x", fmt.Sprint("body ", f.nextID))
+	req.Header.Set("X-Parts", fmt.Sprintf("%s,%x:10", parts, f.nextID))
+	return req
+}
+
+// Guards against requests that crash target after target as no two are alike but for a part of their prompts, and against
+// refusing requests that share their other parts.
+func TestPartThatCrashesTargetsIsNotSent(t *testing.T) {
+	f := newFixture(t)
+	f.add("good", "engine", backend.Behaviour{Events: 3})
+	f.eventually("the other parts are known", func() bool {
+		return f.do(f.partedRequest("a:30,c:20,b:20")).err == nil
+	})
+	f.targets.Remove("good")
+	f.addCrashing(5)
+	for range 3 {
+		f.do(f.partedRequest("a:30,bad:20,b:20"))
+	}
+	f.eventually("the part is quarantined", func() bool { return f.guard.Len() > 0 })
+	f.is.True(f.ended() <= 4) // the first request ended two
+	f.add("new", "engine", backend.Behaviour{Events: 3})
+	arrivals := f.arrivals()
+	got := f.do(f.partedRequest("bad:20"))
+	f.is.Equal(got.status, http.StatusServiceUnavailable)
+	f.is.Equal(got.header.Get("Retry-After"), "3600")
+	f.is.Equal(f.arrivals(), arrivals)
+	outcome := f.recorder.waitOutcome(t, f.lastID())
+	f.is.Equal(outcome.Kind, Quarantined)
+	f.is.True(outcome.QuarantinedAs != outcome.Digest)
+	f.eventually("other parts are served", func() bool {
+		return f.do(f.partedRequest("a:30,c:20,b:20")).status == http.StatusOK
+	})
+	f.eventually("the last part is the request's own", func() bool {
+		req := f.request("POST", "/stream/x", "last")
+		req.Header.Set("X-Parts", "a:30,bad:20")
+		return f.do(req).status == http.StatusOK
+	})
+}
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -272,7 +272,7 @@
 	n.fleet = fleet.New(fleet.Options{
 		Self: fleet.Host{
 			Name: n.cfg.Host.Name, Incarnation: incarnation, Address: n.cfg.Host.PeerListen, Domain: n.cfg.Host.Domain,
-			PeerKey: n.peerKey, LinkMbps: n.cfg.Capacity.LinkMbps, StreamVersions: true,
+			PeerKey: n.peerKey, LinkMbps: n.cfg.Capacity.LinkMbps, StreamVersions: true, PromptParts: true,
 		},
 		Tunnels: n.tunnelServer, Permits: n.permitServer, Transport: n.env.PeerTransport,
 		Groups: n.groups(), OnSource: n.refreshReplicas,
--- a/router/observe/observe.go
+++ b/router/observe/observe.go
@@ -116,6 +116,9 @@
 	if e.Kind != forward.OK && e.Digest != (quarantine.Digest{}) {
 		fields["digest"] = e.Digest
 	}
+	if e.QuarantinedAs != (quarantine.Digest{}) {
+		fields["quarantined_as"] = e.QuarantinedAs
+	}
 	if e.Kind.RestsOnConfig() {
 		fields["config_age"] = e.ConfigAge.Round(time.Millisecond)
 	}
--- a/router/quarantine/decision.go
+++ b/router/quarantine/decision.go
@@ -22,17 +22,21 @@
 	persistRetryDelay = 500 * time.Millisecond
 )
 
-// decide quarantines a request unless it completed at some host.
-func (g *Guard) decide(d Digest) {
+// decide quarantines a request unless it completed at some host, or a part unless a target survived it.
+func (g *Guard) decide(kind Kind, d Digest) {
 	ctx, cancel := context.WithTimeout(context.Background(), decisionTimeout)
 	defer cancel()
 	defer g.endDecision(d)
-	_, rank := g.peers.CountingHosts(d)
+	_, rank := g.peers.CountingHosts(kind, d)
 	wait.For(ctx, time.Duration(rank)*rankDelay)
 	if g.IsQuarantined(d) || g.IsCleared(d) {
 		return
 	}
-	if g.peers.Cleared(ctx, d) {
+	if kind.isPart() {
+		if !g.isGuilty(ctx, d) {
+			return
+		}
+	} else if g.peers.Cleared(ctx, d) {
 		g.markCleared(d)
 		return
 	}
@@ -41,6 +45,32 @@
 	}
 }
 
+// isGuilty asks all hosts whether a target survived a part, and reports whether the evidence against the part suffices.
+func (g *Guard) isGuilty(ctx context.Context, d Digest) bool {
+	g.mu.Lock()
+	s := g.tally.suspects[d]
+	if s == nil {
+		g.mu.Unlock()
+		return false
+	}
+	part, first := s.newest.Common, s.first
+	g.mu.Unlock()
+	ago, survived := g.peers.Survived(ctx, part)
+	if !survived {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.survivals.add(part, time.Now().Add(-ago))
+	if ago < time.Since(first) {
+		g.tally.forgetPart(part)
+		log.WithFields(log.Fields{"digest": d, "part": s.newest.Part}).Info("part of prompts was survived at another host and is not quarantined")
+		return false
+	}
+	s.survived = true
+	return s.sufficient()
+}
+
 func (g *Guard) endDecision(d Digest) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -67,7 +97,7 @@
 	r := s.newest
 	return Entry{
 		Digest: d, Organisation: r.Organisation, Service: r.Service, RequestID: r.RequestID,
-		Targets: s.targets(), Host: g.opts.Host, At: time.Now(),
+		Targets: s.targets(), Host: g.opts.Host, At: time.Now(), Kind: r.Kind, Part: r.Part, Common: r.Common,
 	}, true
 }
 
@@ -100,19 +130,22 @@
 	}
 }
 
+// quarantineMessages are the log messages about entries, by whether they are about parts.
+var quarantineMessages = map[bool]string{false: "request quarantined", true: "part of prompts quarantined"}
+
 // addEntry adds an entry and returns the entries that it evicted.
 func (g *Guard) addEntry(e Entry, persisted bool) []Entry {
 	g.mu.Lock()
 	added, dropped := g.list.add(e, persisted)
 	g.tally.forget(e.Digest)
-	g.tally.attribute(e.Targets, time.Now())
+	g.tally.attribute(e.Kind, e.Targets, time.Now())
 	g.nonEmpty.Store(len(g.list.entries) > 0)
 	g.mu.Unlock()
 	if added {
 		log.WithFields(log.Fields{
 			"digest": e.Digest, "organisation": e.Organisation, "service": e.Service, "request": e.RequestID,
-			"targets": strings.Join(e.Targets, ","), "decided_by": e.Host, "from_log": persisted,
-		}).Warn("request quarantined")
+			"targets": strings.Join(e.Targets, ","), "decided_by": e.Host, "from_log": persisted, "kind": e.Kind, "part": e.Part,
+		}).Warn(quarantineMessages[e.Kind.isPart()])
 		g.opts.Count("quarantine_entries_total")
 		g.opts.OnQuarantine(e.Digest)
 	}
--- a/router/quarantine/entry.go
+++ b/router/quarantine/entry.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// Entry is a request in quarantine: no host sends it to a target.
+// Entry is a request, or a part of prompts, in quarantine: no host sends the request, or requests with the part, to a
+// target.
 type Entry struct {
 	Digest       Digest    `json:"digest"`
 	Organisation string    `json:"organisation"`
@@ -15,6 +16,11 @@
 	Targets      []string  `json:"targets"` // that exited under it
 	Host         string    `json:"host"`    // that decided it
 	At           time.Time `json:"at"`
+	// Kind, and of a part its id and its digest in all requests. Earlier builds know requests only, and take an entry of
+	// another kind for that of a request that never comes.
+	Kind   Kind   `json:"kind,omitempty"`
+	Part   string `json:"part,omitempty"`
+	Common Digest `json:"common,omitzero"`
 }
 
 // Notice tells another host that a request is in quarantine, or no longer.
@@ -57,10 +63,12 @@
 type entryList struct {
 	entries   map[Digest]Entry
 	persisted map[Digest]bool // were read from the topic
+	addedAt   map[Digest]time.Time
+	tried     map[Digest]int // requests that this host sent to try an entry, see laterTrials
 }
 
 func newEntryList() *entryList {
-	return &entryList{entries: map[Digest]Entry{}, persisted: map[Digest]bool{}}
+	return &entryList{entries: map[Digest]Entry{}, persisted: map[Digest]bool{}, addedAt: map[Digest]time.Time{}, tried: map[Digest]int{}}
 }
 
 // add adds an entry. added is false if it was known; dropped are the evicted entries.
@@ -72,6 +80,7 @@
 		return false, nil
 	}
 	l.entries[e.Digest] = e
+	l.addedAt[e.Digest] = time.Now()
 	for len(l.entries) > maxEntries {
 		oldest := l.oldest()
 		dropped = append(dropped, oldest)
@@ -84,6 +93,8 @@
 	e, had = l.entries[d]
 	delete(l.entries, d)
 	delete(l.persisted, d)
+	delete(l.addedAt, d)
+	delete(l.tried, d)
 	return e, had
 }
 
@@ -97,6 +108,16 @@
 	return oldest
 }
 
+// ofPart lists the entries about a part.
+func (l *entryList) ofPart(part Digest) (list []Digest) {
+	for d, e := range l.entries {
+		if e.Kind.isPart() && e.Common == part {
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
 // unpersisted lists the entries received from hosts that were not read from the topic yet.
 func (l *entryList) unpersisted() []Entry {
 	var entries []Entry
--- a/router/quarantine/fleet_test.go
+++ b/router/quarantine/fleet_test.go
@@ -99,7 +99,7 @@
 	return h.reconnectedAt.IsZero() || now.Before(h.disconnectedAt) || now.Sub(h.reconnectedAt) >= simReconnect
 }
 
-func (h *simHost) CountingHosts(d Digest) (others []string, rank int) {
+func (h *simHost) CountingHosts(_ Kind, d Digest) (others []string, rank int) {
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
 	ranked := rendezvous.Rank(d.String(), h.fleet.hosts, func(o *simHost) string { return o.name })
@@ -166,6 +166,20 @@
 	return false
 }
 
+func (h *simHost) Survived(_ context.Context, part Digest) (ago time.Duration, ok bool) {
+	for _, name := range append(h.others(), h.name) {
+		o, err := h.call(name, part)
+		if err != nil {
+			continue
+		}
+		if age, survived := o.guard.SurvivedAgo(part); survived && (!ok || age < ago) {
+			ago, ok = age, true
+		}
+	}
+	time.Sleep(20 * time.Millisecond)
+	return ago, ok
+}
+
 func (h *simHost) Broadcast(_ context.Context, n Notice) {
 	for _, name := range h.others() {
 		if o, err := h.call(name, n); err == nil {
--- a/router/quarantine/guard.go
+++ b/router/quarantine/guard.go
@@ -17,14 +17,16 @@
 
 // Peers are the other hosts.
 type Peers interface {
-	// CountingHosts lists the addresses of the hosts that count the target exits under a request,
-	// without this host. All hosts get the same ranking. rank is this host's rank in it, or the number
-	// of counting hosts if it is not one of them.
-	CountingHosts(d Digest) (others []string, rank int)
+	// CountingHosts lists the addresses of the hosts that count the target exits under a request, or
+	// under a part of prompts, without this host. All hosts get the same ranking. rank is this host's
+	// rank in it, or the number of counting hosts if it is not one of them.
+	CountingHosts(kind Kind, d Digest) (others []string, rank int)
 	// Report reports target exits to a counting host.
 	Report(ctx context.Context, address string, reports []Report) error
 	// Cleared asks all hosts whether a request completed at one of them.
 	Cleared(ctx context.Context, d Digest) bool
+	// Survived asks all hosts how long ago a target last survived a part.
+	Survived(ctx context.Context, part Digest) (ago time.Duration, ok bool)
 	// Broadcast sends a notice to all hosts.
 	Broadcast(ctx context.Context, n Notice)
 }
@@ -43,7 +45,8 @@
 	Go func(duty string, f func())
 }
 
-// Guard detects the requests that crash targets and keeps them from being sent.
+// Guard detects the requests, and the parts of prompts, that crash targets and keeps requests from being sent because of
+// them.
 //
 // Pattern: a request that crashes any target that runs it may come again at any host, each time under
 // another id. No host sees more than some of its attempts, so target exits are counted at a few hosts,
@@ -51,6 +54,11 @@
 // under it, unless a host has seen it complete, notify all hosts, and write an entry to the log for
 // hosts that start later or could not be reached.
 //
+// A part of a prompt may crash targets whatever else a request holds, so that no two such requests are alike. Exits are counted
+// for each shared part in the same way. Innocent parts come with the guilty one all the time, and are told from it by requests
+// that targets survive: each host remembers when that last happened for a part. A part that a target survived before the
+// exits began has to be there at more of them.
+//
 // The alternative is to report each exit to all hosts, each of which then decides by itself. For one
 // request to be quarantined, with 13 requests interrupted by each of three exits, 300 hosts then make
 // 11,960 calls of 1.6 MB in total, instead of 714 calls of 0.09 MB; 8 hosts make 161 instead of 93
@@ -61,11 +69,12 @@
 	reports  chan Report
 	nonEmpty atomic.Bool // there are entries
 
-	mu       sync.Mutex
-	cleared  *clearedSet
-	tally    *tally
-	list     *entryList
-	deciding map[Digest]bool
+	mu        sync.Mutex
+	cleared   *clearedSet
+	survivals *survivals
+	tally     *tally
+	list      *entryList
+	deciding  map[Digest]bool
 }
 
 // maxReports bounds the reports waiting to be sent. One exit interrupts at most as many requests of a
@@ -76,7 +85,7 @@
 func New(opts Options) *Guard {
 	return &Guard{
 		opts: opts, reports: make(chan Report, maxReports),
-		cleared: newClearedSet(), tally: newTally(), list: newEntryList(), deciding: map[Digest]bool{},
+		cleared: newClearedSet(), survivals: newSurvivals(), tally: newTally(), list: newEntryList(), deciding: map[Digest]bool{},
 	}
 }
 
@@ -143,6 +152,11 @@
 	if g.IsCleared(r.Digest) {
 		return
 	}
+	g.record(r)
+}
+
+// record counts a report of this host and sends it to the counting hosts.
+func (g *Guard) record(r Report) {
 	g.AddReports([]Report{r})
 	select {
 	case g.reports <- r:
@@ -161,10 +175,11 @@
 		if held || g.cleared.has(r.Digest) {
 			continue
 		}
-		s := g.tally.add(r, now)
+		_, survived := g.survivals.last(r.Common)
+		s := g.tally.add(r, now, r.Kind.isPart() && survived)
 		if s != nil && s.sufficient() && !g.deciding[r.Digest] {
 			g.deciding[r.Digest] = true
-			g.opts.Go("quarantine", func() { g.decide(r.Digest) })
+			g.opts.Go("quarantine", func() { g.decide(r.Kind, r.Digest) })
 		}
 	}
 }
--- a/router/quarantine/guard_test.go
+++ b/router/quarantine/guard_test.go
@@ -32,9 +32,12 @@
 	return l
 }
 
-func (l *loneGuard) CountingHosts(Digest) ([]string, int)           { return nil, 0 }
+func (l *loneGuard) CountingHosts(Kind, Digest) ([]string, int)     { return nil, 0 }
 func (l *loneGuard) Report(context.Context, string, []Report) error { return nil }
 func (l *loneGuard) Cleared(context.Context, Digest) bool           { return false }
+func (l *loneGuard) Survived(_ context.Context, part Digest) (time.Duration, bool) {
+	return l.SurvivedAgo(part)
+}
 func (l *loneGuard) Broadcast(_ context.Context, n Notice) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/router/quarantine/reports.go
+++ b/router/quarantine/reports.go
@@ -33,7 +33,7 @@
 func (g *Guard) gather(r Report) map[string][]Report {
 	byHost := map[string][]Report{}
 	for {
-		others, _ := g.peers.CountingHosts(r.Digest)
+		others, _ := g.peers.CountingHosts(r.Kind, r.Digest)
 		for _, address := range others {
 			byHost[address] = append(byHost[address], r)
 		}
--- a/router/quarantine/tally.go
+++ b/router/quarantine/tally.go
@@ -20,6 +20,11 @@
 	// were seen to end targets 0.07 to 0.11 s after they began to run. A window of one second would
 	// quarantine 24 more of the 6,771.
 	earlyExitWindow = 300 * time.Millisecond
+	// earlyExitsDespiteSurvival is the same for a part that a target survived before. The guilty part is quarantined
+	// before that, and its exits no longer count against others.
+	earlyExitsDespiteSurvival = 5
+	// minOrganisations is how many organisations' requests must have been interrupted for a part to be quarantined for all.
+	minOrganisations = 2
 	// suspectTTL is how long a request is suspect after the newest exit. One that comes more rarely
 	// crashes few targets.
 	suspectTTL = 10 * time.Minute
@@ -35,13 +40,19 @@
 	RequestID    string `json:"request"`
 	Target       string `json:"target"` // the incarnation that exited
 	Early        bool   `json:"young"`  // the request had not run for long
+	// Kind, and of a part its id and its digest in all requests.
+	Kind   Kind   `json:"kind,omitempty"`
+	Part   string `json:"part,omitempty"`
+	Common Digest `json:"common,omitzero"`
 }
 
-// suspect is a request under which targets exited.
+// suspect is a request, or a part of prompts, under which targets exited.
 type suspect struct {
-	newest Report
-	exits  map[string]bool // by target, whether the exit was early
-	at     time.Time       // of the newest exit
+	newest        Report
+	exits         map[string]bool // by target, whether the exit was early
+	first, at     time.Time       // of the first and the newest exit
+	survived      bool            // a part that a target survived before the first exit
+	organisations map[string]bool // whose requests were interrupted
 }
 
 func (s *suspect) targets() []string { return slices.Sorted(maps.Keys(s.exits)) }
@@ -54,6 +65,12 @@
 			early++
 		}
 	}
+	if s.newest.Kind == KindCommonPart && len(s.organisations) < minOrganisations {
+		return false
+	}
+	if s.newest.Kind.isPart() && s.survived {
+		return early >= earlyExitsDespiteSurvival
+	}
 	return early >= earlyExitsToQuarantine || len(s.exits) >= exitsToQuarantine
 }
 
@@ -69,19 +86,20 @@
 }
 
 // add adds a report and returns its suspect, or nil if the exit is already attributed to another
-// request.
-func (t *tally) add(r Report, now time.Time) *suspect {
-	if _, ok := t.attributed[r.Target]; ok {
+// one. survived says that a target survived the part before.
+func (t *tally) add(r Report, now time.Time, survived bool) *suspect {
+	s := t.suspects[r.Digest]
+	if _, ok := t.attributed[r.Target]; ok && (s == nil || !s.exits[r.Target]) {
 		return nil
 	}
-	s := t.suspects[r.Digest]
 	if s == nil || now.Sub(s.at) > suspectTTL {
 		t.evict(now)
-		s = &suspect{exits: map[string]bool{}}
+		s = &suspect{exits: map[string]bool{}, first: now, survived: survived, organisations: map[string]bool{}}
 		t.suspects[r.Digest] = s
 	}
 	s.newest, s.at = r, now
 	s.exits[r.Target] = s.exits[r.Target] || r.Early
+	s.organisations[r.Organisation] = true
 	return s
 }
 
@@ -95,9 +113,19 @@
 
 func (t *tally) forget(d Digest) { delete(t.suspects, d) }
 
-// attribute stops the exits that a quarantined request caused from counting against other requests,
-// which were merely in flight at the same targets.
-func (t *tally) attribute(targets []string, now time.Time) {
+// forgetPart forgets the exits under a part, for all organisations.
+func (t *tally) forgetPart(part Digest) {
+	for d, s := range t.suspects {
+		if s.newest.Kind.isPart() && s.newest.Common == part {
+			delete(t.suspects, d)
+		}
+	}
+}
+
+// attribute stops the exits that a quarantined request or part caused from counting against others, which were merely in
+// flight at the same targets. Of parts that came together, and that no target is known to have survived, any may be the
+// guilty one: their exits go on counting.
+func (t *tally) attribute(kind Kind, targets []string, now time.Time) {
 	for target, at := range t.attributed {
 		if now.Sub(at) > suspectTTL {
 			delete(t.attributed, target)
@@ -106,6 +134,9 @@
 	for _, target := range targets {
 		t.attributed[target] = now
 		for d, s := range t.suspects {
+			if kind.isPart() && s.newest.Kind.isPart() && !s.survived {
+				continue
+			}
 			delete(s.exits, target)
 			if len(s.exits) == 0 {
 				delete(t.suspects, d)
--- a/router/quarantine/tally_test.go
+++ b/router/quarantine/tally_test.go
@@ -15,20 +15,20 @@
 	is := is.New(t)
 	tally, now := newTally(), time.Now()
 	for range 10 { // many attempts were interrupted there, at several hosts
-		s := tally.add(Report{Digest: crasher, Target: "a", Early: true}, now)
+		s := tally.add(Report{Digest: crasher, Target: "a", Early: true}, now, false)
 		is.True(!s.sufficient())
 	}
-	is.True(!tally.add(Report{Digest: crasher, Target: "b", Early: true}, now).sufficient())
-	is.True(tally.add(Report{Digest: crasher, Target: "c", Early: true}, now).sufficient())
+	is.True(!tally.add(Report{Digest: crasher, Target: "b", Early: true}, now, false).sufficient())
+	is.True(tally.add(Report{Digest: crasher, Target: "c", Early: true}, now, false).sufficient())
 }
 
 func TestLateExitsCountLess(t *testing.T) {
 	is := is.New(t)
 	tally, now := newTally(), time.Now()
 	for i := range exitsToQuarantine - 1 {
-		is.True(!tally.add(Report{Digest: crasher, Target: fmt.Sprint(i)}, now).sufficient())
+		is.True(!tally.add(Report{Digest: crasher, Target: fmt.Sprint(i)}, now, false).sufficient())
 	}
-	is.True(tally.add(Report{Digest: crasher, Target: "last"}, now).sufficient())
+	is.True(tally.add(Report{Digest: crasher, Target: "last"}, now, false).sufficient())
 }
 
 // Requests in flight beside a quarantined one are not blamed for the same exits.
@@ -36,25 +36,25 @@
 	is := is.New(t)
 	tally, now := newTally(), time.Now()
 	for _, target := range []string{"a", "b"} {
-		tally.add(Report{Digest: digestOf(1), Target: target, Early: true}, now)
+		tally.add(Report{Digest: digestOf(1), Target: target, Early: true}, now, false)
 	}
-	tally.attribute([]string{"a", "b", "c"}, now)
+	tally.attribute(KindRequest, []string{"a", "b", "c"}, now)
 	is.Equal(tally.exits(digestOf(1)), 0)
-	is.True(tally.add(Report{Digest: digestOf(1), Target: "c", Early: true}, now) == nil)
-	is.Equal(len(tally.add(Report{Digest: digestOf(1), Target: "d", Early: true}, now).exits), 1)
+	is.True(tally.add(Report{Digest: digestOf(1), Target: "c", Early: true}, now, false) == nil)
+	is.Equal(len(tally.add(Report{Digest: digestOf(1), Target: "d", Early: true}, now, false).exits), 1)
 }
 
 func TestSuspectsAreBoundedAndExpire(t *testing.T) {
 	is := is.New(t)
 	tally, now := newTally(), time.Now()
 	for i := range maxSuspects + 100 {
-		tally.add(Report{Digest: digestOf(i), Target: "a", Early: true}, now.Add(time.Duration(i)))
+		tally.add(Report{Digest: digestOf(i), Target: "a", Early: true}, now.Add(time.Duration(i)), false)
 	}
 	is.Equal(len(tally.suspects), maxSuspects)
 	is.Equal(tally.exits(digestOf(0)), 0) // the oldest was evicted
 	is.Equal(tally.exits(digestOf(maxSuspects+99)), 1)
 	later := now.Add(suspectTTL + time.Minute)
-	is.Equal(len(tally.add(Report{Digest: digestOf(maxSuspects + 99), Target: "b", Early: true}, later).exits), 1)
+	is.Equal(len(tally.add(Report{Digest: digestOf(maxSuspects + 99), Target: "b", Early: true}, later, false).exits), 1)
 }
 
 func TestClearedSetKeepsTheNewest(t *testing.T) {
@@ -109,7 +109,7 @@
 				continue
 			case r.target == exited:
 				interrupted++
-				s := tally.add(Report{Digest: r.digest, Target: fmt.Sprint(i), Early: IsEarlyExit(now.Sub(r.began) - first)}, now)
+				s := tally.add(Report{Digest: r.digest, Target: fmt.Sprint(i), Early: IsEarlyExit(now.Sub(r.began) - first)}, now, false)
 				quarantined[r.digest] = quarantined[r.digest] || s.sufficient()
 				if r.attempts == maxAttempts {
 					continue
