--- a/proofs/soak/config_test.go
+++ b/proofs/soak/config_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -47,7 +48,7 @@
 			route(unsafePath, "unsafe", plainService, 3),
 		},
 		Services: []platformtest.Service{
-			{Name: engineService, MaxConns: 1000, Engine: &platformtest.Engine{Slots: targetSlots, Stride: 1}},
+			{Name: engineService, MaxConns: cmp.Or(w.options.maxConns, 1000), Engine: &platformtest.Engine{Slots: targetSlots, Stride: 1}},
 			{Name: plainService, MaxConns: 1000},
 		},
 		Tenants: []platformtest.Tenant{
