intake: turn connections away unread while one host gets most of them

Cause: each host has a fixed part of the connections that targets take, and the decision to refuse falls after the read. Class: a bound that is checked after the caller has paid for it.

Change: once a request was refused because all connections to its targets were in use, and while new connections come at more than twice the usual rate, the host takes no more connections than 0.85 of those it had in use then, a bound that grows by a quarter a second. Others are closed unread, which callers may retry at once at any host, and the host is not ready for 2.5 s. At the usual rate nothing changes: where all hosts lack room, 503 and when to come back is better for callers.

Not covered: a host short of processor time or of its link, which overload and capacity judge after the read as before.

--- a/lib/graceful/graceful.go
+++ b/lib/graceful/graceful.go
@@ -26,6 +26,7 @@
 type Server struct {
 	http    *http.Server
 	leaving atomic.Bool
+	admit   func(inUse int) bool // nil: all connections are taken
 
 	mu        sync.Mutex
 	listener  *listener
@@ -49,6 +50,25 @@
 	return g
 }
 
+// SetAdmission has admit decide whether to take a new connection, by the number of connections that are new or serve a
+// request; another one is closed unread. All are taken once Shutdown begins. It must be called before Serve.
+func (s *Server) SetAdmission(admit func(inUse int) bool) { s.admit = admit }
+
+// admits reports whether to take a new connection.
+func (s *Server) admits() bool {
+	if s.admit == nil || s.leaving.Load() {
+		return true
+	}
+	return s.admit(s.InUse())
+}
+
+// InUse counts the connections that are new or serve a request.
+func (s *Server) InUse() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.busy)
+}
+
 // trackState records which connections are idle and which are busy.
 func (s *Server) trackState(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
@@ -73,7 +93,7 @@
 	if !ok {
 		return errNotTCP
 	}
-	wrapped := newListener(tcp)
+	wrapped := newListener(tcp, s.admits)
 	s.mu.Lock()
 	s.listener = wrapped
 	s.mu.Unlock()
--- a/lib/graceful/graceful_test.go
+++ b/lib/graceful/graceful_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -250,7 +251,29 @@
 	is := is.New(t)
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	l := newListener(tcp.(*net.TCPListener))
+	l := newListener(tcp.(*net.TCPListener), func() bool { return true })
 	is.NoErr(l.Close())
 	is.NoErr(l.Close())
 }
+
+// Guards against connections that are read though they are not admitted, and against turning one away once the server
+// shuts down: the balancer may still send it there.
+func TestConnectionsThatAreNotAdmittedAreClosedUnread(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int64
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s := New(&http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { requests.Add(1) })})
+	s.SetAdmission(func(int) bool { return false })
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	_, err = client.Post("http://"+l.Addr().String(), "text/plain", strings.NewReader("x"))
+	is.True(err != nil)
+	is.Equal(requests.Load(), int64(0))
+	s.Leave()
+	resp, err := client.Post("http://"+l.Addr().String(), "text/plain", strings.NewReader("x"))
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	is.Equal(requests.Load(), int64(1))
+}
--- a/lib/graceful/listener.go
+++ b/lib/graceful/listener.go
@@ -14,6 +14,7 @@
 // reset them, with the requests already sent on them.
 type listener struct {
 	*net.TCPListener
+	admit       func() bool // whether to take a new connection, see Server.SetAdmission
 	closing     atomic.Bool
 	drained     chan struct{} // closed once Accept has returned the last connection
 	drainedOnce sync.Once     // guards the close of drained
@@ -23,14 +24,18 @@
 	pending     []net.Conn
 }
 
-func newListener(l *net.TCPListener) *listener {
-	return &listener{TCPListener: l, drained: make(chan struct{})}
+func newListener(l *net.TCPListener, admit func() bool) *listener {
+	return &listener{TCPListener: l, admit: admit, drained: make(chan struct{})}
 }
 
 // Accept returns the next connection, and http.ErrServerClosed after the last one.
 func (l *listener) Accept() (net.Conn, error) {
-	if !l.closing.Load() {
+	for !l.closing.Load() {
 		c, err := l.TCPListener.Accept()
+		if err == nil && !l.closing.Load() && !l.admit() {
+			_ = c.Close() // unread
+			continue
+		}
 		if err == nil || !l.closing.Load() {
 			return c, err
 		}
--- a/proofs/soak/hothost_test.go
+++ b/proofs/soak/hothost_test.go
@@ -49,7 +49,20 @@
 	}
 }
 
-// newConnections sends requests, each on a connection of its own, and counts them from skip on.
+// unreadTries is how often a caller tries another host after one that closed its connection unread. If no host reads the
+// request, it counts as not served.
+const unreadTries = 2
+
+// closedUnread reports whether a connection was closed without any response.
+func closedUnread(c call) bool {
+	return c.status == 0 && c.err != nil && c.ended.Sub(c.started) < unreadWithin
+}
+
+// unreadWithin is the time within which a host closes a connection that it does not read.
+const unreadWithin = 100 * time.Millisecond
+
+// newConnections sends requests, each on a connection of its own, and counts the first attempts that hosts read, from skip
+// on.
 func (w *world) newConnections(length, interval time.Duration, random *rand.Rand, count *tally, skip time.Duration, pick func() *host) {
 	ctx, stop := context.WithTimeout(context.Background(), length)
 	defer stop()
@@ -63,6 +76,12 @@
 		all.Go(func() {
 			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}, Timeout: requestLimit}
 			c := w.send(client, h, path, largeTenant, own)
+			for range unreadTries {
+				if !closedUnread(c) {
+					break
+				}
+				c = w.send(client, w.hosts[own.IntN(len(w.hosts))], path, largeTenant, own) // retries reach any host
+			}
 			if c.started.Sub(begin) < skip {
 				return
 			}
--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -44,6 +44,7 @@
 		q.handler.opts.Quarantine.RecordSurvival(q.parts)
 	}
 	targets.EndRequest(t, a.work, a.targetResult(res))
+	q.lacked = q.lacked || errors.Is(err, httpconn.ErrConnLimit)
 	if res == notSent && !a.withheld && (!targets.OutOfReach(t) || errors.Is(err, tunnel.ErrNotReached)) && !q.handler.opts.Overload.Overloaded(time.Now()) {
 		targets.RecordDialFailure(t)
 	}
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -68,6 +68,8 @@
 	// Quarantine is consulted before each attempt and notified of its result.
 	Quarantine Quarantine
 	Observer   Observer
+	// OnLack is called when a request is refused because this host has no connection to a target left for it; nil: nobody is.
+	OnLack func()
 	// StreamVersions remembers at which version of its targets each stream began.
 	StreamVersions StreamVersions
 	// Rollouts selects the versions that a request may use and records the results; nil: any.
@@ -105,6 +107,9 @@
 	if opts.Rollouts == nil {
 		opts.Rollouts = anyVersion{}
 	}
+	if opts.OnLack == nil {
+		opts.OnLack = func() {}
+	}
 	if opts.Unsent == nil {
 		opts.Unsent = unsent.New(unsent.Unlimited, func() {})
 	}
@@ -142,6 +147,7 @@
 	body              []byte
 	digest            quarantine.Digest // identifies equal requests
 	parts             []quarantine.Part // of the prompt, those that other requests may share
+	lacked            bool              // an attempt found all connections to its target in use
 	partTrial         bool              // the first attempt tries whether the target survives the parts
 	usage             usage
 	promptParts       string                // header value; all parts but the last give the affinity
@@ -187,6 +193,9 @@
 	if kind == OK {
 		kind, err = q.run()
 		q.handler.opts.Capacity.Responded(q.route.Name, q.linkBytes)
+		if q.lacked && (kind == NoTarget || kind == Overloaded) {
+			q.handler.opts.OnLack()
+		}
 	}
 	q.releaseBuffer()
 	if q.tracked != nil {
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -18,6 +18,7 @@
 	"maststage.dev/router/eventlog"
 	"maststage.dev/router/fleet"
 	"maststage.dev/router/forward"
+	"maststage.dev/router/intake"
 	"maststage.dev/router/logcount"
 	"maststage.dev/router/logging"
 	"maststage.dev/router/observe"
@@ -99,6 +100,7 @@
 	unsent         *unsent.Tracker
 	guard          *quarantine.Guard
 	streams        *streamversion.Directory
+	intake         *intake.Gate
 	suspensions    *suspend.Detector
 	lastWake       atomic.Pointer[wake] // of the newest suspension
 	balances       *balanceLog
@@ -141,6 +143,7 @@
 		eraChanged:     make(chan struct{}, 1),
 		limitNotices:   newLimitNotices(),
 		reach:          reach.New(),
+		intake:         intake.New(),
 	}
 	n.capacity = capacity.New(cfg.Capacity.LinkMbps, n.leaving)
 	n.calls = logcount.New(env.Log, n.countCall)
@@ -185,7 +188,7 @@
 	n.handler = forward.New(forward.Options{
 		Names: env.Headers, Targets: n.targets, Budgets: n.allocator, Retries: n.retries,
 		StreamPace: streampace.New(), Overload: n.overload, Capacity: n.capacity, Permits: n.permits, DecodeBrittle: env.DecodeBrittle, Quarantine: n.guard, Unread: n.unread, Unsent: n.unsent,
-		Observer: n.observer, CloseConnections: n.closesAll, MayBegin: n.admits, Suspended: n.suspendedTime, Rollouts: n.rollouts, StreamVersions: n.streams,
+		Observer: n.observer, CloseConnections: n.closesAll, MayBegin: n.admits, Suspended: n.suspendedTime, Rollouts: n.rollouts, StreamVersions: n.streams, OnLack: n.lacksConnections,
 		ConfigAge: n.configAge, ConfigAgeLimit: n.configAgeLimit,
 	})
 	n.suspensions = suspend.New(clocks, n.resumed)
@@ -418,7 +421,7 @@
 // Ready reports whether the host accepts new connections.
 func (n *Node) Ready() bool {
 	now := time.Now()
-	return !n.leaving(now) && !n.capacity.Out(now) && n.handler.Config() != nil && n.targetsReplica.Loaded() && n.quarantineLoaded() && !n.catchingUp()
+	return !n.leaving(now) && !n.capacity.Out(now) && !n.intake.Unready(now) && n.handler.Config() != nil && n.targetsReplica.Loaded() && n.quarantineLoaded() && !n.catchingUp()
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/router/node/stop.go
+++ b/router/node/stop.go
@@ -15,13 +15,15 @@
 // callerServer makes the server for callers. Its limits are those of the configuration that is active when a
 // connection is used, and defaults until there is one.
 func (n *Node) callerServer() *graceful.Server {
-	return graceful.New(&http.Server{
+	server := graceful.New(&http.Server{
 		Handler:           n.handler,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          nil,
 	})
+	server.SetAdmission(n.admitsConnection)
+	return server
 }
 
 // Defaults until there is a configuration.
