--- a/proofs/soak/faults_test.go
+++ b/proofs/soak/faults_test.go
@@ -94,6 +94,8 @@
 		return crowd
 	case cutKind:
 		return cutFromTargets
+	case partKind:
+		return sendCrashingPart
 	}
 	return strikes[kind]
 }
--- a/proofs/soak/soak_test.go
+++ b/proofs/soak/soak_test.go
@@ -105,6 +105,7 @@
 	events = append(events, restores(seed)...)
 	events = append(events, crowds(seed)...)
 	events = append(events, cuts(seed)...)
+	events = append(events, crashingParts(seed)...)
 	w := newWorldWith(t, hosts, seed, worldOptions{thinHosts: hasThinHosts(seed), ownDialIPs: hasCuts(seed), versions: softwareVersions(seed)})
 	if hasSlowLinks(seed) {
 		w.slowDownLinks()
@@ -131,6 +132,7 @@
 	w.play(ctx, events)
 	w.recovered()
 	w.checkDeadly(events)
+	w.checkCrashingParts(events)
 	w.checkLimitsLifted()
 	stop()
 	traffic.Wait()
