forward: read the parts of a prompt for the service that a stream goes on at

A stream that its caller takes up on a route that is split over services goes to the service that began it, which was found after the parts of its prompt had been read for another one: they were then counted, and looked up in the quarantine, for the wrong service. Found reading the diff; the origin is now found first. Lines about hosts that could not be told of streams are bounded to two a second: a dead host would have caused one for each batch.

Measured: go test of streamversion and forward pass, with a new test of streams on split routes.

--- a/router/forward/admit.go
+++ b/router/forward/admit.go
@@ -44,17 +44,15 @@
 	if kind, err := q.readBody(); kind != OK {
 		return kind, err
 	}
+	if kind := q.findOrigin(); kind != OK {
+		return kind, nil
+	}
 	q.readPrompt()
 	q.digest = q.content().Digest()
 	if q.quarantined() {
 		return Quarantined, nil
 	}
 	q.head = h.commonHead(q.r, q.body)
-	q.callerLastEventID, q.resumes = q.r.Header.Get(h.names.LastEventID), q.r.Header.Get(h.names.Resumes)
-	q.outcome.ResumedAfter, q.outcome.Resumes = q.callerLastEventID, q.resumes
-	if kind := q.findOrigin(); kind != OK {
-		return kind, nil
-	}
 	h.opts.Retries.ForService(q.service).CountRequest(q.arrived)
 	return q.reserve()
 }
--- a/router/forward/resume.go
+++ b/router/forward/resume.go
@@ -30,8 +30,11 @@
 }
 
 // findOrigin finds where the stream began that the caller takes up, if it does: only targets of that service and version
-// can go on with it.
+// can go on with it. It may change the request's service.
 func (q *request) findOrigin() Kind {
+	names := q.handler.names
+	q.callerLastEventID, q.resumes = q.r.Header.Get(names.LastEventID), q.r.Header.Get(names.Resumes)
+	q.outcome.ResumedAfter, q.outcome.Resumes = q.callerLastEventID, q.resumes
 	if !q.takesUp() {
 		return OK
 	}
--- a/router/forward/resume_test.go
+++ b/router/forward/resume_test.go
@@ -125,3 +125,25 @@
 	f.is.NoErr(got.err)
 	f.is.Equal(got.status, http.StatusOK)
 }
+
+const splitConfig = `{"version":8,
+ "routes":[{"name":"stream","host":"a.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":4000,"target_latency_ms":200,"gap_target_ms":100,"max_attempts":3,"resumable":true,
+  "split":[{"service":"engine","weight":1},{"service":"other","weight":1}]}],
+ "services":[{"name":"engine","engine":{"slots":4,"stride":5}},{"name":"other","engine":{"slots":4,"stride":5}}]}`
+
+// Guards against a stream of a route that is split over services, and that goes on at another service than the one that
+// began it.
+func TestStreamTakenUpByItsCallerGoesOnAtItsService(t *testing.T) {
+	f := newFixture(t)
+	f.configure(splitConfig)
+	f.add("e1", "engine", backend.Behaviour{Events: 10})
+	f.add("o1", "other", backend.Behaviour{Events: 10})
+	for range 6 {
+		began := f.do(f.request("POST", "/stream/x", "p"))
+		f.is.NoErr(began.err)
+		first := f.lastID()
+		got := f.do(f.takeUp(first, "4"))
+		f.is.NoErr(got.err)
+		f.is.Equal(got.header.Get("X-Stamp"), began.header.Get("X-Stamp"))
+	}
+}
--- a/router/streamversion/directory.go
+++ b/router/streamversion/directory.go
@@ -8,6 +8,7 @@
 	log "github.com/sirupsen/logrus"
 
 	"maststage.dev/lib/wait"
+	"maststage.dev/router/logging"
 )
 
 // Peers are the other hosts.
@@ -68,14 +69,19 @@
 	peers Peers
 	wake  chan struct{} // full: streams may have to be announced
 
+	failureLog *logging.Limiter // limits lines about hosts that could not be told
+
 	mu      sync.Mutex
 	table   *table
 	pending map[string]map[Key]bool // by service, the streams that were not announced
 }
 
+// failureLinesPerSecond bounds the log lines about hosts that could not be told.
+const failureLinesPerSecond = 2
+
 // New makes an empty directory; Run announces its streams.
 func New(opts Options) *Directory {
-	return &Directory{opts: opts, wake: make(chan struct{}, 1), table: newTable(), pending: map[string]map[Key]bool{}}
+	return &Directory{opts: opts, wake: make(chan struct{}, 1), failureLog: logging.NewLimiter(failureLinesPerSecond), table: newTable(), pending: map[string]map[Key]bool{}}
 }
 
 // SetPeers sets the other hosts. It is called once, before the directory is used.
@@ -256,7 +262,9 @@
 		return
 	}
 	d.opts.Count(`stream_version_announcements_total{outcome="failed"}`)
-	log.WithFields(log.Fields{"peer": address, "streams": len(streams)}).WithError(err).Info("telling another host of stream versions failed")
+	if ok, skipped := d.failureLog.Allow(time.Now()); ok {
+		log.WithFields(log.Fields{"peer": address, "streams": len(streams), "skipped": skipped}).WithError(err).Info("telling another host of stream versions failed")
+	}
 	if ctx.Err() == nil {
 		d.tellAll(ctx, streams, rank+holders)
 	}
