quarantine: learn from a trial that crashes its target, too

Requests that lack one of these parts are tried; those with the guilty part lacked one of another group, used up the later trials of the deciding host, crashed, and nothing followed from that.

Change: the parts that a later trial lacked and whose target crashed all the same are innocent and lifted, and the next trial may follow.

--- a/router/quarantine/entry.go
+++ b/router/quarantine/entry.go
@@ -64,11 +64,11 @@
 	entries   map[Digest]Entry
 	persisted map[Digest]bool // were read from the topic
 	addedAt   map[Digest]time.Time
-	tried     map[Digest]int // requests that this host sent to try an entry, see laterTrials
+	tried     map[Digest]bool // this host sent a request to try the entry, see laterTrials
 }
 
 func newEntryList() *entryList {
-	return &entryList{entries: map[Digest]Entry{}, persisted: map[Digest]bool{}, addedAt: map[Digest]time.Time{}, tried: map[Digest]int{}}
+	return &entryList{entries: map[Digest]Entry{}, persisted: map[Digest]bool{}, addedAt: map[Digest]time.Time{}, tried: map[Digest]bool{}}
 }
 
 // add adds an entry. added is false if it was known; dropped are the evicted entries.
--- a/router/quarantine/part.go
+++ b/router/quarantine/part.go
@@ -160,6 +160,7 @@
 	if !r.Early {
 		return
 	}
+	g.narrow(parts, sent)
 	for _, p := range parts {
 		if ago, ok := g.SurvivedAgo(p.Common); ok && time.Since(sent) > ago {
 			continue // another request with the part began since then, or ran on, and did not crash its target
--- a/router/quarantine/part_test.go
+++ b/router/quarantine/part_test.go
@@ -330,3 +330,36 @@
 	_, ok := s.last(digestOf(10*survivalGenerationSize - 1))
 	is.True(ok)
 }
+
+// Guards against innocent parts that stay quarantined since they came with the guilty one at all exits, as the fleet had just
+// started: later requests that lack one of the parts tell them apart, whether they crash their target or not.
+func TestLaterTrialsTellPartsApart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newLoneGuard()
+		guilty, sound := PartsOf("s", "o", []string{"bad", "a", "b"}), PartsOf("s", "o", []string{"c", "a", "b"})
+		for i := range 3 {
+			target := fmt.Sprint("t", i)
+			l.RecordPartExits(Report{Organisation: "o", Target: target, Early: true}, guilty, time.Now())
+			l.RecordPartExits(Report{Organisation: "o", Target: target, Early: true}, sound, time.Now())
+		}
+		sleep(time.Second)
+		is.Equal(l.Len(), 4)
+		sleep(laterTrialInterval)
+		_, hold := l.QuarantinedPart(guilty) // it lacks c
+		is.Equal(hold, Trial)
+		sleep(10 * time.Millisecond)
+		l.RecordPartExits(Report{Organisation: "o", Target: "t9", Early: true}, guilty, time.Now().Add(-5*time.Millisecond))
+		sleep(time.Second)
+		is.Equal(l.Len(), 3) // c is innocent
+		is.True(l.holds(guilty))
+		rest := PartsOf("s", "o", []string{"d", "a", "b"})
+		_, hold = l.QuarantinedPart(rest)
+		is.Equal(hold, Trial)
+		l.RecordSurvival(rest)
+		sleep(time.Second)
+		is.Equal(l.Len(), 1)
+		is.True(l.holds(guilty))
+		is.True(!l.holds(sound))
+	})
+}
--- a/router/quarantine/trial.go
+++ b/router/quarantine/trial.go
@@ -6,45 +6,72 @@
 )
 
 // Parts that come together at the same exits, and none of which a target is known to have survived, are quarantined together:
-// any may be the guilty one. Requests with some of them only, not all, are tried then, which tells them apart.
+// any may be the guilty one. Requests with some of them only, not all, are tried, which tells them apart: the parts of one that
+// its target survives are innocent, and so are the parts that one lacks which crashes its target.
 const (
-	// trialTime is how long after an entry was added such requests are sent.
+	// trialTime is how long after an entry was added all hosts send such requests.
 	trialTime = 2 * time.Second
-	// laterTrials is how many such requests the host that decided an entry sends after that, and laterTrialInterval the time
-	// between them: there may have been none within trialTime.
-	laterTrials        = 2
+	// laterTrials is how many of the hosts that count exits under the part send one more each, since there may have been none
+	// within trialTime, and laterTrialInterval the time between them.
+	laterTrials        = 3
 	laterTrialInterval = 5 * time.Second
 )
 
 // mayTry reports whether a request with these parts may be sent despite an entry about one of them. The lock is held.
 func (g *Guard) mayTry(e Entry, parts []Part, now time.Time) bool {
-	if !g.isAmbiguous(e, parts) {
+	if len(g.missingFrom(parts, e)) == 0 {
 		return false
 	}
-	added := g.list.addedAt[e.Digest]
-	if now.Sub(added) < trialTime {
+	age := now.Sub(g.list.addedAt[e.Digest])
+	if age < trialTime {
 		return true
 	}
-	tried := g.list.tried[e.Digest]
-	if e.Host != g.opts.Host || tried >= laterTrials || now.Sub(added) < time.Duration(tried+1)*laterTrialInterval {
+	_, rank := g.peers.CountingHosts(e.Kind, e.Digest)
+	if g.list.tried[e.Digest] || rank >= laterTrials || age < time.Duration(rank+1)*laterTrialInterval {
 		return false
 	}
-	g.list.tried[e.Digest]++
+	g.list.tried[e.Digest] = true
 	return true
 }
 
-// isAmbiguous reports whether other parts were quarantined at some of the same exits as an entry's, and the request lacks one
-// of them.
-func (g *Guard) isAmbiguous(e Entry, parts []Part) bool {
-	for _, other := range g.list.entries {
+// missingFrom lists the entries about parts that were quarantined at some of the same exits as an entry's part, and that a
+// request with the given parts lacks. The lock is held.
+func (g *Guard) missingFrom(parts []Part, e Entry) (missing []Digest) {
+	for d, other := range g.list.entries {
 		if !other.Kind.isPart() || other.Common == e.Common || !haveCommon(other.Targets, e.Targets) {
 			continue
 		}
 		if !slices.ContainsFunc(parts, func(p Part) bool { return p.Common == other.Common }) {
-			return true
+			missing = append(missing, d)
 		}
 	}
-	return false
+	return missing
+}
+
+// narrow lifts the entries about parts that a request lacked which was sent as a later trial and crashed its target. Within
+// trialTime a target may have had several such requests.
+func (g *Guard) narrow(parts []Part, sent time.Time) {
+	if !g.nonEmpty.Load() {
+		return
+	}
+	g.mu.Lock()
+	var innocent []Digest
+	for _, p := range parts {
+		for _, d := range []Digest{p.Own, p.Common} {
+			e, held := g.list.entries[d]
+			if !held || sent.Sub(g.list.addedAt[d]) < trialTime {
+				continue
+			}
+			if missing := g.missingFrom(parts, e); len(missing) > 0 {
+				innocent = append(innocent, missing...)
+				delete(g.list.tried, d) // fewer parts are left to tell apart
+			}
+		}
+	}
+	g.mu.Unlock()
+	for _, d := range innocent {
+		g.lift(d, "a request without the part crashed its target")
+	}
 }
 
 func haveCommon(a, b []string) bool {
