--- a/router/forward/targetexit.go
+++ b/router/forward/targetexit.go
@@ -14,43 +14,6 @@
 	"maststage.dev/router/target"
 )
 
-// content returns what identifies equal requests to the quarantine.
-func (q *request) content() quarantine.Content {
-	c := quarantine.Content{Method: q.r.Method, Host: q.r.Host, URI: q.r.RequestURI, Body: q.body}
-	if q.organisation != nil {
-		c.Organisation = q.organisation.Name
-	}
-	return c
-}
-
-// readPrompt reads the parts of the request's prompt.
-func (q *request) readPrompt() {
-	if q.engine == nil {
-		return
-	}
-	q.promptParts = q.r.Header.Get(q.handler.names.PromptParts)
-	q.parts = quarantine.PartsOf(q.service, q.organisationName(), sharedPartIDs(q.promptParts))
-}
-
-// quarantined reports whether the request must not be sent, for itself or for a part of its prompt.
-func (q *request) quarantined() bool {
-	guard := q.handler.opts.Quarantine
-	if guard.IsQuarantined(q.digest) {
-		q.outcome.QuarantinedAs = q.digest
-		return true
-	}
-	if q.partTrial && q.attempts == 0 {
-		return false
-	}
-	e, hold := guard.QuarantinedPart(q.parts)
-	q.partTrial = hold == quarantine.Trial && q.attempts == 0
-	if hold == quarantine.NotHeld || q.partTrial {
-		return false
-	}
-	q.outcome.QuarantinedAs = e.Digest
-	return true
-}
-
 // isFramed reports whether the end of a response shows in the response itself. Otherwise its target's exit looks like the
 // end of the response.
 func isFramed(resp *http.Response) bool {
@@ -158,15 +121,6 @@
 	return q.brokeEarly && max(guard.TargetExits(q.digest), guard.PartExits(q.parts)) >= maxExitsPerRequest
 }
 
-// digests lists what the request can be quarantined as.
-func (q *request) digests() []quarantine.Digest {
-	list := append(make([]quarantine.Digest, 0, 1+2*len(q.parts)), q.digest)
-	for _, p := range q.parts {
-		list = append(list, p.Own, p.Common)
-	}
-	return list
-}
-
 // A request proves that its target survives the parts of its prompt once the target has sent this much of its response.
 // Targets that crash do so within 0.11 s after they began to run.
 const (
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -421,7 +421,8 @@
 // Ready reports whether the host accepts new connections.
 func (n *Node) Ready() bool {
 	now := time.Now()
-	return !n.leaving(now) && !n.capacity.Out(now) && !n.intake.Unready(now) && n.handler.Config() != nil && n.targetsReplica.Loaded() && n.quarantineLoaded() && !n.catchingUp()
+	takesCallers := !n.leaving(now) && !n.capacity.Out(now) && !n.intake.Unready(now)
+	return takesCallers && n.handler.Config() != nil && n.targetsReplica.Loaded() && n.quarantineLoaded() && !n.catchingUp()
 }
 
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
