quarantine: try ambiguous parts where it tells something, and count late reports

Causes: (1) the exits were attributed to an innocent part before the last report about the guilty one arrived; that report no longer counted, the guilty part was never quarantined and nothing told the two apart. Reports about parts that nobody is known to have survived count on, beside entries about parts. (2) a request with two quarantined parts used up this host's later trial of the one, and was then refused for the other. A later trial is now decided for all entries of a request at once, and counts for the first of them.

--- a/router/quarantine/entry.go
+++ b/router/quarantine/entry.go
@@ -1,8 +1,10 @@
 package quarantine
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -108,6 +110,19 @@
 	return oldest
 }
 
+// about lists the entries about any of the parts, sorted by digest.
+func (l *entryList) about(parts []Part) (list []Entry) {
+	for _, p := range parts {
+		for _, d := range []Digest{p.Own, p.Common} {
+			if e, held := l.entries[d]; held {
+				list = append(list, e)
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b Entry) int { return bytes.Compare(a.Digest[:], b.Digest[:]) })
+	return list
+}
+
 // ofPart lists the entries about a part.
 func (l *entryList) ofPart(part Digest) (list []Digest) {
 	for d, e := range l.entries {
--- a/router/quarantine/part.go
+++ b/router/quarantine/part.go
@@ -126,19 +126,14 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	hold, now := NotHeld, time.Now()
-	for _, p := range parts {
-		for _, d := range []Digest{p.Own, p.Common} {
-			e, held := g.list.entries[d]
-			if held && !g.mayTry(e, parts, now) {
-				return e, Held
-			}
-			if held {
-				hold = Trial
-			}
-		}
+	entries := g.list.about(parts)
+	switch {
+	case len(entries) == 0:
+		return Entry{}, NotHeld
+	case g.mayTry(entries, parts, time.Now()):
+		return Entry{}, Trial
 	}
-	return Entry{}, hold
+	return entries[0], Held
 }
 
 // PartExits returns the most target exits that this host attributes to one of the parts, of those that no target is known
--- a/router/quarantine/part_test.go
+++ b/router/quarantine/part_test.go
@@ -363,3 +363,31 @@
 		is.True(!l.holds(sound))
 	})
 }
+
+// Guards against a guilty part that is never quarantined, and an innocent one that is for good, as the exits are attributed to
+// the innocent one before the last report about the guilty one arrives.
+func TestReportsAboutAPartCountAfterAnotherWasQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newLoneGuard()
+		bad, other := PartsOf("s", "o", []string{"bad"}), PartsOf("s", "o", []string{"b"})
+		for i := range 3 {
+			l.RecordPartExits(Report{Organisation: "o", Target: fmt.Sprint("t", i), Early: true}, other, time.Now())
+			if i < 2 {
+				l.RecordPartExits(Report{Organisation: "o", Target: fmt.Sprint("t", i), Early: true}, bad, time.Now())
+			}
+		}
+		sleep(time.Second)
+		is.True(l.holds(other))
+		l.RecordPartExits(Report{Organisation: "o", Target: "t2", Early: true}, bad, time.Now())
+		sleep(time.Second)
+		is.Equal(l.Len(), 2)
+		sleep(trialTime)
+		is.True(l.holds(bad))
+		sleep(laterTrialInterval)
+		_, hold := l.QuarantinedPart(other) // bad is not among its parts
+		is.Equal(hold, Trial)
+		l.RecordExit(Report{Digest: digestOf(1), Target: "t2", Early: true})
+		is.Equal(l.TargetExits(digestOf(1)), 0) // requests are not blamed
+	})
+}
--- a/router/quarantine/tally.go
+++ b/router/quarantine/tally.go
@@ -78,18 +78,27 @@
 // once per request, whichever host reports it. It is not safe for concurrent use.
 type tally struct {
 	suspects   map[Digest]*suspect
-	attributed map[string]time.Time // targets whose exit a quarantined request caused
+	attributed map[string]attribution // targets whose exit something quarantined caused
+}
+
+// attribution says what the exit of a target is attributed to.
+type attribution struct {
+	at     time.Time
+	toPart bool // only to parts, of which another one may be the guilty one
 }
 
 func newTally() *tally {
-	return &tally{suspects: map[Digest]*suspect{}, attributed: map[string]time.Time{}}
+	return &tally{suspects: map[Digest]*suspect{}, attributed: map[string]attribution{}}
 }
 
 // add adds a report and returns its suspect, or nil if the exit is already attributed to another
 // one. survived says that a target survived the part before.
 func (t *tally) add(r Report, now time.Time, survived bool) *suspect {
 	s := t.suspects[r.Digest]
-	if _, ok := t.attributed[r.Target]; ok && (s == nil || !s.exits[r.Target]) {
+	if s != nil {
+		survived = s.survived
+	}
+	if to, ok := t.attributed[r.Target]; ok && !(to.toPart && r.Kind.isPart() && !survived) {
 		return nil
 	}
 	if s == nil || now.Sub(s.at) > suspectTTL {
@@ -126,13 +135,14 @@
 // flight at the same targets. Of parts that came together, and that no target is known to have survived, any may be the
 // guilty one: their exits go on counting.
 func (t *tally) attribute(kind Kind, targets []string, now time.Time) {
-	for target, at := range t.attributed {
-		if now.Sub(at) > suspectTTL {
+	for target, to := range t.attributed {
+		if now.Sub(to.at) > suspectTTL {
 			delete(t.attributed, target)
 		}
 	}
 	for _, target := range targets {
-		t.attributed[target] = now
+		before, known := t.attributed[target]
+		t.attributed[target] = attribution{at: now, toPart: kind.isPart() && (!known || before.toPart)}
 		for d, s := range t.suspects {
 			if kind.isPart() && s.newest.Kind.isPart() && !s.survived {
 				continue
--- a/router/quarantine/trial.go
+++ b/router/quarantine/trial.go
@@ -17,16 +17,24 @@
 	laterTrialInterval = 5 * time.Second
 )
 
-// mayTry reports whether a request with these parts may be sent despite an entry about one of them. The lock is held.
-func (g *Guard) mayTry(e Entry, parts []Part, now time.Time) bool {
-	if len(g.missingFrom(parts, e)) == 0 {
-		return false
-	}
-	age := now.Sub(g.list.addedAt[e.Digest])
-	if age < trialTime {
-		return true
+// mayTry reports whether a request with these parts may be sent despite the entries about some of them, sorted by digest.
+// A later trial counts as one of the first entry. The lock is held.
+func (g *Guard) mayTry(entries []Entry, parts []Part, now time.Time) bool {
+	early := true
+	for _, e := range entries {
+		if len(g.missingFrom(parts, e)) == 0 {
+			return false
+		}
+		early = early && now.Sub(g.list.addedAt[e.Digest]) < trialTime
 	}
+	return early || g.takeLaterTrial(entries[0], now)
+}
+
+// takeLaterTrial reports whether this host may send one more request to try an entry, and notes that it does. The lock is
+// held.
+func (g *Guard) takeLaterTrial(e Entry, now time.Time) bool {
 	_, rank := g.peers.CountingHosts(e.Kind, e.Digest)
+	age := now.Sub(g.list.addedAt[e.Digest])
 	if g.list.tried[e.Digest] || rank >= laterTrials || age < time.Duration(rank+1)*laterTrialInterval {
 		return false
 	}
