--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -139,18 +139,6 @@
 	return newWorldWith(t, n, seed, worldOptions{})
 }
 
-// worldOptions are what differs between clusters.
-type worldOptions struct {
-	thinHosts  bool          // some hosts have a slow link in their settings
-	ownDialIPs bool          // hosts connect to targets from addresses of their own, so that they can be cut off from them
-	engines    int           // number of engine targets; 0: the usual number
-	versions   []string      // software versions of the engine targets, evenly divided; nil: one
-	maxConns   int           // connections that each target takes from all hosts together; 0: the usual number
-	downTime   time.Duration // of engine targets that crashed; the usual one if shorter
-	unframed   bool          // responses of engine targets have neither a length nor chunks
-	brittle    int           // number of plain targets with few places, which fall over while they are brittle; 0: usual ones
-}
-
 func newWorldWith(t *testing.T, n int, seed uint64, options worldOptions) *world {
 	w := &world{
 		t: t, dir: t.TempDir(), network: takeNetwork(t), log: memlog.New(), options: options,
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -170,9 +170,7 @@
 	n.newReplicas()
 	n.rollouts = n.newRollouts(incarnation)
 	n.newGuard()
-	n.streams = streamversion.New(streamversion.Options{
-		Versions: n.targets.RecentVersions, ListAge: n.targetsReplica.Age, Count: n.observer.Count, Go: guard.Go,
-	})
+	n.newStreams()
 	n.holders = fleet.NewHolders(n.heldForItself)
 	n.newTunnelServer()
 	n.newPermits(incarnation)
