--- /dev/null
+++ b/review/harness/runner/runner.go
@@ -0,0 +1,178 @@
+// Package runner is a small stand-in of a runner as PROTOCOL.md describes it: it streams events or sends whole answers,
+// turns away requests that expect another instance, and writes its entry to the store.
+package runner
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Options configure a Runner.
+type Options struct {
+	ID, Service, Zone, Listen, Store string
+	Slots                            int
+	Heartbeat                        time.Duration
+	// Unframed has streams end with their connection instead of in chunks.
+	Unframed bool
+	// Log gets one line for each request that the runner begins to run or ends.
+	Log io.Writer
+}
+
+// Runner is one incarnation of a runner.
+type Runner struct {
+	opts    Options
+	started time.Time
+	mu      sync.Mutex
+	seq     int
+	running int
+}
+
+// Serve serves until the process ends.
+func Serve(o Options) error {
+	r := &Runner{opts: o, started: time.Now()}
+	listener, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return err
+	}
+	go r.beat()
+	return http.Serve(listener, r)
+}
+
+// beat writes the runner's entry to the store at each heartbeat.
+func (r *Runner) beat() {
+	for {
+		r.seq++
+		value, _ := json.Marshal(map[string]any{
+			"Service": r.opts.Service, "Address": r.opts.Listen, "Zone": r.opts.Zone, "Version": "v1", "Slots": r.opts.Slots,
+			"State": "ready", "ColdLeftMs": 0, "Stage": "both", "Seq": r.seq,
+		})
+		r.write(value)
+		time.Sleep(r.opts.Heartbeat)
+	}
+}
+
+func (r *Runner) write(value []byte) {
+	var body bytes.Buffer
+	_ = binary.Write(&body, binary.BigEndian, uint32(1+len(r.opts.ID)+len(value)))
+	body.WriteByte(byte(len(r.opts.ID)))
+	body.WriteString(r.opts.ID)
+	body.Write(value)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	q := url.Values{"topic": {"keyed.servers"}, "part": {"0"}}
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.opts.Store+"/v1/log-append?"+q.Encode(), &body)
+	if err != nil {
+		return
+	}
+	if resp, err := http.DefaultClient.Do(call); err == nil {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+}
+
+func (r *Runner) record(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.opts.Log, "%s runner %s "+format+"\n", append([]any{time.Now().Format("15:04:05.000"), r.opts.ID}, args...)...)
+}
+
+// ServeHTTP answers one request. The query says what it asks for: events and gap_ms of a stream, or work_ms and bytes of
+// a whole answer.
+func (r *Runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if req.URL.Path == "/health" {
+		w.Header().Set("Instance-Id", r.opts.ID)
+		return
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	id := req.Header.Get("Attempt-Id")
+	w.Header().Set("Attempt-Id", id)
+	if expected := req.Header.Get("Expect-Instance"); expected != "" && expected != r.opts.ID {
+		w.Header().Set("Instance-Id", r.opts.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	r.mu.Lock()
+	full := r.running >= r.opts.Slots
+	if !full {
+		r.running++
+	}
+	r.mu.Unlock()
+	if full {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() {
+		r.mu.Lock()
+		r.running--
+		r.mu.Unlock()
+	}()
+	r.record("runs %s %s from event %q", id, req.RequestURI, req.Header.Get("Last-Event-Id"))
+	w.Header().Set("Response-Stamp", "stamp-"+id+"-"+r.opts.ID)
+	if number(req, "events") > 0 {
+		r.stream(w, req, id)
+		return
+	}
+	select {
+	case <-time.After(time.Duration(number(req, "work_ms")) * time.Millisecond):
+	case <-req.Context().Done():
+		r.record("drops %s", id)
+		return
+	}
+	r.record("answers %s", id)
+	_, _ = w.Write(bytes.Repeat([]byte("x"), max(number(req, "bytes"), 1)))
+}
+
+func number(req *http.Request, name string) int {
+	n, _ := strconv.Atoi(req.URL.Query().Get(name))
+	return n
+}
+
+// Event is the text of one event.
+func Event(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, id, n) }
+
+func (r *Runner) stream(w http.ResponseWriter, req *http.Request, id string) {
+	from, _ := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	last := number(req, "events")
+	gap := time.Duration(number(req, "gap_ms")) * time.Millisecond
+	w.Header().Set("Content-Type", "text/event-stream")
+	send := func(text string) error {
+		if _, err := io.WriteString(w, text); err != nil {
+			return err
+		}
+		return http.NewResponseController(w).Flush()
+	}
+	if r.opts.Unframed {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Stamp: %s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n",
+			id, w.Header().Get("Response-Stamp"))
+		if _, err := io.WriteString(conn, head); err != nil {
+			return
+		}
+		send = func(text string) error { _, err := io.WriteString(conn, text); return err }
+	}
+	for n := from + 1; n <= last; n++ {
+		if err := send(Event(id, n)); err != nil {
+			r.record("drops %s after event %d", id, n-1)
+			return
+		}
+		if n < last {
+			time.Sleep(gap)
+		}
+	}
+	r.record("ends %s whole after event %d", id, last)
+}
