--- a/review/harness/world/client.go
+++ b/review/harness/world/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"time"
@@ -95,3 +96,45 @@
 	}
 	return a
 }
+
+// Client is a client that keeps its connection for many requests.
+type Client struct {
+	world *World
+	front string
+	name  string
+	sent  int
+	http  *http.Client
+}
+
+// NewClient returns a client of one router without a connection.
+func (w *World) NewClient(front, name string) *Client {
+	transport := &http.Transport{MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1, DisableCompression: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
+	return &Client{world: w, front: front, name: name, http: &http.Client{Transport: transport}}
+}
+
+// Close closes the client's connection.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Post sends one request of the unsafe route, whose answer takes the runner the given time. kept reports whether it went
+// on a connection that had carried others.
+func (c *Client) Post(work, deadline time.Duration) (a Answer, kept bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	c.sent++
+	a.ID = fmt.Sprintf("%s%06x", c.name, c.sent)
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { kept = info.Reused }})
+	r := newRequest(ctx, http.MethodPost, c.front, a.ID, fmt.Sprintf("/puxa403/%s?work_ms=%d&bytes=800", a.ID, work.Milliseconds()), deadline, strings.NewReader("order"))
+	c.world.Note("client sends %s to %s", a.ID, c.front)
+	resp, err := c.http.Do(r)
+	if err != nil {
+		a.Err = err
+		c.world.Note("client %s, kept connection %t, gets no answer: %v", a.ID, kept, err)
+		return a, kept
+	}
+	defer resp.Body.Close()
+	a.Status, a.Stamp = resp.StatusCode, resp.Header.Get("Response-Stamp")
+	_, a.Err = io.Copy(io.Discard, resp.Body)
+	a.Whole = a.Err == nil
+	c.world.Note("client %s, kept connection %t, gets %d, stamp %q, whole %t", a.ID, kept, a.Status, a.Stamp, a.Whole)
+	return a, kept
+}
--- a/review/harness/world/world.go
+++ b/review/harness/world/world.go
@@ -4,6 +4,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -289,3 +291,24 @@
 	}
 	return lines
 }
+
+// Write appends a record to a keyed topic of the store, as another writer would.
+func (w *World) Write(topic, key string, value any) {
+	data, err := json.Marshal(value)
+	check(err)
+	body := binary.BigEndian.AppendUint32(nil, uint32(1+len(key)+len(data)))
+	body = append(append(append(body, byte(len(key))), key...), data...)
+	resp, err := http.Post("http://"+w.store+"/v1/log-append?part=0&topic="+topic, "application/octet-stream", bytes.NewReader(body))
+	check(err)
+	_ = resp.Body.Close()
+}
+
+// Answered reports whether a runner's record says that it answered a request.
+func (w *World) Answered(id string) bool {
+	for _, p := range w.procs {
+		if p.logged && len(w.Log(p, "answers "+id)) > 0 {
+			return true
+		}
+	}
+	return false
+}
