--- a/review/harness/cmd/runner/main.go
+++ b/review/harness/cmd/runner/main.go
@@ -18,7 +18,8 @@
 	flag.StringVar(&o.Listen, "listen", "", "address, IP:port")
 	flag.StringVar(&o.Store, "store", "", "address of the platform's store")
 	flag.IntVar(&o.Slots, "slots", 64, "requests at a time")
-	flag.BoolVar(&o.Unframed, "unframed", false, "streams carry no length and end with their connection")
+	flag.IntVar(&o.Queue, "queue", 24, "requests that wait for a place")
+	flag.BoolVar(&o.Unframed, "unframed", false, "answers carry no length and end with their connection")
 	flag.Parse()
 	log.Fatal(runner.Serve(o))
 }
--- a/review/harness/runner/runner.go
+++ b/review/harness/runner/runner.go
@@ -20,9 +20,9 @@
 // Options configure a Runner.
 type Options struct {
 	ID, Service, Zone, Listen, Store string
-	Slots                            int
+	Slots, Queue                     int
 	Heartbeat                        time.Duration
-	// Unframed has streams end with their connection instead of in chunks.
+	// Unframed has answers carry no length and end with their connection.
 	Unframed bool
 	// Log gets one line for each request that the runner begins to run or ends.
 	Log io.Writer
@@ -30,16 +30,16 @@
 
 // Runner is one incarnation of a runner.
 type Runner struct {
-	opts    Options
-	started time.Time
-	mu      sync.Mutex
-	seq     int
-	running int
+	opts   Options
+	mu     sync.Mutex
+	seq    int
+	places chan struct{} // requests that run
+	queue  chan struct{} // requests that wait for a place
 }
 
 // Serve serves until the process ends.
 func Serve(o Options) error {
-	r := &Runner{opts: o, started: time.Now()}
+	r := &Runner{opts: o, places: make(chan struct{}, o.Slots), queue: make(chan struct{}, max(o.Queue, 1))}
 	listener, err := net.Listen("tcp", o.Listen)
 	if err != nil {
 		return err
@@ -101,22 +101,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	r.mu.Lock()
-	full := r.running >= r.opts.Slots
-	if !full {
-		r.running++
-	}
-	r.mu.Unlock()
-	if full {
+	if !r.enter(req) {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	defer func() {
-		r.mu.Lock()
-		r.running--
-		r.mu.Unlock()
-	}()
+	defer func() { <-r.places }()
 	r.record("runs %s %s from event %q", id, req.RequestURI, req.Header.Get("Last-Event-Id"))
 	w.Header().Set("Response-Stamp", "stamp-"+id+"-"+r.opts.ID)
 	if number(req, "events") > 0 {
@@ -130,7 +120,43 @@
 		return
 	}
 	r.record("answers %s", id)
-	_, _ = w.Write(bytes.Repeat([]byte("x"), max(number(req, "bytes"), 1)))
+	body := bytes.Repeat([]byte("x"), max(number(req, "bytes"), 1))
+	if !r.opts.Unframed {
+		_, _ = w.Write(body)
+		return
+	}
+	if conn := hijack(w, id, "text/plain"); conn != nil {
+		defer conn.Close()
+		_, _ = conn.Write(body)
+	}
+}
+
+// hijack takes the connection over and sends the head of an answer that carries no length.
+func hijack(w http.ResponseWriter, id, mediaType string) net.Conn {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return nil
+	}
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Stamp: %s\r\nContent-Type: %s\r\nConnection: close\r\n\r\n",
+		id, w.Header().Get("Response-Stamp"), mediaType)
+	_, _ = io.WriteString(conn, head)
+	return conn
+}
+
+// enter waits for a place and reports whether the request has one. A full queue turns it away.
+func (r *Runner) enter(req *http.Request) bool {
+	select {
+	case r.queue <- struct{}{}:
+		defer func() { <-r.queue }()
+	default:
+		return false
+	}
+	select {
+	case r.places <- struct{}{}:
+		return true
+	case <-req.Context().Done():
+		return false
+	}
 }
 
 func number(req *http.Request, name string) int {
@@ -153,16 +179,11 @@
 		return http.NewResponseController(w).Flush()
 	}
 	if r.opts.Unframed {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
+		conn := hijack(w, id, "text/event-stream")
+		if conn == nil {
 			return
 		}
 		defer conn.Close()
-		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Stamp: %s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n",
-			id, w.Header().Get("Response-Stamp"))
-		if _, err := io.WriteString(conn, head); err != nil {
-			return
-		}
 		send = func(text string) error { _, err := io.WriteString(conn, text); return err }
 	}
 	for n := from + 1; n <= last; n++ {
--- a/review/harness/world/client.go
+++ b/review/harness/world/client.go
@@ -24,6 +24,7 @@
 	Err    error
 	// RetryAfter is when the client may come back.
 	RetryAfter time.Duration
+	Bytes      int // of a whole answer
 }
 
 // Host and Key are those of the configuration's routes and tenant.
@@ -120,21 +121,45 @@
 func (c *Client) Post(work, deadline time.Duration) (a Answer, kept bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
-	c.sent++
-	a.ID = fmt.Sprintf("%s%06x", c.name, c.sent)
+	a.ID = c.nextID()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { kept = info.Reused }})
 	r := newRequest(ctx, http.MethodPost, c.front, a.ID, fmt.Sprintf("/puxa403/%s?work_ms=%d&bytes=800", a.ID, work.Milliseconds()), deadline, strings.NewReader("order"))
-	c.world.Note("client sends %s to %s", a.ID, c.front)
+	a.finish(c, r, &kept)
+	return a, kept
+}
+
+// Get sends one request of a safe route and reads the whole answer.
+func (c *Client) Get(uri string, deadline time.Duration) (a Answer) {
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	a.ID = c.nextID()
+	kept := false
+	a.finish(c, newRequest(ctx, http.MethodGet, c.front, a.ID, uri, deadline, nil), &kept)
+	return a
+}
+
+// nextID returns the id of the client's next attempt.
+func (c *Client) nextID() string {
+	c.sent++
+	return fmt.Sprintf("%s%06x", c.name, c.sent)
+}
+
+// finish sends a request and reads its answer.
+func (a *Answer) finish(c *Client, r *http.Request, kept *bool) {
+	c.world.Note("client sends %s %s to %s", a.ID, r.URL.Path, c.front)
 	resp, err := c.http.Do(r)
 	if err != nil {
 		a.Err = err
-		c.world.Note("client %s, kept connection %t, gets no answer: %v", a.ID, kept, err)
-		return a, kept
+		c.world.Note("client %s, kept connection %t, gets no answer: %v", a.ID, *kept, err)
+		return
 	}
 	defer resp.Body.Close()
 	a.Status, a.Stamp = resp.StatusCode, resp.Header.Get("Response-Stamp")
-	_, a.Err = io.Copy(io.Discard, resp.Body)
+	var n int64
+	n, a.Err = io.Copy(io.Discard, resp.Body)
+	a.Bytes = int(n)
 	a.Whole = a.Err == nil
-	c.world.Note("client %s, kept connection %t, gets %d, stamp %q, whole %t", a.ID, kept, a.Status, a.Stamp, a.Whole)
-	return a, kept
+	seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	a.RetryAfter = time.Duration(seconds * float64(time.Second))
+	c.world.Note("client %s, kept connection %t, gets %d, stamp %q, whole %t, retry after %v", a.ID, *kept, a.Status, a.Stamp, a.Whole, a.RetryAfter)
 }
--- a/review/harness/world/config.go
+++ b/review/harness/world/config.go
@@ -30,3 +30,14 @@
 		"Tenants": []map[string]any{{"Name": "hule930", "ApiKeys": []string{Key}, "Priority": 0, "Prepaid": 50000000}},
 	}
 }
+
+// ConfigWithNewRoute returns the next version of the configuration, which adds a safe route.
+func ConfigWithNewRoute() map[string]any {
+	c := Config()
+	c["Version"] = 9
+	c["Routes"] = append(c["Routes"].([]map[string]any), map[string]any{
+		"Name": "r-added", "Host": Host, "PathPrefix": "/nova771/", "Kind": "safe", "TimeoutMs": 4000, "TargetLatencyMs": 300,
+		"Priority": 2, "Service": "orders", "MaxAttempts": 2, "Public": false,
+	})
+	return c
+}
--- a/review/harness/world/world.go
+++ b/review/harness/world/world.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -133,7 +134,7 @@
 func (p *Process) Ended() <-chan struct{} { return p.ended }
 
 func (w *World) launch(name string, logged bool, env []string, program string, args ...string) *Process {
-	p := &Process{Name: name, output: filepath.Join(w.dir, fmt.Sprintf("%d-%s.out", len(w.procs), name)), logged: logged, ended: make(chan struct{})}
+	p := &Process{Name: name, output: filepath.Join(w.dir, fmt.Sprintf("%d-%s.out", time.Now().UnixNano(), name)), logged: logged, ended: make(chan struct{})}
 	out, err := os.Create(p.output)
 	check(err)
 	p.cmd = exec.Command(program, args...)
@@ -145,7 +146,9 @@
 		_ = out.Close()
 		close(p.ended)
 	}()
+	w.mu.Lock()
 	w.procs = append(w.procs, p)
+	w.mu.Unlock()
 	return p
 }
 
@@ -154,12 +157,27 @@
 	return filepath.Join(w.Root, "target", "review", name)
 }
 
-// FreeAddress returns a free loopback address.
+// Ports that are taken from: below those that the kernel gives to outgoing connections.
+const firstPort, lastPort = 15000, 32000
+
+var taken = map[int]bool{}
+
+// FreeAddress returns a free loopback address that it has not returned before.
 func FreeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if taken[port] {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		taken[port] = true
+		return address
+	}
 }
 
 // StartStore starts the store with a configuration.
@@ -274,6 +292,13 @@
 			return
 		}
 	}
+	if os.Getenv("DEBUG") != "" {
+		r.Signal(syscall.SIGQUIT)
+		time.Sleep(time.Second)
+		for _, l := range w.Log(r.Process, "") {
+			fmt.Println(l)
+		}
+	}
 	panic("the case could not run: " + r.Name + " is not ready")
 }
 
@@ -312,3 +337,34 @@
 	}
 	return false
 }
+
+// Ran reports whether a runner's record says that it began to run a request.
+func (w *World) Ran(id string) bool {
+	for _, p := range w.procs {
+		if p.logged && len(w.Log(p, "runs "+id)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Restart starts a router again after its process has ended.
+func (w *World) Restart(r *Router) {
+	p := w.launch(r.Name, false, []string{"MASTSTAGE_BOOT=" + r.settings}, filepath.Join(w.Root, "target", "maststage-router"))
+	r.Process = p
+}
+
+// Runs returns, for each request, the runners that began to run it.
+func (w *World) Runs() map[string][]string {
+	runs := map[string][]string{}
+	for _, p := range w.procs {
+		if !p.logged {
+			continue
+		}
+		for _, line := range w.Log(p, " runs ") {
+			f := strings.Fields(line)
+			runs[f[4]] = append(runs[f[4]], p.Name)
+		}
+	}
+	return runs
+}
