streamversion, observe: say where the origin of a taken-up stream is known from

Cause: the line "stream resumed" counted a version as the one that began the stream whether a host remembered it or only concluded it from its list, and a refused take-up did not say what was known. So the log could not tell hypotheses 1, 2 and 3 of docs/incidents/streams-after-the-loss-of-all-hosts.md apart.

Change: Find returns its source, the versions it looked up and the hosts that it asked; the lines and the counter stream_origins_total have them. No decision is changed.

Measured: tests of streamversion, forward and observe pass.

--- a/router/forward/observer.go
+++ b/router/forward/observer.go
@@ -5,6 +5,7 @@
 
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/quarantine"
+	"maststage.dev/router/streamversion"
 )
 
 // Observer is notified of attempts and outcomes; its methods must not block.
@@ -57,26 +58,30 @@
 	Version      string // software version of the target
 	Began        string // version that brought the first event
 	BeganKnown   bool   // Began is set
+	// Source says where this host knows Began from; empty if it forwarded the first event itself.
+	Source       streamversion.Source
 	ResumedAfter string // the id of the event after which the stream resumes
 }
 
 // Outcome describes how a request ended.
 type Outcome struct {
-	RequestID      string
-	Digest         quarantine.Digest // zero if the body was not read
-	QuarantinedAs  quarantine.Digest // what the request was refused for: its own digest or that of a part; zero: for neither
-	Route          string
-	Organisation   string
-	Service        string
-	ConfigVersion  int64
-	ConfigAge      time.Duration // since the configuration was last confirmed to be the newest, set if Kind rests on it
-	Kind           Kind
-	Status         int
-	Attempts       int
-	Target         string // the last one
-	Version        string // software version of Target
-	Resumes        string // the attempt that brought the first event, as the caller names it
-	ResumedAfter   string // the caller's last event
+	RequestID     string
+	Digest        quarantine.Digest // zero if the body was not read
+	QuarantinedAs quarantine.Digest // what the request was refused for: its own digest or that of a part; zero: for neither
+	Route         string
+	Organisation  string
+	Service       string
+	ConfigVersion int64
+	ConfigAge     time.Duration // since the configuration was last confirmed to be the newest, set if Kind rests on it
+	Kind          Kind
+	Status        int
+	Attempts      int
+	Target        string // the last one
+	Version       string // software version of Target
+	Resumes       string // the attempt that brought the first event, as the caller names it
+	ResumedAfter  string // the caller's last event
+	// Origin is what was found of where the stream began that the caller takes up; nil if it takes none up.
+	Origin         *streamversion.Finding
 	Events         int
 	TokensReserved int64
 	TokensUsed     int64
--- a/router/forward/resume.go
+++ b/router/forward/resume.go
@@ -14,7 +14,7 @@
 	// Began notes where a stream began.
 	Began(k streamversion.Key, o streamversion.Origin, keep time.Duration, spread bool)
 	// Find returns where a stream began.
-	Find(ctx context.Context, k streamversion.Key, services []string) (streamversion.Origin, streamversion.Verdict)
+	Find(ctx context.Context, k streamversion.Key, services []string) streamversion.Finding
 }
 
 // How long a stream is remembered, since its caller may take it up again.
@@ -40,11 +40,13 @@
 	}
 	services := q.route.Services()
 	key := streamversion.KeyOf(q.organisationName(), q.resumes)
-	origin, verdict := q.handler.opts.StreamVersions.Find(q.ctx, key, services)
+	found := q.handler.opts.StreamVersions.Find(q.ctx, key, services)
+	q.outcome.Origin = &found
+	origin := found.Origin
 	switch {
-	case verdict != streamversion.Found && q.callerLastEventID == "":
+	case found.Verdict != streamversion.Found && q.callerLastEventID == "":
 		return OK // it begins anew
-	case verdict != streamversion.Found:
+	case found.Verdict != streamversion.Found:
 		return StreamUnknown
 	case origin.Service == "":
 		origin.Service = q.service
--- a/router/forward/stream.go
+++ b/router/forward/stream.go
@@ -85,6 +85,7 @@
 	}
 	if q.takesUp() {
 		r.FirstAttempt, r.ByCaller = q.resumes, !q.stream.headSent
+		r.Source = q.outcome.Origin.Source
 	}
 	q.handler.opts.Observer.StreamResumed(r)
 }
--- a/router/observe/observe.go
+++ b/router/observe/observe.go
@@ -122,6 +122,7 @@
 	if e.Kind.RestsOnConfig() {
 		fields["config_age"] = e.ConfigAge.Round(time.Millisecond)
 	}
+	addOriginFields(fields, e)
 	addBudgetFields(fields, e.Kind, e.Budget)
 	entry = entry.WithFields(fields)
 	if e.Err != nil {
--- a/router/observe/streams.go
+++ b/router/observe/streams.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"strings"
 
 	log "github.com/sirupsen/logrus"
 
 	"maststage.dev/router/forward"
+	"maststage.dev/router/streamversion"
 )
 
 // versionRelation says how the version that resumes a stream relates to the one that began it.
@@ -33,6 +35,19 @@
 	}
 	entry.WithFields(log.Fields{
 		"request": r.RequestID, "first_attempt": r.FirstAttempt, "by": by, "service": r.Service, "target": r.Target,
-		"version": r.Version, "began": r.Began, "relation": relation, "behind": r.ResumedAfter,
+		"version": r.Version, "began": r.Began, "relation": relation, "source": r.Source, "behind": r.ResumedAfter,
 	}).Info("stream resumed")
 }
+
+// addOriginFields adds why a stream that a caller takes up is refused: what is known of where it began.
+func addOriginFields(fields log.Fields, e forward.Outcome) {
+	if e.Origin == nil || e.Kind != forward.StreamUnknown && e.Kind != forward.VersionGone {
+		return
+	}
+	f := e.Origin
+	fields["source"], fields["versions"] = f.Source, strings.Join(f.Versions, ",")
+	fields["asked"], fields["answered"] = f.Asked, f.Answered
+	if f.Verdict == streamversion.Found {
+		fields["began"] = f.Origin.Version
+	}
+}
--- a/router/streamversion/directory_test.go
+++ b/router/streamversion/directory_test.go
@@ -128,7 +128,8 @@
 const service = "s"
 
 func (h *simHost) find(k Key) (Origin, Verdict) {
-	return h.Find(context.Background(), k, []string{service})
+	found := h.Find(context.Background(), k, []string{service})
+	return found.Origin, found.Verdict
 }
 
 // holder reports whether a host is one that the first host tells of the stream.
@@ -242,7 +243,7 @@
 	k := KeyOf("org", "twice")
 	hosts[0].Began(k, Origin{service, "v1"}, time.Minute, false)
 	until.True(t, "holders are told", func() bool { return f.countTold() == holders })
-	_, verdict := hosts[1].Find(context.Background(), KeyOf("other", "twice"), []string{service})
+	_, verdict := hosts[1].find(KeyOf("other", "twice"))
 	is.Equal(verdict, Unknown)
 	hosts[0].Began(k, Origin{service, "v2"}, time.Minute, false)
 	_, verdict = hosts[0].find(k)
--- a/router/streamversion/find.go
+++ b/router/streamversion/find.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"slices"
 	"time"
 )
@@ -28,16 +30,43 @@
 	Unreachable
 )
 
+// Source says where a Finding comes from.
+type Source string
+
+// The sources.
+const (
+	FromOwnTable   Source = "own_table"   // this host remembers the stream
+	FromPeer       Source = "peer"        // another host remembers it
+	FromOwnList    Source = "own_list"    // the targets that this host knows have one version
+	FromPeersLists Source = "peers_lists" // so do those that other hosts know
+	FromNone       Source = "none"
+)
+
+// Finding is what is known of where a stream began.
+type Finding struct {
+	Origin          Origin // set if Verdict is Found
+	Verdict         Verdict
+	Source          Source
+	Versions        []string // of the services' targets, as far as they were looked up
+	Asked, Answered int      // other hosts
+}
+
 // Find returns where the stream of a key began; services are those that run such streams now. If no host knows the stream,
 // and the services' targets have had one version of late, it began at that one; the Service of the Origin is then empty
 // unless there is just one service.
-func (d *Directory) Find(ctx context.Context, k Key, services []string) (Origin, Verdict) {
+func (d *Directory) Find(ctx context.Context, k Key, services []string) Finding {
+	f := d.find(ctx, k, services)
+	d.opts.Count(fmt.Sprintf("stream_origins_total{source=%q}", f.Source))
+	return f
+}
+
+func (d *Directory) find(ctx context.Context, k Key, services []string) Finding {
 	now := time.Now()
 	d.mu.Lock()
 	s := d.table.get(k, now)
 	d.mu.Unlock()
 	if s != nil {
-		return s.origin, verdictOf(s.ambiguous)
+		return Finding{Origin: s.origin, Verdict: verdictOf(s.ambiguous), Source: FromOwnTable}
 	}
 	search := &search{versions: map[string]bool{}}
 	for _, service := range services {
@@ -45,7 +74,7 @@
 	}
 	fresh := d.opts.ListAge() <= maxListAge
 	if fresh && len(services) == 1 && len(search.versions) == 1 {
-		return search.sole(services), Found
+		return search.finding(search.sole(services), Found, FromOwnList)
 	}
 	list := d.peers.Holders(k)
 	list = list[:min(len(list), maxAsked)]
@@ -60,13 +89,13 @@
 	switch {
 	case search.found != nil:
 		d.remember(k, *search.found)
-		return *search.found.Origin, verdictOf(search.found.Ambiguous)
+		return search.finding(*search.found.Origin, verdictOf(search.found.Ambiguous), FromPeer)
 	case len(search.versions) == 1 && (fresh || search.answered > 0 || search.asked == 0):
-		return search.sole(services), Found
+		return search.finding(search.sole(services), Found, FromPeersLists)
 	case search.answered < search.asked:
-		return Origin{}, Unreachable
+		return search.finding(Origin{}, Unreachable, FromNone)
 	}
-	return Origin{}, Unknown
+	return search.finding(Origin{}, Unknown, FromNone)
 }
 
 // verdictOf is the verdict on a stream that is known.
@@ -84,6 +113,11 @@
 	versions        map[string]bool // that the services' targets have had
 }
 
+// finding makes a finding of the search.
+func (s *search) finding(o Origin, v Verdict, from Source) Finding {
+	return Finding{Origin: o, Verdict: v, Source: from, Versions: slices.Sorted(maps.Keys(s.versions)), Asked: s.asked, Answered: s.answered}
+}
+
 func (s *search) addVersions(versions []string) {
 	for _, v := range versions {
 		s.versions[v] = true
