soak: a failing test of streams taken up after the loss of all hosts

What callers saw: after all hosts were killed at once, streams that they took up went on, 200 and whole, with events of another software version than the first part. The test kills all hosts four times, with a new version listed before, and takes up what broke off at any host.

--- a/proofs/soak/deadly_test.go
+++ b/proofs/soak/deadly_test.go
@@ -90,8 +90,12 @@
 	defer w.replacing.Done()
 	s.mu.Lock()
 	s.leftAt = time.Now()
+	retired := s.retired
 	s.mu.Unlock()
 	s.link.Close()
+	if retired {
+		return
+	}
 	time.Sleep(max(replaceDelay, w.options.downTime, s.room.downTime()))
 	w.write(platformtest.Servers, s.id, nil)
 	switch {
--- a/proofs/soak/resume_test.go
+++ b/proofs/soak/resume_test.go
@@ -108,9 +108,14 @@
 	return streams
 }
 
+// newResumedStream describes a stream that no other caller gets.
+func (w *world) newResumedStream() *resumedStream {
+	return &resumedStream{uri: fmt.Sprintf("%s%s-%d", resumedPrefix, w.network, lastResumed.Add(1)), versions: map[string]bool{}}
+}
+
 // getStream gets one stream, in as many attempts as it takes within requestLimit.
 func (w *world) getStream(random *rand.Rand) *resumedStream {
-	s := &resumedStream{uri: fmt.Sprintf("%s%s-%d", resumedPrefix, w.network, lastResumed.Add(1)), versions: map[string]bool{}}
+	s := w.newResumedStream()
 	deadline := time.Now().Add(requestLimit)
 	loseAfter := 0
 	if random.Float64() < loseConnection {
--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -106,6 +106,7 @@
 	limit             []string                 // the limit that it sends
 	limits            []sentLimit              // all limits that it has sent
 	leaving           bool                     // its responses announce its exit
+	retired           bool                     // it is not replaced as it ends
 	pause             *askedPause              // what it asks for now, nil if nothing
 	room              *room                    // its places if they are few, else nil
 	brittle           func() []string          // what it says of being brittle
