eventlog, platform: name the oldest record that is kept when others are trimmed

Cause: a reader of a topic without keys, which has no newest records to start from, could not learn where the records that are kept begin.

Change: Read returns a *TrimmedError with the first position; it is an ErrTrimmed as before.

--- a/router/eventlog/eventlog.go
+++ b/router/eventlog/eventlog.go
@@ -82,6 +82,18 @@
 	ErrStale = errors.New("the response is from an earlier era of the log")
 )
 
+// TrimmedError is the ErrTrimmed of a Read that knows which records are left.
+type TrimmedError struct {
+	First Position // the oldest record that is kept, or the end of the partition
+}
+
+func (e *TrimmedError) Error() string {
+	return fmt.Sprintf("%v; the first one kept is at %v", ErrTrimmed, e.First)
+}
+
+// Is makes the error an ErrTrimmed.
+func (e *TrimmedError) Is(target error) bool { return target == ErrTrimmed }
+
 // ConflictError is returned by a conditional append if the partition ends at another position, End.
 type ConflictError struct{ End Position }
 
@@ -112,7 +124,7 @@
 	// Append appends records to a keyed partition unconditionally and returns the new end.
 	Append(ctx context.Context, p Partition, records []Record) (end Position, err error)
 	// Read reads records from a position on, waiting up to wait for the first one. It returns ErrTrimmed
-	// if they were trimmed, or an *EraError. With any other error the batch holds the records received in
+	// if they were trimmed, as a *TrimmedError if it is known which ones are left, or an *EraError. With any other error the batch holds the records received in
 	// full before it.
 	Read(ctx context.Context, p Partition, from Position, wait time.Duration) (Batch, error)
 	// Newest reads the newest record of each key that sorts after the key after, one page at a time.
--- a/standin/memlog/memlog.go
+++ b/standin/memlog/memlog.go
@@ -295,7 +295,7 @@
 		return eventlog.Batch{}, nil, &eventlog.EraError{Era: v.log.era}
 	}
 	if from.Offset < part.first || from.Offset > part.end() {
-		return eventlog.Batch{}, nil, eventlog.ErrTrimmed
+		return eventlog.Batch{}, nil, &eventlog.TrimmedError{First: v.log.position(part.first)}
 	}
 	batch := eventlog.Batch{End: v.log.position(part.end())}
 	if from.Offset < part.end() {
