streamversion: know the versions of streams after the loss of all hosts

What callers saw: after all hosts were killed at once, streams that they took up were joined from two software versions, 200 and whole; where both versions served, all take-ups were refused.

Cause: a host that had just started took the versions in its list for all at which a stream in progress may have begun, and the word of others that had just started, too; and what hosts remember of streams ended with them.

Evidence: 441 of 447 wrong take-ups rest on the host's own list, six on those of others, none on a table.

Change: which services a route has had, and which versions a service's targets have had, are records in the hosts' topic from when a host first observes them until one has not for 60 s. A host that has these records knows what was there before it; one that lacks them, or has them from a log that was restored since, says so, and no conclusion rests on it alone. Streams of routes with several origins are recorded in the log in batches, within 0.1 s, one append a host; a host reads them when it looks for a stream that no other host knows.

Why it works: a stream goes on only if its origin is known, or if the records say that there was one origin; both outlive all hosts.

Tests of node, fleet, forward, prepaid and platform pass. Tests of the directory name the route now; what they check is the same.

--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -22,6 +22,7 @@
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/quarantine"
 	"maststage.dev/router/replica"
+	"maststage.dev/router/streamversion"
 )
 
 // Host is the announcement of one host.
@@ -40,6 +41,8 @@
 	LinkMbps float64 `json:"link_mbps,omitempty"`
 	// StreamVersions says that the host remembers for others at which version streams began. Earlier builds don't.
 	StreamVersions bool `json:"stream_versions,omitempty"`
+	// VersionRecords says that the host keeps records of the versions at which streams may have begun. Earlier builds don't.
+	VersionRecords bool `json:"version_records,omitempty"`
 	// PromptParts says that the host counts target exits under parts of prompts. Earlier builds don't.
 	PromptParts bool `json:"prompt_parts,omitempty"`
 }
@@ -172,7 +175,7 @@
 	f.noteInitialEnd(changes)
 	for _, c := range changes {
 		name := c.Record.Key
-		if strings.HasPrefix(name, quarantine.KeyPrefix) || strings.HasPrefix(name, limit.KeyPrefix) {
+		if strings.HasPrefix(name, quarantine.KeyPrefix) || strings.HasPrefix(name, limit.KeyPrefix) || strings.HasPrefix(name, streamversion.KeyPrefix) {
 			continue // hosts publish other records in this topic, too
 		}
 		if len(c.Record.Value) == 0 {
--- a/router/fleet/streams.go
+++ b/router/fleet/streams.go
@@ -41,6 +41,18 @@
 	return addressesOf(spreadOverDomains(ranked, distinctDomains))
 }
 
+// SomeKeepNoVersionRecords reports whether another host is of a build that keeps no records of versions.
+func (f *Fleet) SomeKeepNoVersionRecords() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, name := range f.activePeers() {
+		if !f.hosts[name].host.VersionRecords {
+			return true
+		}
+	}
+	return false
+}
+
 // spreadOverDomains moves the first hosts of up to count failure domains to the front.
 func spreadOverDomains(ranked []Host, count int) []Host {
 	seen := map[string]bool{}
--- a/router/forward/resume.go
+++ b/router/forward/resume.go
@@ -12,9 +12,9 @@
 // StreamVersions remembers at which version of its targets each stream began; *streamversion.Directory implements it.
 type StreamVersions interface {
 	// Began notes where a stream began.
-	Began(k streamversion.Key, o streamversion.Origin, keep time.Duration, spread bool)
+	Began(k streamversion.Key, route string, o streamversion.Origin, keep time.Duration)
 	// Find returns where a stream began.
-	Find(ctx context.Context, k streamversion.Key, services []string) streamversion.Finding
+	Find(ctx context.Context, k streamversion.Key, route string, services []string) streamversion.Finding
 }
 
 // How long a stream is remembered, since its caller may take it up again.
@@ -40,7 +40,7 @@
 	}
 	services := q.route.Services()
 	key := streamversion.KeyOf(q.organisationName(), q.resumes)
-	found := q.handler.opts.StreamVersions.Find(q.ctx, key, services)
+	found := q.handler.opts.StreamVersions.Find(q.ctx, key, q.route.Name, services)
 	q.outcome.Origin = &found
 	origin := found.Origin
 	switch {
@@ -48,8 +48,6 @@
 		return OK // it begins anew
 	case found.Verdict != streamversion.Found:
 		return StreamUnknown
-	case origin.Service == "":
-		origin.Service = q.service
 	case !slices.Contains(services, origin.Service):
 		return VersionGone
 	}
@@ -79,7 +77,7 @@
 	case q.takesUp():
 		key = streamversion.KeyOf(q.organisationName(), q.resumes)
 	}
-	q.handler.opts.StreamVersions.Began(key, *q.origin, q.keepOrigin(), len(q.route.Services()) > 1)
+	q.handler.opts.StreamVersions.Began(key, q.route.Name, *q.origin, q.keepOrigin())
 }
 
 // keepOrigin returns for how long the caller may take the stream up.
--- a/router/node/config.go
+++ b/router/node/config.go
@@ -168,6 +168,7 @@
 	n.allocator.SetLogEra(n.configReplica.End().Era)
 	n.fleet.SetBudgetShares(budgetShares(budgets(config)))
 	n.setColdLimits(config, n.newestSettings().Bounds)
+	n.streamPast.Note(routeUses(config))
 	n.handler.SetConfig(config)
 	n.shareConnections()
 	fields := log.Fields{
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -50,6 +50,8 @@
 	Headers forward.Headers
 	// Topics of the shared log. Hosts, Budgets and Archive are private to the routers.
 	ConfigTopic, TargetsTopic, HostsTopic, BudgetsTopic, ArchiveTopic string
+	// StreamsTopic is a topic without keys, private to the routers: where streams began. Empty: that is not recorded.
+	StreamsTopic string
 	// MaxRecordBytes is the size of the largest record that the log accepts.
 	MaxRecordBytes int
 	// ConfigKey is the key of the configuration in its topic.
@@ -100,6 +102,8 @@
 	unsent         *unsent.Tracker
 	guard          *quarantine.Guard
 	streams        *streamversion.Directory
+	streamPast     *streamversion.Past
+	streamJournal  *streamversion.Journal // nil: the log has no topic for it
 	intake         *intake.Gate
 	suspensions    *suspend.Detector
 	lastWake       atomic.Pointer[wake] // of the newest suspension
@@ -273,7 +277,7 @@
 	n.fleet = fleet.New(fleet.Options{
 		Self: fleet.Host{
 			Name: n.cfg.Host.Name, Incarnation: incarnation, Address: n.cfg.Host.PeerListen, Domain: n.cfg.Host.Domain,
-			PeerKey: n.peerKey, LinkMbps: n.cfg.Capacity.LinkMbps, StreamVersions: true, PromptParts: true,
+			PeerKey: n.peerKey, LinkMbps: n.cfg.Capacity.LinkMbps, StreamVersions: true, VersionRecords: true, PromptParts: true,
 		},
 		Tunnels: n.tunnelServer, Permits: n.permitServer, Transport: n.env.PeerTransport,
 		Groups: n.groups(), OnSource: n.refreshReplicas,
@@ -393,6 +397,10 @@
 	guard.Go("treasury", func() { n.allocator.Run(ctx) })
 	guard.Go("quarantine", func() { n.guard.Run(ctx) })
 	guard.Go("stream versions", func() { n.streams.Run(ctx) })
+	guard.Go("stream uses", func() { n.streamPast.Run(ctx) })
+	if n.streamJournal != nil {
+		guard.Go("stream journal", func() { n.streamJournal.Run(ctx) })
+	}
 	guard.Go("limits of targets", func() { n.exchangeLimits(ctx) })
 	guard.Go("capacity", func() { n.capacity.Run(ctx) })
 	guard.Go("unread answers", func() { n.unread.Run(ctx) })
--- a/router/observe/streams.go
+++ b/router/observe/streams.go
@@ -46,7 +46,7 @@
 	}
 	f := e.Origin
 	fields["source"], fields["versions"] = f.Source, strings.Join(f.Versions, ",")
-	fields["asked"], fields["answered"] = f.Asked, f.Answered
+	fields["covered"], fields["asked"], fields["answered"] = f.Covered, f.Asked, f.Answered
 	if f.Verdict == streamversion.Found {
 		fields["began"] = f.Origin.Version
 	}
--- a/router/streamversion/announce.go
+++ b/router/streamversion/announce.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	log "github.com/sirupsen/logrus"
@@ -46,21 +48,24 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table.sweep(now)
-	for service, keys := range d.pending {
+	for route, keys := range d.pending {
 		for k := range keys {
 			if d.table.streams[k] == nil {
 				delete(keys, k)
 			}
 		}
 		if len(keys) == 0 {
-			delete(d.pending, service)
+			delete(d.pending, route)
 		}
 	}
 }
 
-// announce tells the holders of the streams that they have to know.
+// announce tells the holders of the streams that they have to know, and has them recorded in the log.
 func (d *Directory) announce(ctx context.Context) {
 	due := d.takeDue()
+	if d.opts.Journal != nil {
+		d.opts.Journal.Add(due)
+	}
 	for rank := range holders {
 		d.tellAll(ctx, due, rank)
 	}
@@ -82,14 +87,11 @@
 // takeDue takes the streams that are to be announced now off the pending ones.
 func (d *Directory) takeDue() (due []Announcement) {
 	now := time.Now()
-	for service, several := range d.pendingServices() {
+	for _, route := range d.pendingRoutes() {
 		d.mu.Lock()
-		for k := range d.pending[service] {
+		for k := range d.pending[route] {
 			s := d.table.get(k, now)
-			if s != nil && !several && !s.spread {
-				continue
-			}
-			delete(d.pending[service], k)
+			delete(d.pending[route], k)
 			if s == nil || s.ambiguous {
 				continue // what is ambiguous here need not be at the holders, where the first origin counts as well
 			}
@@ -101,17 +103,24 @@
 	return due
 }
 
-// pendingServices lists the services with streams that were not announced, and whether each has several versions.
-func (d *Directory) pendingServices() map[string]bool {
+// pendingRoutes lists the routes with streams that were not announced, of which streams may have begun at several origins.
+func (d *Directory) pendingRoutes() []string {
 	d.mu.Lock()
-	services := make([]string, 0, len(d.pending))
-	for service := range d.pending {
-		services = append(services, service)
+	pending := map[string]map[string]bool{} // services by route
+	for route, keys := range d.pending {
+		pending[route] = map[string]bool{}
+		for k := range keys {
+			if s := d.table.streams[k]; s != nil {
+				pending[route][s.origin.Service] = true
+			}
+		}
 	}
 	d.mu.Unlock()
-	several := make(map[string]bool, len(services))
-	for _, service := range services {
-		several[service] = len(d.opts.Versions(service)) > 1
+	var several []string
+	for route, services := range pending {
+		if len(d.origins(route, slices.Collect(maps.Keys(services)))) > 1 {
+			several = append(several, route)
+		}
 	}
 	return several
 }
--- a/router/streamversion/directory.go
+++ b/router/streamversion/directory.go
@@ -26,9 +26,10 @@
 	KeepMs int64  `json:"keep_ms"` // how much longer to remember it
 }
 
-// Question asks where a stream began, of which it is known that one of Services runs it.
+// Question asks where a stream of a route began, which one of Services ran as far as the asking host knows.
 type Question struct {
 	Key      Key      `json:"key"`
+	Route    string   `json:"route,omitempty"` // earlier builds don't name it
 	Services []string `json:"services"`
 }
 
@@ -37,14 +38,25 @@
 	Origin    *Origin `json:"origin,omitempty"` // nil: not known
 	Ambiguous bool    `json:"ambiguous,omitempty"`
 	KeepMs    int64   `json:"keep_ms,omitempty"`
-	// Versions lists the versions that each service's targets have had of late.
+	// Versions lists the versions that each service's targets have had of late, also of services that the route has had.
 	Versions map[string][]string `json:"versions,omitempty"`
+	// Covers says whether Versions holds all at which a stream in progress may have begun, and not only those since this
+	// host started. Earlier builds don't say, nil, and take theirs for all.
+	Covers *bool `json:"covers,omitempty"`
 }
 
 // Options configure a Directory.
 type Options struct {
-	// Versions lists the versions that a service's targets have had since any stream in progress can have begun.
+	// Versions lists the versions that a service's targets have had since any stream in progress can have begun, or since
+	// this host started.
 	Versions func(service string) []string
+	// Services lists the services that a route has had for as long, beside the present ones. nil: there are no others.
+	Services func(route string) []string
+	// Covers reports whether Versions and Services reach back to before this host started, as far as streams in progress
+	// go. nil: they do.
+	Covers func() bool
+	// Journal keeps the origins of streams in the log; nil: nothing does.
+	Journal *Journal
 	// ListAge is how long ago the list of targets was last confirmed to be the newest.
 	ListAge func() time.Duration
 	// Count increments a counter.
@@ -55,12 +67,13 @@
 
 // Directory is one host's knowledge of where streams began. It is safe for concurrent use.
 //
-// Each stream is told to two other hosts that its key selects, once its service's targets have had more than one version. A
-// host that has to resume a stream it does not know asks these hosts. While a service's targets have one version, nothing
-// is told, and a host asks nobody unless its list of targets is old.
+// Each stream is told to two other hosts that its key selects, and recorded in the log, once streams of its route may have
+// begun at more than one origin: a version of the targets of a service. A host that has to resume a stream it does not know
+// asks these hosts, then the log. While there is one origin, nothing is told, and a host asks nobody unless its list of
+// targets is old or it may not know them all.
 //
 // The alternatives are to choose the version of a new stream by a hash of its key, which other hosts can compute: but the
-// versions change while streams run; and to write streams to the log, which may be unreachable.
+// versions change while streams run; and to write each stream to the log before its first event, which would wait for it.
 type Directory struct {
 	opts  Options
 	peers Peers
@@ -70,7 +83,7 @@
 
 	mu      sync.Mutex
 	table   *table
-	pending map[string]map[Key]bool // by service, the streams that were not announced
+	pending map[string]map[Key]bool // by route, the streams that were not announced
 }
 
 // failureLinesPerSecond bounds the log lines about hosts that could not be told.
@@ -78,6 +91,12 @@
 
 // New makes an empty directory; Run announces its streams.
 func New(opts Options) *Directory {
+	if opts.Services == nil {
+		opts.Services = func(string) []string { return nil }
+	}
+	if opts.Covers == nil {
+		opts.Covers = func() bool { return true }
+	}
 	return &Directory{opts: opts, wake: make(chan struct{}, 1), failureLog: logging.NewLimiter(failureLinesPerSecond), table: newTable(), pending: map[string]map[Key]bool{}}
 }
 
@@ -91,18 +110,16 @@
 	return len(d.table.streams)
 }
 
-// Began notes where a stream began, to be remembered for keep. spread says that others have to know it even while its
-// service has one version.
-func (d *Directory) Began(k Key, o Origin, keep time.Duration, spread bool) {
-	several := spread || len(d.opts.Versions(o.Service)) > 1
+// Began notes where a stream of a route began, to be remembered for keep.
+func (d *Directory) Began(k Key, route string, o Origin, keep time.Duration) {
+	several := len(d.origins(route, []string{o.Service})) > 1
 	d.mu.Lock()
 	s := d.table.add(k, o, keep, time.Now())
-	s.spread = s.spread || spread
 	if !s.announced {
-		if d.pending[o.Service] == nil {
-			d.pending[o.Service] = map[Key]bool{}
+		if d.pending[route] == nil {
+			d.pending[route] = map[Key]bool{}
 		}
-		d.pending[o.Service][k] = true
+		d.pending[route][k] = true
 	}
 	d.mu.Unlock()
 	if several {
@@ -110,6 +127,17 @@
 	}
 }
 
+// origins returns where streams of a route that has the given services may have begun.
+func (d *Directory) origins(route string, services []string) map[Origin]bool {
+	origins := map[Origin]bool{}
+	for _, service := range append(d.opts.Services(route), services...) {
+		for _, version := range d.opts.Versions(service) {
+			origins[Origin{service, version}] = true
+		}
+	}
+	return origins
+}
+
 func (d *Directory) requestAnnouncement() {
 	select {
 	case d.wake <- struct{}{}:
@@ -129,8 +157,9 @@
 
 // Answer answers another host's question.
 func (d *Directory) Answer(q Question) Answer {
-	a := Answer{Versions: map[string][]string{}}
-	for _, service := range q.Services {
+	covers := d.opts.Covers()
+	a := Answer{Versions: map[string][]string{}, Covers: &covers}
+	for _, service := range append(d.opts.Services(q.Route), q.Services...) {
 		a.Versions[service] = d.opts.Versions(service)
 	}
 	now := time.Now()
--- a/router/streamversion/directory_test.go
+++ b/router/streamversion/directory_test.go
@@ -125,10 +125,13 @@
 	return f, list
 }
 
-const service = "s"
+const (
+	service = "s"
+	route   = "r"
+)
 
 func (h *simHost) find(k Key) (Origin, Verdict) {
-	found := h.Find(context.Background(), k, []string{service})
+	found := h.Find(context.Background(), k, route, []string{service})
 	return found.Origin, found.Verdict
 }
 
@@ -142,7 +145,7 @@
 	is := is.New(t)
 	f, hosts := newSimFleet(t, 8, "v1", "v2")
 	k := KeyOf("org", "a1")
-	hosts[0].Began(k, Origin{service, "v2"}, time.Minute, false)
+	hosts[0].Began(k, route, Origin{service, "v2"}, time.Minute)
 	until.True(t, "holders are told", func() bool { return f.countTold() == holders })
 	f.setDown(hosts[0])
 	for _, h := range hosts[1:] {
@@ -162,7 +165,7 @@
 			f.setDown(h)
 		}
 	}
-	hosts[0].Began(k, Origin{service, "v1"}, time.Minute, false)
+	hosts[0].Began(k, route, Origin{service, "v1"}, time.Minute)
 	until.True(t, "others are told", func() bool { return f.countTold() == holders })
 	f.setDown(hosts[0])
 	for _, h := range hosts[1:] {
@@ -179,7 +182,7 @@
 func TestOneVersionCostsNoCalls(t *testing.T) {
 	is := is.New(t)
 	f, hosts := newSimFleet(t, 4, "v1")
-	hosts[0].Began(KeyOf("org", "a1"), Origin{service, "v1"}, time.Minute, false)
+	hosts[0].Began(KeyOf("org", "a1"), route, Origin{service, "v1"}, time.Minute)
 	o, verdict := hosts[1].find(KeyOf("org", "a1"))
 	is.Equal(verdict, Found)
 	is.Equal(o, Origin{service, "v1"})
@@ -193,7 +196,7 @@
 	is := is.New(t)
 	f, hosts := newSimFleet(t, 6, "v1")
 	k := KeyOf("org", "a1")
-	hosts[0].Began(k, Origin{service, "v1"}, time.Minute, false)
+	hosts[0].Began(k, route, Origin{service, "v1"}, time.Minute)
 	for _, h := range hosts {
 		h.setVersions("v1", "v2")
 	}
@@ -241,11 +244,11 @@
 	is := is.New(t)
 	f, hosts := newSimFleet(t, 4, "v1", "v2")
 	k := KeyOf("org", "twice")
-	hosts[0].Began(k, Origin{service, "v1"}, time.Minute, false)
+	hosts[0].Began(k, route, Origin{service, "v1"}, time.Minute)
 	until.True(t, "holders are told", func() bool { return f.countTold() == holders })
 	_, verdict := hosts[1].find(KeyOf("other", "twice"))
 	is.Equal(verdict, Unknown)
-	hosts[0].Began(k, Origin{service, "v2"}, time.Minute, false)
+	hosts[0].Began(k, route, Origin{service, "v2"}, time.Minute)
 	_, verdict = hosts[0].find(k)
 	is.Equal(verdict, Unknown)
 }
@@ -256,8 +259,8 @@
 	_, hosts := newSimFleet(t, 1, "v1", "v2")
 	k, now := KeyOf("org", "a1"), time.Now()
 	d := hosts[0].Directory
-	d.Began(k, Origin{service, "v1"}, time.Second, false)
-	d.Began(k, Origin{service, "v1"}, time.Minute, false)
+	d.Began(k, route, Origin{service, "v1"}, time.Second)
+	d.Began(k, route, Origin{service, "v1"}, time.Minute)
 	d.sweep(now.Add(2 * time.Second))
 	_, verdict := hosts[0].find(k)
 	is.Equal(verdict, Found)
--- a/router/streamversion/find.go
+++ b/router/streamversion/find.go
@@ -15,6 +15,8 @@
 	// maxAsked bounds the hosts that are asked in all. The order of hosts changes as hosts come and go.
 	maxAsked   = 16
 	askTimeout = 300 * time.Millisecond
+	// journalTimeout bounds the wait for a read of the log.
+	journalTimeout = 700 * time.Millisecond
 	// maxListAge is the age up to which a host relies on its list of targets without asking others.
 	maxListAge = 2 * time.Second
 )
@@ -37,8 +39,9 @@
 const (
 	FromOwnTable   Source = "own_table"   // this host remembers the stream
 	FromPeer       Source = "peer"        // another host remembers it
-	FromOwnList    Source = "own_list"    // the targets that this host knows have one version
-	FromPeersLists Source = "peers_lists" // so do those that other hosts know
+	FromOwnList    Source = "own_list"    // by what this host knows, streams of the route can have begun at one origin only
+	FromPeersLists Source = "peers_lists" // so they can by what this host and others know
+	FromLog        Source = "log"         // the stream is recorded in the log
 	FromNone       Source = "none"
 )
 
@@ -47,20 +50,20 @@
 	Origin          Origin // set if Verdict is Found
 	Verdict         Verdict
 	Source          Source
-	Versions        []string // of the services' targets, as far as they were looked up
+	Versions        []string // at which it may have begun, as far as they were looked up
+	Covered         bool     // Versions are all there were, as far as that was looked up
 	Asked, Answered int      // other hosts
 }
 
-// Find returns where the stream of a key began; services are those that run such streams now. If no host knows the stream,
-// and the services' targets have had one version of late, it began at that one; the Service of the Origin is then empty
-// unless there is just one service.
-func (d *Directory) Find(ctx context.Context, k Key, services []string) Finding {
-	f := d.find(ctx, k, services)
+// Find returns where the stream of a key began, a stream of a route that has the given services. If no host knows the
+// stream, and streams of the route can have begun at one origin only, it began there.
+func (d *Directory) Find(ctx context.Context, k Key, route string, services []string) Finding {
+	f := d.find(ctx, k, route, services)
 	d.opts.Count(fmt.Sprintf("stream_origins_total{source=%q}", f.Source))
 	return f
 }
 
-func (d *Directory) find(ctx context.Context, k Key, services []string) Finding {
+func (d *Directory) find(ctx context.Context, k Key, route string, services []string) Finding {
 	now := time.Now()
 	d.mu.Lock()
 	s := d.table.get(k, now)
@@ -68,14 +71,12 @@
 	if s != nil {
 		return Finding{Origin: s.origin, Verdict: verdictOf(s.ambiguous), Source: FromOwnTable}
 	}
-	search := &search{versions: map[string]bool{}}
-	for _, service := range services {
-		search.addVersions(d.opts.Versions(service))
-	}
+	search := &search{origins: d.origins(route, services), covered: d.opts.Covers()}
 	fresh := d.opts.ListAge() <= maxListAge
-	if fresh && len(services) == 1 && len(search.versions) == 1 {
-		return search.finding(search.sole(services), Found, FromOwnList)
+	if fresh && search.covered && len(search.origins) == 1 {
+		return search.finding(search.sole(), Found, FromOwnList)
 	}
+	q := Question{Key: k, Route: route, Services: services}
 	list := d.peers.Holders(k)
 	list = list[:min(len(list), maxAsked)]
 	for len(list) > 0 && search.found == nil {
@@ -83,19 +84,39 @@
 		if search.asked > 0 {
 			n = len(list)
 		}
-		d.ask(ctx, list[:n], Question{Key: k, Services: services}, search)
+		d.ask(ctx, list[:n], q, search)
 		list = list[n:]
 	}
+	complete := search.covered && (fresh || search.answered > 0 || search.asked == 0)
 	switch {
 	case search.found != nil:
 		d.remember(k, *search.found)
 		return search.finding(*search.found.Origin, verdictOf(search.found.Ambiguous), FromPeer)
-	case len(search.versions) == 1 && (fresh || search.answered > 0 || search.asked == 0):
-		return search.finding(search.sole(services), Found, FromPeersLists)
-	case search.answered < search.asked:
+	case complete && len(search.origins) == 1:
+		return search.finding(search.sole(), Found, FromPeersLists)
+	}
+	return d.findInJournal(ctx, k, search)
+}
+
+// findInJournal looks for a stream in the log.
+func (d *Directory) findInJournal(ctx context.Context, k Key, search *search) Finding {
+	verdict := Unknown
+	if search.answered < search.asked {
+		verdict = Unreachable
+	}
+	if d.opts.Journal == nil {
+		return search.finding(Origin{}, verdict, FromNone)
+	}
+	ctx, cancel := context.WithTimeout(ctx, journalTimeout)
+	defer cancel()
+	switch found, err := d.opts.Journal.find(ctx, k); {
+	case err != nil:
 		return search.finding(Origin{}, Unreachable, FromNone)
+	case found != nil:
+		d.remember(k, *found)
+		return search.finding(*found.Origin, verdictOf(found.Ambiguous), FromLog)
 	}
-	return search.finding(Origin{}, Unknown, FromNone)
+	return search.finding(Origin{}, verdict, FromNone)
 }
 
 // verdictOf is the verdict on a stream that is known.
@@ -110,30 +131,27 @@
 type search struct {
 	asked, answered int
 	found           *Answer         // the first that knows the stream
-	versions        map[string]bool // that the services' targets have had
+	origins         map[Origin]bool // at which streams of the route may have begun
+	covered         bool            // these are all
 }
 
 // finding makes a finding of the search.
 func (s *search) finding(o Origin, v Verdict, from Source) Finding {
-	return Finding{Origin: o, Verdict: v, Source: from, Versions: slices.Sorted(maps.Keys(s.versions)), Asked: s.asked, Answered: s.answered}
+	return Finding{Origin: o, Verdict: v, Source: from, Versions: s.versions(), Covered: s.covered, Asked: s.asked, Answered: s.answered}
 }
 
-func (s *search) addVersions(versions []string) {
-	for _, v := range versions {
-		s.versions[v] = true
+// versions lists the origins' versions.
+func (s *search) versions() []string {
+	list := make([]string, 0, len(s.origins))
+	for o := range s.origins {
+		list = append(list, o.Version)
 	}
+	slices.Sort(list)
+	return slices.Compact(list)
 }
 
-// sole is the origin if the targets have had one version only.
-func (s *search) sole(services []string) (o Origin) {
-	for v := range s.versions {
-		o.Version = v
-	}
-	if len(services) == 1 {
-		o.Service = services[0]
-	}
-	return o
-}
+// sole is the origin if there is only one.
+func (s *search) sole() Origin { return slices.Collect(maps.Keys(s.origins))[0] }
 
 // ask asks hosts at the same time, until one of them knows the stream.
 func (d *Directory) ask(ctx context.Context, addresses []string, q Question, s *search) {
@@ -157,9 +175,10 @@
 			continue
 		}
 		s.answered++
+		s.covered = s.covered || a.Covers == nil || *a.Covers
 		for service, versions := range a.Versions {
-			if slices.Contains(q.Services, service) {
-				s.addVersions(versions)
+			for _, version := range versions {
+				s.origins[Origin{service, version}] = true
 			}
 		}
 		if a.Origin != nil {
--- a/router/streamversion/table.go
+++ b/router/streamversion/table.go
@@ -22,7 +22,6 @@
 	ambiguous bool // two streams with this key began at different origins
 	expires   time.Time
 	announced bool // other hosts were told
-	spread    bool // to be announced even while its service has one version
 }
 
 // table holds the streams that a host knows. It is not safe for concurrent use.
