--- a/router/streamversion/journal.go
+++ b/router/streamversion/journal.go
@@ -19,7 +19,7 @@
 // Parameters of a Journal.
 const (
 	// journalInterval is the least time between two appends of a host, and between two reads.
-	journalInterval = 100 * time.Millisecond
+	journalInterval = 50 * time.Millisecond
 	// journalIntervalPerHost bounds the appends, and the reads, of all hosts together to 400 a second.
 	journalIntervalPerHost = 2500 * time.Microsecond
 	journalPartitions      = 4
--- a/router/streamversion/past.go
+++ b/router/streamversion/past.go
@@ -224,13 +224,12 @@
 			delete(p.observed, u)
 		}
 	}
+	// Without any record on a log that was never restored, no fleet of this build was there before.
+	recorded := p.complete != nil && p.complete.Era >= era || p.complete == nil && era == 0 && !earlier
+	p.covers = p.covers || followed || loaded && recorded
 	if !loaded {
 		return nil
 	}
-	switch {
-	case followed, p.complete != nil && p.complete.Era >= era, p.complete == nil && era == 0 && !earlier:
-		p.covers = true
-	}
 	return p.due(p.wanted(era, followed), now, delay)
 }
 
