prepaid: don't ration the rest of streams

Cause: the rest of a budget goes to the requests that cost least, and the rest of a stream counted as much as a new one. But the tokens of its first part are wasted without it, and its caller begins anew, for more.

Change: a request whose stream's origin was found costs nothing in this order. The call between hosts is as before: a loan without a cost is not shed.

--- a/router/forward/admit.go
+++ b/router/forward/admit.go
@@ -177,7 +177,7 @@
 		return q.refuseByConfig(BadRequest), errors.New("request has no valid maximum token usage")
 	}
 	reservation, err := q.handler.opts.Budgets.ReserveFor(q.ctx, prepaid.Request{
-		Organisation: q.organisation.Name, Tokens: u.in + u.out, Priority: q.route.Priority,
+		Organisation: q.organisation.Name, Tokens: u.in + u.out, Priority: q.route.Priority, TakesUp: q.origin != nil,
 	})
 	switch {
 	case err == nil:
--- a/router/prepaid/allocator.go
+++ b/router/prepaid/allocator.go
@@ -194,6 +194,8 @@
 	Organisation string
 	Tokens       int64 // upper bound
 	Priority     int   // of its route; 0 is the most urgent
+	// TakesUp says that the caller has a part of the stream already and wants the rest.
+	TakesUp bool
 }
 
 // Reserve is ReserveFor with the most urgent priority.
--- a/router/prepaid/shed.go
+++ b/router/prepaid/shed.go
@@ -50,8 +50,12 @@
 )
 
 // Cost is what serving a request costs the other callers of its organisation: its tokens, weighted
-// more the less urgent it is.
+// more the less urgent it is. The rest of a stream costs them nothing: without it the tokens of the first part are wasted,
+// and its caller begins anew, for more.
 func (q Request) Cost() float64 {
+	if q.TakesUp {
+		return 0
+	}
 	return float64(q.Tokens) * math.Pow(priorityFactor, float64(max(q.Priority, 0)))
 }
 
@@ -139,8 +143,8 @@
 	return share
 }
 
-// shouldShed records a request and reports whether to shed it. Only a host that obtains allocations
-// of the budget decides this: others see few of its requests.
+// shouldShed records a request and reports whether to shed it; one without cost is not. Only a host that obtains
+// allocations of the budget decides this: others see few of its requests.
 func (a *Allocator) shouldShed(organisation string, cost float64, tokens int64) bool {
 	if cost <= 0 {
 		return false
