node: an old configuration proves no service of a stream

Cause: a host whose configuration is old may not know that the operator has moved a route; with one version at the service it knows, it took a stream for one of that service without asking. Change: the age by which it relies on its own knowledge counts the configuration's, once that is above the limit that holds for refusals.

--- a/router/node/streams.go
+++ b/router/node/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"maststage.dev/lib/guard"
 	"maststage.dev/router/routing"
@@ -27,7 +28,7 @@
 	}
 	n.streams = streamversion.New(streamversion.Options{
 		Versions: n.streamVersions, Services: n.streamPast.Services, Covers: n.streamPast.Covers, Journal: n.streamJournal,
-		ListAge: n.targetsReplica.Age, Count: n.observer.Count, Go: guard.Go,
+		ListAge: n.streamUsesAge, Count: n.observer.Count, Go: guard.Go,
 	})
 }
 
@@ -38,6 +39,14 @@
 	return slices.Compact(list)
 }
 
+// streamUsesAge is how long ago targets and routes were last confirmed to be the newest ones.
+func (n *Node) streamUsesAge() time.Duration {
+	if age := n.configAge(); age > n.configAgeLimit() {
+		return max(age, n.targetsReplica.Age())
+	}
+	return n.targetsReplica.Age()
+}
+
 // streamUses returns the services that streams may begin at by the present configuration, and the versions that their
 // targets have had of late.
 func (n *Node) streamUses() []streamversion.Use {
--- a/router/streamversion/directory.go
+++ b/router/streamversion/directory.go
@@ -57,7 +57,7 @@
 	Covers func() bool
 	// Journal keeps the origins of streams in the log; nil: nothing does.
 	Journal *Journal
-	// ListAge is how long ago the list of targets was last confirmed to be the newest.
+	// ListAge is how long ago Versions and the routes were last confirmed to be the newest ones.
 	ListAge func() time.Duration
 	// Count increments a counter.
 	Count func(name string)
