streamversion: keep records of uses in a topic of their own, and make them at once

Change: the records have a topic of their own, which hosts read as they start, every 20 s, and before they write. They look as the list or the configuration changes, and write within 5 ms a host. A use is remembered for 60 s after this host last observed it; records are deleted only by a host that has followed targets and configurations for that long and has known the record for as long. Without records only a fleet that has just begun to use the log relies on what it sees.

Measured: TestNewVersionIsRecordedAtOnce: within 100 ms at 6, 87 and 984 hosts, fewer than 20 appends; all tests of streamversion pass with -race, those of node for streams, rollouts and restored logs too. The tests of Past are new: the interface they use changed with it; what they check holds on.

--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -22,7 +22,6 @@
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/quarantine"
 	"maststage.dev/router/replica"
-	"maststage.dev/router/streamversion"
 )
 
 // Host is the announcement of one host.
@@ -175,7 +174,7 @@
 	f.noteInitialEnd(changes)
 	for _, c := range changes {
 		name := c.Record.Key
-		if strings.HasPrefix(name, quarantine.KeyPrefix) || strings.HasPrefix(name, limit.KeyPrefix) || strings.HasPrefix(name, streamversion.KeyPrefix) {
+		if strings.HasPrefix(name, quarantine.KeyPrefix) || strings.HasPrefix(name, limit.KeyPrefix) {
 			continue // hosts publish other records in this topic, too
 		}
 		if len(c.Record.Value) == 0 {
--- a/router/node/config.go
+++ b/router/node/config.go
@@ -170,6 +170,7 @@
 	n.setColdLimits(config, n.newestSettings().Bounds)
 	n.streamPast.Note(routeUses(config))
 	n.handler.SetConfig(config)
+	n.streamPast.Look()
 	n.shareConnections()
 	fields := log.Fields{
 		"version": config.Version, "routes": len(config.Routes), "organisations": len(config.Organisations),
@@ -273,6 +274,7 @@
 		n.rollouts.noteVersion(entry)
 		n.targets.Put(entry)
 	}
+	n.streamPast.Look()
 }
 
 // invalidEntryLinesPerSecond bounds the log lines about entries that name no target.
--- a/router/node/era.go
+++ b/router/node/era.go
@@ -15,7 +15,6 @@
 	"maststage.dev/router/quarantine"
 	"maststage.dev/router/replica"
 	"maststage.dev/router/settings"
-	"maststage.dev/router/streamversion"
 )
 
 // Timing after the log was restored from a copy.
@@ -102,7 +101,7 @@
 // isHostsRecord reports whether a key of the hosts' topic is of a record that any host may write: each host announces
 // itself.
 func isHostsRecord(key string) bool {
-	return strings.HasPrefix(key, quarantine.KeyPrefix) || strings.HasPrefix(key, limit.KeyPrefix) || strings.HasPrefix(key, streamversion.KeyPrefix)
+	return strings.HasPrefix(key, quarantine.KeyPrefix) || strings.HasPrefix(key, limit.KeyPrefix)
 }
 
 // rewrite appends the lost records of a topic whose keys are wanted, unless the log has records that this host has not
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -52,6 +52,8 @@
 	ConfigTopic, TargetsTopic, HostsTopic, BudgetsTopic, ArchiveTopic string
 	// StreamsTopic is a topic without keys, private to the routers: where streams began. Empty: that is not recorded.
 	StreamsTopic string
+	// UsesTopic is a keyed one: at which services and versions streams may have begun. Empty: that is not recorded.
+	UsesTopic string
 	// MaxRecordBytes is the size of the largest record that the log accepts.
 	MaxRecordBytes int
 	// ConfigKey is the key of the configuration in its topic.
@@ -397,7 +399,7 @@
 	guard.Go("treasury", func() { n.allocator.Run(ctx) })
 	guard.Go("quarantine", func() { n.guard.Run(ctx) })
 	guard.Go("stream versions", func() { n.streams.Run(ctx) })
-	guard.Go("stream uses", func() { n.streamPast.Run(ctx) })
+	guard.Go("uses of streams", func() { n.streamPast.Run(ctx) })
 	if n.streamJournal != nil {
 		guard.Go("stream journal", func() { n.streamJournal.Run(ctx) })
 	}
--- a/router/node/quarantine.go
+++ b/router/node/quarantine.go
@@ -26,14 +26,9 @@
 
 // writeHosts writes a record to the hosts' topic.
 func (n *Node) writeHosts(ctx context.Context, rec eventlog.Record) error {
-	return n.writeAllHosts(ctx, []eventlog.Record{rec})
-}
-
-// writeAllHosts writes records to the hosts' topic, all or none.
-func (n *Node) writeAllHosts(ctx context.Context, records []eventlog.Record) error {
 	call, cancel := context.WithTimeout(ctx, settings.Milliseconds(n.cfg.Log.TimeoutMs))
 	defer cancel()
-	_, err := n.env.Log.Append(call, eventlog.Partition{Topic: n.env.HostsTopic}, records)
+	_, err := n.env.Log.Append(call, eventlog.Partition{Topic: n.env.HostsTopic}, []eventlog.Record{rec})
 	return err
 }
 
@@ -42,7 +37,6 @@
 	n.fleet.HandleChanges(changes)
 	n.guard.ApplyChanges(changes)
 	n.limitNotices.changed(changes)
-	n.streamPast.ApplyChanges(changes)
 }
 
 // quarantineLoadTimeout is how long a starting host waits for the requests in quarantine before it is
--- a/router/node/streams.go
+++ b/router/node/streams.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"maststage.dev/lib/guard"
+	"maststage.dev/router/eventlog"
 	"maststage.dev/router/routing"
 	"maststage.dev/router/settings"
 	"maststage.dev/router/streamversion"
@@ -12,29 +13,29 @@
 
 // newStreams makes the directory of where streams began, and what the log keeps for it.
 func (n *Node) newStreams() {
+	timeout := settings.Milliseconds(n.cfg.Log.TimeoutMs)
 	n.streamPast = streamversion.NewPast(streamversion.PastOptions{
+		Log: n.env.Log, Partition: eventlog.Partition{Topic: n.env.UsesTopic}, Timeout: timeout,
 		Observe:       n.streamUses,
-		Topic:         func() (era int64, loaded bool) { return n.hostsReplica.End().Era, n.hostsReplica.Loaded() },
-		ListLoaded:    n.targetsReplica.Loaded,
-		EarlierBuilds: func() bool { return n.fleet.SomeKeepNoVersionRecords() },
+		NewFleet:      func() bool { return n.fleet.LogIsNew() },
+		EarlierBuilds: func() bool { return !n.hostsReplica.Loaded() || n.fleet.SomeKeepNoVersionRecords() },
 		Hosts:         n.knownHosts,
-		Write:         n.writeAllHosts,
 	})
 	if n.env.StreamsTopic != "" {
 		n.streamJournal = streamversion.NewJournal(streamversion.JournalOptions{
 			Log: n.env.Log, Topic: n.env.StreamsTopic, Partitions: n.cfg.Log.Partitions, Host: n.cfg.Host.Name, Hosts: n.knownHosts,
-			Timeout: settings.Milliseconds(n.cfg.Log.TimeoutMs), Count: n.observer.Count, Go: guard.Go,
+			Timeout: timeout, Count: n.observer.Count, Go: guard.Go,
 		})
 	}
 	n.streams = streamversion.New(streamversion.Options{
-		Versions: n.streamVersions, Services: n.streamPast.Services, Covers: n.streamPast.Covers, Journal: n.streamJournal,
-		ListAge: n.streamUsesAge, Count: n.observer.Count, Go: guard.Go,
+		Versions: n.streamVersions, Services: n.streamPast.Services, Covers: n.streamPast.Covers, Followed: n.streamPast.Followed,
+		Journal: n.streamJournal, ListAge: n.streamUsesAge, Count: n.observer.Count, Go: guard.Go,
 	})
 }
 
 // streamVersions lists the versions at which streams of a service in progress may have begun.
 func (n *Node) streamVersions(service string) []string {
-	list := append(n.targets.RecentVersions(service), n.streamPast.Versions(service)...)
+	list := slices.Concat(n.targets.RecentVersions(service), n.streamPast.Versions(service))
 	slices.Sort(list)
 	return slices.Compact(list)
 }
@@ -47,25 +48,28 @@
 	return n.targetsReplica.Age()
 }
 
-// streamUses returns the services that streams may begin at by the present configuration, and the versions that their
-// targets have had of late.
-func (n *Node) streamUses() []streamversion.Use {
+// maxUsesAge is the age of targets and routes up to which this host counts as following them.
+const maxUsesAge = 5 * time.Second
+
+// streamUses returns the services that streams may begin at by the present configuration, and the versions of their targets,
+// for a Past.
+func (n *Node) streamUses() (uses []streamversion.Use, fresh, ok bool) {
 	config := n.handler.Config()
-	if config == nil {
-		return nil
+	if config == nil || !n.targetsReplica.Loaded() {
+		return nil, false, false
 	}
-	uses := routeUses(config)
+	uses = routeUses(config)
 	seen := map[string]bool{}
 	for _, u := range uses {
 		if seen[u.Service] {
 			continue
 		}
 		seen[u.Service] = true
-		for _, version := range n.targets.RecentVersions(u.Service) {
+		for _, version := range n.targets.ServingVersions(u.Service) {
 			uses = append(uses, streamversion.Use{Service: u.Service, Version: version})
 		}
 	}
-	return uses
+	return uses, n.streamUsesAge() <= maxUsesAge, true
 }
 
 // routeUses returns the services of a configuration's routes of streams.
--- a/router/streamversion/directory.go
+++ b/router/streamversion/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,6 +56,9 @@
 	// Covers reports whether Versions and Services reach back to before this host started, as far as streams in progress
 	// go. nil: they do.
 	Covers func() bool
+	// Followed reports whether this host has observed by itself all of Versions and Services, and not only read what others
+	// recorded. nil: it has.
+	Followed func() bool
 	// Journal keeps the origins of streams in the log; nil: nothing does.
 	Journal *Journal
 	// ListAge is how long ago Versions and the routes were last confirmed to be the newest ones.
@@ -97,6 +101,9 @@
 	if opts.Covers == nil {
 		opts.Covers = func() bool { return true }
 	}
+	if opts.Followed == nil {
+		opts.Followed = func() bool { return true }
+	}
 	return &Directory{opts: opts, wake: make(chan struct{}, 1), failureLog: logging.NewLimiter(failureLinesPerSecond), table: newTable(), pending: map[string]map[Key]bool{}}
 }
 
@@ -130,7 +137,7 @@
 // origins returns where streams of a route that has the given services may have begun.
 func (d *Directory) origins(route string, services []string) map[Origin]bool {
 	origins := map[Origin]bool{}
-	for _, service := range append(d.opts.Services(route), services...) {
+	for _, service := range slices.Concat(d.opts.Services(route), services) {
 		for _, version := range d.opts.Versions(service) {
 			origins[Origin{service, version}] = true
 		}
@@ -159,7 +166,7 @@
 func (d *Directory) Answer(q Question) Answer {
 	covers := d.opts.Covers()
 	a := Answer{Versions: map[string][]string{}, Covers: &covers}
-	for _, service := range append(d.opts.Services(q.Route), q.Services...) {
+	for _, service := range slices.Concat(d.opts.Services(q.Route), q.Services) {
 		a.Versions[service] = d.opts.Versions(service)
 	}
 	now := time.Now()
--- a/router/streamversion/find.go
+++ b/router/streamversion/find.go
@@ -74,6 +74,9 @@
 	search := &search{origins: d.origins(route, services), covered: d.opts.Covers()}
 	fresh := d.opts.ListAge() <= maxListAge
 	if fresh && search.covered && len(search.origins) == 1 {
+		if f, ok := d.findOtherOrigin(ctx, k, search); ok {
+			return f
+		}
 		return search.finding(search.sole(), Found, FromOwnList)
 	}
 	q := Question{Key: k, Route: route, Services: services}
@@ -98,6 +101,16 @@
 	return d.findInJournal(ctx, k, search)
 }
 
+// findOtherOrigin looks for a stream in the log before this host concludes that it has the sole origin that it knows. A
+// version that served for a moment may have no record yet as all hosts and its targets end.
+func (d *Directory) findOtherOrigin(ctx context.Context, k Key, search *search) (f Finding, ok bool) {
+	if d.opts.Followed() {
+		return Finding{}, false
+	}
+	f = d.findInJournal(ctx, k, search)
+	return f, f.Source == FromLog
+}
+
 // findInJournal looks for a stream in the log.
 func (d *Directory) findInJournal(ctx context.Context, k Key, search *search) Finding {
 	verdict := Unknown
--- a/router/streamversion/journal.go
+++ b/router/streamversion/journal.go
@@ -153,20 +153,28 @@
 	return records
 }
 
-// find reads what was appended until now and returns what is known of a stream, nil if nothing is.
+// find returns what the log has of a stream, nil if it has nothing. It reads the log unless the stream was read before.
 func (j *Journal) find(ctx context.Context, k Key) (*Answer, error) {
+	if a := j.lookUp(k); a != nil {
+		return a, nil
+	}
 	if err := j.refresh(ctx); err != nil {
 		return nil, err
 	}
+	return j.lookUp(k), nil
+}
+
+// lookUp returns what was read of a stream, nil if nothing was.
+func (j *Journal) lookUp(k Key) *Answer {
 	now := time.Now()
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	s := j.found.get(k, now)
 	if s == nil {
-		return nil, nil
+		return nil
 	}
 	origin := s.origin
-	return &Answer{Origin: &origin, Ambiguous: s.ambiguous, KeepMs: s.expires.Sub(now).Milliseconds()}, nil
+	return &Answer{Origin: &origin, Ambiguous: s.ambiguous, KeepMs: s.expires.Sub(now).Milliseconds()}
 }
 
 // refresh waits for a read that starts after the call. Callers that wait share it.
--- a/router/streamversion/past.go
+++ b/router/streamversion/past.go
@@ -6,18 +6,14 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	log "github.com/sirupsen/logrus"
 
-	"maststage.dev/lib/wait"
 	"maststage.dev/router/eventlog"
-	"maststage.dev/router/replica"
 )
 
 // Use says that streams of a route may have begun at a service, or streams of a service at a software version of its
@@ -28,19 +24,16 @@
 	Version string `json:"version,omitempty"`
 }
 
-// KeyPrefix begins the keys of the records of a Past in the hosts' topic.
-const KeyPrefix = "stream-version/"
-
 // completeKey is the key of the record which says that the records of all uses are there.
-const completeKey = KeyPrefix + "complete"
+const completeKey = "complete"
 
-// useKeyBytes is the length of the digest in the key of a use.
+// useKeyBytes is the length of the digest that is the key of a use.
 const useKeyBytes = 12
 
 // key returns the key of the use's record. Names of routes and versions may be longer than a key.
 func (u Use) key() string {
 	sum := sha256.Sum256([]byte(u.Route + "\x00" + u.Service + "\x00" + u.Version))
-	return KeyPrefix + hex.EncodeToString(sum[:useKeyBytes])
+	return hex.EncodeToString(sum[:useKeyBytes])
 }
 
 // completeRecord is the value of the record under completeKey.
@@ -53,103 +46,118 @@
 // Timing of a Past.
 const (
 	// useMemory is how long a stream may be in progress after its route was moved to another service, or the last target of
-	// its version left. A host that has followed the targets for longer knows all versions.
-	useMemory   = 60 * time.Second
-	useInterval = 200 * time.Millisecond // between two looks at the targets
-	// writeDelayPerHost spreads the writes of all hosts that observe a new use: they write some four records a second
-	// together until they have read the first one.
-	writeDelayPerHost = 250 * time.Millisecond
-	// rewriteAfter is the time after which a record that was written and not read back is written again.
-	rewriteAfter = 6 * time.Second
+	// its version left. A host that has followed targets and configurations for longer knows all uses.
+	useMemory = 60 * time.Second
+	// lookInterval is the most time between two looks at what this host observes.
+	lookInterval = 200 * time.Millisecond
+	// readInterval is the mean time between two reads of the records, readRetry the time after a read that failed or that
+	// did not tell this host what was before it.
+	readInterval = 20 * time.Second
+	readRetry    = time.Second
+	// writeDelayPerHost spreads the writes of all hosts that observe a new use. Each reads the records before it writes, so
+	// that few do.
+	writeDelayPerHost = 5 * time.Millisecond
+	// unknownSizeDelay spreads them until the number of hosts is known.
+	unknownSizeDelay = 300 * time.Millisecond
 	// maxUsesPerWrite bounds the records of one append, of some 200 bytes each.
 	maxUsesPerWrite = 256
 )
 
 // PastOptions configure a Past.
 type PastOptions struct {
-	// Observe returns the versions of the targets that this host has known within useMemory, and the services of the
-	// present configuration's routes.
-	Observe func() []Use
-	// Topic returns the era in which this host has the hosts' topic; loaded is false before it has it.
-	Topic func() (era int64, loaded bool)
-	// ListLoaded reports whether this host has the list of targets.
-	ListLoaded func() bool
+	Log       eventlog.Log
+	Partition eventlog.Partition // of a keyed topic, for this alone
+	Timeout   time.Duration      // of a call to the log
+	// Observe returns the versions of the targets at which streams may begin now, and the services of the present
+	// configuration's routes; ok is false before this host has both. fresh says that these were confirmed to be the newest
+	// of late.
+	Observe func() (uses []Use, fresh, ok bool)
+	// NewFleet reports whether hosts have just begun to use the log.
+	NewFleet func() bool
 	// EarlierBuilds reports whether there are hosts that keep no records of uses.
 	EarlierBuilds func() bool
-	Hosts         func() int
-	// Write appends records to the hosts' topic.
-	Write func(ctx context.Context, records []eventlog.Record) error
+	Hosts         func() int // 0 before they are known
 }
 
 // Past knows at which services and versions streams in progress may have begun, also before this host started. Each use is
-// a record in the log from when a host first observes it until one that follows the targets has not observed it for
-// useMemory. So a host that starts knows which versions have gone, though all others ended before. It is safe for
+// a record in the log from when a host first observes it until one that follows targets and configurations has not observed
+// it for useMemory. So a host that starts knows which versions have gone, though all others ended before. It is safe for
 // concurrent use.
 type Past struct {
 	opts PastOptions
+	wake chan struct{} // full: there may be something new to observe
 
 	mu       sync.Mutex
-	recorded map[Use]bool
-	byKey    map[string]Use
-	observed map[Use]time.Time // when each was last observed
-	complete *completeRecord   // nil before it is read
-	covers   bool              // see Covers
-	since    time.Time         // when this host first had the list of targets
-	waiting  map[string]bool   // keys of the records that wait for writeAt
-	writeAt  time.Time         // when this host writes the records that the log lacks
+	uses     map[Use]*useState
+	services map[string][]string // by route, of uses
+	versions map[string][]string // by service, of uses
+	covers   bool                // see Covers
+	since    time.Time           // since when this host has followed targets and configurations; zero: it does not
+	complete *completeRecord     // as read; nil: there is none
+	era      int64               // of the log, as read
+	read     bool                // the records have been read
+	nextRead time.Time
+	wanted   map[string]bool // keys of the records that this host has to write or delete
+	writeAt  time.Time       // when it does
 }
 
-// NewPast returns a Past that knows nothing; Run keeps it.
-func NewPast(opts PastOptions) *Past {
-	return &Past{opts: opts, recorded: map[Use]bool{}, byKey: map[string]Use{}, observed: map[Use]time.Time{}, waiting: map[string]bool{}}
+// useState is what a host knows of a use.
+type useState struct {
+	observed time.Time // when this host last observed it; zero: never
+	learned  time.Time // when it first read it
+	recorded bool      // the log has a record of it
+	lost     bool      // a log that was restored since lacks its record
 }
 
-// ApplyChanges applies changes of the hosts' topic.
-func (p *Past) ApplyChanges(changes []replica.Change) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range changes {
-		if strings.HasPrefix(c.Record.Key, KeyPrefix) {
-			p.apply(c.Record)
-		}
-	}
+// current reports whether this host observed the use within useMemory.
+func (s *useState) current(now time.Time) bool {
+	return !s.observed.IsZero() && now.Sub(s.observed) <= useMemory
 }
 
-func (p *Past) apply(rec eventlog.Record) {
-	switch {
-	case rec.Key == completeKey && len(rec.Value) == 0:
-		p.complete = nil
-	case rec.Key == completeKey:
-		var complete completeRecord
-		if err := json.Unmarshal(rec.Value, &complete); err != nil {
-			logInvalid(rec.Key, err)
-			return
-		}
-		p.complete = &complete
-	case len(rec.Value) == 0:
-		delete(p.recorded, p.byKey[rec.Key])
-		delete(p.byKey, rec.Key)
-	default:
-		var u Use
-		if err := json.Unmarshal(rec.Value, &u); err != nil || u.key() != rec.Key {
-			logInvalid(rec.Key, err)
-			return
-		}
-		p.recorded[u], p.byKey[rec.Key] = true, u
-	}
+// NewPast returns a Past that knows nothing; Run keeps it.
+func NewPast(opts PastOptions) *Past {
+	return &Past{opts: opts, wake: make(chan struct{}, 1), uses: map[Use]*useState{}, wanted: map[string]bool{}}
 }
 
-func logInvalid(key string, err error) {
-	log.WithField("key", key).WithError(err).Warn("ignoring an invalid record of where streams began")
+// Look has this host look at once whether there is something new to observe.
+func (p *Past) Look() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Note notes uses that this host observes, before they can begin streams.
 func (p *Past) Note(uses []Use) {
-	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.note(uses, time.Now())
+}
+
+func (p *Past) note(uses []Use, now time.Time) {
+	added := false
 	for _, u := range uses {
-		p.observed[u] = now
+		s := p.uses[u]
+		if s == nil {
+			s = &useState{}
+			p.uses[u], added = s, true
+		}
+		s.observed = now
+	}
+	if added {
+		p.index()
+	}
+}
+
+// index lists the uses by route and by service. The lock is held.
+func (p *Past) index() {
+	p.services, p.versions = map[string][]string{}, map[string][]string{}
+	for u := range p.uses {
+		if u.Route == "" {
+			p.versions[u.Service] = append(p.versions[u.Service], u.Version)
+		} else {
+			p.services[u.Route] = append(p.services[u.Route], u.Service)
+		}
 	}
 }
 
@@ -161,138 +169,239 @@
 	return p.covers
 }
 
-// Services lists the services that streams of a route in progress may have begun at.
-func (p *Past) Services(route string) []string {
-	return p.list(func(u Use) (string, bool) { return u.Service, u.Route == route && route != "" })
+// Followed reports whether this host has observed by itself all uses that streams in progress may have.
+func (p *Past) Followed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.followed(time.Now())
 }
 
-// Versions lists the software versions that streams of a service in progress may have begun at, as far as they were noted.
-func (p *Past) Versions(service string) []string {
-	return p.list(func(u Use) (string, bool) { return u.Version, u.Route == "" && u.Service == service })
+func (p *Past) followed(now time.Time) bool { return !p.since.IsZero() && now.Sub(p.since) > useMemory }
+
+// Services lists the services that streams of a route in progress may have begun at. The caller must not change it.
+func (p *Past) Services(route string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clip(p.services[route])
 }
 
-// list returns what of returns of each use for which it returns true, sorted.
-func (p *Past) list(of func(u Use) (string, bool)) []string {
+// Versions lists the software versions that streams of a service in progress may have begun at. The caller must not change
+// it.
+func (p *Past) Versions(service string) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var list []string
-	add := func(u Use) {
-		if text, ok := of(u); ok {
-			list = append(list, text)
-		}
-	}
-	for u := range p.recorded {
-		add(u)
-	}
-	for u := range p.observed {
-		add(u)
-	}
-	slices.Sort(list)
-	return slices.Compact(list)
+	return slices.Clip(p.versions[service])
 }
 
 // Run observes uses and keeps their records until ctx ends.
 func (p *Past) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		for _, records := range p.step(time.Now()) {
-			if err := p.opts.Write(ctx, records); err != nil {
-				log.WithError(err).WithField("records", len(records)).Info("services and versions of streams not recorded, retrying later")
-				break
-			}
+	timer := time.NewTimer(lookInterval)
+	defer timer.Stop()
+	for {
+		p.step(ctx, time.Now())
+		timer.Reset(p.pause(time.Now()))
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-p.wake:
 		}
-		wait.For(ctx, useInterval)
 	}
 }
 
-// step observes uses and returns the appends that this host has to make now.
-func (p *Past) step(now time.Time) [][]eventlog.Record {
-	observed := p.opts.Observe()
-	era, loaded := p.opts.Topic()
-	earlier := p.opts.EarlierBuilds()
-	delay := time.Duration(max(p.opts.Hosts(), 1)) * writeDelayPerHost
+// pause returns the time until the next look, or until it is time to write.
+func (p *Past) pause(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, u := range observed {
-		p.observed[u] = now
+	if len(p.wanted) == 0 {
+		return lookInterval
 	}
-	if p.since.IsZero() && p.opts.ListLoaded() {
-		p.since = now
+	return min(max(p.writeAt.Sub(now), 0), lookInterval)
+}
+
+// step observes, and reads and writes records if it is time to.
+func (p *Past) step(ctx context.Context, now time.Time) {
+	p.observe(now)
+	write := p.mayWrite(now)
+	if p.opts.Partition.Topic == "" || !write && now.Before(p.nextRead) {
+		return
 	}
-	followed := !p.since.IsZero() && now.Sub(p.since) > useMemory
-	for u, at := range p.observed {
-		if isVersion := u.Route == ""; isVersion && at.Before(now) || now.Sub(at) > useMemory {
-			delete(p.observed, u)
-		}
+	if !p.readRecords(ctx, now) || !write {
+		return
 	}
-	// Without any record on a log that was never restored, no fleet of this build was there before.
-	recorded := p.complete != nil && p.complete.Era >= era || p.complete == nil && era == 0 && !earlier
-	p.covers = p.covers || followed || loaded && recorded
-	if !loaded {
-		return nil
+	for records := range slices.Chunk(p.missing(now), maxUsesPerWrite) {
+		if err := p.append(ctx, records); err != nil {
+			log.WithError(err).WithField("records", len(records)).Info("services and versions of streams not recorded, retrying")
+			p.postpone(now.Add(readRetry))
+			return
+		}
 	}
-	return p.due(p.wanted(era, followed), now, delay)
+	p.postpone(now.Add(readRetry))
 }
 
-// wanted returns the records that the log should have and, as far as this host has read, has not. The lock is held.
-func (p *Past) wanted(era int64, followed bool) map[string]eventlog.Record {
-	wanted := map[string]eventlog.Record{}
-	want := func(key string, value any) {
-		data, err := json.Marshal(value)
-		if err != nil {
-			panic(fmt.Sprintf("streamversion: %v", err)) // structs of texts and numbers can be encoded
+// observe notes what this host observes, and forgets what no stream in progress can have begun at.
+func (p *Past) observe(now time.Time) {
+	uses, fresh, ok := p.opts.Observe()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case !ok || !fresh:
+		p.since = time.Time{}
+	case p.since.IsZero():
+		p.since = now
+	}
+	p.note(uses, now)
+	for u, s := range p.uses {
+		if !s.recorded && !s.lost && !s.current(now) {
+			delete(p.uses, u)
+			p.index()
 		}
-		wanted[key] = eventlog.Record{Key: key, Value: data}
 	}
-	incomplete := p.covers && (p.complete == nil || p.complete.Era < era)
-	for u := range p.observed {
-		if !p.recorded[u] || incomplete {
-			want(u.key(), u)
+	p.covers = p.covers || p.followed(now)
+}
+
+// mayWrite reports whether this host has records to write and it is time to.
+func (p *Past) mayWrite(now time.Time) bool {
+	delay := time.Duration(p.opts.Hosts()) * writeDelayPerHost
+	if delay == 0 {
+		delay = unknownSizeDelay
+	}
+	missing := p.missing(now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := now.Add(rand.N(delay))
+	for _, rec := range missing {
+		if !p.wanted[rec.Key] && (len(p.wanted) == 0 || at.Before(p.writeAt)) {
+			p.writeAt = at
 		}
 	}
-	for u := range p.recorded {
-		_, observed := p.observed[u]
+	clear(p.wanted)
+	for _, rec := range missing {
+		p.wanted[rec.Key] = true
+	}
+	return len(missing) > 0 && !now.Before(p.writeAt)
+}
+
+// missing returns the records that the log should have and, as far as this host has read, has not; a record without a value
+// deletes one. The record of completeness comes last.
+func (p *Past) missing(now time.Time) (records []eventlog.Record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.read {
+		return nil
+	}
+	for u, s := range p.uses {
+		last := s.observed
+		if s.learned.After(last) {
+			last = s.learned
+		}
 		switch {
-		case observed:
-		case followed:
-			wanted[u.key()] = eventlog.Record{Key: u.key()}
-		case incomplete:
-			want(u.key(), u)
+		case !s.recorded:
+			if s.lost || s.current(now) {
+				records = append(records, encodeRecord(u.key(), u))
+			}
+		case p.followed(now) && now.Sub(last) > useMemory:
+			records = append(records, eventlog.Record{Key: u.key()})
 		}
 	}
-	if incomplete {
-		want(completeKey, completeRecord{Era: era})
+	if p.covers && (p.complete == nil || p.complete.Era < p.era) {
+		records = append(records, encodeRecord(completeKey, completeRecord{Era: p.era}))
 	}
-	return wanted
+	return records
 }
 
-// due returns the appends of the wanted records if it is time to make them. The record of completeness comes last. The
-// lock is held.
-func (p *Past) due(wanted map[string]eventlog.Record, now time.Time, delay time.Duration) (appends [][]eventlog.Record) {
-	at := now.Add(rand.N(delay))
-	for key := range wanted {
-		if !p.waiting[key] && (len(p.waiting) == 0 || at.Before(p.writeAt)) {
-			p.writeAt = at
+func encodeRecord(key string, value any) eventlog.Record {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(fmt.Sprintf("streamversion: %v", err)) // structs of texts and numbers can be encoded
+	}
+	return eventlog.Record{Key: key, Value: data}
+}
+
+func (p *Past) append(ctx context.Context, records []eventlog.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, p.opts.Timeout)
+	defer cancel()
+	_, err := p.opts.Log.Append(ctx, p.opts.Partition, records)
+	return err
+}
+
+// postpone has the records read, and written if they are still missing, not before a time.
+func (p *Past) postpone(at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.nextRead, p.writeAt = at, at
+}
+
+// readRecords reads the records and reports whether it could.
+func (p *Past) readRecords(ctx context.Context, now time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, p.opts.Timeout)
+	defer cancel()
+	var records []eventlog.Record
+	after := ""
+	for {
+		page, err := p.opts.Log.Newest(ctx, p.opts.Partition, after)
+		if err != nil {
+			p.postpone(now.Add(readRetry))
+			return false
 		}
+		records = append(records, page.Records...)
+		if !page.More || len(page.Records) == 0 {
+			p.apply(records, page.End.Era, now)
+			return true
+		}
+		after = page.Records[len(page.Records)-1].Key
 	}
-	clear(p.waiting)
-	for key := range wanted {
-		p.waiting[key] = true
+}
+
+// apply applies the records as they were read.
+func (p *Past) apply(records []eventlog.Record, era int64, now time.Time) {
+	newFleet, earlier := p.opts.NewFleet(), p.opts.EarlierBuilds()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	restored := p.read && era > p.era
+	for _, s := range p.uses {
+		s.lost = s.lost || restored && s.recorded
+		s.recorded = false
 	}
-	if len(wanted) == 0 || now.Before(p.writeAt) {
-		return nil
+	p.read, p.era, p.complete = true, era, nil
+	for _, rec := range records {
+		p.applyRecord(rec, now)
 	}
-	p.writeAt = now.Add(rewriteAfter)
-	records := slices.SortedFunc(maps.Values(wanted), func(a, b eventlog.Record) int {
-		switch {
-		case a.Key == completeKey:
-			return 1
-		case b.Key == completeKey:
-			return -1
+	p.index()
+	recorded := p.complete != nil && p.complete.Era >= era || p.complete == nil && newFleet
+	p.covers = p.covers || recorded && !earlier
+	p.nextRead = now.Add(readInterval/2 + rand.N(readInterval))
+	if !p.covers {
+		p.nextRead = now.Add(readRetry)
+	}
+}
+
+func (p *Past) applyRecord(rec eventlog.Record, now time.Time) {
+	if len(rec.Value) == 0 {
+		return
+	}
+	if rec.Key == completeKey {
+		complete := &completeRecord{}
+		if err := json.Unmarshal(rec.Value, complete); err != nil {
+			logInvalid(rec.Key, err)
+			return
 		}
-		return strings.Compare(a.Key, b.Key)
-	})
-	for chunk := range slices.Chunk(records, maxUsesPerWrite) {
-		appends = append(appends, chunk)
+		p.complete = complete
+		return
 	}
-	return appends
+	var u Use
+	if err := json.Unmarshal(rec.Value, &u); err != nil || u.key() != rec.Key {
+		logInvalid(rec.Key, err)
+		return
+	}
+	s := p.uses[u]
+	if s == nil {
+		s = &useState{learned: now}
+		p.uses[u] = s
+	}
+	s.recorded, s.lost = true, false
+}
+
+func logInvalid(key string, err error) {
+	log.WithField("key", key).WithError(err).Warn("ignoring an invalid record of where streams began")
 }
--- a/router/streamversion/past_test.go
+++ b/router/streamversion/past_test.go
@@ -2,77 +2,99 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"maststage.dev/router/eventlog"
-	"maststage.dev/router/replica"
+	"maststage.dev/standin/memlog"
+	"maststage.dev/standin/until"
 )
 
-// pastLog is the hosts' topic of simulated hosts that keep a Past.
-type pastLog struct {
-	era     int64
-	records map[string]eventlog.Record
-	hosts   []*pastHost
+// pastFleet is hosts that keep a Past, with one log.
+type pastFleet struct {
+	log   *memlog.Log
+	hosts []*pastHost
+	isNew bool // hosts have just begun to use the log
+	ends  []func()
 }
 
-// pastHost is one of these hosts.
+// pastHost is one of these hosts. Its fields but observed are set before it runs.
 type pastHost struct {
 	*Past
-	log      *pastLog
-	observed []Use
-	earlier  bool // a host of an earlier build is known
-	loaded   bool
-	now      time.Time
-}
-
-// start starts a host, which reads the topic at once.
-func (l *pastLog) start(at time.Time, observed ...Use) *pastHost {
-	h := &pastHost{log: l, observed: observed, loaded: true, now: at}
-	h.Past = NewPast(PastOptions{
-		Observe:       func() []Use { return h.observed },
-		Topic:         func() (int64, bool) { return l.era, h.loaded },
-		ListLoaded:    func() bool { return true },
-		EarlierBuilds: func() bool { return h.earlier },
-		Hosts:         func() int { return len(l.hosts) },
-	})
-	l.hosts = append(l.hosts, h)
-	for _, rec := range l.records {
-		h.ApplyChanges([]replica.Change{{Record: rec}})
-	}
-	return h
+	observed  atomic.Pointer[[]Use]
+	stale, no bool // what it observes is old; it observes nothing
+	earlier   bool // a host of an earlier build is known
 }
 
-// run lets the hosts observe and write for some time.
-func (l *pastLog) run(d time.Duration) {
-	for end := time.Duration(0); end < d; end += useInterval {
-		for _, h := range l.hosts {
-			h.now = h.now.Add(useInterval)
-			for _, records := range h.step(h.now) {
-				l.write(records)
-			}
+var usesPartition = eventlog.Partition{Topic: "uses"}
+
+func newPastFleet() *pastFleet { return &pastFleet{log: memlog.New(), isNew: true} }
+
+// start starts hosts.
+func (f *pastFleet) start(n int, change func(h *pastHost), observed ...Use) (last *pastHost) {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.ends = append(f.ends, cancel)
+	for range n {
+		h := &pastHost{}
+		h.observed.Store(&observed)
+		h.Past = NewPast(PastOptions{
+			Log: f.log.Host(fmt.Sprint(len(f.hosts))), Partition: usesPartition, Timeout: time.Second,
+			Observe:       func() ([]Use, bool, bool) { return *h.observed.Load(), !h.stale && !h.no, !h.no },
+			NewFleet:      func() bool { return f.isNew },
+			EarlierBuilds: func() bool { return h.earlier },
+			Hosts:         func() int { return len(f.hosts) },
+		})
+		if change != nil {
+			change(h)
 		}
+		f.hosts, last = append(f.hosts, h), h
+	}
+	for _, h := range f.hosts[len(f.hosts)-n:] {
+		go h.Run(ctx)
 	}
+	return last
 }
 
-func (l *pastLog) write(records []eventlog.Record) {
-	for _, rec := range records {
-		l.records[rec.Key] = rec
-		if len(rec.Value) == 0 {
-			delete(l.records, rec.Key)
-		}
-		for _, h := range l.hosts {
-			h.ApplyChanges([]replica.Change{{Record: rec}})
-		}
+// killAll ends all hosts.
+func (f *pastFleet) killAll() {
+	for _, end := range f.ends {
+		end()
 	}
+	synctest.Wait()
+	f.hosts, f.ends, f.isNew = nil, nil, false
 }
 
-// killAll ends all hosts.
-func (l *pastLog) killAll() { l.hosts = nil }
+// observe has all hosts observe other uses.
+func (f *pastFleet) observe(uses ...Use) {
+	for _, h := range f.hosts {
+		h.observed.Store(&uses)
+	}
+}
+
+// recorded counts the records of uses in the log.
+func (f *pastFleet) recorded(uses ...Use) (n int) {
+	for _, u := range uses {
+		if _, ok := f.log.Get(usesPartition, u.key()); ok {
+			n++
+		}
+	}
+	return n
+}
 
-func newPastLog() *pastLog { return &pastLog{records: map[string]eventlog.Record{}} }
+// inVirtualTime runs a test of a fleet in virtual time.
+func inVirtualTime(t *testing.T, run func(is *is.I, f *pastFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPastFleet()
+		defer f.killAll()
+		run(is.New(t), f)
+	})
+}
 
 var (
 	usesV1 = Use{Service: service, Version: "v1"}
@@ -81,115 +103,193 @@
 	usesT  = Use{Route: route, Service: "t"}
 )
 
+const oneLook = 50 * time.Millisecond // a host that starts looks and reads at once
+
 // Guards against a host that has just started and takes the versions that it sees for all that there were.
 func TestStartedHostKnowsWhatWasBefore(t *testing.T) {
-	is := is.New(t)
-	l, now := newPastLog(), time.Now()
-	for range 3 {
-		l.start(now, usesV1, usesS)
-	}
-	l.run(3 * time.Second)
-	for _, h := range l.hosts {
-		h.observed = []Use{usesV1, usesV2, usesS}
+	inVirtualTime(t, func(is *is.I, f *pastFleet) {
+		f.start(6, nil, usesV1, usesS)
+		time.Sleep(3 * time.Second)
+		f.observe(usesV1, usesV2, usesS)
+		time.Sleep(time.Second)
+		f.killAll()
+		h := f.start(6, nil, usesV2, usesT)
+		time.Sleep(oneLook)
+		is.True(h.Covers())
+		is.True(!h.Followed())
+		is.Equal(len(h.Versions(service)), 2)
+		is.Equal(len(h.Services(route)), 2)
+
+		time.Sleep(2*useMemory + 2*readInterval) // until no stream can be left
+		is.True(h.Followed())
+		is.Equal(h.Versions(service), []string{"v2"})
+		is.Equal(h.Services(route), []string{"t"})
+		f.killAll()
+		h = f.start(1, nil, usesV2, usesT)
+		time.Sleep(oneLook)
+		is.True(h.Covers())
+		is.Equal(h.Versions(service), []string{"v2"})
+	})
+}
+
+// Guards against a version of which no record is made before all hosts and its targets end.
+func TestNewVersionIsRecordedAtOnce(t *testing.T) {
+	for _, hosts := range []int{6, 87, 984} {
+		inVirtualTime(t, func(is *is.I, f *pastFleet) {
+			f.start(hosts, nil, usesV1)
+			time.Sleep(10 * time.Second)
+			f.observe(usesV1, usesV2)
+			for _, h := range f.hosts {
+				h.Look()
+			}
+			appends, _ := f.log.Calls()
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(f.recorded(usesV2), 1)
+			time.Sleep(30 * time.Second)
+			after, _ := f.log.Calls()
+			is.True(after-appends < 20) // most hosts find that it has been recorded
+		})
 	}
-	l.run(3 * time.Second)
-	l.killAll()
-	h := l.start(now, usesV2, usesT)
-	l.run(useInterval)
-	is.True(h.Covers())
-	is.Equal(h.Versions(service), []string{"v1", "v2"})
-	is.Equal(h.Services(route), []string{service, "t"})
-
-	l.run(useMemory + 10*time.Second) // until no stream can be left
-	is.Equal(h.Versions(service), []string{"v2"})
-	is.Equal(h.Services(route), []string{"t"})
-	l.killAll()
-	h = l.start(now, usesV2, usesT)
-	l.run(useInterval)
-	is.True(h.Covers())
-	is.Equal(h.Versions(service), []string{"v2"})
 }
 
 // Guards against relying on records that a log restored from a copy may lack, and against never relying on them again.
-func TestRecordsOfARestoredLogAreNotRelliedOnUntilTheyAreComplete(t *testing.T) {
-	is := is.New(t)
-	l, now := newPastLog(), time.Now()
-	l.start(now, usesV1)
-	l.run(5 * time.Second)
-	l.killAll()
-	l.era++
-	h := l.start(now, usesV1)
-	l.run(5 * time.Second)
-	is.True(!h.Covers())
-	l.run(useMemory)
-	is.True(h.Covers()) // it has followed the targets for long enough
-
-	l.run(5 * time.Second)
-	l.era++
-	l.run(5 * time.Second) // it vouches for the records
-	l.killAll()
-	h = l.start(now, usesV1)
-	l.run(useInterval)
-	is.True(h.Covers())
-}
-
-// Guards against conclusions from records that hosts of an earlier build did not write.
-func TestRecordsAreNotReliedOnWhileOthersWroteNone(t *testing.T) {
-	is := is.New(t)
-	l, now := newPastLog(), time.Now()
-	h := l.start(now, usesV2)
-	h.earlier = true
-	l.run(5 * time.Second)
-	is.True(!h.Covers())
-	l.run(useMemory)
-	is.True(h.Covers()) // it has followed the targets for long enough
-
-	h = l.start(now, usesV2)
-	h.loaded = false // it has not read them
-	l.run(5 * time.Second)
-	is.True(!h.Covers())
-}
-
-// Guards against a use that is forgotten as soon as it ends, and against records of large fleets that all hosts write.
-func TestUsesAreRecordedByFewAndForgottenLate(t *testing.T) {
-	is := is.New(t)
-	l, now := newPastLog(), time.Now()
-	for range 300 {
-		l.start(now, usesV1)
+func TestRecordsOfARestoredLogAreReliedOnOnceTheyAreComplete(t *testing.T) {
+	inVirtualTime(t, func(is *is.I, f *pastFleet) {
+		f.start(3, nil, usesV1)
+		time.Sleep(5 * time.Second)
+		copied := f.log.Snapshot()
+		f.observe(usesV1, usesV2)
+		time.Sleep(time.Second)
+		f.observe(usesV1)
+		time.Sleep(time.Second)
+		f.killAll()
+		f.log.Restore(copied)
+		h := f.start(3, nil, usesV1)
+		time.Sleep(useMemory - time.Second)
+		is.True(!h.Covers()) // the log has no record of v2
+		time.Sleep(2 * time.Second)
+		is.True(h.Covers()) // it has followed the targets for long enough
+		time.Sleep(2 * readInterval)
+		f.killAll()
+		h = f.start(1, nil, usesV1)
+		time.Sleep(oneLook)
+		is.True(h.Covers())
+	})
+}
+
+// Guards against records that are gone for good once a log was restored while hosts run.
+func TestRecordsThatARestoredLogLacksAreWrittenAgain(t *testing.T) {
+	inVirtualTime(t, func(is *is.I, f *pastFleet) {
+		copied := f.log.Snapshot()
+		f.start(3, nil, usesV1)
+		time.Sleep(time.Second)
+		f.observe(usesV2)
+		time.Sleep(time.Second)
+		f.log.Restore(copied)
+		time.Sleep(2 * readInterval)
+		is.Equal(f.recorded(usesV1, usesV2), 2)
+		f.killAll()
+		h := f.start(1, nil, usesV2)
+		time.Sleep(oneLook)
+		is.True(h.Covers())
+		is.Equal(len(h.Versions(service)), 2)
+	})
+}
+
+// Guards against conclusions where nobody recorded what was there: after an upgrade, beside earlier builds, and where the
+// records can't be read.
+func TestMissingRecordsProveNothing(t *testing.T) {
+	for name, change := range map[string]func(f *pastFleet, h *pastHost){
+		"upgraded at once": func(f *pastFleet, _ *pastHost) { f.isNew = false },
+		"earlier build":    func(_ *pastFleet, h *pastHost) { h.earlier = true },
+		"log away":         func(f *pastFleet, _ *pastHost) { f.log.SetFault("", memlog.Fault{Refuse: true}) },
+		"log silent":       func(f *pastFleet, _ *pastHost) { f.log.SetFault("", memlog.Fault{Silent: true}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(is *is.I, f *pastFleet) {
+				h := f.start(2, func(h *pastHost) { change(f, h) }, usesV2)
+				time.Sleep(useMemory - 5*time.Second)
+				is.True(!h.Covers())
+				time.Sleep(10 * time.Second)
+				is.True(h.Covers()) // it has followed the targets for long enough
+			})
+		})
 	}
-	writes := 0
-	for range 25 { // hosts read the topic every few seconds
-		for _, h := range l.hosts {
-			h.now = h.now.Add(useInterval)
-			writes += len(h.step(h.now))
-		}
+}
+
+// Guards against records from before an earlier build ran for a while, which kept none.
+func TestOldRecordsProveNothingBesideAnEarlierBuild(t *testing.T) {
+	inVirtualTime(t, func(is *is.I, f *pastFleet) {
+		f.start(2, nil, usesV1)
+		time.Sleep(time.Second)
+		f.killAll()
+		h := f.start(1, func(h *pastHost) { h.earlier = true }, usesV1)
+		time.Sleep(5 * time.Second)
+		is.True(!h.Covers())
+	})
+}
+
+// Guards against a host whose list or configuration is old, or that has none, and that deletes what others recorded.
+func TestHostThatIsBehindDeletesNoRecords(t *testing.T) {
+	for name, change := range map[string]func(h *pastHost){
+		"old":  func(h *pastHost) { h.stale = true },
+		"none": func(h *pastHost) { h.no = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inVirtualTime(t, func(is *is.I, f *pastFleet) {
+				f.start(1, nil, usesV1, usesV2)
+				time.Sleep(time.Second)
+				f.killAll()
+				f.start(1, change)
+				time.Sleep(5 * useMemory)
+				is.Equal(f.recorded(usesV1, usesV2), 2)
+			})
+		})
 	}
-	is.True(writes >= 1)
-	is.True(writes <= 60)
+}
+
+// Guards against a record that one host deletes as another has just written it.
+func TestNewRecordIsKeptByAHostThatSeesItLater(t *testing.T) {
+	inVirtualTime(t, func(is *is.I, f *pastFleet) {
+		f.start(3, nil, usesV1)
+		time.Sleep(2 * useMemory)
+		f.hosts[0].observed.Store(&[]Use{usesV1, usesV2})
+		for range 40 {
+			time.Sleep(time.Second)
+			is.Equal(f.recorded(usesV2), 1)
+		}
+	})
+}
 
-	h := newPastLog().start(now)
-	h.Note([]Use{usesS})
-	h.step(now.Add(useMemory - time.Second))
-	is.Equal(h.Services(route), []string{service})
-	h.step(now.Add(useMemory + 2*time.Second))
-	is.Equal(len(h.Services(route)), 0)
+// Guards against records that hosts delete and write again by turns once a version has gone.
+func TestRecordOfAVersionThatHasGoneIsDeletedForGood(t *testing.T) {
+	inVirtualTime(t, func(is *is.I, f *pastFleet) {
+		f.start(8, nil, usesV1, usesV2)
+		time.Sleep(2 * useMemory)
+		f.observe(usesV2)
+		time.Sleep(useMemory - time.Second)
+		is.Equal(f.recorded(usesV1), 1)
+		time.Sleep(3*useMemory + 2*readInterval)
+		is.Equal(f.recorded(usesV1), 0)
+		appends, _ := f.log.Calls()
+		time.Sleep(5 * useMemory)
+		after, _ := f.log.Calls()
+		is.Equal(after, appends)
+	})
 }
 
 // Guards against records of other writers.
 func TestInvalidRecordsOfUsesAreIgnored(t *testing.T) {
-	is := is.New(t)
-	h := newPastLog().start(time.Now())
-	for _, rec := range []eventlog.Record{
-		{Key: KeyPrefix + "x", Value: []byte(`{"service":"s","version":"v9"}`)},
-		{Key: usesV1.key(), Value: []byte(`{`)},
-		{Key: completeKey, Value: []byte(`[]`)},
-		{Key: KeyPrefix + "unknown"},
-		{Key: "another", Value: []byte(`{}`)},
-	} {
-		h.ApplyChanges([]replica.Change{{Record: rec}})
-	}
-	is.Equal(len(h.Versions(service)), 0)
-	is.Equal(h.complete, nil)
+	inVirtualTime(t, func(is *is.I, f *pastFleet) {
+		f.log.Put(usesPartition, "x", []byte(`{"service":"s","version":"v9"}`))
+		f.log.Put(usesPartition, usesV1.key(), []byte(`{`))
+		f.log.Put(usesPartition, completeKey, []byte(`[]`))
+		f.isNew = false
+		h := f.start(1, nil)
+		time.Sleep(time.Second)
+		is.Equal(len(h.Versions(service)), 0)
+		is.True(!h.Covers())
+	})
 }
 
 // Guards against a stream that goes on at the one version in the list of a host which does not know what was before it.
@@ -207,6 +307,29 @@
 	is.Equal(o, Origin{service, "v2"})
 }
 
+// Guards against a stream of a version that served for a moment, had no record yet as all hosts and its targets ended, and
+// goes on at the version that is left.
+func TestStartedHostAsksTheJournalBeforeItConcludes(t *testing.T) {
+	is := is.New(t)
+	l := memlog.New()
+	newTestJournal(t, l, "h0").Add([]Announcement{{Key: KeyOf("org", "a1"), Origin: Origin{service, "v2"}, KeepMs: time.Minute.Milliseconds()}})
+	until.True(t, "it is recorded", func() bool { appends, _ := l.Calls(); return appends == 1 })
+	_, hosts := newSimFleet(t, 1, "v1")
+	h := hosts[0]
+	h.opts.Followed, h.opts.Journal = func() bool { return false }, newTestJournal(t, l, "h1")
+	o, verdict := h.find(KeyOf("org", "a1"))
+	is.Equal(verdict, Found)
+	is.Equal(o.Version, "v2")
+	o, verdict = h.find(KeyOf("org", "another"))
+	is.Equal(verdict, Found)
+	is.Equal(o.Version, "v1")
+	l.SetFault("", memlog.Fault{Refuse: true})
+	_, err := h.opts.Journal.find(context.Background(), KeyOf("org", "third"))
+	is.True(errors.Is(err, eventlog.ErrRefused))
+	_, verdict = h.find(KeyOf("org", "third"))
+	is.Equal(verdict, Found)
+}
+
 // Guards against a stream that goes on at the service to which the operator has moved its route, or at another part of a
 // split route, because the versions there have the same name.
 func TestStreamOfAMovedRouteIsHeldToItsService(t *testing.T) {
@@ -219,8 +342,7 @@
 	found := hosts[1].Find(context.Background(), k, route, []string{"t"})
 	is.Equal(found.Verdict, Unknown)
 	hosts[0].Began(k, route, Origin{service, "v1"}, time.Minute)
-	for deadline := time.Now().Add(5 * time.Second); f.countTold() < holders && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-	}
+	until.True(t, "holders are told", func() bool { return f.countTold() == holders })
 	f.setDown(hosts[0])
 	found = hosts[1].Find(context.Background(), k, route, []string{"t"})
 	is.Equal(found.Verdict, Found)
--- a/router/target/versions.go
+++ b/router/target/versions.go
@@ -66,13 +66,19 @@
 
 // HasVersion reports whether a service has a target of a version that takes requests, be it for a short time.
 func (r *Registry) HasVersion(service, version string) bool {
+	return slices.Contains(r.ServingVersions(service), version)
+}
+
+// ServingVersions lists the software versions of a service's targets that take requests, be it for a short time.
+func (r *Registry) ServingVersions(service string) (list []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
 	for _, t := range r.services[service] {
-		if t.Version == version && (t.ready() || now.Sub(t.leavingSince) < r.opts.DrainLimit) {
-			return true
+		if t.ready() || now.Sub(t.leavingSince) < r.opts.DrainLimit {
+			list = append(list, t.Version)
 		}
 	}
-	return false
+	slices.Sort(list)
+	return slices.Compact(list)
 }
