--- a/proofs/soak/allkilled_test.go
+++ b/proofs/soak/allkilled_test.go
@@ -75,17 +75,27 @@
 		}
 		time.Sleep(c.lead)
 	}
-	var all sync.WaitGroup
-	for _, h := range w.hosts {
-		all.Go(h.kill)
-	}
-	all.Wait()
+	w.killAllHosts()
 	if c.oldGone {
 		for _, s := range old {
 			w.retire(s)
 		}
 	}
 	time.Sleep(lossDownTime)
+	w.startAllHosts()
+}
+
+// killAllHosts kills all hosts at once.
+func (w *world) killAllHosts() {
+	var all sync.WaitGroup
+	for _, h := range w.hosts {
+		all.Go(h.kill)
+	}
+	all.Wait()
+}
+
+// startAllHosts starts all hosts again.
+func (w *world) startAllHosts() {
 	for _, h := range w.hosts {
 		h.start()
 	}
@@ -203,3 +213,48 @@
 		w.watch.violation("lost", "%d of %d streams that were taken up go on, %d of %d begin", broken.begun, broken.sent, begun.begun, begun.sent)
 	}
 }
+
+const (
+	// newVersionLead is the time from the start of targets of a new version until they and all hosts are lost.
+	newVersionLead = 650 * time.Millisecond
+	newGoneWorlds  = 4
+	newGoneTime    = 2500 * time.Millisecond // after the hosts are back
+)
+
+// Guards against streams of a new version that served for a moment, and whose targets were lost together with all hosts, that
+// go on at the old version, the only one left.
+func TestStreamsOfANewVersionThatWasLostWithAllHostsAreNotJoined(t *testing.T) {
+	slots := make(chan struct{}, 2)
+	for n := range newGoneWorlds {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			w := newWorldWith(t, 6, uint64(n+1), worldOptions{engines: lossTargets, versions: []string{"v1"}})
+			time.Sleep(versionsSettle)
+			stop := make(chan struct{})
+			var streams []*resumedStream
+			var traffic sync.WaitGroup
+			traffic.Go(func() { streams = w.patientTraffic(stop, uint64(n), lossCallers) })
+			time.Sleep(versionsSettle / 2)
+			for range lossTargets {
+				w.addVersion("v2")
+			}
+			time.Sleep(newVersionLead)
+			w.killAllHosts()
+			for _, s := range w.readyTargets(engineService) {
+				if s.version == "v2" {
+					w.retire(s)
+				}
+			}
+			time.Sleep(lossDownTime)
+			w.startAllHosts()
+			time.Sleep(newGoneTime)
+			close(stop)
+			traffic.Wait()
+			w.checkAfterLosses(lossCase{oldGone: true}, streams)
+			w.endReplacing()
+			w.report(uint64(n+1), nil)
+		})
+	}
+}
--- a/router/node/harness_test.go
+++ b/router/node/harness_test.go
@@ -40,6 +40,8 @@
 	topicHosts   = "hosts"
 	topicBudgets = "budgets"
 	topicArchive = "copies"
+	topicStreams = "streams"
+	topicUses    = "keyed.uses"
 	topicStatus  = "status"
 
 	rolloutPrefix = "rollout/"
@@ -135,7 +137,7 @@
 	env := Environment{
 		Log: f.log.Host(cfg.Host.Name), Headers: headers,
 		ConfigTopic: topicConfig, TargetsTopic: topicTargets, HostsTopic: topicHosts, BudgetsTopic: topicBudgets,
-		ArchiveTopic: topicArchive, MaxRecordBytes: 1 << 18,
+		ArchiveTopic: topicArchive, StreamsTopic: topicStreams, UsesTopic: topicUses, MaxRecordBytes: 1 << 18,
 		ConfigKey: "config", ReadyPath: "/ready",
 		DecodeConfig: routing.Parse,
 		DecodeTarget: func(id string, value []byte) (target.Entry, error) {
