httpconn: bound the head of a response

A target in trouble may send a status line, header lines, one header or interim headers without end, or bytes that are no HTTP. net/http bounds neither the lines of a head nor their number: the host kept all of it until the silence time-out or the deadline, and a request that may not be repeated waited until its deadline though the first byte showed that no response follows.

A head and the interim responses before it have 64 KiB together, and a response that doesn't begin with HTTP/ fails at its first wrong byte. The connection is closed in both cases, and the request goes on as after any broken attempt.

--- a/router/httpconn/conn.go
+++ b/router/httpconn/conn.go
@@ -21,7 +21,8 @@
 type Conn struct {
 	pool   *Pool
 	nc     net.Conn
-	reader *bufio.Reader
+	reader *bufio.Reader // reads from nc by limit
+	limit  *headLimit
 	reused bool
 
 	indirect Indirect // nc if another host carries the connection, else nil
@@ -135,7 +136,13 @@
 // Receive reads the head of the final response. The caller must read its body to the end or close
 // the connection.
 func (c *Conn) Receive() (*http.Response, *Error) {
+	c.limit.begin()
+	defer c.limit.end()
 	for range maxInterimResponses {
+		if err := c.checkProtocol(); err != nil {
+			c.noReuse = true
+			return nil, &Error{MaybeSent: true, Err: err}
+		}
 		resp, err := http.ReadResponse(c.reader, c.request)
 		if err != nil {
 			c.noReuse = true
--- a/router/httpconn/pool.go
+++ b/router/httpconn/pool.go
@@ -151,7 +151,8 @@
 		p.countClosed()
 		return nil, err
 	}
-	c := &Conn{pool: p, nc: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), dialTime: time.Since(began)}
+	limit := &headLimit{from: nc}
+	c := &Conn{pool: p, nc: nc, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), dialTime: time.Since(began)}
 	c.indirect, _ = nc.(Indirect)
 	if c.indirect != nil {
 		c.dialTime = c.indirect.DialTime()
