forward: end a long response that its deadline cuts as broken off

A response that is too long to be buffered is forwarded as it arrives. When its deadline passed on the way, the attempt's result was "out of time" and no longer "cut off": the host then answered 504, which has no effect behind a head that was sent, and ended the response in order. A response without a length, or in chunks, looked complete to its caller though its end was missing.

Such a request now ends as cut off, and the caller's connection breaks.

--- a/router/forward/buffered.go
+++ b/router/forward/buffered.go
@@ -101,6 +101,7 @@
 	q.outcome.FirstByte = time.Since(q.arrived)
 	q.handler.copyHead(q.w, resp)
 	q.w.WriteHeader(resp.StatusCode)
+	q.beginningSent = true
 	a.silence.pause()
 	writer := &callerWriter{request: q}
 	if _, err := io.Copy(writer, io.MultiReader(bytes.NewReader(beginning), resp.Body)); err != nil {
