forward: retry a failure that is too long to be buffered

A failure of a target on a route that may be repeated goes to another target, but only if it was read whole. A failure whose body is long, or has no end, was forwarded to the caller until the deadline.

It now goes to another target if one can take the request and a retry is granted, and is forwarded as before otherwise.

--- a/router/forward/buffered.go
+++ b/router/forward/buffered.go
@@ -74,6 +74,10 @@
 		a.conn.Finish(false)
 		return a.adjustResult(ctx, a.silence.result(broken), fmt.Errorf("target broke the response off: %w", err))
 	}
+	if !fits && resp.StatusCode >= http.StatusInternalServerError && a.silence.claimRetry() {
+		a.conn.Finish(false)
+		return errored, fmt.Errorf("target responded %s with a long body", resp.Status)
+	}
 	if !fits {
 		return a.forwardUnbuffered(ctx, resp, body)
 	}
--- a/router/forward/endless_body_test.go
+++ b/router/forward/endless_body_test.go
@@ -3,7 +3,9 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
+	"maststage.dev/standin/backend"
 	"maststage.dev/standin/endless"
 )
 
@@ -31,3 +33,21 @@
 		})
 	}
 }
+
+// Guards against a failure without end that is forwarded until the deadline though another target could serve the request.
+func TestEndlessFailureIsRetriedElsewhere(t *testing.T) {
+	eachEndless(t, map[string]endless.Answer{
+		"no length": {Start: failureHead + "\r\n", Repeat: "failed"},
+		"chunks":    {Start: failureHead + "Transfer-Encoding: chunked\r\n\r\n", Repeat: chunk},
+		"length":    {Start: failureHead + "Content-Length: 1000000000\r\n\r\n", Repeat: "failed"},
+	}, func(t *testing.T, answer endless.Answer, gap time.Duration) {
+		f := newFixture(t)
+		bad := f.addEndless("plain", answer, gap)
+		f.add("good", "plain", backend.Behaviour{Body: "ok"})
+		got := f.doEndless(bad, func() *http.Request { return f.request("GET", "/safe/x", "") })
+		f.is.NoErr(got.err)
+		f.is.Equal(got.status, 200)
+		f.is.Equal(got.body, "ok")
+		f.checkBounded(bad, got, f.safeSilence()+endlessMargin)
+	})
+}
--- a/router/forward/silence.go
+++ b/router/forward/silence.go
@@ -120,6 +120,13 @@
 	}
 }
 
+// claimRetry claims a retry as the timer does when it expires.
+func (s *silenceTimer) claimRetry() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.claim()
+}
+
 // pause stops the timer until restart.
 func (s *silenceTimer) pause() {
 	s.mu.Lock()
