httpconn: close idle connections on which something arrived

A target that goes on sending after a complete response keeps the connection busy while the host takes it for idle: what had not arrived as the response ended was noticed only when the connection was to be used again, or after the idle time of a minute. Until then it filled the kernel's buffers and kept the target sending.

The new test, before: the connection was still open after 10 s in 9 of 12 cases; now it is closed in all. No byte behind the response reached a caller before or after.

--- a/router/forward/endless_body_test.go
+++ b/router/forward/endless_body_test.go
@@ -51,3 +51,38 @@
 		f.checkBounded(bad, got, f.safeSilence()+endlessMargin)
 	})
 }
+
+// sweep lets the registry sweep its connections as a host does, until the test ends.
+func (f *fixture) sweep() {
+	done := make(chan struct{})
+	f.t.Cleanup(func() { close(done) })
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case now := <-time.After(50 * time.Millisecond):
+				f.targets.Sweep(now)
+			}
+		}
+	}()
+}
+
+// Guards against bytes behind a complete response that reach a caller, or for which the target's connection is kept.
+func TestBytesBehindTheResponseReachNoCaller(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/unsafe/x"} {
+		eachEndless(t, map[string]endless.Answer{
+			"length":   {Start: okHead + "Content-Length: 2\r\n\r\nok", Repeat: "more"},
+			"chunks":   {Start: chunkedHead + "2\r\nok\r\n0\r\n\r\n", Repeat: "more"},
+			"response": {Start: okHead + "Content-Length: 2\r\n\r\nok", Repeat: okHead + "Content-Length: 2\r\n\r\nno"},
+		}, func(t *testing.T, answer endless.Answer, gap time.Duration) {
+			f := newFixture(t)
+			bad := f.addEndless("plain", answer, gap)
+			f.sweep()
+			got := f.doEndless(bad, func() *http.Request { return f.request("POST", path, "b") })
+			f.is.NoErr(got.err)
+			f.is.Equal(got.body, "ok")
+			f.checkBounded(bad, got, endlessMargin)
+		})
+	}
+}
--- a/router/httpconn/pool.go
+++ b/router/httpconn/pool.go
@@ -241,12 +241,13 @@
 	p.mu.Unlock()
 }
 
-// CloseExpired closes idle connections whose idle time has run out.
+// CloseExpired closes idle connections whose idle time has run out, and those on which something arrived or that the target
+// closed: they carry no further request.
 func (p *Pool) CloseExpired(now time.Time) {
 	p.mu.Lock()
 	var kept, old []*Conn
 	for _, c := range p.idle {
-		if now.After(c.idleUntil) {
+		if now.After(c.idleUntil) || !c.openAndIdle() {
 			old = append(old, c)
 		} else {
 			kept = append(kept, c)
