forward: bound the wait for the rest of a refusal

A target that refuses a request says so in the head of its response. The request waited for the refusal's body before its next attempt, so as to keep the connection: up to 4 KiB, however slowly they came. A request that may not be repeated has no silence time-out, and waited until its deadline though it had not run and another target could take it.

The body now has 50 ms to arrive; after that the connection is closed.

--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -297,9 +297,13 @@
 // discardBody reads the rest of a response that is not forwarded, so that the
 // connection can be reused.
 func (a *attempt) discardBody(resp *http.Response) {
+	timer := time.AfterFunc(maxDiscardTime, a.conn.Abort)
 	_, ok, err := httpconn.ReadLimited(resp.Body, maxDiscardBytes)
-	a.conn.Finish(ok && err == nil)
+	a.conn.Finish(timer.Stop() && ok && err == nil)
 }
 
-// maxDiscardBytes bounds what is read to discard a body; a connection with a longer one is closed.
-const maxDiscardBytes = 4096
+// Bounds of what is read to discard a body; a connection with a longer one is closed.
+const (
+	maxDiscardBytes = 4096
+	maxDiscardTime  = 50 * time.Millisecond // the request waits for its next attempt meanwhile
+)
--- a/router/forward/endless_body_test.go
+++ b/router/forward/endless_body_test.go
@@ -9,7 +9,10 @@
 	"maststage.dev/standin/endless"
 )
 
-const failureHead = "HTTP/1.1 500 Internal Server Error\r\nX-Id: " + endless.IDMark + "\r\nX-Stamp: bad\r\n"
+const (
+	failureHead = "HTTP/1.1 500 Internal Server Error\r\nX-Id: " + endless.IDMark + "\r\nX-Stamp: bad\r\n"
+	refusalHead = "HTTP/1.1 503 Service Unavailable\r\nX-Id: " + endless.IDMark + "\r\nX-Not-Run: 1\r\n"
+)
 
 // Guards against a response that was forwarded in part as its deadline passed, and then ended as if it were complete.
 func TestLongResponseCutByItsDeadlineIsNotWhole(t *testing.T) {
@@ -52,6 +55,28 @@
 	})
 }
 
+// Guards against a refused request that waits until its deadline for the rest of the refusal: it has not run, so it may go
+// elsewhere though it may not be repeated.
+func TestEndlessRefusalDoesNotHoldUpTheRequest(t *testing.T) {
+	eachEndless(t, map[string]endless.Answer{
+		"no length":    {Start: refusalHead + "\r\n", Repeat: "busy"},
+		"chunks":       {Start: refusalHead + "Transfer-Encoding: chunked\r\n\r\n", Repeat: chunk},
+		"long body":    {Start: refusalHead + "Content-Length: 4000\r\n\r\n", Repeat: "busy"},
+		"misdirected":  {Start: "HTTP/1.1 421 Misdirected Request\r\nX-Id: " + endless.IDMark + "\r\n\r\n", Repeat: "elsewhere"},
+		"after length": {Start: refusalHead + "Content-Length: 4\r\n\r\n", Repeat: "busy"},
+	}, func(t *testing.T, answer endless.Answer, gap time.Duration) {
+		f := newFixture(t)
+		bad := f.addEndless("plain", answer, gap)
+		f.add("good", "plain", backend.Behaviour{Body: "ok"})
+		got := f.doEndless(bad, func() *http.Request { return f.request("POST", "/unsafe/x", "b") })
+		f.is.NoErr(got.err)
+		f.is.Equal(got.status, 200)
+		f.is.Equal(got.body, "ok")
+		f.sweep()
+		f.checkBounded(bad, got, f.handler.Config().Match("a.example", "/unsafe/x").Timeout())
+	})
+}
+
 // sweep lets the registry sweep its connections as a host does, until the test ends.
 func (f *fixture) sweep() {
 	done := make(chan struct{})
