forward: bound what a stream sends without completing an event

A part of an event stays in the host's memory until the event ends, and each read restarted the silence timer. An event without end, or a body that holds no events, thus used up the host's memory, and kept callers waiting until their deadlines though another target could go on with the stream. Blank lines without end were forwarded likewise.

1 MiB without the end of an event ends the attempt, and an event above 16 KiB has to find room in the memory for responses that callers have not read, as long responses do. If there is none the target is not blamed. Only complete events restart the silence timer.

--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -81,6 +81,7 @@
 	survivedAtEnd   bool          // the target was there after the complete response
 	maybeSent       bool          // the target may have received the request
 	withheld        bool          // not sent, though the target could be reached
+	lackedRoom      bool          // this host had no memory for a long event
 	status          int
 	resumedAfter    string
 	silence         *silenceTimer
@@ -111,7 +112,7 @@
 	case errored:
 		return target.Errored
 	case broken, silent, cutOff:
-		if a.callerDelay >= minCallerDelay || a.saysNothing() {
+		if a.callerDelay >= minCallerDelay || a.lackedRoom || a.saysNothing() {
 			return target.Abandoned
 		}
 		return target.Broken
--- a/router/forward/silence.go
+++ b/router/forward/silence.go
@@ -63,6 +63,7 @@
 	timeout   time.Duration // current timeout
 	stalled   bool          // this host stalled, so the timeout was extended once
 	paused    bool          // the caller has not read what arrived
+	left      time.Duration // of the timeout as the timer was paused
 	stopped   bool
 	aborted   bool
 }
@@ -127,14 +128,26 @@
 	return s.claim()
 }
 
-// pause stops the timer until restart.
+// pause stops the timer until restart or resume.
 func (s *silenceTimer) pause() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.paused = true
+	s.left = max(s.timeout-time.Since(s.startedAt), 0)
 	s.timer.Stop()
 }
 
+// resume lets a paused timer run on, if a timeout still applies.
+func (s *silenceTimer) resume() {
+	if _, ok := s.request.silenceTimeout(); !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.startedAt, s.timeout, s.paused = time.Now(), s.left, false
+	s.timer.Reset(s.left)
+}
+
 // restart restarts the timer with the timeout that now applies.
 func (s *silenceTimer) restart() {
 	d, ok := s.request.silenceTimeout()
--- a/router/forward/stream.go
+++ b/router/forward/stream.go
@@ -21,8 +21,32 @@
 // streamReadBytes is the buffer size for reads of a stream.
 const streamReadBytes = 2048
 
+// maxEventBytes bounds what a target may send without completing an event.
+const maxEventBytes = 1 << 20
+
+// emptied returns an empty buffer for the beginning of the next event. A large one is dropped.
+func emptied(pending []byte) []byte {
+	if cap(pending) > alwaysBuffered {
+		return nil
+	}
+	return pending[:0]
+}
+
+// reserveEvent reserves the memory of an event that has arrived in part. It reports whether there is room.
+func (q *request) reserveEvent(bytes int) bool {
+	if bytes <= alwaysBuffered || int64(bytes) <= q.bufferReserved {
+		return true
+	}
+	if !q.handler.opts.Unread.Reserve(int64(bytes) - q.bufferReserved) {
+		return false
+	}
+	q.bufferReserved = int64(bytes)
+	return true
+}
+
 // forwardStream forwards complete events as they arrive. If the target breaks off, the
-// caller's response stays open, so that another target can resume the stream.
+// caller's response stays open, so that another target can resume the stream. Only complete events count as progress: bytes
+// without one may go on without end, and the caller receives nothing of them.
 func (a *attempt) forwardStream(ctx context.Context, resp *http.Response) (result, error) {
 	q := a.request
 	if q.stream == nil {
@@ -30,7 +54,9 @@
 	}
 	s := q.stream
 	s.scanner.DropPartial()
+	q.releaseBuffer() // of a previous attempt
 	var pending []byte
+	unfinished := 0 // bytes since the last complete event
 	buffer := make([]byte, streamReadBytes)
 	for {
 		n, err := resp.Body.Read(buffer)
@@ -40,18 +66,33 @@
 			data := buffer[:n]
 			before := s.scanner.Events()
 			complete := s.scanner.Scan(data)
-			a.countEvents(s.scanner.Events() - before)
+			events := s.scanner.Events() - before
+			a.countEvents(events)
 			a.noteSurvival()
 			if complete > 0 {
 				a.beginEvents()
+				q.releaseBuffer() // from here the event is accounted for as unread
 				if werr := a.sendToCaller(func() error { return q.sendEvents(resp, pending, data[:complete]) }); werr != nil {
 					a.conn.Finish(false)
 					return callerGone, werr
 				}
-				pending = pending[:0]
+				pending = emptied(pending)
+			}
+			switch {
+			case events > 0:
+				a.silence.restart()
+				unfinished = n - complete
+			case complete > 0:
+				a.silence.resume()
+				unfinished += n
+			default:
+				unfinished += n
 			}
-			a.silence.restart()
 			pending = append(pending, data[complete:]...)
+			if a.lackedRoom = !q.reserveEvent(cap(pending)); a.lackedRoom || unfinished > maxEventBytes {
+				a.conn.Finish(false)
+				return a.adjustResult(ctx, broken, fmt.Errorf("no event ended within %d bytes of the target's stream", unfinished))
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF):
