fleet: bound the bytes of another host's response

A call to another host was bounded in time only, and a link between hosts carries gigabytes in the 10 s of a fetch: a response without end used up the memory. net/http takes 10 MB of headers.

The response now has 32 MiB, four records of the largest size, and 64 KiB of headers. The new test, before: 688 MB allocated in a call (the stand-in stops sending fast after 128 MB), 98 MB for headers; now below 256 and 16 MiB.

--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -33,6 +34,12 @@
 // maxCallBytes bounds the body of a request from another host.
 const maxCallBytes = 1 << 20
 
+// Bounds of a response of another host, so that one without end doesn't use up the memory.
+const (
+	maxResponseBytes       = 32 << 20 // four records of the largest size that the log accepts
+	maxResponseHeaderBytes = 64 << 10
+)
+
 // pullRequest asks for the records of each topic from a position on.
 type pullRequest struct {
 	From map[string]int64 `json:"from"` // offsets
@@ -208,6 +215,8 @@
 			MaxIdleConnsPerHost: maxIdle,
 			IdleConnTimeout:     5 * time.Second,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		}
 	}
 	return &client{timeout: timeout, http: &http.Client{Transport: transport}}
@@ -248,7 +257,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return &statusError{address: address, path: path, status: resp.Status}
 	}
-	return json.NewDecoder(patience.Reader(ctx, resp.Body)).Decode(response)
+	return json.NewDecoder(io.LimitReader(patience.Reader(ctx, resp.Body), maxResponseBytes)).Decode(response)
 }
 
 // Handler serves the calls from other hosts.
