tunnel: bound the head of a response to a call for a tunnel

The response was read by http.ReadResponse, which bounds neither lines nor their number, for up to a quarter of a second for each host that is asked.

It has the limit of a target's head now, which httpconn exports.

--- a/router/httpconn/conn.go
+++ b/router/httpconn/conn.go
@@ -22,7 +22,7 @@
 	pool   *Pool
 	nc     net.Conn
 	reader *bufio.Reader // reads from nc by limit
-	limit  *headLimit
+	limit  *HeadLimit
 	reused bool
 
 	indirect Indirect // nc if another host carries the connection, else nil
@@ -136,8 +136,8 @@
 // Receive reads the head of the final response. The caller must read its body to the end or close
 // the connection.
 func (c *Conn) Receive() (*http.Response, *Error) {
-	c.limit.begin()
-	defer c.limit.end()
+	c.limit.Begin()
+	defer c.limit.End()
 	for range maxInterimResponses {
 		if err := c.checkProtocol(); err != nil {
 			c.noReuse = true
--- a/router/httpconn/head.go
+++ b/router/httpconn/head.go
@@ -13,20 +13,29 @@
 // errHeadTooLong means that the target sent maxHeadBytes without the end of a head.
 var errHeadTooLong = errors.New("response head is too long")
 
-// headLimit reads from a connection and bounds what is read of a head. net/http bounds neither the lines of a head nor
-// their number.
-type headLimit struct {
+// HeadLimit reads from a connection and bounds what is read of a head. http.ReadResponse bounds neither the lines of a head
+// nor their number.
+type HeadLimit struct {
 	from   io.Reader
 	inHead bool
 	left   int
 }
 
-func (l *headLimit) begin() { l.inHead, l.left = true, maxHeadBytes }
+// NewHeadLimit returns a HeadLimit that is in a head.
+func NewHeadLimit(from io.Reader) *HeadLimit {
+	l := &HeadLimit{from: from}
+	l.Begin()
+	return l
+}
+
+// Begin records that a head follows.
+func (l *HeadLimit) Begin() { l.inHead, l.left = true, maxHeadBytes }
 
-func (l *headLimit) end() { l.inHead = false }
+// End records that the head was read.
+func (l *HeadLimit) End() { l.inHead = false }
 
 // Read implements io.Reader.
-func (l *headLimit) Read(p []byte) (int, error) {
+func (l *HeadLimit) Read(p []byte) (int, error) {
 	if !l.inHead {
 		return l.from.Read(p)
 	}
--- a/router/httpconn/pool.go
+++ b/router/httpconn/pool.go
@@ -151,7 +151,7 @@
 		p.countClosed()
 		return nil, err
 	}
-	limit := &headLimit{from: nc}
+	limit := NewHeadLimit(nc)
 	c := &Conn{pool: p, nc: nc, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes), dialTime: time.Since(began)}
 	c.indirect, _ = nc.(Indirect)
 	if c.indirect != nil {
--- a/router/tunnel/dialer.go
+++ b/router/tunnel/dialer.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"maststage.dev/router/httpconn"
 )
 
 // Options configure a Dialer.
@@ -139,8 +141,10 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = nc.SetDeadline(time.Unix(1, 0)) })
-	reader := bufio.NewReaderSize(nc, bufferBytes)
+	limit := httpconn.NewHeadLimit(nc)
+	reader := bufio.NewReaderSize(limit, bufferBytes)
 	err = open(nc, reader, host, target)
+	limit.End()
 	if !stop() && err == nil {
 		err = ctx.Err() // the deadline was set
 	}
