permit: bound the lines of a session

A scheduler and the hosts that ask it read a session by a JSON decoder, which keeps a value until it ends, and the head of the response without a bound. A session lasts, so that bytes without end, slow or fast, used up the memory.

A message has at most 1 MiB, as requests between hosts have, and an answer 64 KiB, as has the head; a longer one ends the session.

--- a/router/permit/client.go
+++ b/router/permit/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	log "github.com/sirupsen/logrus"
+
+	"maststage.dev/router/httpconn"
 )
 
 // Host is a host that may schedule a service.
@@ -330,10 +332,11 @@
 		return
 	}
 	close(s.opened)
-	lines := json.NewDecoder(reader)
-	for {
+	lines := bufio.NewScanner(reader)
+	lines.Buffer(nil, maxAnswerBytes)
+	for lines.Scan() {
 		var a answer
-		if err := lines.Decode(&a); err != nil {
+		if err := json.Unmarshal(lines.Bytes(), &a); err != nil {
 			break
 		}
 		s.mu.Lock()
@@ -367,8 +370,10 @@
 		_ = nc.Close()
 		return nil, err
 	}
-	reader := bufio.NewReader(nc)
+	limit := httpconn.NewHeadLimit(nc)
+	reader := bufio.NewReader(limit)
 	resp, err := http.ReadResponse(reader, call)
+	limit.End()
 	if err != nil {
 		_ = nc.Close()
 		return nil, err
--- a/router/permit/server.go
+++ b/router/permit/server.go
@@ -30,6 +30,12 @@
 	Result  Result   `json:"result,omitempty"`
 }
 
+// Bounds of a line. A request names all targets of its service.
+const (
+	maxMessageBytes = 1 << 20
+	maxAnswerBytes  = 64 << 10
+)
+
 // Operations of a message.
 const (
 	opAsk  = "ask"
@@ -177,10 +183,11 @@
 	defer close(done)
 	go writeAnswers(c, answers, done)
 	defer s.lost(host)
-	lines := json.NewDecoder(buffered.Reader)
-	for {
+	lines := bufio.NewScanner(buffered.Reader)
+	lines.Buffer(nil, maxMessageBytes)
+	for lines.Scan() {
 		var m message
-		if err := lines.Decode(&m); err != nil {
+		if err := json.Unmarshal(lines.Bytes(), &m); err != nil {
 			return
 		}
 		s.handle(host, m, func(a answer) {
