--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -81,6 +81,7 @@
 	survivedAtEnd   bool          // the target was there after the complete response
 	maybeSent       bool          // the target may have received the request
 	withheld        bool          // not sent, though the target could be reached
+	lackedRoom      bool          // this host had no memory for a long event
 	status          int
 	resumedAfter    string
 	silence         *silenceTimer
@@ -111,7 +112,7 @@
 	case errored:
 		return target.Errored
 	case broken, silent, cutOff:
-		if a.callerDelay >= minCallerDelay || a.saysNothing() {
+		if a.callerDelay >= minCallerDelay || a.lackedRoom || a.saysNothing() {
 			return target.Abandoned
 		}
 		return target.Broken
@@ -297,9 +298,13 @@
 // discardBody reads the rest of a response that is not forwarded, so that the
 // connection can be reused.
 func (a *attempt) discardBody(resp *http.Response) {
+	timer := time.AfterFunc(maxDiscardTime, a.conn.Abort)
 	_, ok, err := httpconn.ReadLimited(resp.Body, maxDiscardBytes)
-	a.conn.Finish(ok && err == nil)
+	a.conn.Finish(timer.Stop() && ok && err == nil)
 }
 
-// maxDiscardBytes bounds what is read to discard a body; a connection with a longer one is closed.
-const maxDiscardBytes = 4096
+// Bounds of what is read to discard a body; a connection with a longer one is closed.
+const (
+	maxDiscardBytes = 4096
+	maxDiscardTime  = 50 * time.Millisecond // the request waits for its next attempt meanwhile
+)
