rollout: finish a rollout only on evidence

Cause: the time of a rollout comes from its record in the log, and the evidence from the memory of the host that coordinates it. A host that had just started took its short memory for the whole trial: past 0.78 of the period it moved to the version, and past 0.85 it wrote `done`, without an outcome of the version. Change: `done` needs 40 outcomes of the new version. Fewer suffice only if half of the fleet has counted since the start of the rollout, which reports now say, and there was no more traffic. Short of evidence in the second half of the period the trial gets faster, within the bound. Without evidence a host rolls back at 0.9 of the period, once all hosts had the time to report to it. A good version of a service with few requests is rolled back if all hosts are lost in its trial.

--- a/router/rollout/coordinator.go
+++ b/router/rollout/coordinator.go
@@ -18,6 +18,22 @@
 	longWatchFraction = 0.78 // the same if there are few outcomes
 	maxMoveFraction   = 0.12 // longest move
 	decisionFraction  = 0.85 // a decision is made by then; the rest is reserved for a log outage
+	// lastDecisionFraction is when a version that there is too little evidence for is rolled back.
+	lastDecisionFraction = 0.9
+	// hurryFraction is when the trial gets faster if there is too little evidence.
+	hurryFraction = 0.5
+)
+
+// Evidence that a version needs to be done.
+const (
+	// minDecisionOutcomes is how many outcomes suffice in any case: with fewer, a version that fails a
+	// third of its requests may not look suspicious.
+	minDecisionOutcomes = 40
+	// minCoverage is the coverage from which on fewer outcomes suffice, if they are as many as the least
+	// share of the requests gives: there was no more traffic.
+	minCoverage = 0.5
+	// gatherIntervals is the number of report intervals in which a coordinator hears of all hosts.
+	gatherIntervals = 2
 )
 
 // Parameters of the trial.
@@ -64,12 +80,14 @@
 
 	reports map[string]Report // the newest of each host
 	total   Report            // their sum
+	covered int               // how many of them reach back to the start of the rollout
 
 	rates        rates
 	worst        finding
 	tests        int
 	rejected     bool
 	share        float64
+	evaluated    time.Time // first; zero: not yet
 	moveStarted  time.Time // zero: not started
 	moveDuration time.Duration
 }
@@ -87,6 +105,12 @@
 	}
 	c.addCounts(previous, -1)
 	c.addCounts(r, 1)
+	switch {
+	case r.FromStart && !previous.FromStart:
+		c.covered++
+	case !r.FromStart && previous.FromStart:
+		c.covered--
+	}
 	c.reports[r.Host] = r
 }
 
@@ -128,6 +152,9 @@
 
 // Evaluate evaluates the evidence. It is called a few times per second.
 func (c *Coordinator) Evaluate(v View, now time.Time) {
+	if c.evaluated.IsZero() {
+		c.evaluated = now
+	}
 	c.rates.update(c.total, now)
 	c.analysis.takeSnapshot(now)
 	c.worst, c.tests = c.analysis.worst(v.Versions[c.order.Version])
@@ -150,22 +177,46 @@
 }
 
 // watchDuration is how long the new version is observed.
-func (c *Coordinator) watchDuration() time.Duration {
-	if c.analysis.trialOutcomes() < minTrialOutcomes {
-		return c.fractionOfPeriod(longWatchFraction)
+func (c *Coordinator) watchDuration(v View) time.Duration {
+	switch {
+	case c.analysis.trialOutcomes() >= minTrialOutcomes:
+		return c.fractionOfPeriod(watchFraction)
+	case c.coverage(v) < minCoverage:
+		return c.fractionOfPeriod(decisionFraction) // each outcome counts
 	}
-	return c.fractionOfPeriod(watchFraction)
+	return c.fractionOfPeriod(longWatchFraction)
 }
 
 // canMove reports whether the new version was observed for long enough and nothing speaks against it.
 func (c *Coordinator) canMove(v View, now time.Time) bool {
-	return c.running(v) && !c.rejected && !c.suspicious() && v.Versions[c.order.Version] > 0 && c.oldTargets(v) > 0 &&
-		c.elapsed(v, now) >= c.watchDuration()
+	return c.running(v) && !c.rejected && !c.suspicious() && c.hasEvidence(v) && v.Versions[c.order.Version] > 0 && c.oldTargets(v) > 0 &&
+		c.elapsed(v, now) >= c.watchDuration(v)
 }
 
 // suspicious reports whether the evidence exceeds half the threshold of rejection.
 func (c *Coordinator) suspicious() bool { return c.worst.LogRatio > threshold(c.tests)/2 }
 
+// coverage is the fraction of the hosts whose reports reach back to the start of the rollout. What the
+// others saw before they were lost is unknown, unless this coordinator has their reports.
+func (c *Coordinator) coverage(v View) float64 {
+	return min(float64(c.covered)/float64(max(v.Hosts, 1)), 1)
+}
+
+// hasEvidence reports whether there are enough outcomes to call the version good if none speaks
+// against it.
+func (c *Coordinator) hasEvidence(v View) bool {
+	need := float64(minDecisionOutcomes)
+	if c.coverage(v) >= minCoverage {
+		need = min(need, initialShare*float64(c.total.Sent))
+	}
+	return float64(c.analysis.trialOutcomes()) >= need
+}
+
+// gathered reports whether all hosts have had the time to report to this coordinator.
+func (c *Coordinator) gathered(v View, now time.Time) bool {
+	return !c.evaluated.IsZero() && now.Sub(c.evaluated) >= gatherIntervals*ReportInterval(v.Hosts)
+}
+
 // running reports whether the order was begun and is not decided.
 func (c *Coordinator) running(v View) bool {
 	return v.Record.isFor(c.order) && !v.Record.State.Final()
@@ -220,7 +271,7 @@
 	if c.rejected || !c.running(v) || v.Versions[c.order.Version] == 0 {
 		return a
 	}
-	c.share = c.trialShare(v)
+	c.share = c.trialShare(v, now)
 	a.Phase, a.Share = PhaseTrial, c.share
 	if left := c.moveStarted.Add(c.moveDuration).Sub(now); !c.moveStarted.IsZero() && left > 0 {
 		a.Phase, a.MovingMs = PhaseMoving, left.Milliseconds()
@@ -230,8 +281,15 @@
 
 // trialShare is the share of the requests that goes to the new version: enough for a comparison, and
 // within the bounds.
-func (c *Coordinator) trialShare(v View) float64 {
-	allowed := trialBoundsFraction*usableBoundsFraction*c.bounds.Share*float64(c.total.Sent) + trialSlackFraction*c.bounds.Slack
+func (c *Coordinator) trialShare(v View, now time.Time) float64 {
+	// Late in the period evidence is worth more than a slow start and a long move.
+	short := !c.hasEvidence(v) || c.coverage(v) < minCoverage && c.analysis.trialOutcomes() < minTrialOutcomes
+	hurry := short && c.elapsed(v, now) >= c.fractionOfPeriod(hurryFraction)
+	fraction := trialBoundsFraction * usableBoundsFraction
+	if hurry {
+		fraction = usableBoundsFraction
+	}
+	allowed := fraction*c.bounds.Share*float64(c.total.Sent) + trialSlackFraction*c.bounds.Slack
 	spare := allowed - float64(c.total.Trial) - c.estimateUnreported(v)
 	if spare <= 0 {
 		return 0
@@ -240,9 +298,9 @@
 		return initialShare
 	}
 	share, wanted := initialShare, initialRate/c.rates.perSecond
-	if c.analysis.trialOutcomes() >= initialOutcomes {
+	if hurry || c.analysis.trialOutcomes() >= initialOutcomes {
 		wanted = sampleRate / c.rates.perSecond
-		share = min(max(wanted, minTrialShare), trialBoundsFraction*usableBoundsFraction*c.bounds.Share)
+		share = min(max(wanted, minTrialShare), fraction*c.bounds.Share)
 	}
 	// With little traffic, the slack provides the outcomes.
 	bySlack := spare / (c.rates.perSecond * ReportInterval(v.Hosts).Seconds())
@@ -286,6 +344,9 @@
 		return Done, true
 	case deadlinePassed && c.suspicious():
 		return RolledBack, true
+	case !c.hasEvidence(v):
+		// Until then, another host may have the evidence.
+		return RolledBack, elapsed >= c.fractionOfPeriod(lastDecisionFraction) && c.gathered(v, now)
 	}
 	return Done, deadlinePassed
 }
--- a/router/rollout/gate.go
+++ b/router/rollout/gate.go
@@ -343,6 +343,8 @@
 	}
 	s.report.Number++
 	r = s.report
+	missed, known := s.record.missed(o, s.orderReceived)
+	r.FromStart = known && missed <= maxStartDelay
 	for c, n := range s.cells {
 		r.Cells = append(r.Cells, cellCount{cell: c, counts: n.clone()})
 	}
--- a/router/rollout/report.go
+++ b/router/rollout/report.go
@@ -17,6 +17,7 @@
 	// those, the ones in flight at old targets.
 	NotRetryable      int64       `json:"single"`
 	NotRetryableOnOld int64       `json:"open"`
+	FromStart         bool        `json:"from_start"` // this host has counted since the rollout began
 	Cells             []cellCount `json:"cells,omitempty"`
 }
 
@@ -56,6 +57,9 @@
 	// adviceValidIntervals is the number of intervals without a reply after which a host sends
 	// nothing more to the new version.
 	adviceValidIntervals = 2.5
+	// maxStartDelay is how late after the first host another one receives the order of a rollout that it
+	// takes part in from the start.
+	maxStartDelay = 2 * time.Second
 )
 
 // ReportInterval is the time between two reports of a host in a fleet of the given size.
--- a/router/rollout/rollout.go
+++ b/router/rollout/rollout.go
@@ -66,6 +66,15 @@
 // isFor reports whether a record belongs to an order.
 func (r *Record) isFor(o Order) bool { return r != nil && r.Version == o.Version }
 
+// missed is how much of an order's rollout was over as a host received the order; ok is false if that is
+// unknown.
+func (r *Record) missed(o Order, received time.Time) (missed time.Duration, ok bool) {
+	if !r.isFor(o) || r.Began.IsZero() {
+		return 0, false
+	}
+	return max(received.Sub(r.Began), 0), true
+}
+
 // newRecord makes the first record of an order. previous is the service's record before it, if any;
 // versions are those of the listed targets.
 func newRecord(o Order, previous *Record, versions []string, now time.Time) Record {
