rollout: don't use the slack again after a loss of hosts

Cause: what a version on trial may get was counted from the reports that the coordinating host has, so each loss of all hosts gave it the whole slack again. Change: a coordinator has the part of the slack that the hosts that counted from the start make of the fleet.

--- a/router/rollout/coordinator.go
+++ b/router/rollout/coordinator.go
@@ -257,7 +257,7 @@
 	if c.rates.notRetryablePerSecond <= 0 {
 		return 0
 	}
-	left := usableBoundsFraction*c.bounds.Share*float64(c.total.Sent) + (1-trialSlackFraction)*c.bounds.Slack - float64(c.total.Trial) - c.estimateUnreported(v)
+	left := usableBoundsFraction*c.bounds.Share*float64(c.total.Sent) + (1-trialSlackFraction)*c.slack(v) - float64(c.total.Trial) - c.estimateUnreported(v)
 	span := min(time.Duration(left/c.rates.notRetryablePerSecond*float64(time.Second)), maxMoveDuration, c.fractionOfPeriod(maxMoveFraction))
 	if span < ReportInterval(v.Hosts) {
 		return 0 // the move would end before all hosts have received the advice
@@ -279,6 +279,10 @@
 	return a
 }
 
+// slack is the part of the slack that is left to this coordinator: hosts that were lost may have used
+// theirs.
+func (c *Coordinator) slack(v View) float64 { return c.coverage(v) * c.bounds.Slack }
+
 // trialShare is the share of the requests that goes to the new version: enough for a comparison, and
 // within the bounds.
 func (c *Coordinator) trialShare(v View, now time.Time) float64 {
@@ -289,7 +293,7 @@
 	if hurry {
 		fraction = usableBoundsFraction
 	}
-	allowed := fraction*c.bounds.Share*float64(c.total.Sent) + trialSlackFraction*c.bounds.Slack
+	allowed := fraction*c.bounds.Share*float64(c.total.Sent) + trialSlackFraction*c.slack(v)
 	spare := allowed - float64(c.total.Trial) - c.estimateUnreported(v)
 	if spare <= 0 {
 		return 0
