rollout: count elapsed time past steps of the clock

Cause: the time since a rollout began was read from the wall clock at each evaluation, so a clock that is set forward ended the trial, or the rollout, at once. Change: the wall clock is compared with the record's time once, as of the receipt of the order; from then on elapsed time is monotonic. A clock that is wrong by then still counts.

--- a/router/rollout/coordinator.go
+++ b/router/rollout/coordinator.go
@@ -237,12 +237,13 @@
 	return time.Duration(part * float64(c.order.Period))
 }
 
-// elapsed is the time since the order. A host that received the order late uses the record's start
-// time, although the clock of the host that wrote it may be off by seconds.
+// elapsed is the time since the order. A host that received the order late adds what it missed by the
+// record's start time, although the clock of the host that wrote it may be off by seconds. Later steps of
+// the clock don't matter.
 func (c *Coordinator) elapsed(v View, now time.Time) time.Duration {
 	elapsed := now.Sub(c.orderReceived)
-	if v.Record.isFor(c.order) && !v.Record.Began.IsZero() {
-		elapsed = max(elapsed, min(now.Sub(v.Record.Began), c.order.Period))
+	if missed, ok := v.Record.missed(c.order, c.orderReceived); ok {
+		elapsed += min(missed, c.order.Period)
 	}
 	return elapsed
 }
