rollout: wait for all targets to be read at a host that has just started

Cause: a host that had just started and had read the targets of one version only took the others for gone: with the time from the record past 3 s it wrote `done`, or `rolled_back` past 0.85 of the period. Change: the 3 s count from when this host saw no old target, and the lack of new ones from its first evaluations on. Measured: TestCoordinatorThatHasJustStartedWaitsForTargets fails before, for either version, and passes now, as do all tests of router/rollout.

--- a/router/rollout/coordinator.go
+++ b/router/rollout/coordinator.go
@@ -54,7 +54,8 @@
 	// trialSlackFraction is the fraction of the slack for the trial.
 	trialSlackFraction = 0.8
 	maxMoveDuration    = 3 * time.Second
-	// settleTime is how long to wait for targets of another version if all have the new one.
+	// settleTime is how long to wait for targets of another version if all have the new one: a host that
+	// has just started may not have read the others.
 	settleTime = 3 * time.Second
 	// rateSmoothing is the weight of the newest rate in the moving average.
 	rateSmoothing = 0.3
@@ -88,6 +89,7 @@
 	rejected     bool
 	share        float64
 	evaluated    time.Time // first; zero: not yet
+	onlyNewSince time.Time // no old targets were listed; zero: some are
 	moveStarted  time.Time // zero: not started
 	moveDuration time.Duration
 }
@@ -155,6 +157,11 @@
 	if c.evaluated.IsZero() {
 		c.evaluated = now
 	}
+	if c.oldTargets(v) > 0 {
+		c.onlyNewSince = time.Time{}
+	} else if c.onlyNewSince.IsZero() {
+		c.onlyNewSince = now
+	}
 	c.rates.update(c.total, now)
 	c.analysis.takeSnapshot(now)
 	c.worst, c.tests = c.analysis.worst(v.Versions[c.order.Version])
@@ -212,7 +219,8 @@
 	return float64(c.analysis.trialOutcomes()) >= need
 }
 
-// gathered reports whether all hosts have had the time to report to this coordinator.
+// gathered reports whether all hosts have had the time to report to this coordinator, and it to read all
+// targets.
 func (c *Coordinator) gathered(v View, now time.Time) bool {
 	return !c.evaluated.IsZero() && now.Sub(c.evaluated) >= gatherIntervals*ReportInterval(v.Hosts)
 }
@@ -342,9 +350,9 @@
 	case c.rejected:
 		return RolledBack, true
 	case v.Versions[c.order.Version] == 0:
-		return RolledBack, deadlinePassed // there is nothing to move to
+		return RolledBack, deadlinePassed && c.gathered(v, now) // there is nothing to move to
 	case c.oldTargets(v) == 0:
-		return Done, elapsed >= settleTime
+		return Done, !c.onlyNewSince.IsZero() && now.Sub(c.onlyNewSince) >= settleTime
 	case !c.moveStarted.IsZero() && now.Sub(c.moveStarted) >= c.moveDuration:
 		return Done, true
 	case deadlinePassed && c.suspicious():
