rollout: log a rollback for lack of evidence

Cause: a version that was rolled back as there were too few outcomes of it left no line that says so. Change: one line by the host that decides, with the outcomes and the part of the fleet that counted from the start; it comes again if the state can't be written. Measured: the line shows in TestRolloutsOutliveTheLossOfAllHosts; tests of router/rollout pass, and node's two of the loss of all hosts once.

--- a/router/rollout/coordinator.go
+++ b/router/rollout/coordinator.go
@@ -359,7 +359,11 @@
 		return RolledBack, true
 	case !c.hasEvidence(v):
 		// Until then, another host may have the evidence.
-		return RolledBack, elapsed >= c.fractionOfPeriod(lastDecisionFraction) && c.gathered(v, now)
+		if elapsed < c.fractionOfPeriod(lastDecisionFraction) || !c.gathered(v, now) {
+			return s, false
+		}
+		c.logEntry().WithFields(log.Fields{"outcomes": c.analysis.trialOutcomes(), "coverage": c.coverage(v)}).Warn("rolling back: too few outcomes of the new version")
+		return RolledBack, true
 	}
 	return Done, deadlinePassed
 }
