soak: lose all hosts while hosts, the store, targets or routes change

What was missing: the test of the loss of all hosts starts them at once, with the store there and targets that only come or end with the loss.

Seeds with several software versions get one or two losses of all hosts beside a new version, and callers that take their streams up until their deadline; no stream may hold events of two versions.

--- a/proofs/soak/config_test.go
+++ b/proofs/soak/config_test.go
@@ -57,6 +57,9 @@
 			{Name: revokedTenant, ApiKeys: []string{keyOf(revokedTenant)}},
 		},
 	}
+	for _, name := range w.options.services {
+		w.config.Services = append(w.config.Services, platformtest.Service{Name: name, MaxConns: 1000, Engine: &platformtest.Engine{Slots: targetSlots, Stride: 1}})
+	}
 	w.put()
 }
 
--- a/proofs/soak/faults_test.go
+++ b/proofs/soak/faults_test.go
@@ -96,6 +96,8 @@
 		return cutFromTargets
 	case partKind:
 		return sendCrashingPart
+	case rolloutLossKind:
+		return loseAllInRollout
 	}
 	return strikes[kind]
 }
--- a/proofs/soak/resume_test.go
+++ b/proofs/soak/resume_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"hash/fnv"
@@ -48,7 +49,11 @@
 
 // versionedBehaviour is a target's behaviour for a stream whose caller takes it up again.
 func (w *world) versionedBehaviour(s *targetState, run backend.Run) backend.Behaviour {
-	return backend.Behaviour{Delay: engineDelay, Gap: eventGap, Events: resumedEvents(run.URI), Mark: s.version, NoLength: w.options.unframed}
+	mark := s.version
+	if s.service != engineService {
+		mark += "@" + s.service
+	}
+	return backend.Behaviour{Delay: engineDelay, Gap: cmp.Or(w.options.gap, eventGap), Events: resumedEvents(run.URI), Mark: mark, NoLength: w.options.unframed}
 }
 
 // successor describes the target that replaces one that ended: at the same address, and one in four of another version.
--- a/proofs/soak/soak_test.go
+++ b/proofs/soak/soak_test.go
@@ -106,6 +106,7 @@
 	events = append(events, crowds(seed)...)
 	events = append(events, cuts(seed)...)
 	events = append(events, crashingParts(seed)...)
+	events = append(events, rolloutLosses(seed)...)
 	w := newWorldWith(t, hosts, seed, worldOptions{thinHosts: hasThinHosts(seed), ownDialIPs: hasCuts(seed), versions: softwareVersions(seed)})
 	if hasSlowLinks(seed) {
 		w.slowDownLinks()
@@ -125,9 +126,10 @@
 	for _, h := range w.hosts {
 		traffic.Go(func() { w.probe(ctx, h) })
 	}
-	var streams []*resumedStream
+	var streams, patient []*resumedStream
 	if len(w.options.versions) > 0 {
 		traffic.Go(func() { streams = w.resumeTraffic(ctx, seed, seedResumers) })
+		traffic.Go(func() { patient = w.patientUntil(ctx, seed) })
 	}
 	w.play(ctx, events)
 	w.recovered()
@@ -138,6 +140,7 @@
 	traffic.Wait()
 	if len(streams) > 0 {
 		w.checkVersions(streams)
+		w.checkNotJoined(slices.Concat(streams, patient))
 	}
 	w.endReplacing()
 }
