streamversion: know that the records are complete as soon as they are read

What callers saw: in the first 0.2 s after the loss of all hosts, streams of a service with one version all along were refused at hosts that had the records already (covered=false in their lines).

Cause: a host looked at the records only every 0.2 s. Change: it does so as it is asked, too.

--- a/router/streamversion/past.go
+++ b/router/streamversion/past.go
@@ -156,11 +156,29 @@
 // Covers reports whether this host knows all services and versions at which streams in progress may have begun, up to when
 // it last heard of targets and configurations.
 func (p *Past) Covers() bool {
+	p.mu.Lock()
+	covers := p.covers
+	p.mu.Unlock()
+	if covers {
+		return true
+	}
+	era, loaded := p.opts.Topic()
+	earlier := p.opts.EarlierBuilds()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.cover(era, loaded, earlier)
 	return p.covers
 }
 
+// cover notes whether this host knows all uses, now that it has the hosts' topic in an era. The lock is held.
+func (p *Past) cover(era int64, loaded, earlier bool) {
+	switch {
+	case !loaded:
+	case p.complete != nil && p.complete.Era >= era, p.complete == nil && era == 0 && !earlier:
+		p.covers = true
+	}
+}
+
 // Services lists the services that streams of a route in progress may have begun at.
 func (p *Past) Services(route string) []string {
 	return p.list(func(u Use) (string, bool) { return u.Service, u.Route == route && route != "" })
@@ -227,10 +245,8 @@
 	if !loaded {
 		return nil
 	}
-	switch {
-	case followed, p.complete != nil && p.complete.Era >= era, p.complete == nil && era == 0 && !earlier:
-		p.covers = true
-	}
+	p.covers = p.covers || followed
+	p.cover(era, loaded, earlier)
 	return p.due(p.wanted(era, followed), now, delay)
 }
 
