streamversion: record an origin before the first stream there is forwarded

What callers saw: a version or a route's service that was in use for less than a second before all hosts were killed, and was taken back meanwhile, was unknown afterwards, and streams that had begun there were joined with those of the one that remained: 200 and whole.

Cause: a new use is written after a random delay of up to 0.25 s a host, so that not all hosts write it, and streams began meanwhile.

Change: a host forwards the first events of a stream once it has read the records of its origin, for 1 s at most from when the first of them waits there, as the log may be away. Records that streams wait for are written within 2.5 ms a host, by whoever is first.

--- a/router/forward/resume.go
+++ b/router/forward/resume.go
@@ -13,6 +13,8 @@
 type StreamVersions interface {
 	// Began notes where a stream began.
 	Began(k streamversion.Key, route string, o streamversion.Origin, keep time.Duration)
+	// Await waits until the first events of a stream that began at an origin may be forwarded.
+	Await(ctx context.Context, route string, o streamversion.Origin)
 	// Find returns where a stream began.
 	Find(ctx context.Context, k streamversion.Key, route string, services []string) streamversion.Finding
 }
@@ -78,6 +80,8 @@
 		key = streamversion.KeyOf(q.organisationName(), q.resumes)
 	}
 	q.handler.opts.StreamVersions.Began(key, q.route.Name, *q.origin, q.keepOrigin())
+	a.silence.pause() // the target isn't silent meanwhile
+	q.handler.opts.StreamVersions.Await(q.ctx, q.route.Name, *q.origin)
 }
 
 // keepOrigin returns for how long the caller may take the stream up.
--- a/router/node/streams.go
+++ b/router/node/streams.go
@@ -26,7 +26,7 @@
 		})
 	}
 	n.streams = streamversion.New(streamversion.Options{
-		Versions: n.streamVersions, Services: n.streamPast.Services, Covers: n.streamPast.Covers, Journal: n.streamJournal,
+		Versions: n.streamVersions, Services: n.streamPast.Services, Covers: n.streamPast.Covers, Await: n.streamPast.Await, Journal: n.streamJournal,
 		ListAge: n.targetsReplica.Age, Count: n.observer.Count, Go: guard.Go,
 	})
 }
--- a/router/streamversion/directory.go
+++ b/router/streamversion/directory.go
@@ -55,6 +55,9 @@
 	// Covers reports whether Versions and Services reach back to before this host started, as far as streams in progress
 	// go. nil: they do.
 	Covers func() bool
+	// Await waits until it is known for certain, also after the loss of all hosts, that streams of a route have begun at an
+	// origin. nil: it is.
+	Await func(ctx context.Context, route string, o Origin)
 	// Journal keeps the origins of streams in the log; nil: nothing does.
 	Journal *Journal
 	// ListAge is how long ago the list of targets was last confirmed to be the newest.
@@ -97,6 +100,9 @@
 	if opts.Covers == nil {
 		opts.Covers = func() bool { return true }
 	}
+	if opts.Await == nil {
+		opts.Await = func(context.Context, string, Origin) {}
+	}
 	return &Directory{opts: opts, wake: make(chan struct{}, 1), failureLog: logging.NewLimiter(failureLinesPerSecond), table: newTable(), pending: map[string]map[Key]bool{}}
 }
 
@@ -127,6 +133,9 @@
 	}
 }
 
+// Await waits until the first events of a stream that began at an origin may be forwarded.
+func (d *Directory) Await(ctx context.Context, route string, o Origin) { d.opts.Await(ctx, route, o) }
+
 // origins returns where streams of a route that has the given services may have begun.
 func (d *Directory) origins(route string, services []string) map[Origin]bool {
 	origins := map[Origin]bool{}
--- a/router/streamversion/past.go
+++ b/router/streamversion/past.go
@@ -15,7 +15,6 @@
 
 	log "github.com/sirupsen/logrus"
 
-	"maststage.dev/lib/wait"
 	"maststage.dev/router/eventlog"
 	"maststage.dev/router/replica"
 )
@@ -59,6 +58,13 @@
 	// writeDelayPerHost spreads the writes of all hosts that observe a new use: they write some four records a second
 	// together until they have read the first one.
 	writeDelayPerHost = 250 * time.Millisecond
+	// neededDelayPerHost does the same for uses at which streams wait to begin, to 400 a second, and neededRewriteAfter is
+	// the least time after which such a record is written again.
+	neededDelayPerHost = 2500 * time.Microsecond
+	neededRewriteAfter = 300 * time.Millisecond
+	// recordWait is how long streams wait for the record of a use, from when the first of them began there: the log may be
+	// away.
+	recordWait = time.Second
 	// rewriteAfter is the time after which a record that was written and not read back is written again.
 	rewriteAfter = 6 * time.Second
 	// maxUsesPerWrite bounds the records of one append, of some 200 bytes each.
@@ -97,11 +103,17 @@
 	since    time.Time         // when this host first had the list of targets
 	waiting  map[string]bool   // keys of the records that wait for writeAt
 	writeAt  time.Time         // when this host writes the records that the log lacks
+	needed   map[Use]time.Time // since when streams have begun at uses that were not recorded
+	hurried  bool              // writeAt is soon enough for streams that wait
+	changed  chan struct{}     // closed and replaced as records are read
+
+	wake chan struct{} // full: a use is needed
 }
 
 // NewPast returns a Past that knows nothing; Run keeps it.
 func NewPast(opts PastOptions) *Past {
-	return &Past{opts: opts, recorded: map[Use]bool{}, byKey: map[string]Use{}, observed: map[Use]time.Time{}, waiting: map[string]bool{}}
+	return &Past{opts: opts, recorded: map[Use]bool{}, byKey: map[string]Use{}, observed: map[Use]time.Time{}, waiting: map[string]bool{},
+		needed: map[Use]time.Time{}, changed: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
 // ApplyChanges applies changes of the hosts' topic.
@@ -113,6 +125,13 @@
 			p.apply(c.Record)
 		}
 	}
+	for u := range p.needed {
+		if p.recorded[u] {
+			delete(p.needed, u)
+		}
+	}
+	close(p.changed)
+	p.changed = make(chan struct{})
 }
 
 func (p *Past) apply(rec eventlog.Record) {
@@ -153,6 +172,53 @@
 	}
 }
 
+// Await waits until the log has the records of where a stream began, but no longer than recordWait after the first stream
+// began there. What callers get before could not be told from what the log knows if all hosts ended.
+func (p *Past) Await(ctx context.Context, route string, o Origin) {
+	uses := []Use{{Route: route, Service: o.Service}, {Service: o.Service, Version: o.Version}}
+	if route == "" {
+		uses = uses[1:]
+	}
+	for {
+		left, changed := p.need(uses, time.Now())
+		if left <= 0 {
+			return
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// need notes that streams wait for the records of uses. It returns for how long they should, and a channel that is closed
+// as records are read.
+func (p *Past) need(uses []Use, now time.Time) (left time.Duration, changed <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, u := range uses {
+		if p.recorded[u] {
+			continue
+		}
+		if _, known := p.needed[u]; !known {
+			p.needed[u] = now
+			select {
+			case p.wake <- struct{}{}:
+			default:
+			}
+		}
+		p.observed[u] = now
+		left = max(left, p.needed[u].Add(recordWait).Sub(now))
+	}
+	return left, p.changed
+}
+
 // Covers reports whether this host knows all services and versions at which streams in progress may have begun, up to when
 // it last heard of targets and configurations.
 func (p *Past) Covers() bool {
@@ -218,7 +284,24 @@
 				break
 			}
 		}
-		wait.For(ctx, useInterval)
+		p.pause(ctx)
+	}
+}
+
+// pause waits until the next step.
+func (p *Past) pause(ctx context.Context) {
+	p.mu.Lock()
+	d := useInterval
+	if len(p.waiting) > 0 {
+		d = max(min(d, time.Until(p.writeAt)), 0)
+	}
+	p.mu.Unlock()
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-p.wake:
+	case <-timer.C:
 	}
 }
 
@@ -227,7 +310,7 @@
 	observed := p.opts.Observe()
 	era, loaded := p.opts.Topic()
 	earlier := p.opts.EarlierBuilds()
-	delay := time.Duration(max(p.opts.Hosts(), 1)) * writeDelayPerHost
+	hosts := time.Duration(max(p.opts.Hosts(), 1))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, u := range observed {
@@ -247,7 +330,18 @@
 	}
 	p.covers = p.covers || followed
 	p.cover(era, loaded, earlier)
-	return p.due(p.wanted(era, followed), now, delay)
+	wanted := p.wanted(era, followed)
+	return p.due(wanted, now, hosts, p.isNeeded(wanted, now))
+}
+
+// isNeeded reports whether streams wait for a wanted record. The lock is held.
+func (p *Past) isNeeded(wanted map[string]eventlog.Record, now time.Time) bool {
+	for u, since := range p.needed {
+		if _, missing := wanted[u.key()]; missing && now.Sub(since) <= recordWait {
+			return true
+		}
+	}
+	return false
 }
 
 // wanted returns the records that the log should have and, as far as this host has read, has not. The lock is held.
@@ -282,15 +376,21 @@
 	return wanted
 }
 
-// due returns the appends of the wanted records if it is time to make them. The record of completeness comes last. The
-// lock is held.
-func (p *Past) due(wanted map[string]eventlog.Record, now time.Time, delay time.Duration) (appends [][]eventlog.Record) {
+// due returns the appends of the wanted records if it is time to make them, which is sooner if streams wait for some. The
+// record of completeness comes last. The lock is held.
+func (p *Past) due(wanted map[string]eventlog.Record, now time.Time, hosts time.Duration, hurry bool) (appends [][]eventlog.Record) {
+	delay, again := hosts*writeDelayPerHost, rewriteAfter
+	if hurry {
+		delay = hosts * neededDelayPerHost
+		again = max(neededRewriteAfter, delay)
+	}
 	at := now.Add(rand.N(delay))
 	for key := range wanted {
-		if !p.waiting[key] && (len(p.waiting) == 0 || at.Before(p.writeAt)) {
+		if fresh := !p.waiting[key] || hurry && !p.hurried; fresh && (len(p.waiting) == 0 || at.Before(p.writeAt)) {
 			p.writeAt = at
 		}
 	}
+	p.hurried = hurry
 	clear(p.waiting)
 	for key := range wanted {
 		p.waiting[key] = true
@@ -298,7 +398,7 @@
 	if len(wanted) == 0 || now.Before(p.writeAt) {
 		return nil
 	}
-	p.writeAt = now.Add(rewriteAfter)
+	p.writeAt = now.Add(again)
 	records := slices.SortedFunc(maps.Values(wanted), func(a, b eventlog.Record) int {
 		switch {
 		case a.Key == completeKey:
