streamversion: tell of streams while the past is not known

What callers would see: for a minute after the log was restored and all hosts were lost, streams that began since, of a service with one version, are refused at hosts that neither carried nor ask them, and all of them after another loss of all hosts.

Cause: hosts that can't tell whether there was one version refuse what nobody remembers, but as long as they know of one version they tell nobody of new streams.

Change: such hosts tell other hosts and the log of their streams, as they do with several versions.

Measured by the test (24 hosts, a stream of each, before and after a second loss): 714 of 1,152 lookups found nothing before the change, none after it.

--- a/router/streamversion/announce.go
+++ b/router/streamversion/announce.go
@@ -118,7 +118,7 @@
 	d.mu.Unlock()
 	var several []string
 	for route, services := range pending {
-		if len(d.origins(route, slices.Collect(maps.Keys(services)))) > 1 {
+		if d.several(route, slices.Collect(maps.Keys(services))) {
 			several = append(several, route)
 		}
 	}
--- a/router/streamversion/directory.go
+++ b/router/streamversion/directory.go
@@ -118,7 +118,7 @@
 
 // Began notes where a stream of a route began, to be remembered for keep.
 func (d *Directory) Began(k Key, route string, o Origin, keep time.Duration) {
-	several := len(d.origins(route, []string{o.Service})) > 1
+	several := d.several(route, []string{o.Service})
 	d.mu.Lock()
 	s := d.table.add(k, o, keep, time.Now())
 	if !s.announced {
@@ -136,6 +136,11 @@
 // Await waits until the first events of a stream that began at an origin may be forwarded.
 func (d *Directory) Await(ctx context.Context, route string, o Origin) { d.opts.Await(ctx, route, o) }
 
+// several reports whether streams of a route that has the given services may have begun at several origins.
+func (d *Directory) several(route string, services []string) bool {
+	return !d.opts.Covers() || len(d.origins(route, services)) > 1
+}
+
 // origins returns where streams of a route that has the given services may have begun.
 func (d *Directory) origins(route string, services []string) map[Origin]bool {
 	origins := map[Origin]bool{}
--- a/router/streamversion/history_test.go
+++ b/router/streamversion/history_test.go
@@ -270,10 +270,12 @@
 	}
 }
 
+// stopAll ends all hosts and waits for what they have begun.
 func (f *pastFleet) stopAll() {
 	for _, h := range f.hosts {
 		h.stop()
 	}
+	time.Sleep(pastLongPoll)
 }
 
 // traffic begins streams and takes them up for some time.
@@ -449,3 +451,37 @@
 		}
 	})
 }
+
+// Guards against streams of a service with one version that no other host knows, though they began after the log was
+// restored and all hosts were lost: hosts that can't tell whether there was one version refused them for a minute.
+func TestStreamsAreFoundThoughThePastIsNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newPastFleet(24)
+		defer f.stopAll()
+		f.list("v1", true)
+		time.Sleep(time.Minute)
+		copied := f.log.Snapshot()
+		f.loseAll(time.Second, func() { f.log.Restore(copied) })
+		time.Sleep(time.Second)
+		for lost := range 2 {
+			var keys []Key
+			for i, h := range f.hosts {
+				k := KeyOf("org", fmt.Sprint("later", lost, i))
+				h.directory.Began(k, route, Origin{service, "v1"}, time.Minute)
+				keys = append(keys, k)
+			}
+			time.Sleep(time.Second)
+			if lost == 1 {
+				f.loseAll(time.Second, func() {})
+				time.Sleep(time.Second)
+			}
+			for i, k := range keys {
+				for _, h := range f.hosts {
+					if found := h.directory.Find(t.Context(), k, route, []string{service}); found.Verdict != Found {
+						t.Errorf("a stream of %s is not known to %s: %+v", f.hosts[i].name, h.name, found)
+					}
+				}
+			}
+		}
+	})
+}
