streamversion: look at what vouches for the origins before the origins

What callers saw: a stream was joined with events of another version at a host that had just started.

Cause: the host looked up the origins, then read the records, then found that it had the records and concluded from the origins of before, its list alone, that there was one.

Change: whether the host has the records, and the age of its list, are looked at first.

Measured: TestRecordsThatAreLoadedMeanwhileVouchForNothing fails without the change and passes with it.

--- a/router/streamversion/find.go
+++ b/router/streamversion/find.go
@@ -71,8 +71,9 @@
 	if s != nil {
 		return Finding{Origin: s.origin, Verdict: verdictOf(s.ambiguous), Source: FromOwnTable}
 	}
-	search := &search{origins: d.origins(route, services), covered: d.opts.Covers()}
-	fresh := d.opts.ListAge() <= maxListAge
+	// What vouches for the origins comes first: the list and the records may be loaded meanwhile.
+	covered, fresh := d.opts.Covers(), d.opts.ListAge() <= maxListAge
+	search := &search{origins: d.origins(route, services), covered: covered}
 	if fresh && search.covered && len(search.origins) == 1 {
 		return search.finding(search.sole(), Found, FromOwnList)
 	}
--- a/router/streamversion/history_test.go
+++ b/router/streamversion/history_test.go
@@ -485,3 +485,32 @@
 		}
 	})
 }
+
+// Guards against a conclusion from what a host knew before it had the records, drawn because it has them by now.
+func TestRecordsThatAreLoadedMeanwhileVouchForNothing(t *testing.T) {
+	for _, later := range []string{"records", "list"} {
+		var looked bool // the origins were looked up, and what comes later is there
+		d := New(Options{
+			Versions: func(string) []string {
+				if looked {
+					return []string{"v1", "v2"}
+				}
+				looked = true
+				return []string{"v1"}
+			},
+			Covers: func() bool { return looked || later != "records" },
+			ListAge: func() time.Duration {
+				if looked || later != "list" {
+					return 0
+				}
+				return time.Hour
+			},
+			Count: func(string) {}, Go: func(_ string, run func()) { go run() },
+		})
+		f := &pastFleet{}
+		d.SetPeers(&pastHost{fleet: f})
+		if found := d.Find(t.Context(), KeyOf("org", "a"), route, []string{service}); found.Source == FromOwnList {
+			t.Errorf("%s: %+v", later, found)
+		}
+	}
+}
