--- a/proofs/soak/soak_test.go
+++ b/proofs/soak/soak_test.go
@@ -29,6 +29,7 @@
 	minutes       = flag.Float64("soak.minutes", 0, "start random seeds for this many minutes; overrides soak.seeds")
 	oneSeed       = flag.Uint64("soak.seed", 0, "run only this seed")
 	keepLogs      = flag.String("soak.logs", "", "folder for the logs of seeds that failed")
+	longParts     = flag.Bool("soak.long", false, "run all parts of TestStreamsAfterTheLossOfAllHostsAndMore")
 	parallelSeeds = flag.Int("soak.parallel", 2, "number of seeds that run in parallel")
 )
 
