streamversion: split what waits for records and what a use is from Past

Cause: past.go held four things in 530 lines; a use that was forgotten and came back was not waited for, and the number of hosts was asked for under the lock. Change: await.go, use.go; what streams wait for is forgotten with the use or as it is recorded. The simulated fleet's size is a field now: the race detector saw its list read as it grew.

--- a/router/streamversion/history_test.go
+++ b/router/streamversion/history_test.go
@@ -36,6 +36,7 @@
 	hosts  []*historyHost
 	listed map[string]bool // versions of the targets
 	isNew  bool            // hosts have just begun to use the log
+	size   int             // number of hosts
 	begun  []pastStream
 }
 
@@ -60,7 +61,7 @@
 }
 
 func newHistoryFleet(n int) *historyFleet {
-	f := &historyFleet{log: memlog.New(), listed: map[string]bool{}, isNew: true}
+	f := &historyFleet{log: memlog.New(), listed: map[string]bool{}, isNew: true, size: n}
 	for i := range n {
 		f.hosts = append(f.hosts, f.startHost(fmt.Sprintf("h%d", i)))
 	}
@@ -76,7 +77,7 @@
 		Log: view, Partition: eventlog.Partition{Topic: pastTargets}, LongPoll: pastLongPoll, ReadTimeout: pastTimeout,
 		MinInterval: 10 * time.Millisecond, KeepLost: pastForget, OnChange: h.listChanged,
 	})
-	count := func() int { return len(f.hosts) }
+	count := func() int { return f.size }
 	isNew := f.isNew
 	h.past = NewPast(PastOptions{
 		Log: view, Partition: eventlog.Partition{Topic: pastUses}, Timeout: pastTimeout,
--- a/router/streamversion/past.go
+++ b/router/streamversion/past.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -16,33 +13,6 @@
 	"maststage.dev/router/eventlog"
 )
 
-// Use says that streams of a route may have begun at a service, or streams of a service at a software version of its
-// targets.
-type Use struct {
-	Route   string `json:"route,omitempty"` // empty in the second case
-	Service string `json:"service"`
-	Version string `json:"version,omitempty"`
-}
-
-// completeKey is the key of the record which says that the records of all uses are there.
-const completeKey = "complete"
-
-// useKeyBytes is the length of the digest that is the key of a use.
-const useKeyBytes = 12
-
-// key returns the key of the use's record. Names of routes and versions may be longer than a key.
-func (u Use) key() string {
-	sum := sha256.Sum256([]byte(u.Route + "\x00" + u.Service + "\x00" + u.Version))
-	return hex.EncodeToString(sum[:useKeyBytes])
-}
-
-// completeRecord is the value of the record under completeKey.
-type completeRecord struct {
-	// Era is the newest era of the log in which the records of all uses were there. A log that was restored later may lack
-	// some.
-	Era int64 `json:"era"`
-}
-
 // Timing of a Past.
 const (
 	// useMemory is how long a stream may be in progress after its route was moved to another service, or the last target of
@@ -59,12 +29,6 @@
 	writeDelayPerHost = 5 * time.Millisecond
 	// unknownSizeDelay spreads them until the number of hosts is known.
 	unknownSizeDelay = 300 * time.Millisecond
-	// needDelayPerHost spreads the reads of all hosts at which streams wait for a record.
-	needDelayPerHost = time.Millisecond
-	minNeedDelay     = 20 * time.Millisecond // between two of them
-	// recordWait is how long streams wait for the record of a use, from when the first of them began there: the log may be
-	// away.
-	recordWait = time.Second
 	// maxUsesPerWrite bounds the records of one append, of some 200 bytes each.
 	maxUsesPerWrite = 256
 )
@@ -192,70 +156,6 @@
 	return p.covers
 }
 
-// Await waits until the log has the records of where a stream began, but no longer than recordWait after the first stream
-// began there. What callers get before could not be told from what the log knows if all hosts ended.
-func (p *Past) Await(ctx context.Context, route string, o Origin) {
-	if p.opts.Partition.Topic == "" {
-		return
-	}
-	uses := []Use{{Service: o.Service, Version: o.Version}}
-	if route != "" {
-		uses = append(uses, Use{Route: route, Service: o.Service})
-	}
-	for {
-		left, recorded := p.need(uses, time.Now())
-		if left <= 0 {
-			return
-		}
-		timer := time.NewTimer(left)
-		select {
-		case <-recorded:
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		timer.Stop()
-		if ctx.Err() != nil {
-			return
-		}
-	}
-}
-
-// need notes that a stream waits for the records of uses. It returns for how long it should, and a channel that is closed
-// as more are recorded.
-func (p *Past) need(uses []Use, now time.Time) (left time.Duration, recorded <-chan struct{}) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, u := range uses {
-		if s := p.uses[u]; s != nil && s.recorded {
-			delete(p.needed, u)
-			continue
-		}
-		p.note([]Use{u}, now)
-		if p.needed[u].IsZero() {
-			if p.needed[u] = now; now.After(p.needRead) {
-				p.needRead = now.Add(rand.N(p.needDelay()))
-			}
-			p.Look()
-		}
-		left = max(left, p.needed[u].Add(recordWait).Sub(now))
-	}
-	return left, p.recorded
-}
-
-func (p *Past) needDelay() time.Duration {
-	return max(time.Duration(p.opts.Hosts())*needDelayPerHost, minNeedDelay)
-}
-
-// waited reports whether streams wait for a record. The lock is held.
-func (p *Past) waited(now time.Time) bool {
-	for u, since := range p.needed {
-		if s := p.uses[u]; now.Sub(since) <= recordWait && (s == nil || !s.recorded) {
-			return true
-		}
-	}
-	return false
-}
-
 // Followed reports whether this host has observed by itself all uses that streams in progress may have.
 func (p *Past) Followed() bool {
 	p.mu.Lock()
@@ -331,17 +231,6 @@
 	p.postpone(now.Add(readRetry))
 }
 
-// mayRead reports whether it is time to read the records.
-func (p *Past) mayRead(now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.waited(now) && !now.Before(p.needRead) {
-		p.needRead = now.Add(p.needDelay())
-		return true
-	}
-	return !now.Before(p.nextRead)
-}
-
 // noteRecorded notes the uses among records that were appended.
 func (p *Past) noteRecorded(records []eventlog.Record) {
 	appended := map[string]bool{}
@@ -358,12 +247,6 @@
 	p.release()
 }
 
-// release lets the streams look that wait for records. The lock is held.
-func (p *Past) release() {
-	close(p.recorded)
-	p.recorded = make(chan struct{})
-}
-
 // observe notes what this host observes, and forgets what no stream in progress can have begun at.
 func (p *Past) observe(now time.Time) {
 	uses, fresh, ok := p.opts.Observe()
@@ -379,6 +262,7 @@
 	for u, s := range p.uses {
 		if !s.recorded && !s.lost && !s.current(now) {
 			delete(p.uses, u)
+			delete(p.needed, u)
 			p.index()
 		}
 	}
@@ -435,14 +319,6 @@
 	return records
 }
 
-func encodeRecord(key string, value any) eventlog.Record {
-	data, err := json.Marshal(value)
-	if err != nil {
-		panic(fmt.Sprintf("streamversion: %v", err)) // structs of texts and numbers can be encoded
-	}
-	return eventlog.Record{Key: key, Value: data}
-}
-
 func (p *Past) append(ctx context.Context, records []eventlog.Record) error {
 	ctx, cancel := context.WithTimeout(ctx, p.opts.Timeout)
 	defer cancel()
