--- a/router/node/config.go
+++ b/router/node/config.go
@@ -9,6 +9,7 @@
 
 	log "github.com/sirupsen/logrus"
 
+	"maststage.dev/router/eventlog"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/replica"
 	"maststage.dev/router/routing"
@@ -258,6 +259,22 @@
 	}
 }
 
+// noTarget is the deduplication key of an entry that names no usable target.
+type noTarget struct{}
+
+// targetDedupKey is the part of a list entry that matters: most records are heartbeats, which change
+// nothing.
+func (n *Node) targetDedupKey(rec eventlog.Record) any {
+	if len(rec.Value) == 0 {
+		return nil
+	}
+	entry, err := n.env.DecodeTarget(rec.Key, rec.Value)
+	if err != nil {
+		return noTarget{}
+	}
+	return entry
+}
+
 // targetsChanged applies changes of the list of targets.
 func (n *Node) targetsChanged(changes []replica.Change) {
 	for _, c := range changes {
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -251,22 +251,6 @@
 // hostCount counts the hosts as far as they are known.
 func (n *Node) hostCount() int { return n.fleet.Size() }
 
-// noTarget is the deduplication key of an entry that names no usable target.
-type noTarget struct{}
-
-// targetDedupKey is the part of a list entry that matters: most records are heartbeats, which change
-// nothing.
-func (n *Node) targetDedupKey(rec eventlog.Record) any {
-	if len(rec.Value) == 0 {
-		return nil
-	}
-	entry, err := n.env.DecodeTarget(rec.Key, rec.Value)
-	if err != nil {
-		return noTarget{}
-	}
-	return entry
-}
-
 // Intervals of the communication between hosts.
 const (
 	hostsPollInterval = 3 * time.Second
@@ -398,11 +382,7 @@
 	guard.Go("fleet", func() { n.fleet.Run(ctx) })
 	guard.Go("treasury", func() { n.allocator.Run(ctx) })
 	guard.Go("quarantine", func() { n.guard.Run(ctx) })
-	guard.Go("stream versions", func() { n.streams.Run(ctx) })
-	guard.Go("uses of streams", func() { n.streamPast.Run(ctx) })
-	if n.streamJournal != nil {
-		guard.Go("stream journal", func() { n.streamJournal.Run(ctx) })
-	}
+	n.startStreams(ctx)
 	guard.Go("limits of targets", func() { n.exchangeLimits(ctx) })
 	guard.Go("capacity", func() { n.capacity.Run(ctx) })
 	guard.Go("unread answers", func() { n.unread.Run(ctx) })
--- a/router/node/streams.go
+++ b/router/node/streams.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -33,6 +34,15 @@
 	})
 }
 
+// startStreams starts what runs for the directory, until ctx ends.
+func (n *Node) startStreams(ctx context.Context) {
+	guard.Go("stream versions", func() { n.streams.Run(ctx) })
+	guard.Go("uses of streams", func() { n.streamPast.Run(ctx) })
+	if n.streamJournal != nil {
+		guard.Go("stream journal", func() { n.streamJournal.Run(ctx) })
+	}
+}
+
 // streamVersions lists the versions at which streams of a service in progress may have begun.
 func (n *Node) streamVersions(service string) []string {
 	list := slices.Concat(n.targets.RecentVersions(service), n.streamPast.Versions(service))
