faultlink: wait until the address of a closed link is released

A process that is being started has copies of all listeners until it runs its program. A trial that closes a listener and listens again: 0 of 6,868 times in use, and 3,521 of 6,415 beside six goroutines that start processes. Change: a link tries again for a second if its address is in use. No check is changed.

--- a/standin/faultlink/faultlink.go
+++ b/standin/faultlink/faultlink.go
@@ -4,10 +4,12 @@
 package faultlink
 
 import (
+	"errors"
 	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -70,7 +72,7 @@
 // Open opens a link until the test ends.
 func Open(t testing.TB, opts Options) *Link {
 	t.Helper()
-	listener, err := net.Listen("tcp", opts.Listen)
+	listener, err := listen(opts.Listen)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -80,6 +82,20 @@
 	return l
 }
 
+// releaseTime is how long an address may stay in use after its listener was closed: a process that is being started has a
+// copy of it for a moment.
+const releaseTime = time.Second
+
+// listen listens on an address, once it is released.
+func listen(address string) (listener net.Listener, err error) {
+	for end := time.Now().Add(releaseTime); ; time.Sleep(time.Millisecond) {
+		listener, err = net.Listen("tcp", address)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return listener, err
+		}
+	}
+}
+
 // Address is the address that the link listens on.
 func (l *Link) Address() string { return l.listener.Addr().String() }
 
