--- a/router/forward/endless_stream_test.go
+++ b/router/forward/endless_stream_test.go
@@ -83,6 +83,7 @@
 	got := f.do(f.request("POST", "/stream/x", "p"))
 	f.is.NoErr(got.err)
 	f.is.Equal(got.body, long+long+events("r1", 2))
+	f.recorder.waitOutcome(t, "r1")       // the caller has the response before the request has ended
 	f.is.Equal(f.unread.Held(), int64(0)) // nothing stays reserved
 }
 
