target: let the socket of an exiting target close before it is probed

Cause: the end of such a response is checked by a new connection to its target. The kernel closes the connections of a process that exits before its listening socket: that still accepts the probe, which takes the target for alive, or resets it as it connects, which was taken for no answer. Change: the probe of a response's end begins 20 ms later; a probe that is reset connects again.

--- a/router/target/exit.go
+++ b/router/target/exit.go
@@ -22,6 +22,11 @@
 const (
 	// probeTimeout bounds the connection attempt. A live target responds within a round trip.
 	probeTimeout = 300 * time.Millisecond
+	// probeRepeatTime is the time before a probe whose connection was reset connects again.
+	probeRepeatTime = 5 * time.Millisecond
+	// socketCloseTime is how long the kernel may take to close the listening socket of a process that exits after it has
+	// closed a connection of that process. Until then the socket accepts connections, which may even stay open.
+	socketCloseTime = 20 * time.Millisecond
 	// probeMaxAge is how long the result of a probe that found the target alive is reused. One exit
 	// breaks all requests there within a few milliseconds; a later break needs a probe of its own.
 	probeMaxAge = 50 * time.Millisecond
@@ -56,9 +61,14 @@
 	Gone
 )
 
-// ProbePresence connects to a target's address, no earlier than it is called. Unlike ProbeExited it also notices the planned
-// exit of a target. The result is PresenceUnknown if ctx ends first.
+// ProbePresence connects to the address of a target that has just ended a connection, after it has had the time to exit.
+// Unlike ProbeExited it also notices the planned exit of a target. The result is PresenceUnknown if ctx ends first.
 func (r *Registry) ProbePresence(ctx context.Context, t *Target) Presence {
+	select {
+	case <-time.After(socketCloseTime):
+	case <-ctx.Done():
+		return PresenceUnknown
+	}
 	probe := r.probeSince(ctx, t, time.Now())
 	if probe == nil {
 		return PresenceUnknown
@@ -96,9 +106,7 @@
 
 // runProbe connects to the target's address, sets the results of the probe and records an exit if the connection is refused.
 func (r *Registry) runProbe(ctx context.Context, t *Target, probe *exitProbe) {
-	dial, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	err := t.Pool.Probe(dial, r.direct(t))
+	err := r.connect(ctx, t)
 	switch {
 	case err == nil:
 		probe.presence = Present
@@ -116,6 +124,23 @@
 	}).Warn("target process exited")
 }
 
+// connect connects to the target's address, again as long as that is reset: the listening socket is being closed.
+func (r *Registry) connect(ctx context.Context, t *Target) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	for {
+		err := t.Pool.Probe(ctx, r.direct(t))
+		if !errors.Is(err, syscall.ECONNRESET) {
+			return err
+		}
+		select {
+		case <-time.After(probeRepeatTime):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
 // refusesOthers reports whether none of the other hosts that were asked reaches a target that refuses connections of this
 // host. Hosts that lost their own links, too, can't tell; a few are asked.
 func (r *Registry) refusesOthers(ctx context.Context, t *Target) bool {
