forward: free the connection of an unframed response before its target is probed

Cause: the connection of a response without a length still had its place in the target's pool while the target was probed. With all places in use the probe could not connect, and a response that the target's exit cut was taken for complete. Change: the connection, which has ended, is closed first. Measured: TestUnframedResponseOnTheLastConnectionIsChecked failed 5 of 5 before and passes 10 of 10.

--- a/router/forward/responses_test.go
+++ b/router/forward/responses_test.go
@@ -349,3 +349,14 @@
 		f.is.Equal(f.runCount(), 1)
 	})
 }
+
+// Guards against an unframed response that looks whole after its target's exit since its own connection, the last one that
+// the target's pool may have, left no place for the probe.
+func TestUnframedResponseOnTheLastConnectionIsChecked(t *testing.T) {
+	f := newFixture(t)
+	f.targets.SetMaxConns("engine", 1)
+	f.add("e1", "engine", backend.Behaviour{Events: 10, NoLength: true, CrashAfter: 4})
+	got := f.do(f.request("POST", "/once/x", "p"))
+	f.is.True(got.err != nil)
+	f.is.Equal(f.recorder.waitOutcome(t, "r1").Kind, CutOff)
+}
--- a/router/forward/targetexit.go
+++ b/router/forward/targetexit.go
@@ -37,6 +37,7 @@
 		a.survivedAtEnd = succeeded
 		return nil
 	}
+	a.conn.Close() // the probe may need its place in the pool
 	ctx, cancel := context.WithTimeout(a.request.ctx, exitProbeTimeout)
 	defer cancel()
 	switch a.request.handler.opts.Targets.ProbePresence(ctx, a.target) {
