forward, target: wait longer at the end of a stream, and connect again after a time-out

A target resets connections also when it has too many; every 5 ms is too often then. A time-out in the moment of the close tells as little as a reset. Change: the probe at the end of a stream, whose events were all forwarded, waits for 100 ms; one that is reset or not answered within 100 ms connects again, after a pause that doubles.

--- a/router/forward/targetexit.go
+++ b/router/forward/targetexit.go
@@ -40,7 +40,11 @@
 	a.conn.Close() // the probe may need its place in the pool
 	ctx, cancel := context.WithTimeout(a.request.ctx, exitProbeTimeout)
 	defer cancel()
-	switch a.request.handler.opts.Targets.ProbePresence(ctx, a.target) {
+	wait := responseEndWait
+	if a.request.stream != nil {
+		wait = streamEndWait
+	}
+	switch a.request.handler.opts.Targets.ProbePresence(ctx, a.target, wait) {
 	case target.Gone:
 		return errExitedAtEnd
 	case target.Present:
@@ -49,6 +53,13 @@
 	return nil
 }
 
+// How long a target that exits may take after the end of an unframed response until its address refuses connections. The
+// events of a stream have been forwarded by then, so that its caller waits for the end alone.
+const (
+	responseEndWait = 20 * time.Millisecond
+	streamEndWait   = 100 * time.Millisecond
+)
+
 const (
 	exitProbeTimeout = time.Second
 	// exitProbeWait is how long a request waits for the probe's result before its next attempt.
--- a/router/target/exit.go
+++ b/router/target/exit.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -20,13 +21,13 @@
 
 // Limits of exit probes.
 const (
-	// probeTimeout bounds the connection attempt. A live target responds within a round trip.
+	// probeTimeout bounds a probe. A live target responds within a round trip.
 	probeTimeout = 300 * time.Millisecond
-	// probeRepeatTime is the time before a probe whose connection was reset connects again.
+	// connectTimeout bounds each of its connection attempts.
+	connectTimeout = 100 * time.Millisecond
+	// probeRepeatTime is the time before a probe whose connection was reset connects again; it doubles each time, as a
+	// target resets connections also when it has too many.
 	probeRepeatTime = 5 * time.Millisecond
-	// socketCloseTime is how long the kernel may take to close the listening socket of a process that exits after it has
-	// closed a connection of that process. Until then the socket accepts connections, which may even stay open.
-	socketCloseTime = 20 * time.Millisecond
 	// probeMaxAge is how long the result of a probe that found the target alive is reused. One exit
 	// breaks all requests there within a few milliseconds; a later break needs a probe of its own.
 	probeMaxAge = 50 * time.Millisecond
@@ -61,11 +62,13 @@
 	Gone
 )
 
-// ProbePresence connects to the address of a target that has just ended a connection, after it has had the time to exit.
-// Unlike ProbeExited it also notices the planned exit of a target. The result is PresenceUnknown if ctx ends first.
-func (r *Registry) ProbePresence(ctx context.Context, t *Target) Presence {
+// ProbePresence connects to the address of a target that has just ended a connection. Unlike ProbeExited it also notices the
+// planned exit of a target. It waits first: the kernel closes the listening socket of a process that exits after its
+// connections, and the socket accepts others until then, which may even stay open. The result is PresenceUnknown if ctx ends
+// first.
+func (r *Registry) ProbePresence(ctx context.Context, t *Target, wait time.Duration) Presence {
 	select {
-	case <-time.After(socketCloseTime):
+	case <-time.After(wait):
 	case <-ctx.Done():
 		return PresenceUnknown
 	}
@@ -124,17 +127,27 @@
 	}).Warn("target process exited")
 }
 
-// connect connects to the target's address, again as long as that is reset: the listening socket is being closed.
+// connect connects to the target's address, until it can tell whether a socket listens there.
 func (r *Registry) connect(ctx context.Context, t *Target) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	for {
-		err := t.Pool.Probe(ctx, r.direct(t))
-		if !errors.Is(err, syscall.ECONNRESET) {
+	return repeatConnect(ctx, func() error {
+		dial, cancel := context.WithTimeout(ctx, connectTimeout)
+		defer cancel()
+		return t.Pool.Probe(dial, r.direct(t))
+	})
+}
+
+// repeatConnect calls connect until it succeeds, fails for good or ctx ends. A reset or a time-out tells nothing: a socket
+// that is being closed may reset a connection or drop it.
+func repeatConnect(ctx context.Context, connect func() error) error {
+	for pause := probeRepeatTime; ; pause *= 2 {
+		err := connect()
+		if !errors.Is(err, syscall.ECONNRESET) && !os.IsTimeout(err) {
 			return err
 		}
 		select {
-		case <-time.After(probeRepeatTime):
+		case <-time.After(pause):
 		case <-ctx.Done():
 			return err
 		}
