forward: hold a take-up without a name to its own key

Cause: the key of the empty name is one for all streams that an organisation takes up without a name. Change: such a take-up is looked up, and remembered, under its own attempt's key, which nobody knows: it goes on only where the service has had one version. Measured: TestStreamsWithoutANameAreNotTakenForEachOther failed 3 of 3 before; on the change it passes, with all tests of router/forward whose names have Stream, TakenUp, TakeUp or Version.

--- a/router/forward/resume.go
+++ b/router/forward/resume.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -31,6 +32,12 @@
 	return q.route.Kind == routing.Streaming && (q.callerLastEventID != "" || q.resumes != "")
 }
 
+// takenUpKey returns the key of the stream that the caller takes up. Without a name it is that of this attempt: what is
+// known of one such stream says nothing of another.
+func (q *request) takenUpKey() streamversion.Key {
+	return streamversion.KeyOf(q.organisationName(), cmp.Or(q.resumes, q.id))
+}
+
 // findOrigin finds where the stream began that the caller takes up, if it does: only targets of that service and version
 // can go on with it. It may change the request's service.
 func (q *request) findOrigin() Kind {
@@ -41,8 +48,7 @@
 		return OK
 	}
 	services := q.route.Services()
-	key := streamversion.KeyOf(q.organisationName(), q.resumes)
-	found := q.handler.opts.StreamVersions.Find(q.ctx, key, q.route.Name, services)
+	found := q.handler.opts.StreamVersions.Find(q.ctx, q.takenUpKey(), q.route.Name, services)
 	q.outcome.Origin = &found
 	origin := found.Origin
 	switch {
@@ -77,7 +83,7 @@
 	case q.origin == nil:
 		q.origin = &streamversion.Origin{Service: q.service, Version: a.target.Version}
 	case q.takesUp():
-		key = streamversion.KeyOf(q.organisationName(), q.resumes)
+		key = q.takenUpKey()
 	}
 	if !q.route.Resumable {
 		return // its caller can't take it up
