streamversion: show that records prove too much once the log came back as a new one

Cause: a host whose first read of the announcements finds one of each host takes the fleet for a new one, in whatever era of the log, and concludes that no records means that there was nothing before. Change: a test; the code is unchanged.

--- a/router/streamversion/records_test.go
+++ b/router/streamversion/records_test.go
@@ -24,3 +24,19 @@
 		}
 	})
 }
+
+// Guards against a host that takes the fleet for a new one, as the log came back from a copy of its beginning, and its own
+// list for all that there was.
+func TestLogThatCameBackAsANewOneProvesNothing(t *testing.T) {
+	inVirtualTime(t, func(is *is.I, f *pastFleet) {
+		copied := f.log.Snapshot()
+		f.start(3, nil, usesV1, usesV2)
+		time.Sleep(5 * time.Second)
+		f.killAll()
+		f.log.Restore(copied)
+		f.isNew = true // of announcements, too, only the first ones are left
+		h := f.start(3, nil, usesV1)
+		time.Sleep(useMemory / 2)
+		is.True(!h.Covers())
+	})
+}
