streamversion: take only a log that was never restored for a new one

Cause: a log that came back from a copy of its beginning has one announcement of each host, and looks new. Change: that there are no records proves something in the log's first era only.

--- a/router/streamversion/past.go
+++ b/router/streamversion/past.go
@@ -151,7 +151,8 @@
 	if p.complete != nil {
 		p.covers = p.covers || p.complete.Era >= p.era && !earlier
 	} else {
-		p.covers = p.covers || p.read && newFleet && !earlier
+		// A log that came back from a copy of its beginning looks new.
+		p.covers = p.covers || p.read && p.era == 0 && newFleet && !earlier
 	}
 	return p.covers
 }
