streamversion: conclude from an old list only together with most hosts

Cause: one other host sufficed, whose list may be as old as this one's. Change: more than half of those that were asked, this host included, have to respond. In an outage of the log hosts that reach each other go on as before.

--- a/router/streamversion/find.go
+++ b/router/streamversion/find.go
@@ -91,7 +91,7 @@
 		d.ask(ctx, list[:n], q, search)
 		list = list[n:]
 	}
-	complete := search.covered && (fresh || search.answered > 0 || search.asked == 0)
+	complete := search.covered && (fresh || search.isMajority())
 	switch {
 	case search.found != nil:
 		d.remember(k, *search.found)
@@ -149,6 +149,10 @@
 	covered         bool            // these are all
 }
 
+// isMajority reports whether this host and those that answered are most of all that could know: hosts that are cut off together
+// know nothing of what the others have listed since.
+func (s *search) isMajority() bool { return 2*(s.answered+1) > s.asked+1 }
+
 // finding makes a finding of the search.
 func (s *search) finding(o Origin, v Verdict, from Source) Finding {
 	return Finding{Origin: o, Verdict: v, Source: from, Versions: s.versions(), Covered: s.covered, Asked: s.asked, Answered: s.answered}
