streamversion: read the records again after a gap

Callers could get streams of two versions from a host that was cut off or suspended for longer than the log keeps its history, while another version came and went. Cause: once a host knows the past, it counts as knowing it for good. What others recorded in a gap is read up to 30 s after the host's list of targets is new again; until then it concludes from its own list. Change: a host that follows targets and configurations again after a gap, or that did not look for 5 s, covers the past once it has read the records anew, which it does within some 20 ms, or a millisecond for each host. A look of its own before it concludes leaves no moment between the list and the gap being noticed.

--- a/router/streamversion/past.go
+++ b/router/streamversion/past.go
@@ -20,6 +20,8 @@
 	useMemory = 60 * time.Second
 	// lookInterval is the most time between two looks at what this host observes.
 	lookInterval = 200 * time.Millisecond
+	// lookTimeout is the time between two looks after which this host counts as suspended meanwhile.
+	lookTimeout = 5 * time.Second
 	// readInterval is the mean time between two reads of the records, readRetry the time after a read that failed or that
 	// did not tell this host what was before it.
 	readInterval = 20 * time.Second
@@ -62,6 +64,8 @@
 	services map[string][]string // by route, of uses
 	versions map[string][]string // by service, of uses
 	covers   bool                // see Covers
+	missed   bool                // this host may have missed uses that were recorded; it has to read the records
+	looked   time.Time           // when it last observed
 	since    time.Time           // since when this host has followed targets and configurations; zero: it does not
 	complete *completeRecord     // as read; nil: there is none
 	era      int64               // of the log, as read
@@ -137,10 +141,17 @@
 // Covers reports whether this host knows all services and versions at which streams in progress may have begun, up to when
 // it last heard of targets and configurations.
 func (p *Past) Covers() bool {
+	now := time.Now()
 	p.mu.Lock()
-	covers := p.covers
+	following := !p.since.IsZero() && now.Sub(p.looked) <= lookTimeout
 	p.mu.Unlock()
-	return covers || p.recordsCover()
+	if !following {
+		p.observe(now) // it may follow again
+	}
+	p.mu.Lock()
+	covers, missed := p.covers, p.missed
+	p.mu.Unlock()
+	return !missed && (covers || p.recordsCover())
 }
 
 // recordsCover reports whether the records that were read are complete.
@@ -208,6 +219,9 @@
 	if p.waited(now) {
 		pause = min(pause, p.needRead.Sub(now))
 	}
+	if p.missed {
+		pause = min(pause, p.nextRead.Sub(now))
+	}
 	return max(pause, 0)
 }
 
@@ -248,17 +262,24 @@
 	p.release()
 }
 
-// observe notes what this host observes, and forgets what no stream in progress can have begun at.
+// observe notes what this host observes, and forgets what no stream in progress can have begun at. Once it follows targets
+// and configurations again after a gap, it has the records read: a use may have come and gone meanwhile.
 func (p *Past) observe(now time.Time) {
 	uses, fresh, ok := p.opts.Observe()
+	delay := p.needDelay()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
 	case !ok || !fresh:
 		p.since = time.Time{}
-	case p.since.IsZero():
+	case p.since.IsZero() || now.Sub(p.looked) > lookTimeout:
 		p.since = now
+		if p.read {
+			p.missed, p.nextRead = true, now.Add(rand.N(delay))
+			p.Look()
+		}
 	}
+	p.looked = now
 	p.note(uses, now)
 	for u, s := range p.uses {
 		if !s.recorded && !s.lost && !s.current(now) {
@@ -314,7 +335,7 @@
 			records = append(records, eventlog.Record{Key: u.key()})
 		}
 	}
-	if p.covers && (p.complete == nil || p.complete.Era < p.era) {
+	if p.covers && !p.missed && (p.complete == nil || p.complete.Era < p.era) {
 		records = append(records, encodeRecord(completeKey, completeRecord{Era: p.era}))
 	}
 	return records
@@ -365,7 +386,7 @@
 		s.lost = s.lost || restored && s.recorded
 		s.recorded = false
 	}
-	p.read, p.era, p.complete = true, era, nil
+	p.read, p.missed, p.era, p.complete = true, false, era, nil
 	for _, rec := range records {
 		p.applyRecord(rec, now)
 	}
