--- a/router/forward/responses_test.go
+++ b/router/forward/responses_test.go
@@ -1,11 +1,14 @@
 package forward
 
 import (
+	"bufio"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"maststage.dev/router/target"
 	"maststage.dev/standin/backend"
 )
@@ -360,3 +363,15 @@
 	f.is.True(got.err != nil)
 	f.is.Equal(f.recorder.waitOutcome(t, "r1").Kind, CutOff)
 }
+
+// Guards against closing the connection of a response to HEAD, and probing its target: it has no body, with a length or not.
+func TestResponseToHeadIsFramed(t *testing.T) {
+	is := is.New(t)
+	for method, framed := range map[string]bool{http.MethodHead: true, http.MethodGet: false} {
+		req, err := http.NewRequest(method, "http://a.example/", nil)
+		is.NoErr(err)
+		resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n\r\n")), req)
+		is.NoErr(err)
+		is.Equal(isFramed(resp), framed)
+	}
+}
