tunnel: a failing test of tunnels that end while the list of hosts is read

Cause: a host chooses another one for a tunnel with the lock of its tunnels held, and reads the list of hosts under it, which needs the lock of the registry of targets (RegionOf). If both happen at once, neither goes on, and every request waits for the registry.

--- a/router/tunnel/tunnel_test.go
+++ b/router/tunnel/tunnel_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -347,3 +348,31 @@
 		is.True(perMbit > 7 && perMbit < 13)
 	}
 }
+
+// Guards against a deadlock: the list of hosts waits for the lock under which the registry of targets closes tunnels.
+func TestTunnelsEndWhileTheListOfHostsIsRead(t *testing.T) {
+	f := newFleet(t, echo)
+	f.addHost(f.options())
+	d := f.dialer()
+	c := f.dial(d)
+	closing := sync.OnceValue(func() <-chan struct{} {
+		ended := make(chan struct{})
+		go func() {
+			_ = c.Close()
+			close(ended)
+		}()
+		return ended
+	})
+	d.hosts.list = func() []Host {
+		select {
+		case <-closing():
+		case <-time.After(2 * time.Second):
+			t.Error("a tunnel can't end while the list of hosts is read")
+		}
+		return f.hosts
+	}
+	d.hosts.cachedAt = time.Time{}
+	_, ok := d.hosts.pick("s", nil, time.Now())
+	f.is.True(ok)
+	f.is.Equal(d.Open(), 0)
+}
