tunnel: read the list of hosts without the lock of the tunnels

From some moment on one host ended no more request that needs a target, past its deadline too, until it was stopped; the tokens that it had reserved only grew. That these hosts stood there is concluded from code and logs; no stacks were taken. Change: the list is read with no lock held.

--- a/router/tunnel/hosts.go
+++ b/router/tunnel/hosts.go
@@ -49,11 +49,9 @@
 // host for its speed, so that hosts get tunnels as they can carry them and none gets all at once. Hosts in this host's
 // region come first.
 func (h *hosts) pick(service string, asked map[string]bool, now time.Time) (Host, bool) {
+	h.refresh(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if now.Sub(h.cachedAt) > hostsMaxAge {
-		h.cached, h.cachedAt = h.list(), now
-	}
 	var near, far []Host
 	for _, one := range h.cached {
 		if asked[one.Name] || now.Before(h.avoid[one.Name]) || now.Before(h.avoidOnly[serviceOf{one.Name, service}]) {
@@ -79,6 +77,21 @@
 	return a, true
 }
 
+// refresh reads the list of hosts if the known one is old. The lock isn't held meanwhile: list waits for locks under which
+// tunnels are closed.
+func (h *hosts) refresh(now time.Time) {
+	h.mu.Lock()
+	old := now.Sub(h.cachedAt) > hostsMaxAge
+	h.mu.Unlock()
+	if !old {
+		return
+	}
+	list := h.list()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cached, h.cachedAt = list, now
+}
+
 func (h Host) speed() float64 {
 	if h.LinkMbps <= 0 {
 		return defaultMbps
