--- a/router/streamversion/past.go
+++ b/router/streamversion/past.go
@@ -20,6 +20,8 @@
 	useMemory = 60 * time.Second
 	// lookInterval is the most time between two looks at what this host observes.
 	lookInterval = 200 * time.Millisecond
+	// readWait is how long a search waits for records that are read again after a gap.
+	readWait = 100 * time.Millisecond
 	// lookTimeout is the time between two looks after which this host counts as suspended meanwhile.
 	lookTimeout = 5 * time.Second
 	// readInterval is the mean time between two reads of the records, readRetry the time after a read that failed or that
@@ -148,12 +150,32 @@
 	if !following {
 		p.observe(now) // it may follow again
 	}
+	p.awaitRead(now.Add(readWait))
 	p.mu.Lock()
 	covers, missed := p.covers, p.missed
 	p.mu.Unlock()
 	return !missed && (covers || p.recordsCover())
 }
 
+// awaitRead waits, at most until a time, for the records if they are read again after a gap.
+func (p *Past) awaitRead(until time.Time) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	for {
+		p.mu.Lock()
+		missed, recorded := p.missed, p.recorded
+		p.mu.Unlock()
+		if !missed {
+			return
+		}
+		select {
+		case <-recorded:
+		case <-timer.C:
+			return
+		}
+	}
+}
+
 // recordsCover reports whether the records that were read are complete.
 func (p *Past) recordsCover() bool {
 	newFleet, earlier := p.opts.NewFleet(), p.opts.EarlierBuilds()
