streamversion: look for a gap only where a search or an answer concludes

Cause: whether this host's knowledge covers the past is also asked as streams begin and are announced. Change: searches and answers to other hosts catch up first; all others ask for what is known.

--- a/router/node/streams.go
+++ b/router/node/streams.go
@@ -29,7 +29,7 @@
 		})
 	}
 	n.streams = streamversion.New(streamversion.Options{
-		Versions: n.streamVersions, Services: n.streamPast.Services, Covers: n.streamPast.Covers, Followed: n.streamPast.Followed, Await: n.streamPast.Await,
+		Versions: n.streamVersions, Services: n.streamPast.Services, Covers: n.streamPast.Covers, CatchUp: n.streamPast.CatchUp, Followed: n.streamPast.Followed, Await: n.streamPast.Await,
 		Journal: n.streamJournal, ListAge: n.streamUsesAge, Count: n.observer.Count, Go: guard.Go,
 	})
 }
--- a/router/streamversion/directory.go
+++ b/router/streamversion/directory.go
@@ -56,6 +56,9 @@
 	// Covers reports whether Versions and Services reach back to before this host started, as far as streams in progress
 	// go. nil: they do.
 	Covers func() bool
+	// CatchUp has Covers, Versions and Services say what they should after a gap in which this host did not follow the log.
+	// nil: they do.
+	CatchUp func()
 	// Followed reports whether this host has observed by itself all of Versions and Services, and not only read what others
 	// recorded. nil: it has.
 	Followed func() bool
@@ -103,6 +106,9 @@
 	if opts.Covers == nil {
 		opts.Covers = func() bool { return true }
 	}
+	if opts.CatchUp == nil {
+		opts.CatchUp = func() {}
+	}
 	if opts.Followed == nil {
 		opts.Followed = func() bool { return true }
 	}
@@ -177,6 +183,7 @@
 
 // Answer answers another host's question.
 func (d *Directory) Answer(q Question) Answer {
+	d.opts.CatchUp()
 	covers := d.opts.Covers()
 	a := Answer{Versions: map[string][]string{}, Covers: &covers}
 	for _, service := range slices.Concat(d.opts.Services(q.Route), q.Services) {
--- a/router/streamversion/find.go
+++ b/router/streamversion/find.go
@@ -71,6 +71,7 @@
 	if s != nil {
 		return Finding{Origin: s.origin, Verdict: verdictOf(s.ambiguous), Source: FromOwnTable}
 	}
+	d.opts.CatchUp()
 	// What vouches for the origins comes first: the list and the records may be loaded meanwhile.
 	covered, fresh := d.opts.Covers(), d.opts.ListAge() <= maxListAge
 	search := &search{origins: d.origins(route, services), covered: covered}
--- a/router/streamversion/history_test.go
+++ b/router/streamversion/history_test.go
@@ -88,7 +88,7 @@
 	ignore := func(string) {}
 	journal := NewJournal(JournalOptions{Log: view, Topic: pastStreams, Partitions: 4, Host: name, Hosts: count, Timeout: pastTimeout, Count: ignore, Go: run})
 	h.directory = New(Options{
-		Versions: h.versions, Services: h.past.Services, Covers: h.past.Covers, Followed: h.past.Followed, Await: h.past.Await, Journal: journal,
+		Versions: h.versions, Services: h.past.Services, Covers: h.past.Covers, CatchUp: h.past.CatchUp, Followed: h.past.Followed, Await: h.past.Await, Journal: journal,
 		ListAge: h.targets.Age, Count: ignore, Go: run,
 	})
 	h.directory.SetPeers(h)
--- a/router/streamversion/past.go
+++ b/router/streamversion/past.go
@@ -143,18 +143,23 @@
 // Covers reports whether this host knows all services and versions at which streams in progress may have begun, up to when
 // it last heard of targets and configurations.
 func (p *Past) Covers() bool {
+	p.mu.Lock()
+	covers, missed := p.covers, p.missed
+	p.mu.Unlock()
+	return !missed && (covers || p.recordsCover())
+}
+
+// CatchUp notices the end of a gap in which this host did not follow targets and configurations, and waits for a moment until
+// the records are read again.
+func (p *Past) CatchUp() {
 	now := time.Now()
 	p.mu.Lock()
 	following := !p.since.IsZero() && now.Sub(p.looked) <= lookTimeout
 	p.mu.Unlock()
 	if !following {
-		p.observe(now) // it may follow again
+		p.observe(now)
 	}
 	p.awaitRead(now.Add(readWait))
-	p.mu.Lock()
-	covers, missed := p.covers, p.missed
-	p.mu.Unlock()
-	return !missed && (covers || p.recordsCover())
 }
 
 // awaitRead waits, at most until a time, for the records if they are read again after a gap.
