--- a/router/streamversion/past.go
+++ b/router/streamversion/past.go
@@ -20,10 +20,6 @@
 	useMemory = 60 * time.Second
 	// lookInterval is the most time between two looks at what this host observes.
 	lookInterval = 200 * time.Millisecond
-	// readWait is how long a search waits for records that are read again after a gap.
-	readWait = 100 * time.Millisecond
-	// lookTimeout is the time between two looks after which this host counts as suspended meanwhile.
-	lookTimeout = 5 * time.Second
 	// readInterval is the mean time between two reads of the records, readRetry the time after a read that failed or that
 	// did not tell this host what was before it.
 	readInterval = 20 * time.Second
@@ -149,38 +145,6 @@
 	return !missed && (covers || p.recordsCover())
 }
 
-// CatchUp notices the end of a gap in which this host did not follow targets and configurations, and waits for a moment until
-// the records are read again.
-func (p *Past) CatchUp() {
-	now := time.Now()
-	p.mu.Lock()
-	following := !p.since.IsZero() && now.Sub(p.looked) <= lookTimeout
-	p.mu.Unlock()
-	if !following {
-		p.observe(now)
-	}
-	p.awaitRead(now.Add(readWait))
-}
-
-// awaitRead waits, at most until a time, for the records if they are read again after a gap.
-func (p *Past) awaitRead(until time.Time) {
-	timer := time.NewTimer(time.Until(until))
-	defer timer.Stop()
-	for {
-		p.mu.Lock()
-		missed, recorded := p.missed, p.recorded
-		p.mu.Unlock()
-		if !missed {
-			return
-		}
-		select {
-		case <-recorded:
-		case <-timer.C:
-			return
-		}
-	}
-}
-
 // recordsCover reports whether the records that were read are complete.
 func (p *Past) recordsCover() bool {
 	newFleet, earlier := p.opts.NewFleet(), p.opts.EarlierBuilds()
