forward, observe: say how the response to a caller ended

Of a request that ends as caller_gone no line or counter said how its response ended, of none whether the target's response was framed, and of a stream that goes on at another target not which event came first.

--- a/router/forward/buffered.go
+++ b/router/forward/buffered.go
@@ -29,7 +29,7 @@
 func (b *bufferedResponse) send(q *request) {
 	q.outcome.Status = b.resp.StatusCode
 	q.outcome.FirstByte = time.Since(q.arrived)
-	q.handler.copyHead(q.w, b.resp)
+	q.copyHead(b.resp)
 	if b.resp.ContentLength < 0 {
 		// The response was chunked or unframed: net/http must not add a length.
 		q.w.Header()["Content-Length"] = nil
@@ -103,7 +103,7 @@
 	q := a.request
 	q.outcome.Status = resp.StatusCode
 	q.outcome.FirstByte = time.Since(q.arrived)
-	q.handler.copyHead(q.w, resp)
+	q.copyHead(resp)
 	q.w.WriteHeader(resp.StatusCode)
 	q.beginningSent = true
 	a.silence.pause()
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -221,6 +221,7 @@
 	o.RequestID, o.Digest, o.Kind, o.Err = q.id, q.digest, kind, err
 	o.Service, o.Attempts = q.service, q.attempts
 	o.Duration = time.Since(q.arrived)
+	o.End, o.CallerClosed = endOf(kind), q.ctx.Err() != nil
 	if q.route != nil {
 		o.Route = q.route.Name
 	}
--- a/router/forward/observer.go
+++ b/router/forward/observer.go
@@ -61,6 +61,7 @@
 	// Source says where this host knows Began from; empty if it forwarded the first event itself.
 	Source       streamversion.Source
 	ResumedAfter string // the id of the event after which the stream resumes
+	FirstEvent   string // the id of the first event that the target sent; empty if it had none
 }
 
 // Outcome describes how a request ended.
@@ -83,6 +84,9 @@
 	// Origin is what was found of where the stream began that the caller takes up; nil if it takes none up.
 	Origin         *streamversion.Finding
 	Events         int
+	End            End     // how the response to the caller ended
+	Framing        Framing // of the target's response that was forwarded; empty if none was
+	CallerClosed   bool    // the caller closed its connection, or its sending side only
 	TokensReserved int64
 	TokensUsed     int64
 	Budget         prepaid.Holding // set if the request was refused for its budget
--- a/router/forward/stream.go
+++ b/router/forward/stream.go
@@ -120,6 +120,7 @@
 	}
 	r := StreamResumption{
 		RequestID: q.id, FirstAttempt: q.id, Service: q.service, Target: a.target.ID, Version: a.target.Version, ResumedAfter: a.resumedAfter,
+		FirstEvent: q.stream.scanner.FirstID(),
 	}
 	if began != nil {
 		r.Began, r.BeganKnown = began.Version, true
@@ -152,7 +153,7 @@
 
 // sendStreamHead sends the head of the first target's response to the caller.
 func (q *request) sendStreamHead(resp *http.Response) {
-	q.handler.copyHead(q.w, resp)
+	q.copyHead(resp)
 	q.w.WriteHeader(resp.StatusCode)
 	q.stream.headSent = true
 	q.outcome.Status = resp.StatusCode
--- a/router/forward/targetexit.go
+++ b/router/forward/targetexit.go
@@ -16,9 +16,7 @@
 
 // isFramed reports whether the end of a response shows in the response itself. Otherwise its target's exit looks like the
 // end of the response.
-func isFramed(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Request.Method == http.MethodHead
-}
+func isFramed(resp *http.Response) bool { return framingOf(resp) != FramingNone }
 
 // provesRun reports whether a response, once complete, proves that its target ran the request
 // and survived. A failure may have been sent before the run.
--- a/router/observe/observe.go
+++ b/router/observe/observe.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -93,6 +94,7 @@
 		o.set.GetOrCreateHistogram("maststage_first_byte_seconds{" + labels + "}").Update(e.FirstByte.Seconds())
 	}
 	o.set.GetOrCreateCounter(fmt.Sprintf("maststage_requests_total{%s,kind=%q}", labels, e.Kind)).Inc()
+	o.Count(fmt.Sprintf("responses_total{end=%q,framing=%q,caller_closed=%q}", e.End, e.Framing, strconv.FormatBool(e.CallerClosed)))
 	limiter := o.failures
 	if e.Kind == forward.OK {
 		limiter = o.successes
@@ -105,7 +107,13 @@
 		"request": e.RequestID, "route": e.Route, "organisation": e.Organisation, "service": e.Service,
 		"config": e.ConfigVersion, "kind": e.Kind, "status": e.Status, "tries": e.Attempts, "target": e.Target,
 		"events": e.Events, "reserved": e.TokensReserved, "used": e.TokensUsed,
-		"first": e.FirstByte.Round(time.Millisecond), "took": e.Duration.Round(time.Millisecond),
+		"first": e.FirstByte.Round(time.Millisecond), "took": e.Duration.Round(time.Millisecond), "end": e.End,
+	}
+	if e.Framing != "" {
+		fields["framing"] = e.Framing
+	}
+	if e.CallerClosed {
+		fields["caller_closed"] = true
 	}
 	if e.Version != "" {
 		fields["version"] = e.Version
--- a/router/observe/streams.go
+++ b/router/observe/streams.go
@@ -36,6 +36,7 @@
 	entry.WithFields(log.Fields{
 		"request": r.RequestID, "first_attempt": r.FirstAttempt, "by": by, "service": r.Service, "target": r.Target,
 		"version": r.Version, "began": r.Began, "relation": relation, "source": r.Source, "behind": r.ResumedAfter,
+		"first_event": r.FirstEvent,
 	}).Info("stream resumed")
 }
 
--- a/router/sse/sse.go
+++ b/router/sse/sse.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"strconv"
 	"strings"
 )
@@ -15,6 +16,7 @@
 	inEvent   bool   // the current event has at least one line
 	pendingID string // id of the current event
 	lastID    string
+	firstID   string // id of the first complete event since DropPartial that had one
 	events    int
 	skipLF    bool // the last byte was a carriage return
 }
@@ -68,6 +70,7 @@
 	s.events++
 	if s.pendingID != "" {
 		s.lastID = s.pendingID
+		s.firstID = cmp.Or(s.firstID, s.pendingID)
 	}
 	return true
 }
@@ -75,6 +78,9 @@
 // LastID returns the id of the last complete event that had one.
 func (s *Scanner) LastID() string { return s.lastID }
 
+// FirstID returns the id of the first complete event since DropPartial that had one.
+func (s *Scanner) FirstID() string { return s.firstID }
+
 // Events returns the number of complete events.
 func (s *Scanner) Events() int { return s.events }
 
@@ -85,7 +91,7 @@
 func (s *Scanner) DropPartial() {
 	s.line = s.line[:0]
 	s.inEvent, s.blank, s.skipLF = false, false, false
-	s.pendingID = ""
+	s.pendingID, s.firstID = "", ""
 }
 
 // Next returns the number that follows a numeric id; ok is false if the id is not a
