--- /dev/null
+++ b/router/forward/ending_test.go
@@ -0,0 +1,161 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"maststage.dev/standin/backend"
+)
+
+// rawCaller is a caller that sends a request and reads all that arrives on its socket.
+type rawCaller struct {
+	t    *testing.T
+	conn *net.TCPConn
+}
+
+// call sends a request with the next id. Lines of the head end with \r\n.
+func (f *fixture) call(protocol, path, lines, body string) *rawCaller {
+	f.t.Helper()
+	f.nextID++
+	conn, err := net.Dial("tcp", f.server.Listener.Addr().String())
+	f.is.NoErr(err)
+	f.t.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST %s %s\r\nHost: a.example\r\nX-Id: %s\r\nX-Key: k1\r\nX-Tokens: 100,50\r\n%s\r\n%s", path, protocol, f.lastID(), lines, body)
+	f.is.NoErr(err)
+	return &rawCaller{t: f.t, conn: conn.(*net.TCPConn)}
+}
+
+// closeSending closes the sending side of the connection only.
+func (c *rawCaller) closeSending() {
+	if err := c.conn.CloseWrite(); err != nil {
+		c.t.Error(err)
+	}
+}
+
+// received is what arrived on a caller's socket until its end.
+type received struct {
+	bytes string
+	reset bool // the connection was reset
+}
+
+// rawReadTime bounds the wait for the end of a connection.
+const rawReadTime = 6 * time.Second
+
+// readAll reads to the end of the connection.
+func (c *rawCaller) readAll() received {
+	_ = c.conn.SetReadDeadline(time.Now().Add(rawReadTime))
+	data, err := io.ReadAll(c.conn)
+	if netErr, ok := err.(net.Error); ok && netErr.Timeout() {
+		c.t.Errorf("the connection was still open, after %q", data)
+	}
+	return received{bytes: string(data), reset: err != nil}
+}
+
+// response reads the bytes as one response. err is nil if they end as the response's framing says or, if it ends with the
+// connection, if that was not reset.
+func (r received) response() (resp *http.Response, body string, err error) {
+	resp, err = http.ReadResponse(bufio.NewReader(strings.NewReader(r.bytes)), nil)
+	if err != nil {
+		return nil, "", err
+	}
+	data, err := io.ReadAll(resp.Body)
+	if err == nil && resp.Close && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && r.reset {
+		err = io.ErrUnexpectedEOF
+	}
+	return resp, string(data), err
+}
+
+// looksWhole reports whether the caller takes the response for a target's whole one.
+func (r received) looksWhole() bool {
+	resp, _, err := r.response()
+	return err == nil && resp.StatusCode < http.StatusMultipleChoices
+}
+
+// Guards against a response that ends as whole, or an empty 200, for a request that ended as its caller had closed its
+// sending side: the caller may still read.
+func TestResponseDoesNotEndAsWholeAfterItsCallerStoppedSending(t *testing.T) {
+	long := strings.Repeat("x", 16<<20)
+	engine := backend.Behaviour{Events: 40, Gap: 30 * time.Millisecond}
+	for _, c := range []struct {
+		name, path string
+		how        backend.Behaviour
+		until      string // what the caller has read when it stops sending; empty: nothing, 50 ms after the request
+	}{
+		{"stream with a part", "/stream/x", engine, "id: 3\n"},
+		{"stream with a part that may not be resumed", "/once/x", engine, "id: 3\n"},
+		{"stream without framing", "/once/x", backend.Behaviour{Events: 40, Gap: 30 * time.Millisecond, NoLength: true}, "id: 3\n"},
+		{"stream before its head", "/once/x", backend.Behaviour{Events: 40, Delay: 2 * time.Second}, ""},
+		{"stream of a silent target", "/stream/x", backend.Behaviour{Events: 40, NoResponse: true}, ""},
+		{"response before its head", "/unsafe/x", backend.Behaviour{Body: "whole", Delay: time.Second}, ""},
+		{"response that may be repeated, before its head", "/safe/x", backend.Behaviour{Body: "whole", Delay: time.Second}, ""},
+		{"long response of which the beginning was read", "/safe/x", backend.Behaviour{Body: long}, "xxx"},
+	} {
+		for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			t.Run(c.name+", "+protocol, func(t *testing.T) {
+				t.Parallel()
+				f := newFixture(t)
+				f.add("e1", "engine", c.how)
+				f.add("p1", "plain", c.how)
+				caller := f.call(protocol, c.path, "Content-Length: 1\r\n", "p")
+				beginning := caller.readUntil(c.until)
+				caller.closeSending()
+				got := caller.readAll()
+				got.bytes = beginning + got.bytes
+				whole := c.how.Body
+				if c.how.Events > 0 {
+					whole = events("r1", c.how.Events)
+				}
+				resp, body, err := got.response()
+				if got.looksWhole() && body != whole {
+					t.Errorf("the caller takes this for a whole response (%s, %v): %.300q, reset: %t", resp.Status, err, got.bytes, got.reset)
+				}
+			})
+		}
+	}
+}
+
+// readUntil reads until text has arrived, or, without a text, waits for the request to be under way.
+func (c *rawCaller) readUntil(text string) string {
+	if text == "" {
+		time.Sleep(50 * time.Millisecond)
+		return ""
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(rawReadTime))
+	var all bytes.Buffer
+	buffer := make([]byte, 512)
+	for !strings.Contains(all.String(), text) {
+		n, err := c.conn.Read(buffer)
+		all.Write(buffer[:n])
+		if err != nil {
+			c.t.Fatalf("%q did not arrive: %q, %v", text, all.String(), err)
+		}
+	}
+	return all.String()
+}
+
+// Guards against an empty 200 for a request that ended before any target had it, as its caller had closed its sending side.
+func TestRequestThatWaitsIsNotAnsweredAsItsCallerStopsSending(t *testing.T) {
+	t.Run("for the rest of its body", func(t *testing.T) {
+		f := newFixture(t)
+		f.add("p1", "plain", backend.Behaviour{Body: "whole"})
+		caller := f.call("HTTP/1.1", "/unsafe/x", "Content-Length: 10\r\n", "part")
+		caller.closeSending()
+		is.New(t).True(!caller.readAll().looksWhole())
+	})
+	t.Run("for a target", func(t *testing.T) {
+		f := newFixture(t)
+		f.add("p1", "plain", backend.Behaviour{Refuse: true, RetryAfter: "1"})
+		caller := f.call("HTTP/1.1", "/unsafe/x", "Content-Length: 1\r\n", "p")
+		caller.closeSending()
+		is.New(t).True(!caller.readAll().looksWhole())
+	})
+}
