forward: send the head of a target's response in one place

Three places copied the head, and two fields said whether it was sent: one for streams, one for long responses. One function and one field do now, also for buffered responses.

--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -288,7 +288,7 @@
 	if q.route.Kind == routing.Streaming && resp.StatusCode < http.StatusMultipleChoices {
 		return a.forwardStream(ctx, resp)
 	}
-	if q.stream != nil && q.stream.headSent {
+	if q.headSent {
 		a.conn.Finish(false)
 		return broken, fmt.Errorf("target responded %s instead of resuming the stream", resp.Status)
 	}
--- a/router/forward/buffered.go
+++ b/router/forward/buffered.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"time"
 
 	"maststage.dev/router/httpconn"
 )
@@ -27,14 +26,7 @@
 
 // send sends the response to the caller.
 func (b *bufferedResponse) send(q *request) {
-	q.outcome.Status = b.resp.StatusCode
-	q.outcome.FirstByte = time.Since(q.arrived)
-	q.copyHead(b.resp)
-	if b.resp.ContentLength < 0 {
-		// The response was chunked or unframed: net/http must not add a length.
-		q.w.Header()["Content-Length"] = nil
-	}
-	q.w.WriteHeader(b.resp.StatusCode)
+	q.sendHead(b.resp)
 	q.body = nil // no further attempt needs it
 	// An error means that the caller is gone; its connection reports that.
 	_ = q.writeToCaller(len(b.body), func() error {
@@ -101,11 +93,7 @@
 // forwardUnbuffered forwards a response that is too long to be buffered as it arrives.
 func (a *attempt) forwardUnbuffered(ctx context.Context, resp *http.Response, beginning []byte) (result, error) {
 	q := a.request
-	q.outcome.Status = resp.StatusCode
-	q.outcome.FirstByte = time.Since(q.arrived)
-	q.copyHead(resp)
-	q.w.WriteHeader(resp.StatusCode)
-	q.beginningSent = true
+	q.sendHead(resp)
 	a.silence.pause()
 	writer := &callerWriter{request: q}
 	if _, err := io.Copy(writer, io.MultiReader(bytes.NewReader(beginning), resp.Body)); err != nil {
--- a/router/forward/ending.go
+++ b/router/forward/ending.go
@@ -1,6 +1,9 @@
 package forward
 
-import "net/http"
+import (
+	"net/http"
+	"time"
+)
 
 // End says how the response to a caller ended.
 type End string
@@ -31,6 +34,18 @@
 	return FramingNone
 }
 
+// sendHead sends the head of a target's response to the caller.
+func (q *request) sendHead(resp *http.Response) {
+	q.handler.copyHead(q.w, resp)
+	if resp.ContentLength < 0 {
+		q.w.Header()["Content-Length"] = nil // else net/http adds one if it has the whole body at once
+	}
+	q.w.WriteHeader(resp.StatusCode)
+	q.headSent = true
+	q.outcome.Status, q.outcome.Framing = resp.StatusCode, framingOf(resp)
+	q.outcome.FirstByte = time.Since(q.arrived)
+}
+
 // endOf returns how the response of a request of a kind ends.
 func endOf(kind Kind) End {
 	switch kind {
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -164,7 +164,7 @@
 	mayHaveTokens  bool              // a target may have generated tokens
 	undelivered    int64             // bound on the tokens that targets generated but did not deliver
 	stream         *stream
-	beginningSent  bool             // the beginning of a response too long to be buffered was sent to the caller
+	headSent       bool             // the head of a target's response was sent to the caller
 	exitProbe      <-chan bool      // whether the target of the last broken attempt exited
 	brokeEarly     bool             // that attempt had run only briefly
 	uncounted      int              // attempts broken by a target exit that the request can't have caused
--- a/router/forward/headers.go
+++ b/router/forward/headers.go
@@ -136,9 +136,8 @@
 }
 
 // copyHead copies a target's headers to the caller's response, except hop-by-hop ones.
-func (q *request) copyHead(resp *http.Response) {
-	h, out := q.handler, q.w.Header()
-	q.outcome.Framing = framingOf(resp)
+func (h *Handler) copyHead(w http.ResponseWriter, resp *http.Response) {
+	out := w.Header()
 	dropped := connectionOptions(resp.Header)
 	for name, values := range resp.Header {
 		if slices.Contains(hopByHop, name) || slices.Contains(dropped, name) && name != h.names.Stamp && name != h.names.RequestID {
--- a/router/forward/limits.go
+++ b/router/forward/limits.go
@@ -51,7 +51,7 @@
 // received in part, since its rate limit admits it or its pause ends: giving up would lose the stream. It reports
 // whether to search again.
 func (q *request) awaitTarget(ctx context.Context) bool {
-	if q.stream == nil || !q.stream.headSent {
+	if q.stream == nil || !q.headSent {
 		return false
 	}
 	targets, want := q.handler.opts.Targets, q.requirements(q.excluded)
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -99,7 +99,7 @@
 // run only if it can't have.
 func (q *request) giveUp(kind Kind, err error) (Kind, error) {
 	switch {
-	case q.beginningSent, q.stream != nil && q.stream.headSent:
+	case q.headSent:
 		return CutOff, err
 	case q.possibleRuns > 0 && q.failedResponse != nil && kind != Timeout:
 		q.failedResponse.send(q)
--- a/router/forward/silence.go
+++ b/router/forward/silence.go
@@ -35,7 +35,7 @@
 // silenceTimeout returns how long a target may be silent; ok is false if the stream has
 // begun and the route has no gap objective.
 func (q *request) silenceTimeout() (d time.Duration, ok bool) {
-	if q.stream == nil || !q.stream.headSent {
+	if q.stream == nil || !q.headSent {
 		return q.firstByteTimeout(), true
 	}
 	if q.route.GapTargetMs <= 0 {
--- a/router/forward/stream.go
+++ b/router/forward/stream.go
@@ -13,9 +13,8 @@
 
 // stream is the state of an event stream across attempts.
 type stream struct {
-	scanner  sse.Scanner
-	headSent bool // the head was sent to the caller
-	control  *http.ResponseController
+	scanner sse.Scanner
+	control *http.ResponseController
 }
 
 // streamReadBytes is the buffer size for reads of a stream.
@@ -112,7 +111,7 @@
 	a.forwarding = true
 	q := a.request
 	began := q.origin
-	if !q.stream.headSent {
+	if !q.headSent {
 		a.noteOrigin()
 	}
 	if a.resumedAfter == "" {
@@ -126,7 +125,7 @@
 		r.Began, r.BeganKnown = began.Version, true
 	}
 	if q.takesUp() {
-		r.FirstAttempt, r.ByCaller = q.resumes, !q.stream.headSent
+		r.FirstAttempt, r.ByCaller = q.resumes, !q.headSent
 		r.Source = q.outcome.Origin.Source
 	}
 	q.handler.opts.Observer.StreamResumed(r)
@@ -144,26 +143,17 @@
 		a.conn.Finish(false)
 		return a.adjustResult(ctx, broken, err)
 	}
-	if !q.stream.headSent {
-		q.sendStreamHead(resp)
+	if !q.headSent {
+		q.sendHead(resp)
 	}
 	a.conn.Finish(true)
 	return delivered, nil
 }
 
-// sendStreamHead sends the head of the first target's response to the caller.
-func (q *request) sendStreamHead(resp *http.Response) {
-	q.copyHead(resp)
-	q.w.WriteHeader(resp.StatusCode)
-	q.stream.headSent = true
-	q.outcome.Status = resp.StatusCode
-	q.outcome.FirstByte = time.Since(q.arrived)
-}
-
 // sendEvents sends complete events to the caller and flushes them.
 func (q *request) sendEvents(resp *http.Response, pending, data []byte) error {
-	if !q.stream.headSent {
-		q.sendStreamHead(resp)
+	if !q.headSent {
+		q.sendHead(resp)
 	}
 	q.outcome.Events = q.stream.scanner.Events()
 	return q.writeToCaller(len(pending)+len(data), func() error {
