forward: abort responses whose caller stopped sending

Cause: for a request whose caller has left the handler returned, and net/http then completes the response: with the last chunk, or with a 200 of length 0 if nothing was sent. That a caller has left is concluded from the end of what it sends, but one that closed only its sending side reads on. Now one function decides how a response ends: a target's whole one, the host's own if nothing was sent, else the connection is closed and, where a close is an end, reset. A response that is aborted never gets an end, whatever the kind.

--- a/router/forward/ending.go
+++ b/router/forward/ending.go
@@ -70,13 +70,17 @@
 	_ = conn.Close()
 }
 
-// endOf returns how the response of a request of a kind ends.
-func endOf(kind Kind) End {
-	switch kind {
-	case OK, CallerGone:
+// end ends the response to the caller of a request of a kind, and returns how. Whatever is neither a whole response of a target
+// nor one of the host is aborted: net/http would complete it. A caller that is gone may have closed its sending side only,
+// and still read.
+func (q *request) end(kind Kind) End {
+	final, responds := finalResponses[kind]
+	switch {
+	case kind == OK:
 		return EndWhole
-	case CutOff:
-		return EndAborted
+	case responds && !q.headSent:
+		q.respond(final)
+		return EndOwn
 	}
-	return EndOwn
+	return EndAborted
 }
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -209,9 +209,7 @@
 		q.outcome.TokensUsed = q.tokensUsed()
 		q.reservation.Settle(q.outcome.TokensUsed)
 	}
-	if kind != OK && kind != CutOff && kind != CallerGone {
-		q.respond(kind)
-	}
+	q.outcome.End = q.end(kind)
 	q.report(kind, err)
 	if q.outcome.End == EndAborted {
 		panic(http.ErrAbortHandler)
@@ -224,7 +222,7 @@
 	o.RequestID, o.Digest, o.Kind, o.Err = q.id, q.digest, kind, err
 	o.Service, o.Attempts = q.service, q.attempts
 	o.Duration = time.Since(q.arrived)
-	o.End, o.CallerClosed = endOf(kind), q.ctx.Err() != nil
+	o.CallerClosed = q.ctx.Err() != nil
 	if q.route != nil {
 		o.Route = q.route.Name
 	}
@@ -237,9 +235,8 @@
 	q.handler.opts.Observer.RequestEnded(*o)
 }
 
-// respond sends the final response of a kind.
-func (q *request) respond(kind Kind) {
-	final := finalResponses[kind]
+// respond sends a final response of the host.
+func (q *request) respond(final finalResponse) {
 	if q.retryAfter > 0 {
 		final.retryAfter = q.retryAfter
 	}
