forward: tests recover as http.Server does from aborted responses

The tests that call the handler themselves recover from that panic alone, as http.Server does; what they check is as it was.

--- a/router/forward/capacity_test.go
+++ b/router/forward/capacity_test.go
@@ -53,7 +53,7 @@
 		body := &watchedBody{Reader: strings.NewReader("body")}
 		req.Body, req.RequestURI = io.NopCloser(body), "/safe/x"
 		response := httptest.NewRecorder()
-		f.handler.ServeHTTP(response, req)
+		f.serveHTTP(response, req)
 		if response.Code != 503 {
 			continue
 		}
--- a/router/forward/harness_test.go
+++ b/router/forward/harness_test.go
@@ -291,6 +291,16 @@
 	return n
 }
 
+// serveHTTP calls the handler as http.Server does, which recovers from an aborted response.
+func (f *fixture) serveHTTP(w http.ResponseWriter, req *http.Request) {
+	defer func() {
+		if p := recover(); p != nil && p != http.ErrAbortHandler {
+			panic(p)
+		}
+	}()
+	f.handler.ServeHTTP(w, req)
+}
+
 // running lists the backends that have run a request.
 func (f *fixture) running() []*backend.Backend {
 	var list []*backend.Backend
--- a/router/forward/slowcaller_test.go
+++ b/router/forward/slowcaller_test.go
@@ -44,7 +44,7 @@
 // serve runs the handler for a request of a slow caller.
 func (f *fixture) serve(c *slowCaller, req *http.Request) {
 	req.RequestURI = req.URL.RequestURI()
-	f.handler.ServeHTTP(c, req)
+	f.serveHTTP(c, req)
 }
 
 // Guards against taking the target of a slow caller for silent, which would spend a retry, count as
@@ -145,7 +145,7 @@
 		waiting = append(waiting, c)
 		req := f.request("GET", "/safe/x", "")
 		req.RequestURI = req.URL.RequestURI()
-		all.Go(func() { f.handler.ServeHTTP(c, req) })
+		all.Go(func() { f.serveHTTP(c, req) })
 	}
 	f.eventually("all callers block their writes", func() bool {
 		return f.unread.Held() >= callers*(alwaysBuffered+connectionOverheadBytes)
--- a/router/forward/slowtarget_test.go
+++ b/router/forward/slowtarget_test.go
@@ -228,7 +228,7 @@
 		callers = append(callers, c)
 		req := f.request("POST", "/safe/x", strings.Repeat("x", longBody))
 		req.RequestURI = req.URL.RequestURI()
-		all.Go(func() { f.handler.ServeHTTP(c, req) })
+		all.Go(func() { f.serveHTTP(c, req) })
 		time.Sleep(5 * time.Millisecond)
 	}
 	f.eventually("all other callers have their answers before them", func() bool {
