forward: give a response without framing no framing

Callers got a response framed as whole though its target, which lives on, had closed the connection midway: a stream with the last chunk, a plain response with chunks or even a length. Cause: a response with neither length nor chunks ends with its connection; the host asks only whether the target's process is gone, and then vouched for the end by framing of its own. Now such a response goes on as it came: with Connection: close, no chunks and no length, so that the caller knows what the host knows. If it breaks off visibly, the caller's connection is reset. A stream that began with framing and goes on at a target without has no proved end; another target is asked for the rest, as after a break, and the stream is cut off if none may be.

--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -82,6 +82,7 @@
 	maybeSent       bool          // the target may have received the request
 	withheld        bool          // not sent, though the target could be reached
 	lackedRoom      bool          // this host had no memory for a long event
+	unproved        bool          // the response ended, but nothing shows that it is complete
 	status          int
 	resumedAfter    string
 	silence         *silenceTimer
@@ -112,7 +113,7 @@
 	case errored:
 		return target.Errored
 	case broken, silent, cutOff:
-		if a.callerDelay >= minCallerDelay || a.lackedRoom || a.saysNothing() {
+		if a.callerDelay >= minCallerDelay || a.lackedRoom || a.unproved || a.saysNothing() {
 			return target.Abandoned
 		}
 		return target.Broken
--- a/router/forward/ending.go
+++ b/router/forward/ending.go
@@ -41,21 +41,22 @@
 	if resp.ContentLength < 0 {
 		q.w.Header()["Content-Length"] = nil // else net/http adds one if it has the whole body at once
 	}
+	framing := framingOf(resp)
+	if framing == FramingNone {
+		// Chunks would vouch for an end that this host does not know to be one.
+		q.w.Header().Set("Transfer-Encoding", "identity")
+	}
 	q.w.WriteHeader(resp.StatusCode)
 	q.headSent = true
-	q.outcome.Status, q.outcome.Framing = resp.StatusCode, framingOf(resp)
+	q.closeDelimited = framing == FramingNone || framing == FramingChunks && !q.r.ProtoAtLeast(1, 1)
+	q.outcome.Status, q.outcome.Framing = resp.StatusCode, framing
 	q.outcome.FirstByte = time.Since(q.arrived)
 }
 
-// endsWithConnection reports whether the head that was sent says that the response ends with the caller's connection.
-func (q *request) endsWithConnection() bool {
-	return q.headSent && !q.r.ProtoAtLeast(1, 1) && q.w.Header().Get("Content-Length") == ""
-}
-
 // resetUnlessEnded resets the caller's connection if the response has not ended and would end with the connection: its caller
 // would take a close for the end. It is deferred, since a panic closes the connection, too.
 func (q *request) resetUnlessEnded() {
-	if q.ended || !q.endsWithConnection() {
+	if q.ended || !q.closeDelimited {
 		return
 	}
 	control := http.NewResponseController(q.w)
--- a/router/forward/ending_test.go
+++ b/router/forward/ending_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -192,3 +193,97 @@
 		f.is.Equal(body, events("r1", 10))
 	})
 }
+
+// Guards against a response without framing that its target, which lives on, ends early and that callers get with the end
+// of a framed one.
+func TestUnframedResponseIsNotGivenAnEnd(t *testing.T) {
+	long := strings.Repeat("x", maxBuffered+1000)
+	for _, c := range []struct {
+		name, path, whole string
+		how               backend.Behaviour
+	}{
+		{"stream", "/stream/x", events("r1", 10), backend.Behaviour{Events: 10}},
+		{"stream that may not be resumed", "/once/x", events("r1", 10), backend.Behaviour{Events: 10}},
+		{"response", "/unsafe/x", "some bytes", backend.Behaviour{Body: "some bytes"}},
+		{"response that may be repeated", "/safe/x", "some bytes", backend.Behaviour{Body: "some bytes"}},
+		{"long response", "/unsafe/x", long, backend.Behaviour{Body: long}},
+	} {
+		for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			for _, broken := range []int{0, 3} {
+				t.Run(fmt.Sprintf("%s, %s, broken off %d", c.name, protocol, broken), func(t *testing.T) {
+					t.Parallel()
+					f := newFixture(t)
+					how := c.how
+					how.NoLength, how.BreakAfter = true, broken
+					f.add("e1", "engine", how)
+					f.add("p1", "plain", how)
+					got := f.call(protocol, c.path, "Content-Length: 1\r\n", "p").readAll()
+					resp, body, err := got.response()
+					f.is.NoErr(err)
+					f.is.Equal(resp.StatusCode, 200)
+					f.is.Equal(resp.Header.Get("X-Stamp") != "", true)
+					f.is.True(resp.Close)
+					f.is.Equal(resp.ContentLength, int64(-1)) // else it says where it ends
+					f.is.Equal(len(resp.TransferEncoding), 0)
+					f.is.True(strings.HasPrefix(c.whole, body))
+					f.is.True(broken > 0 || body == c.whole)
+				})
+			}
+		}
+	}
+}
+
+// Guards against a stream that began with a framed response and that is ended as whole since a target without framing, which
+// may have broken off, closed its connection.
+func TestStreamThatEndsWithoutFramingIsNotEndedAsWhole(t *testing.T) {
+	framed := backend.Behaviour{Events: 10, BreakAfter: 3}
+	t.Run("another target proves the end", func(t *testing.T) {
+		for _, broken := range []int{0, 2} {
+			f := newFixture(t)
+			hows := []backend.Behaviour{framed, {Events: 10, NoLength: true, BreakAfter: broken}, {Events: 10}}
+			f.addSequence(hows)
+			_, body, err := f.call("HTTP/1.1", "/stream/x", "Content-Length: 1\r\n", "p").readOne()
+			f.is.NoErr(err)
+			f.is.Equal(body, events("r1", 10))
+		}
+	})
+	t.Run("none proves it", func(t *testing.T) {
+		f := newFixture(t)
+		unframed := backend.Behaviour{Events: 10, NoLength: true, BreakAfter: 2}
+		f.addSequence([]backend.Behaviour{framed, unframed, unframed})
+		got := f.call("HTTP/1.1", "/stream/x", "Content-Length: 1\r\n", "p").readAll()
+		f.is.True(!got.looksWhole())
+		f.is.Equal(f.recorder.waitOutcome(t, "r1").Kind, CutOff)
+	})
+	t.Run("the caller expects none", func(t *testing.T) {
+		f := newFixture(t)
+		f.addSequence([]backend.Behaviour{{Events: 10, NoLength: true, BreakAfter: 3, Reset: true}, {Events: 10, NoLength: true}})
+		got := f.call("HTTP/1.1", "/stream/x", "Content-Length: 1\r\n", "p").readAll()
+		_, body, err := got.response()
+		f.is.NoErr(err)
+		f.is.Equal(body, events("r1", 10))
+		f.is.Equal(f.runCount(), 2)
+	})
+}
+
+// addSequence adds engines that, whichever they are, serve the first attempt as the first behaviour says, the second as the
+// second one, and so on.
+func (f *fixture) addSequence(hows []backend.Behaviour) {
+	var next atomic.Int64
+	for i := range hows {
+		f.add(fmt.Sprintf("e%d", i), "engine", backend.Behaviour{}).SetBehaviour(func(backend.Run) backend.Behaviour {
+			return hows[min(int(next.Add(1)), len(hows))-1]
+		})
+	}
+}
+
+// readOne reads one response, whose connection may stay open.
+func (c *rawCaller) readOne() (resp *http.Response, body string, err error) {
+	_ = c.conn.SetReadDeadline(time.Now().Add(rawReadTime))
+	resp, err = http.ReadResponse(bufio.NewReader(c.conn), nil)
+	if err != nil {
+		return nil, "", err
+	}
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err
+}
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -165,6 +165,7 @@
 	undelivered    int64             // bound on the tokens that targets generated but did not deliver
 	stream         *stream
 	headSent       bool             // the head of a target's response was sent to the caller
+	closeDelimited bool             // that head has neither length nor chunks: the response ends with the connection
 	ended          bool             // the response to the caller may be completed
 	exitProbe      <-chan bool      // whether the target of the last broken attempt exited
 	brokeEarly     bool             // that attempt had run only briefly
--- a/router/forward/stream.go
+++ b/router/forward/stream.go
@@ -131,8 +131,12 @@
 	q.handler.opts.Observer.StreamResumed(r)
 }
 
+// errEndUnproved means that a response without framing, whose end may be any close of its connection, went on with a stream
+// whose end the caller takes for certain.
+var errEndUnproved = errors.New("target ended an unframed response that another target's framed one began")
+
 // endStream checks that the target's stream ended after a complete event, and completes the
-// caller's response.
+// caller's response. If that can't be known, another target that goes on with the stream may prove that nothing follows.
 func (a *attempt) endStream(ctx context.Context, resp *http.Response, pending []byte) (result, error) {
 	q := a.request
 	if len(pending) > 0 {
@@ -146,6 +150,11 @@
 	if !q.headSent {
 		q.sendHead(resp)
 	}
+	if !isFramed(resp) && !q.closeDelimited {
+		a.unproved = true
+		a.conn.Finish(false)
+		return a.adjustResult(ctx, broken, errEndUnproved)
+	}
 	a.conn.Finish(true)
 	return delivered, nil
 }
