--- a/router/node/stop.go
+++ b/router/node/stop.go
@@ -12,8 +12,8 @@
 	"maststage.dev/router/settings"
 )
 
-// callerServer makes the server for callers. Its limits are those of the configuration that is active when a
-// connection is used, and defaults until there is one.
+// callerServer makes the server for callers. Its limits are constants: net/http reads them without a lock, so that those of
+// the configuration can't be applied to it.
 func (n *Node) callerServer() *graceful.Server {
 	server := graceful.New(&http.Server{
 		Handler:           n.handler,
@@ -26,7 +26,7 @@
 	return server
 }
 
-// Defaults until there is a configuration.
+// Limits of the server for callers.
 const (
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 60 * time.Second
