forward: stop the silence timer before a connection is free

A request could be cut by another one's time-out. Cause: the timer that finds a target silent claims a retry and then aborts the connection; a response that arrives meanwhile was read whole and its connection put back into the pool before the timer was stopped, so that the abort struck whatever came next on it, also what may not be repeated. Found by reading what a silent target that wakes can strike; streams were safe, as each event stops the timer. TestSilenceAbortsNoConnectionThatIsFreeAgain fails before in 3 of 3 runs (write: i/o timeout) and passes 11 of 11 since; all tests of forward pass.

--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -301,7 +301,18 @@
 func (a *attempt) discardBody(resp *http.Response) {
 	timer := time.AfterFunc(maxDiscardTime, a.conn.Abort)
 	_, ok, err := httpconn.ReadLimited(resp.Body, maxDiscardBytes)
-	a.conn.Finish(timer.Stop() && ok && err == nil)
+	if !timer.Stop() || !ok || err != nil {
+		a.conn.Finish(false)
+		return
+	}
+	a.release()
+}
+
+// release frees the connection after a complete response. The silence timer must not abort it any more: it may carry another
+// request at once.
+func (a *attempt) release() {
+	a.silence.stop()
+	a.conn.Finish(true)
 }
 
 // Bounds of what is read to discard a body; a connection with a longer one is closed.
--- a/router/forward/buffered.go
+++ b/router/forward/buffered.go
@@ -77,7 +77,7 @@
 		a.conn.Finish(false)
 		return a.adjustResult(ctx, broken, err)
 	}
-	a.conn.Finish(true)
+	a.release()
 	buffered := &bufferedResponse{resp: resp, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError && q.route.Repeatable() {
 		q.failedResponse = buffered
@@ -107,6 +107,6 @@
 		a.conn.Finish(false)
 		return a.adjustResult(ctx, cutOff, err)
 	}
-	a.conn.Finish(true)
+	a.release()
 	return delivered, nil
 }
--- a/router/forward/stall_test.go
+++ b/router/forward/stall_test.go
@@ -1,10 +1,15 @@
 package forward
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"maststage.dev/router/httpconn"
+	"maststage.dev/router/rollout"
+	"maststage.dev/standin/backend"
 )
 
 // Guards against a host that stalled and then abandons all targets as silent, though their responses
@@ -27,3 +32,52 @@
 	onTime.expire()
 	is.Equal(claims, 2)
 }
+
+// blockingRollouts holds up one call of Rule.
+type blockingRollouts struct {
+	anyVersion
+	calls          atomic.Int64
+	blocked        int64 // number of the call
+	began, release chan struct{}
+}
+
+func (b *blockingRollouts) Rule(r rollout.Request) rollout.Rule {
+	if b.calls.Add(1) == b.blocked {
+		close(b.began)
+		<-b.release
+	}
+	return b.anyVersion.Rule(r)
+}
+
+// Guards against a target found silent as its response arrives: the abort must not strike the connection once it may carry
+// another request.
+func TestSilenceAbortsNoConnectionThatIsFreeAgain(t *testing.T) {
+	f := newFixture(t)
+	const choosing = 2 // calls to choose the first target
+	rules := &blockingRollouts{blocked: choosing + 1, began: make(chan struct{}), release: make(chan struct{})}
+	f.handler.opts.Rollouts = rules
+	for _, id := range []string{"e1", "e2"} {
+		f.add(id, "plain", backend.Behaviour{Body: "whole", Delay: 350 * time.Millisecond}) // silent for longer than the time-out
+	}
+	got := make(chan reply)
+	req := f.request("GET", "/safe/x", "")
+	go func() { got <- f.do(req) }()
+	<-rules.began
+	time.Sleep(200 * time.Millisecond) // the whole response has arrived
+	used := f.targets.Take(f.running()[0].ID)
+	conn, err := used.Pool.Get(t.Context(), time.Minute)
+	f.is.NoErr(err)
+	close(rules.release)
+	first := <-got
+	f.is.NoErr(first.err)
+	f.is.Equal(first.body, "whole")
+	head := "GET /safe/x HTTP/1.1\r\nHost: a.example\r\nX-Id: next\r\n\r\n"
+	if f := conn.Send(t.Context(), httpconn.Request{Method: "GET", Head: []byte(head)}); f != nil {
+		t.Fatalf("the connection was aborted: %v", f)
+	}
+	_, failed := conn.Receive()
+	if failed != nil {
+		t.Fatalf("the connection was aborted: %v", failed)
+	}
+	conn.Close()
+}
--- a/router/forward/stream.go
+++ b/router/forward/stream.go
@@ -155,7 +155,7 @@
 		a.conn.Finish(false)
 		return a.adjustResult(ctx, broken, errEndUnproved)
 	}
-	a.conn.Finish(true)
+	a.release()
 	return delivered, nil
 }
 
