forward, sse: a target that repeats events does not resume a stream

Now the first id after a resumption must be greater than the last one forwarded, where both are numbers; otherwise the attempt counts as broken, before any of its events is forwarded. A caller that takes a stream up itself sees the ids, and gets what its target sends.

--- a/router/forward/stream.go
+++ b/router/forward/stream.go
@@ -77,6 +77,10 @@
 				}
 				pending = emptied(pending)
 			}
+			if s.scanner.Repeats() {
+				a.conn.Finish(false)
+				return a.adjustResult(ctx, broken, fmt.Errorf("target resumed the stream behind %q with the event %q", a.resumedAfter, s.scanner.FirstID()))
+			}
 			switch {
 			case events > 0:
 				a.silence.restart()
--- a/router/sse/sse.go
+++ b/router/sse/sse.go
@@ -17,6 +17,8 @@
 	pendingID string // id of the current event
 	lastID    string
 	firstID   string // id of the first complete event since DropPartial that had one
+	after     string // the first id since DropPartial must be greater, if both are numbers; empty: it may be any
+	repeats   bool
 	events    int
 	skipLF    bool // the last byte was a carriage return
 }
@@ -40,6 +42,9 @@
 			if s.endLine() {
 				complete = i + 1
 			}
+			if s.repeats {
+				return complete
+			}
 		default:
 			s.skipLF = false
 			s.blank = false
@@ -67,14 +72,30 @@
 		return true // a further blank line belongs to the event before it
 	}
 	s.inEvent = false
-	s.events++
-	if s.pendingID != "" {
-		s.lastID = s.pendingID
-		s.firstID = cmp.Or(s.firstID, s.pendingID)
+	if s.pendingID == "" {
+		s.events++
+		return true
+	}
+	s.firstID = cmp.Or(s.firstID, s.pendingID)
+	if !follows(s.pendingID, s.after) {
+		s.repeats = true
+		return false
 	}
+	s.events++
+	s.lastID, s.after = s.pendingID, ""
 	return true
 }
 
+// follows reports whether an event may follow another one by their ids; ids that are no numbers tell nothing.
+func follows(id, after string) bool {
+	next, ok := Next(id)
+	least, known := Next(after)
+	return !ok || !known || next > least
+}
+
+// Repeats reports whether the source that continues the stream began with an event that it already had. Scan stops there.
+func (s *Scanner) Repeats() bool { return s.repeats }
+
 // LastID returns the id of the last complete event that had one.
 func (s *Scanner) LastID() string { return s.lastID }
 
@@ -91,7 +112,7 @@
 func (s *Scanner) DropPartial() {
 	s.line = s.line[:0]
 	s.inEvent, s.blank, s.skipLF = false, false, false
-	s.pendingID, s.firstID = "", ""
+	s.pendingID, s.firstID, s.after, s.repeats = "", "", s.lastID, false
 }
 
 // Next returns the number that follows a numeric id; ok is false if the id is not a
--- a/router/sse/sse_test.go
+++ b/router/sse/sse_test.go
@@ -71,3 +71,30 @@
 	is.Equal(s.LastID(), "2")
 	is.Equal(s.Events(), 2)
 }
+
+// Guards against a source that continues a stream with events that the stream had: they must not be passed on.
+func TestRepeatedEventsOfAResumedStreamAreFound(t *testing.T) {
+	for _, c := range []struct {
+		first, second string
+		complete      int
+		repeats       bool
+		last          string
+	}{
+		{"id: 6\n\nid: 12\n\n", "id: 18\n\n", 8, false, "18"},
+		{"id: 6\n\nid: 12\n\n", "id: 6\n\nid: 12\n\nid: 18\n\n", 0, true, "12"},
+		{"id: 6\n\nid: 12\n\n", "id: 12\n\n", 0, true, "12"},
+		{"id: 6\n\nid: 12\n\n", ": c\n\nid: 12\n\n", 5, true, "12"},
+		{"id: 6\n\nid: 12\n\n", "data: x\n\nid: 13\n\nid: 5\n\n", 24, false, "5"}, // ids within one source are its own
+		{"id: b\n\n", "id: a\n\n", 7, false, "a"},
+		{"id: 6\n\n", "id: a\n\n", 7, false, "a"},
+		{"data: x\n\n", "id: 1\n\n", 7, false, "1"},
+	} {
+		is := is.New(t)
+		var s Scanner
+		s.Scan([]byte(c.first + "id: 99\nda"))
+		s.DropPartial()
+		is.Equal(s.Scan([]byte(c.second)), c.complete)
+		is.Equal(s.Repeats(), c.repeats)
+		is.Equal(s.LastID(), c.last)
+	}
+}
