target: keep a service's latency while none of its targets has one

A panic in RecordFirstByte closed callers' connections without an answer (LOST) and skipped EndRequest and the settlement of the request's tokens. Cause: updateMedian took the median of the targets that are in the service now. Those whose requests are under way may have left it, as entries of another writer named another service for them, and the list is empty then. Now the median keeps its value until a target has a latency again, as the median of the gaps does.

--- a/router/target/health.go
+++ b/router/target/health.go
@@ -170,6 +170,8 @@
 	return slowness
 }
 
+// updateMedian updates the median latency of a service. It keeps its value while no target has one: targets may have left the
+// service since they got their requests. The lock is held.
 func (r *Registry) updateMedian(service string, now time.Time) {
 	stats := r.statsOf(service)
 	if now.Sub(stats.latencyAt) < medianInterval {
@@ -181,8 +183,11 @@
 			all = append(all, t.health.latency)
 		}
 	}
-	slices.Sort(all)
-	stats.medianLatency, stats.latencyAt = all[(len(all)-1)/2], now
+	stats.latencyAt = now
+	if len(all) > 0 {
+		slices.Sort(all)
+		stats.medianLatency = all[(len(all)-1)/2]
+	}
 }
 
 // EndRequest counts a request as finished and records its result; work is the value given to BeginRequest, or 0
