reach: a failing test of a service that has lost its targets

Entries of another writer may name another service for all targets of one. A dial to such a target that fails, or a request there that waits, makes the service count as out of reach: min(3, 0) failing targets of 0 are enough. As its targets come back their requests go through other hosts, idle connections are closed and a silent request claims a retry, though no link failed.

--- a/router/reach/reach_test.go
+++ b/router/reach/reach_test.go
@@ -356,3 +356,24 @@
 	is.True(paths[3].Cut())
 	is.Equal(m.CutServices(), 1)
 }
+
+// Guards against a service that counts as out of reach as a request to a target that has left it fails or waits: no target of it
+// shows that.
+func TestServiceWithoutTargetsIsNotCut(t *testing.T) {
+	for name, notice := range map[string]func(*Path){
+		"a dial fails":    func(p *Path) { p.fail(dialTime) },
+		"a request waits": func(p *Path) { p.BeginWait(at(0)); p.JudgeSilence(limit, at(limit)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := New()
+			paths := add(m, "a", 3)
+			for _, p := range paths {
+				p.Remove()
+			}
+			notice(paths[0])
+			is.True(!paths[0].Cut())
+			is.True(!m.Add("a", "a0").Cut()) // its entry is back
+		})
+	}
+}
