reach: judge no service by targets that have left it

A service whose targets have all left it, as another writer's entries named another service for them, counted as out of reach as soon as a dial to one of them failed or a request there waited. Cause: at least min(3, targets) have to fail, or min(2, targets) to be silent, which 0 of 0 do. Now one that is still known has to.

--- a/router/reach/reach.go
+++ b/router/reach/reach.go
@@ -150,9 +150,9 @@
 	return failing, connected
 }
 
-// dialsFail reports whether dials show that the targets are out of reach.
+// dialsFail reports whether dials show that the targets are out of reach. Those to targets that were removed don't.
 func dialsFail(failing, connected, targets int) bool {
-	return failing >= min(minFailing, targets) && failing >= failingPerConnected*connected
+	return failing > 0 && failing >= min(minFailing, targets) && failing >= failingPerConnected*connected
 }
 
 // judgeDials judges a service after a dial that failed, and the whole host: if it reaches targets of no service, those
@@ -270,7 +270,8 @@
 		s.back.silentAt = now
 		return
 	}
-	if silent < min(minSilent, len(s.paths)) && !p.monitor.silentTogether(s, limit, now) {
+	enough := silent > 0 && silent >= min(minSilent, len(s.paths))
+	if !enough && !p.monitor.silentTogether(s, limit, now) {
 		return
 	}
 	s.bySilence = true
