forward: give back what a request holds if it panics

A panic in the path of a request left its tokens reserved, the memory of a buffered response held, its permit in use, its connection to the target open, so that the run went on and counted against the pool's limit, and its place in the target's load and among the requests that wait for a response, which make a target look busy, silent or out of reach for good. Cause: only the count of requests in flight and the body's registration were given back by defers. Now handle and attempt.run give back the rest by defers; the attempt counts as one whose caller is gone, which charges what the target may have generated and says nothing about its health. How a response ends is unchanged.

--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -24,12 +24,45 @@
 
 // attemptTarget sends the request to one target and handles the response.
 func (q *request) attemptTarget(ctx context.Context, t *target.Target) (result, error) {
-	started := time.Now()
-	work := float64(q.usage.in)
+	a := &attempt{request: q, target: t, started: time.Now(), work: float64(q.usage.in), rolloutRequest: q.rolloutRequest(len(q.excluded) == 0)}
+	res, err := a.run(ctx)
 	targets := q.handler.opts.Targets
-	targets.BeginRequest(t, work)
-	a := &attempt{request: q, target: t, started: started, work: work, rolloutRequest: q.rolloutRequest(len(q.excluded) == 0)}
-	res, err := a.do(ctx)
+	q.lacked = q.lacked || errors.Is(err, httpconn.ErrConnLimit)
+	if res == notSent && !a.withheld && (!targets.OutOfReach(t) || errors.Is(err, tunnel.ErrNotReached)) && !q.handler.opts.Overload.Overloaded(time.Now()) {
+		targets.RecordDialFailure(t)
+	}
+	q.handler.opts.Observer.AttemptEnded(Attempt{
+		RequestID: q.id, Number: q.attempts, Target: t.ID, Domain: t.Domain, Version: t.Version, Via: a.via(), Result: res.String(),
+		Status: a.status, ResumedAfter: a.resumedAfter, Duration: time.Since(a.started), Err: err,
+	})
+	if a.buffered != nil {
+		a.buffered.send(q)
+	}
+	return res, err
+}
+
+// run makes the attempt and records its result. If it panics its connection is closed, and it counts as one whose caller is
+// gone: that says nothing about the target.
+func (a *attempt) run(ctx context.Context) (res result, err error) {
+	targets := a.request.handler.opts.Targets
+	targets.BeginRequest(a.target, a.work)
+	res = callerGone
+	defer func() { targets.EndRequest(a.target, a.work, a.targetResult(res)) }()
+	defer func() { a.record(res) }()
+	returned := false
+	defer func() {
+		if !returned && a.conn != nil {
+			a.conn.Finish(false)
+		}
+	}()
+	res, err = a.do(ctx)
+	returned = true
+	return res, err
+}
+
+// record records the result of the attempt, but for the target's load and health.
+func (a *attempt) record(res result) {
+	q, t, targets := a.request, a.target, a.request.handler.opts.Targets
 	q.handler.opts.Rollouts.Ended(a.rolloutRequest, t.Version, a.rolloutOutcome(res, targets.IsCold(t)))
 	if a.connectionSilent(res) {
 		t.Pool.CloseIdle()
@@ -43,19 +76,6 @@
 	if res == delivered && a.survivedAtEnd {
 		q.handler.opts.Quarantine.RecordSurvival(q.parts)
 	}
-	targets.EndRequest(t, a.work, a.targetResult(res))
-	q.lacked = q.lacked || errors.Is(err, httpconn.ErrConnLimit)
-	if res == notSent && !a.withheld && (!targets.OutOfReach(t) || errors.Is(err, tunnel.ErrNotReached)) && !q.handler.opts.Overload.Overloaded(time.Now()) {
-		targets.RecordDialFailure(t)
-	}
-	q.handler.opts.Observer.AttemptEnded(Attempt{
-		RequestID: q.id, Number: q.attempts, Target: t.ID, Domain: t.Domain, Version: t.Version, Via: a.via(), Result: res.String(),
-		Status: a.status, ResumedAfter: a.resumedAfter, Duration: time.Since(started), Err: err,
-	})
-	if a.buffered != nil {
-		a.buffered.send(q)
-	}
-	return res, err
 }
 
 // attempt is one attempt at one target.
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -193,29 +193,48 @@
 
 // serve handles the request and reports its outcome.
 func (q *request) serve() {
+	kind, err := q.handle()
+	q.outcome.End = q.end(kind)
+	q.report(kind, err)
+	if q.outcome.End == EndAborted {
+		panic(http.ErrAbortHandler)
+	}
+	q.ended = true
+}
+
+// handle admits the request and runs it. What it holds it gives back, also after a panic.
+func (q *request) handle() (Kind, error) {
+	defer q.settle()
+	defer q.releaseMemory()
+	defer func() { q.endPermit(callerGone) }() // of an attempt that panicked
 	kind, err := q.admit()
-	if kind == OK {
-		kind, err = q.run()
-		q.handler.opts.Capacity.Responded(q.route.Name, q.linkBytes)
-		if q.lacked && (kind == NoTarget || kind == Overloaded) {
-			q.handler.opts.OnLack()
-		}
+	if kind != OK {
+		return kind, err
 	}
+	kind, err = q.run()
+	q.handler.opts.Capacity.Responded(q.route.Name, q.linkBytes)
+	if q.lacked && (kind == NoTarget || kind == Overloaded) {
+		q.handler.opts.OnLack()
+	}
+	return kind, err
+}
+
+// releaseMemory ends the accounting of what is buffered for the caller or written to it.
+func (q *request) releaseMemory() {
 	q.releaseBuffer()
 	if q.tracked != nil {
 		q.handler.opts.Unread.Untrack(q.tracked)
 	}
-	if q.reservation != nil {
-		q.outcome.TokensReserved = q.reservation.Tokens()
-		q.outcome.TokensUsed = q.tokensUsed()
-		q.reservation.Settle(q.outcome.TokensUsed)
-	}
-	q.outcome.End = q.end(kind)
-	q.report(kind, err)
-	if q.outcome.End == EndAborted {
-		panic(http.ErrAbortHandler)
+}
+
+// settle ends the reservation of tokens.
+func (q *request) settle() {
+	if q.reservation == nil {
+		return
 	}
-	q.ended = true
+	q.outcome.TokensReserved = q.reservation.Tokens()
+	q.outcome.TokensUsed = q.tokensUsed()
+	q.reservation.Settle(q.outcome.TokensUsed)
 }
 
 func (q *request) report(kind Kind, err error) {
--- a/router/forward/panic_test.go
+++ b/router/forward/panic_test.go
@@ -255,7 +255,7 @@
 	f.targets.RecordBrittle(t1, true, 3)
 	f.eventually("requests need permits", func() bool { return f.targets.NeedsPermit(t1) })
 	for range 2 {
-		f.call("HTTP/1.1", "/stream/x", "Content-Length: 1\r\n", "p").readAll()
+		f.call("HTTP/1.1", "/stream/x", "Connection: close\r\nContent-Length: 1\r\n", "p").readAll()
 		f.eventually("the place is free again", func() bool { return f.handler.InFlight() == 0 && places.InUse() == 0 })
 	}
 	f.is.Equal(len(f.running()), 1) // the request after the one that panicked got a permit
--- a/router/forward/slowcaller.go
+++ b/router/forward/slowcaller.go
@@ -45,8 +45,9 @@
 	a.silence.pause()
 	a.target.BeginCallerWait()
 	start := time.Now()
-	err := send()
-	a.callerDelay += time.Since(start)
-	a.target.EndCallerWait()
-	return err
+	defer func() {
+		a.callerDelay += time.Since(start)
+		a.target.EndCallerWait()
+	}()
+	return send()
 }
