forward, node: failing tests of responses that end as whole with the grace time of their host

At the end of its grace time a host closes its server, and with it connections whose requests are in progress. To a caller of HTTP/1.0, or of a response without framing, a close is the end: it takes the part that it has for whole. The handler can't reset the connection any more, as it is closed already.

--- a/router/node/stop_test.go
+++ b/router/node/stop_test.go
@@ -2,6 +2,11 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -90,3 +95,23 @@
 	h.stopStarted.Store(&afterStreams)
 	f.is.True(!h.Accepts(true) && h.Accepts(false))
 }
+
+// Guards against a stream that ends with its caller's connection and is taken for whole, as the grace time of its host ended.
+func TestEndOfTheGraceTimeEndsNoStreamAsWhole(t *testing.T) {
+	f := newFleet(t)
+	f.publish(config(1, engineRoute, ""))
+	f.engine("e1", backend.Behaviour{Events: 1000, Gap: 50 * time.Millisecond})
+	h := f.start(f.settings("h1"))
+	f.ready(h)
+	conn, err := net.Dial("tcp", h.cfg.Host.Listen)
+	f.is.NoErr(err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /e/x HTTP/1.0\r\nHost: a.example\r\nX-Id: r1\r\nX-Tokens: 60,40\r\nContent-Length: 0\r\n\r\n")
+	f.is.NoErr(err)
+	f.eventually("the stream is under way", func() bool { return h.handler.InFlight() == 1 })
+	h.Stop()
+	f.is.NoErr(conn.SetReadDeadline(time.Now().Add(6 * time.Second)))
+	data, err := io.ReadAll(conn)
+	f.is.True(strings.Contains(string(data), "id: 3\n"))
+	f.is.True(errors.Is(err, syscall.ECONNRESET))
+}
