forward, node: any close of a connection that ends a response resets it until its end

A caller of HTTP/1.0, or of a response without framing, took the part that it had for whole when the host's grace time ended. Cause: the server closes the connection then, and the handler that could reset it finds it closed. The same holds where the kernel closes it, as the process ends.

--- a/router/forward/ending.go
+++ b/router/forward/ending.go
@@ -49,6 +49,9 @@
 	q.w.WriteHeader(resp.StatusCode)
 	q.headSent = true
 	q.closeDelimited = framing == FramingNone || framing == FramingChunks && !q.r.ProtoAtLeast(1, 1)
+	if q.closeDelimited {
+		q.resetOnClose()
+	}
 	q.outcome.Status, q.outcome.Framing = resp.StatusCode, framing
 	q.outcome.FirstByte = time.Since(q.arrived)
 }
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -199,6 +199,9 @@
 	if q.outcome.End == EndAborted {
 		panic(http.ErrAbortHandler)
 	}
+	if q.closeDelimited {
+		q.closeInOrder()
+	}
 	q.ended = true
 }
 
