tunnel: close both connections of a tunnel after a panic

A panic in the handler that carries a tunnel left the connection to the other host and that to the target open: net/http closes no hijacked connection. The other host waited until its own time-outs, and the target's run went on. Now the handler breaks the tunnel by a defer; where it ends in order both are closed by then.

--- a/router/tunnel/server.go
+++ b/router/tunnel/server.go
@@ -105,9 +105,10 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	c := &carried{server: s, toHost: toHost, fromHost: buffered.Reader, toTarget: toTarget}
+	defer c.abort() // net/http closes no hijacked connection after a panic; otherwise both are closed by now
 	s.opts.OnOpen("open")
 	s.opts.Prepare(toHost)
-	c := &carried{server: s, toHost: toHost, fromHost: buffered.Reader, toTarget: toTarget}
 	s.carry(c)
 }
 
