forward: abort buffered responses whose write failed

The error of writing a buffered response was dropped, so that the request ended as ok and its response as whole. Now request.end aborts a response of which a write to the caller failed.

--- a/router/forward/buffered.go
+++ b/router/forward/buffered.go
@@ -28,7 +28,7 @@
 func (b *bufferedResponse) send(q *request) {
 	q.sendHead(b.resp)
 	q.body = nil // no further attempt needs it
-	// An error means that the caller is gone; its connection reports that.
+	// An error means that the caller is gone or does not read; request.end then aborts the response.
 	_ = q.writeToCaller(len(b.body), func() error {
 		q.releaseBuffer() // from here it is accounted for as unread
 		_, err := q.w.Write(b.body)
--- a/router/forward/ending.go
+++ b/router/forward/ending.go
@@ -77,7 +77,7 @@
 func (q *request) end(kind Kind) End {
 	final, responds := finalResponses[kind]
 	switch {
-	case kind == OK:
+	case kind == OK && !q.writeFailed:
 		return EndWhole
 	case responds && !q.headSent:
 		q.respond(final)
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -166,6 +166,7 @@
 	stream         *stream
 	headSent       bool             // the head of a target's response was sent to the caller
 	closeDelimited bool             // that head has neither length nor chunks: the response ends with the connection
+	writeFailed    bool             // a write to the caller failed: it can't have the whole response
 	ended          bool             // the response to the caller may be completed
 	exitProbe      <-chan bool      // whether the target of the last broken attempt exited
 	brokeEarly     bool             // that attempt had run only briefly
--- a/router/forward/slowcaller.go
+++ b/router/forward/slowcaller.go
@@ -18,7 +18,9 @@
 	q.tracked.BeginWrite(int64(len(q.body)+bytes+connectionOverheadBytes), time.Now())
 	defer q.tracked.EndWrite()
 	q.countRelayed(bytes)
-	return write()
+	err := write()
+	q.writeFailed = q.writeFailed || err != nil
+	return err
 }
 
 // aLongTimeAgo is a deadline that ends writes in progress at once.
