forward: reset responses without framing however their connection is closed

Callers took the beginning of a response that ends with its connection for the whole when the write to them had failed or their host closed its server at the end of its grace time. Cause: net/http closes the connection itself, before the handler could hijack and reset it; when the process is killed, the kernel does. Now the connection is set to be reset on any close while such a response is under way, and set back once it is whole and all of it has been written. The connection comes from http.Server.ConnContext, so nothing is hijacked any more.

--- a/router/forward/ending.go
+++ b/router/forward/ending.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -46,29 +47,47 @@
 		// Chunks would vouch for an end that this host does not know to be one.
 		q.w.Header().Set("Transfer-Encoding", "identity")
 	}
+	q.closeDelimited = framing == FramingNone || framing == FramingChunks && !q.r.ProtoAtLeast(1, 1)
+	if q.closeDelimited {
+		q.resetOnClose(true) // until the end is written
+	}
 	q.w.WriteHeader(resp.StatusCode)
 	q.headSent = true
-	q.closeDelimited = framing == FramingNone || framing == FramingChunks && !q.r.ProtoAtLeast(1, 1)
 	q.outcome.Status, q.outcome.Framing = resp.StatusCode, framing
 	q.outcome.FirstByte = time.Since(q.arrived)
 }
 
-// resetUnlessEnded resets the caller's connection if the response has not ended and would end with the connection: its caller
-// would take a close for the end. It is deferred, since a panic closes the connection, too.
-func (q *request) resetUnlessEnded() {
+// callerConn is the context key of a caller's connection.
+type callerConn struct{}
+
+// ConnContext is to be the ConnContext of each http.Server that serves a Handler. Without it, broken responses that end with
+// their connection end with an orderly close.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerConn{}, c)
+}
+
+// resetOnClose decides whether any close of the caller's connection resets it, by whomever: net/http closes it when a write
+// fails, and the kernel when this process ends.
+func (q *request) resetOnClose(reset bool) {
+	if tcp, ok := q.r.Context().Value(callerConn{}).(*net.TCPConn); ok {
+		linger := -1 // the default
+		if reset {
+			linger = 0
+		}
+		_ = tcp.SetLinger(linger)
+	}
+}
+
+// closeUnlessEnded closes the caller's connection if the response has not ended and would end with the connection: its caller
+// would take an orderly close for the end. It is deferred, since a panic closes the connection, too, but only after net/http
+// has flushed it, which may block.
+func (q *request) closeUnlessEnded() {
 	if q.ended || !q.closeDelimited {
 		return
 	}
-	control := http.NewResponseController(q.w)
-	_ = control.SetWriteDeadline(aLongTimeAgo) // what the caller does not read must not hold up the reset
-	conn, _, err := control.Hijack()
-	if err != nil {
-		return // net/http closes the connection
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+	if conn, ok := q.r.Context().Value(callerConn{}).(net.Conn); ok {
+		_ = conn.Close()
 	}
-	_ = conn.Close()
 }
 
 // end ends the response to the caller of a request of a kind, and returns how. Whatever is neither a whole response of a target
@@ -78,6 +97,9 @@
 	final, responds := finalResponses[kind]
 	switch {
 	case kind == OK && !q.writeFailed:
+		if q.closeDelimited {
+			q.resetOnClose(false)
+		}
 		return EndWhole
 	case responds && !q.headSent:
 		q.respond(final)
--- a/router/forward/endingslow_test.go
+++ b/router/forward/endingslow_test.go
@@ -40,6 +40,7 @@
 	f.handler.opts.Unread = unread.New(1, func() {})
 	go f.handler.opts.Unread.Run(f.t.Context())
 	server := httptest.NewUnstartedServer(f.handler)
+	server.Config.ConnContext = ConnContext
 	server.Listener = smallBufferListener{server.Listener}
 	server.Start()
 	f.t.Cleanup(server.Close)
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -188,7 +188,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{handler: h, w: w, r: r, ctx: r.Context(), arrived: time.Now(), suspendedBefore: h.suspended(), excluded: map[string]bool{}}
-	defer q.resetUnlessEnded()
+	defer q.closeUnlessEnded()
 	q.serve()
 }
 
--- a/router/forward/harness_test.go
+++ b/router/forward/harness_test.go
@@ -215,7 +215,9 @@
 		ConfigAgeLimit: func() time.Duration { return testConfigAgeLimit },
 	})
 	f.configure(testConfig)
-	f.server = httptest.NewServer(f.handler)
+	f.server = httptest.NewUnstartedServer(f.handler)
+	f.server.Config.ConnContext = ConnContext
+	f.server.Start()
 	t.Cleanup(f.server.Close)
 	return f
 }
--- a/router/forward/slowcaller.go
+++ b/router/forward/slowcaller.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"net/http"
 	"time"
 )
@@ -19,10 +20,22 @@
 	defer q.tracked.EndWrite()
 	q.countRelayed(bytes)
 	err := write()
+	if err == nil && q.closeDelimited {
+		err = q.flush() // what the caller does not have must not look like the end
+	}
 	q.writeFailed = q.writeFailed || err != nil
 	return err
 }
 
+// flush sends what is buffered of the response.
+func (q *request) flush() error {
+	err := http.NewResponseController(q.w).Flush()
+	if errors.Is(err, http.ErrNotSupported) {
+		return nil
+	}
+	return err
+}
+
 // aLongTimeAgo is a deadline that ends writes in progress at once.
 var aLongTimeAgo = time.Unix(1, 0)
 
--- a/router/node/stop.go
+++ b/router/node/stop.go
@@ -9,6 +9,7 @@
 
 	"maststage.dev/lib/graceful"
 	"maststage.dev/lib/wait"
+	"maststage.dev/router/forward"
 	"maststage.dev/router/settings"
 )
 
@@ -17,6 +18,7 @@
 func (n *Node) callerServer() *graceful.Server {
 	server := graceful.New(&http.Server{
 		Handler:           n.handler,
+		ConnContext:       forward.ConnContext,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/router/node/stop_test.go
+++ b/router/node/stop_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"syscall"
 	"testing"
 	"time"
 
@@ -52,6 +54,16 @@
 	f.is.Equal(granted, int64(10*(60+10))) // what the streams used
 }
 
+// Guards against a server for callers that ends a broken response without framing with an orderly close.
+func TestBrokenResponseWithoutFramingIsReset(t *testing.T) {
+	f := newFleet(t)
+	f.publish(config(1, engineRoute, ""))
+	f.engine("e1", backend.Behaviour{Events: 10, BreakAfter: 3, Reset: true, NoLength: true})
+	h := f.start(f.settings("h1"))
+	f.ready(h)
+	f.is.True(errors.Is(f.call(h, "/e/x", "").err, syscall.ECONNRESET))
+}
+
 // A host that stops while the log is unreachable transfers its tokens to another host.
 func TestGracefulShutdownWithoutTheLogTransfersTokens(t *testing.T) {
 	f := newFleet(t)
