forward: failing test of streams in which events come twice

A target that is to go on with a stream and sends it from an earlier event, as it ignores Last-Event-Id or goes back, is forwarded as it comes: callers get events twice (ORDER). Behaviour.From of the stand-in targets names the first event whatever the request says.

--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -25,6 +25,7 @@
 	Status        int           // 0: 200
 	Delay         time.Duration // before the response begins
 	Events        int           // number of events of a stream; 0: a whole response
+	From          int           // number of the first event, whatever the request says; 0: as it says
 	Mark          string        // added to the data of each event; empty: nothing
 	Gap           time.Duration // between events
 	Body          string        // of a whole response
@@ -212,6 +213,9 @@
 	if last, err := strconv.Atoi(run.Header.Get(b.names.LastEventID)); err == nil {
 		run.From = last + 1
 	}
+	if how.From > 0 {
+		run.From = how.From
+	}
 	b.mu.Lock()
 	b.runs = append(b.runs, run)
 	b.mu.Unlock()
