forward: don't forward events that the caller of a stream has

A target that was to go on with a stream was forwarded whatever it sent. Now its first event with an id must have a higher one than the last event forwarded; else the target counts as broken and nothing of it is forwarded. Ids rise, but in steps, so only a repetition shows, not a gap; ids that are no numbers prove nothing and are let through.

--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -85,6 +85,7 @@
 	unproved        bool          // the response ended, but nothing shows that it is complete
 	status          int
 	resumedAfter    string
+	firstChecked    bool // the first event with an id follows resumedAfter
 	silence         *silenceTimer
 	confirmsRun     bool              // the response, once complete, proves that the target ran the request and survived
 	buffered        *bufferedResponse // the response to send to the caller
--- a/router/forward/stream.go
+++ b/router/forward/stream.go
@@ -63,9 +63,14 @@
 			a.target.RecordActivity(time.Now())
 			a.path.RecordReceived(time.Now())
 			data := buffer[:n]
-			before := s.scanner.Events()
+			before := s.scanner
 			complete := s.scanner.Scan(data)
-			events := s.scanner.Events() - before
+			if a.repeats() {
+				s.scanner = before // the next target goes on where the stream was
+				a.conn.Finish(false)
+				return a.adjustResult(ctx, broken, errRepeats)
+			}
+			events := s.scanner.Events() - before.Events()
 			a.countEvents(events)
 			a.noteSurvival()
 			if complete > 0 {
@@ -131,6 +136,22 @@
 	q.handler.opts.Observer.StreamResumed(r)
 }
 
+// errRepeats means that a target that was to go on with a stream began with an event that the caller has.
+var errRepeats = errors.New("target did not go on behind the last event of the stream")
+
+// repeats reports whether the target, which was to go on with the stream, began at an event that the caller has. Ids rise, not
+// always by one, so that missing events do not show; those that are no numbers prove nothing.
+func (a *attempt) repeats() bool {
+	first := a.request.stream.scanner.FirstID()
+	if a.resumedAfter == "" || first == "" || a.firstChecked {
+		return false
+	}
+	a.firstChecked = true
+	next, known := sse.Next(a.resumedAfter)
+	afterFirst, ok := sse.Next(first)
+	return known && ok && afterFirst <= next
+}
+
 // errEndUnproved means that a response without framing, whose end may be any close of its connection, went on with a stream
 // whose end the caller takes for certain.
 var errEndUnproved = errors.New("target ended an unframed response that another target's framed one began")
