forward: don't count unproved ends as failures of a version

A whole stream that began at a framed target and ended at one without framing counted as a failure of the latter's version, which may end a sound rollout. It says nothing of the version.

--- a/router/forward/versions.go
+++ b/router/forward/versions.go
@@ -41,6 +41,8 @@
 	switch res {
 	case refused, callerGone:
 		outcome.Inconclusive = true
+	case broken, cutOff:
+		outcome.Inconclusive, outcome.Failed = a.unproved, !a.unproved
 	case outOfTime:
 		outcome.Inconclusive, outcome.Failed = a.status != 0, a.status == 0
 	case delivered:
