forward: don't take an unframed response that ends at its deadline for whole

A target stops its work at the deadline that the host names. If it then closes a response without framing and lives on, the host took the close for the end, also if its own deadline had passed as it read it. A whole response that takes that long is lost; without a proof it can't be told from a broken one. Framed ones are not affected.

--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -232,7 +232,7 @@
 	switch {
 	case a.request.ctx.Err() != nil:
 		return callerGone, err
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, errors.Is(err, errEndedAtDeadline):
 		return outOfTime, err
 	}
 	return res, err
--- a/router/forward/targetexit.go
+++ b/router/forward/targetexit.go
@@ -27,14 +27,23 @@
 // errExitedAtEnd means that an unframed response ended since its target exited.
 var errExitedAtEnd = errors.New("target exited at the end of an unframed response")
 
+// errEndedAtDeadline means that an unframed response ended as its deadline passed.
+var errEndedAtDeadline = errors.New("target ended an unframed response at its deadline")
+
+// deadlineDoubt is the time before a deadline from which a target that ends a response may have given up.
+const deadlineDoubt = minTimeLeft
+
 // checkEnd checks a response that was read to its end. It returns errExitedAtEnd if the response is unframed and its target
-// is gone: it may have broken off anywhere.
+// is gone, and errEndedAtDeadline if it is unframed and its target had hardly time left: it may have broken off anywhere.
 func (a *attempt) checkEnd(resp *http.Response) error {
 	succeeded := resp.StatusCode < http.StatusMultipleChoices
 	if isFramed(resp) {
 		a.survivedAtEnd = succeeded
 		return nil
 	}
+	if left, ok := a.request.timeLeft(); ok && left < deadlineDoubt {
+		return errEndedAtDeadline
+	}
 	a.conn.Close() // the probe may need its place in the pool
 	ctx, cancel := context.WithTimeout(a.request.ctx, exitProbeTimeout)
 	defer cancel()
