--- a/router/forward/panic_test.go
+++ b/router/forward/panic_test.go
@@ -126,7 +126,7 @@
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.handler.ServeHTTP(&panicWriter{ResponseWriter: w, panicker: p, left: afterBytes}, r)
 	}))
-	server.Config.ErrorLog = stdlog.New(io.Discard, "", 0)
+	server.Config.ConnContext, server.Config.ErrorLog = ConnContext, stdlog.New(io.Discard, "", 0)
 	server.Start()
 	f.t.Cleanup(server.Close)
 	f.server = server
--- a/router/forward/slowcaller.go
+++ b/router/forward/slowcaller.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"net/http"
 	"time"
 )
@@ -18,7 +19,21 @@
 	q.tracked.BeginWrite(int64(len(q.body)+bytes+connectionOverheadBytes), time.Now())
 	defer q.tracked.EndWrite()
 	q.countRelayed(bytes)
-	return write()
+	err := write()
+	if err == nil && q.closeDelimited {
+		err = q.flush() // what the caller does not have must not look like the end
+	}
+	q.writeFailed = q.writeFailed || err != nil
+	return err
+}
+
+// flush sends what is buffered of the response.
+func (q *request) flush() error {
+	err := http.NewResponseController(q.w).Flush()
+	if errors.Is(err, http.ErrNotSupported) {
+		return nil
+	}
+	return err
 }
 
 // aLongTimeAgo is a deadline that ends writes in progress at once.
