standin/backend: suspend a backend

Cause: tests of targets that fall silent delayed bytes on the link, while the target itself worked on. Change: Suspend makes a backend read and write nothing, as a stopped process; it goes on where it was.

--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -71,6 +71,9 @@
 	conns    map[net.Conn]bool
 	ended    chan struct{} // closed by Close
 	once     sync.Once
+
+	suspended int           // calls of Suspend that are in force
+	running   chan struct{} // closed as the backend goes on; nil while it is not suspended
 }
 
 // Start starts a backend on a free port of 127.0.0.1.
@@ -158,13 +161,14 @@
 	}
 }
 
-func (b *Backend) serve(c net.Conn) {
+func (b *Backend) serve(conn net.Conn) {
 	defer func() {
-		_ = c.Close()
+		_ = conn.Close()
 		b.mu.Lock()
-		delete(b.conns, c)
+		delete(b.conns, conn)
 		b.mu.Unlock()
 	}()
+	c := &suspendable{Conn: conn, backend: b}
 	reader := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(reader)
@@ -333,6 +337,9 @@
 
 // reset makes closing the connection send a TCP reset.
 func reset(c net.Conn) {
+	if s, ok := c.(*suspendable); ok {
+		c = s.Conn
+	}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
