--- a/proofs/soak/soak_test.go
+++ b/proofs/soak/soak_test.go
@@ -30,6 +30,7 @@
 	oneSeed       = flag.Uint64("soak.seed", 0, "run only this seed")
 	keepLogs      = flag.String("soak.logs", "", "folder for the logs of seeds that failed")
 	longParts     = flag.Bool("soak.long", false, "run all parts of TestStreamsAfterTheLossOfAllHostsAndMore")
+	givenProgram  = flag.String("soak.program", "", "the router's program to run instead of one built from this tree")
 	parallelSeeds = flag.Int("soak.parallel", 2, "number of seeds that run in parallel")
 )
 
@@ -43,6 +44,9 @@
 }
 
 func run(m *testing.M) int {
+	if program = *givenProgram; program != "" {
+		return m.Run()
+	}
 	dir, err := os.MkdirTemp("", "maststage-soak-")
 	if err != nil {
 		panic(err)
