proofs/soak: judge the ends of responses at callers' sockets beside silences

Cause: no test with real hosts had callers that close their sending side only, or that speak HTTP/1.0, and none had targets that do nothing in numbers as the configuration changes. Responses ended as whole there though they were not. Change: TestAnswersDoNotEndAsWholeAfterSilences has 60 callers of seven kinds over raw TCP, and four silences of all of 12 or of 60 of 100 targets beside changes of time-outs and routes, with chunks and without framing. Each response is judged by its bytes. Requests and repeats of these callers count for the check of the retry budget.

--- a/proofs/soak/checks_test.go
+++ b/proofs/soak/checks_test.go
@@ -46,7 +46,7 @@
 	runs := map[string][]backend.Run{}
 	for _, s := range w.allTargets() {
 		for _, run := range s.Runs() {
-			if isDeadly(run.URI) || isLarge(run.URI) || isResumed(run.URI) || isParted(run.URI) {
+			if isDeadly(run.URI) || isLarge(run.URI) || isResumed(run.URI) || isParted(run.URI) || isSocket(run.URI) {
 				continue
 			}
 			runs[run.ID] = append(runs[run.ID], run)
@@ -170,9 +170,17 @@
 		}
 		requests[service] = append(requests[service], c.started)
 	}
-	for _, list := range arrivals {
-		for _, a := range list[1:] {
-			repeats[a.target.service] = append(repeats[a.target.service], a.at)
+	for service, list := range w.watch.socketRequests() {
+		requests[service] = append(requests[service], list...)
+	}
+	w.watch.mu.Lock()
+	bySocket := w.watch.socketArrivals
+	w.watch.mu.Unlock()
+	for _, byID := range []map[string][]arrivalAt{arrivals, bySocket} {
+		for _, list := range byID {
+			for _, a := range list[1:] {
+				repeats[a.target.service] = append(repeats[a.target.service], a.at)
+			}
 		}
 	}
 	for service, list := range repeats {
--- a/proofs/soak/watch_test.go
+++ b/proofs/soak/watch_test.go
@@ -26,6 +26,9 @@
 	interruptions map[*host][]*interval
 	recoveredAt   time.Time           // when all hosts served again and knew which targets left
 	violations    map[string][]string // by guarantee
+
+	socketAnswers  []*socketAnswer
+	socketArrivals map[string][]arrivalAt // by request id
 }
 
 // arrivalAt is the arrival of a request at a target.
@@ -50,6 +53,7 @@
 	return &watch{
 		arrivals: map[string][]arrivalAt{}, budgets: map[string]int64{}, versions: map[int64]time.Time{},
 		violations: map[string][]string{}, impairments: map[*host][]*interval{}, interruptions: map[*host][]*interval{},
+		socketArrivals: map[string][]arrivalAt{},
 	}
 }
 
--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -89,6 +89,7 @@
 	ending  bool // its exit is expected
 	started time.Time
 	starts  int
+	kills   []time.Time
 }
 
 // targetState is one incarnation of a target.
@@ -294,6 +295,9 @@
 	if h.process == nil {
 		return
 	}
+	h.mu.Lock()
+	h.kills = append(h.kills, time.Now())
+	h.mu.Unlock()
 	h.signal(syscall.SIGKILL, true)
 	h.waitEnd(startTime)
 }
@@ -380,6 +384,9 @@
 	if isParted(run.URI) {
 		return w.partedBehaviour(run)
 	}
+	if isSocket(run.URI) {
+		return w.socketBehaviour(s, run)
+	}
 	if isLarge(run.URI) {
 		return backend.Behaviour{Delay: plainDelay, Body: largeBody}
 	}
