proofs/soak: no silent targets in seeds with planned work only

Cause: limits and other promised behaviour counted as faults, so silences were drawn beside planned work, where nothing may fail. Change: only a seed's scheduled events say whether it has faults.

--- a/proofs/soak/soak_test.go
+++ b/proofs/soak/soak_test.go
@@ -99,8 +99,8 @@
 	if random.IntN(manyHostsEvery) == 0 {
 		hosts = manyHosts
 	}
-	events := schedule(random)
-	events = append(events, silences(seed, events)...)
+	scheduled := schedule(random)
+	events := append(scheduled, silences(seed, scheduled)...)
 	events = append(events, evacuations(seed)...)
 	events = append(events, deadlies(seed, events)...)
 	events = append(events, limits(seed)...)
@@ -112,7 +112,7 @@
 	events = append(events, cuts(seed)...)
 	events = append(events, crashingParts(seed)...)
 	events = append(events, rolloutLosses(seed)...)
-	events = append(events, targetSilences(seed, events)...)
+	events = append(events, targetSilences(seed, scheduled)...)
 	w := newWorldWith(t, hosts, seed, worldOptions{thinHosts: hasThinHosts(seed), ownDialIPs: hasCuts(seed), versions: softwareVersions(seed)})
 	if hasSlowLinks(seed) {
 		w.slowDownLinks()
