--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -90,6 +89,7 @@
 	ending  bool // its exit is expected
 	started time.Time
 	starts  int
+	kills   []time.Time
 }
 
 // targetState is one incarnation of a target.
@@ -111,6 +111,7 @@
 	room              *room                    // its places if they are few, else nil
 	brittle           func() []string          // what it says of being brittle
 	refusals          []refusal                // all that asked for pauses
+	silences          []interval               // in which it did nothing
 }
 
 // Loopback networks of clusters.
@@ -268,35 +269,6 @@
 	close(ended)
 }
 
-// processStarter starts processes from one thread that lives as long as the test: with Pdeathsig a
-// process is killed when the thread that started it exits.
-type processStarter struct {
-	once  sync.Once
-	queue chan startRequest
-}
-
-// startRequest asks for the start of a process.
-type startRequest struct {
-	process *exec.Cmd
-	started chan error
-}
-
-var starter = processStarter{queue: make(chan startRequest)}
-
-func (s *processStarter) start(process *exec.Cmd) error {
-	s.once.Do(func() { go s.run() })
-	request := startRequest{process: process, started: make(chan error, 1)}
-	s.queue <- request
-	return <-request.started
-}
-
-func (s *processStarter) run() {
-	runtime.LockOSThread()
-	for request := range s.queue {
-		request.started <- request.process.Start()
-	}
-}
-
 // signal sends a signal. ends says that the process is expected to exit.
 func (h *host) signal(s syscall.Signal, ends bool) {
 	h.mu.Lock()
@@ -324,6 +296,9 @@
 	if h.process == nil {
 		return
 	}
+	h.mu.Lock()
+	h.kills = append(h.kills, time.Now())
+	h.mu.Unlock()
 	h.signal(syscall.SIGKILL, true)
 	h.waitEnd(startTime)
 }
@@ -410,6 +385,9 @@
 	if isParted(run.URI) {
 		return w.partedBehaviour(run)
 	}
+	if isSocket(run.URI) {
+		return w.socketBehaviour(s, run)
+	}
 	if isLarge(run.URI) {
 		return backend.Behaviour{Delay: plainDelay, Body: largeBody}
 	}
