forward: take responses by HTTP/1.0 without a length for ones that end by close

Whether a response ends with its caller's connection was concluded from the target's framing, though a target can keep its Content-Length to one connection. For HTTP/1.0 the header that is sent decides now. Responses without a body end with their head, so they are left out.

--- a/router/forward/ending.go
+++ b/router/forward/ending.go
@@ -47,7 +47,7 @@
 		// Chunks would vouch for an end that this host does not know to be one.
 		q.w.Header().Set("Transfer-Encoding", "identity")
 	}
-	q.closeDelimited = framing == FramingNone || framing == FramingChunks && !q.r.ProtoAtLeast(1, 1)
+	q.closeDelimited = q.endsWithConnection(resp)
 	if q.closeDelimited {
 		q.resetOnClose(true) // until the end is written
 	}
@@ -57,6 +57,17 @@
 	q.outcome.FirstByte = time.Since(q.arrived)
 }
 
+// endsWithConnection reports whether the response to the caller, whose headers are set, ends with its connection.
+func (q *request) endsWithConnection(resp *http.Response) bool {
+	switch {
+	case q.r.Method == http.MethodHead, resp.StatusCode < http.StatusOK, resp.StatusCode == http.StatusNoContent, resp.StatusCode == http.StatusNotModified:
+		return false // it has no body
+	case q.r.ProtoAtLeast(1, 1):
+		return framingOf(resp) == FramingNone
+	}
+	return q.w.Header().Get("Content-Length") == "" // a target may keep its length to one connection
+}
+
 // callerConn is the context key of a caller's connection.
 type callerConn struct{}
 
