forward: close whole responses without framing with nothing unread

A caller that has sent its next request early got a reset instead of the end of a whole response without framing, and lost what was still on the way: the kernel resets a connection that is closed with bytes unread. Now they are discarded first; the response has announced that the connection closes. What arrives later still meets a reset.

--- a/router/forward/ending.go
+++ b/router/forward/ending.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 )
 
@@ -89,6 +90,31 @@
 	}
 }
 
+// maxDiscardedReads bounds the reads of discardReceived.
+const maxDiscardedReads = 16
+
+// discardReceived discards what has arrived from the caller behind a request with which its connection ends, such as its next
+// request: the kernel resets a connection that is closed with bytes unread, and drops what is still on the way to the caller.
+// It reads from the socket itself, as net/http may be reading from the connection.
+func (q *request) discardReceived() {
+	tcp, ok := q.r.Context().Value(callerConn{}).(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		buffer := make([]byte, streamReadBytes)
+		for range maxDiscardedReads {
+			if n, _, err := syscall.Recvfrom(int(fd), buffer, syscall.MSG_DONTWAIT); err != nil || n == 0 {
+				return
+			}
+		}
+	})
+}
+
 // closeUnlessEnded closes the caller's connection if the response has not ended and would end with the connection: its caller
 // would take an orderly close for the end. It is deferred, since a panic closes the connection, too, but only after net/http
 // has flushed it, which may block.
@@ -110,6 +136,7 @@
 	case kind == OK && !q.writeFailed:
 		if q.closeDelimited {
 			q.resetOnClose(false)
+			q.discardReceived()
 		}
 		return EndWhole
 	case responds && !q.headSent:
