--- a/router/forward/ending.go
+++ b/router/forward/ending.go
@@ -61,7 +61,8 @@
 // endsWithConnection reports whether the response to the caller, whose headers are set, ends with its connection.
 func (q *request) endsWithConnection(resp *http.Response) bool {
 	switch {
-	case q.r.Method == http.MethodHead, resp.StatusCode < http.StatusOK, resp.StatusCode == http.StatusNoContent, resp.StatusCode == http.StatusNotModified:
+	case q.r.Method == http.MethodHead, resp.StatusCode < http.StatusOK,
+		resp.StatusCode == http.StatusNoContent, resp.StatusCode == http.StatusNotModified:
 		return false // it has no body
 	case q.r.ProtoAtLeast(1, 1):
 		return framingOf(resp) == FramingNone
