--- a/router/forward/ending.go
+++ b/router/forward/ending.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 )
 
@@ -47,7 +48,7 @@
 		// Chunks would vouch for an end that this host does not know to be one.
 		q.w.Header().Set("Transfer-Encoding", "identity")
 	}
-	q.closeDelimited = framing == FramingNone || framing == FramingChunks && !q.r.ProtoAtLeast(1, 1)
+	q.closeDelimited = q.endsWithConnection(resp)
 	if q.closeDelimited {
 		q.resetOnClose(true) // until the end is written
 	}
@@ -57,6 +58,18 @@
 	q.outcome.FirstByte = time.Since(q.arrived)
 }
 
+// endsWithConnection reports whether the response to the caller, whose headers are set, ends with its connection.
+func (q *request) endsWithConnection(resp *http.Response) bool {
+	switch {
+	case q.r.Method == http.MethodHead, resp.StatusCode < http.StatusOK,
+		resp.StatusCode == http.StatusNoContent, resp.StatusCode == http.StatusNotModified:
+		return false // it has no body
+	case q.r.ProtoAtLeast(1, 1):
+		return framingOf(resp) == FramingNone
+	}
+	return q.w.Header().Get("Content-Length") == "" // a target may keep its length to one connection
+}
+
 // callerConn is the context key of a caller's connection.
 type callerConn struct{}
 
@@ -78,6 +91,31 @@
 	}
 }
 
+// maxDiscardedReads bounds the reads of discardReceived.
+const maxDiscardedReads = 16
+
+// discardReceived discards what has arrived from the caller behind a request with which its connection ends, such as its next
+// request: the kernel resets a connection that is closed with bytes unread, and drops what is still on the way to the caller.
+// It reads from the socket itself, as net/http may be reading from the connection.
+func (q *request) discardReceived() {
+	tcp, ok := q.r.Context().Value(callerConn{}).(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		buffer := make([]byte, streamReadBytes)
+		for range maxDiscardedReads {
+			if n, _, err := syscall.Recvfrom(int(fd), buffer, syscall.MSG_DONTWAIT); err != nil || n == 0 {
+				return
+			}
+		}
+	})
+}
+
 // closeUnlessEnded closes the caller's connection if the response has not ended and would end with the connection: its caller
 // would take an orderly close for the end. It is deferred, since a panic closes the connection, too, but only after net/http
 // has flushed it, which may block.
@@ -99,6 +137,7 @@
 	case kind == OK && !q.writeFailed:
 		if q.closeDelimited {
 			q.resetOnClose(false)
+			q.discardReceived()
 		}
 		return EndWhole
 	case responds && !q.headSent:
