--- a/router/forward/harness_test.go
+++ b/router/forward/harness_test.go
@@ -190,6 +190,14 @@
 const testLinkMbps = 100
 
 func newFixture(t *testing.T) *fixture {
+	f := newFixtureWithoutServer(t)
+	f.server = httptest.NewServer(f.handler)
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+// newFixtureWithoutServer returns a fixture whose callers are not served.
+func newFixtureWithoutServer(t *testing.T) *fixture {
 	f := &fixture{t: t, is: is.New(t), recorder: &recorder{}, streamPace: streampace.New(), overload: overload.New(), capacity: capacity.New(testLinkMbps, func(time.Time) bool { return false }), unread: unread.New(1<<20, func() {}), budgets: &fakeBudgets{}, backends: map[string]*backend.Backend{}}
 	f.admits.Store(true)
 	f.targets = target.NewRegistry(target.Options{
@@ -215,8 +223,6 @@
 		ConfigAgeLimit: func() time.Duration { return testConfigAgeLimit },
 	})
 	f.configure(testConfig)
-	f.server = httptest.NewServer(f.handler)
-	t.Cleanup(f.server.Close)
 	return f
 }
 
