forward: take a switch of protocols for a broken response

Cause: a final 101 of a target counted as a success without a body. As the answer to a request for the rest of a stream it completed the caller's response, with events missing; as the first answer it was forwarded, though no caller can ask for it.

Change: such an attempt is broken; another target serves the request if it may be repeated, else the caller gets a 502 or its response is broken off.

--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -281,6 +281,10 @@
 	}
 	a.recordFirstByte()
 	a.confirmsRun = provesRun(resp)
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		a.conn.Finish(false)
+		return broken, errors.New("target switched protocols, which it was not asked to")
+	}
 	if resp.Header.Get(names.Stamp) == "" {
 		a.conn.Finish(false)
 		return broken, fmt.Errorf("target response %s has no signature", resp.Status)
