forward: log the attempts of a cut response that fails its test

Cause: TestResponseCutAtAnyByteIsNotWhole failed in 2 of 5 runs at load 30: a request that may be repeated got a 502 though the second target was sound. Nothing told which attempt had failed.

Change: a failing case logs its attempts.

--- a/router/forward/cuts_test.go
+++ b/router/forward/cuts_test.go
@@ -323,6 +323,7 @@
 func (e *exchange) fail(format string, args ...any) {
 	e.t.Helper()
 	e.t.Errorf("%s\n%v\nthe caller read: %s", fmt.Sprintf(format, args...), e.cut, abridged(e.read.String()))
+	e.f.logAttempts()
 }
 
 // abridged returns the two ends of a text.
