--- a/router/forward/endingslow_test.go
+++ b/router/forward/endingslow_test.go
@@ -39,11 +39,7 @@
 	f.t.Helper()
 	f.handler.opts.Unread = unread.New(1, func() {})
 	go f.handler.opts.Unread.Run(f.t.Context())
-	server := httptest.NewUnstartedServer(f.handler)
-	server.Config.ConnContext = ConnContext
-	server.Listener = smallBufferListener{server.Listener}
-	server.Start()
-	f.t.Cleanup(server.Close)
+	server := startServer(f.t, f.handler, func(s *httptest.Server) { s.Listener = smallBufferListener{s.Listener} })
 	conn, err := smallBufferDialer.Dial("tcp", server.Listener.Addr().String())
 	f.is.NoErr(err)
 	f.t.Cleanup(func() { _ = conn.Close() })
--- a/router/forward/harness_test.go
+++ b/router/forward/harness_test.go
@@ -190,6 +190,26 @@
 const testLinkMbps = 100
 
 func newFixture(t *testing.T) *fixture {
+	f := newFixtureWithoutServer(t)
+	f.server = startServer(t, f.handler, nil)
+	return f
+}
+
+// startServer serves callers as a node does. prepare changes the server before it starts; nil: it is as it is.
+func startServer(t *testing.T, h http.Handler, prepare func(s *httptest.Server)) *httptest.Server {
+	t.Helper()
+	s := httptest.NewUnstartedServer(h)
+	s.Config.ConnContext = ConnContext
+	if prepare != nil {
+		prepare(s)
+	}
+	s.Start()
+	t.Cleanup(s.Close)
+	return s
+}
+
+// newFixtureWithoutServer returns a fixture whose callers are not served.
+func newFixtureWithoutServer(t *testing.T) *fixture {
 	f := &fixture{t: t, is: is.New(t), recorder: &recorder{}, streamPace: streampace.New(), overload: overload.New(), capacity: capacity.New(testLinkMbps, func(time.Time) bool { return false }), unread: unread.New(1<<20, func() {}), budgets: &fakeBudgets{}, backends: map[string]*backend.Backend{}}
 	f.admits.Store(true)
 	f.targets = target.NewRegistry(target.Options{
@@ -215,10 +235,6 @@
 		ConfigAgeLimit: func() time.Duration { return testConfigAgeLimit },
 	})
 	f.configure(testConfig)
-	f.server = httptest.NewUnstartedServer(f.handler)
-	f.server.Config.ConnContext = ConnContext
-	f.server.Start()
-	t.Cleanup(f.server.Close)
 	return f
 }
 
--- a/router/forward/panic_test.go
+++ b/router/forward/panic_test.go
@@ -123,13 +123,10 @@
 		p.reach(atHead)
 		return Brittleness{Brittle: true, Tolerance: 3}, nil
 	}
-	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	panics := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		f.handler.ServeHTTP(&panicWriter{ResponseWriter: w, panicker: p, left: afterBytes}, r)
-	}))
-	server.Config.ConnContext, server.Config.ErrorLog = ConnContext, stdlog.New(io.Discard, "", 0)
-	server.Start()
-	f.t.Cleanup(server.Close)
-	f.server = server
+	})
+	f.server = startServer(f.t, panics, func(s *httptest.Server) { s.Config.ErrorLog = stdlog.New(io.Discard, "", 0) })
 	return p
 }
 
