forward: tests of cuts close what their cases keep

Each case left the connections of its targets' pools open until they were collected: 8,500 sockets a pass, and too many open files in the second of several passes of one process. Now at most some 2,400 at a time; the checks are as they were.

--- a/router/forward/cutcases_test.go
+++ b/router/forward/cutcases_test.go
@@ -431,6 +431,7 @@
 		for _, e := range list {
 			e.finish()
 			_ = e.conn.Close()
+			e.f.targets.CloseIdle()
 			if e.unsent {
 				unsent++
 			}
