forward: retry a long response whose target was found silent as it began

Callers got a part of a long response though a retry had been granted and nothing was sent yet. Cause: the silence timer claims a retry and aborts the connection while the beginning is read; the head was sent to the caller before the timer was paused, and the next read failed. Now the timer is paused first, and an aborted attempt counts as silent.

--- a/router/forward/buffered.go
+++ b/router/forward/buffered.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -93,8 +94,12 @@
 // forwardUnbuffered forwards a response that is too long to be buffered as it arrives.
 func (a *attempt) forwardUnbuffered(ctx context.Context, resp *http.Response, beginning []byte) (result, error) {
 	q := a.request
-	q.sendHead(resp)
 	a.silence.pause()
+	if a.silence.result(delivered) == silent {
+		a.conn.Finish(false)
+		return a.adjustResult(ctx, silent, errors.New("target was silent until its response began"))
+	}
+	q.sendHead(resp)
 	writer := &callerWriter{request: q}
 	if _, err := io.Copy(writer, io.MultiReader(bytes.NewReader(beginning), resp.Body)); err != nil {
 		a.conn.Finish(false)
--- a/router/forward/stall_test.go
+++ b/router/forward/stall_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -81,3 +82,30 @@
 	}
 	conn.Close()
 }
+
+// Guards against a long response that is begun for the caller though its target was found silent as the beginning arrived, so
+// that it is cut off in place of being retried.
+func TestLongResponseOfASilentTargetIsNotBegun(t *testing.T) {
+	f := newFixture(t)
+	const choosing = 2 // calls to choose the first target
+	rules := &blockingRollouts{blocked: choosing + 1, began: make(chan struct{}), release: make(chan struct{})}
+	f.handler.opts.Rollouts = rules
+	long := strings.Repeat("x", 2*maxBuffered)
+	for _, id := range []string{"p1", "p2"} {
+		f.add(id, "plain", backend.Behaviour{}).SetBehaviour(func(backend.Run) backend.Behaviour {
+			if rules.calls.Load() > choosing {
+				return backend.Behaviour{Body: long}
+			}
+			return backend.Behaviour{Body: long, Delay: 350 * time.Millisecond} // silent for longer than the time-out
+		})
+	}
+	got := make(chan reply)
+	req := f.request("GET", "/safe/x", "")
+	go func() { got <- f.do(req) }()
+	<-rules.began
+	time.Sleep(200 * time.Millisecond) // the beginning has arrived
+	close(rules.release)
+	whole := <-got
+	f.is.NoErr(whole.err)
+	f.is.True(whole.body == long)
+}
