--- a/proofs/soak/soak_test.go
+++ b/proofs/soak/soak_test.go
@@ -30,6 +30,7 @@
 	oneSeed       = flag.Uint64("soak.seed", 0, "run only this seed")
 	keepLogs      = flag.String("soak.logs", "", "folder for the logs of seeds that failed")
 	longParts     = flag.Bool("soak.long", false, "run all parts of TestStreamsAfterTheLossOfAllHostsAndMore")
+	givenProgram  = flag.String("soak.program", "", "the router's program to run instead of one built from this tree")
 	parallelSeeds = flag.Int("soak.parallel", 2, "number of seeds that run in parallel")
 )
 
@@ -43,6 +44,9 @@
 }
 
 func run(m *testing.M) int {
+	if program = *givenProgram; program != "" {
+		return m.Run()
+	}
 	dir, err := os.MkdirTemp("", "maststage-soak-")
 	if err != nil {
 		panic(err)
@@ -95,8 +99,8 @@
 	if random.IntN(manyHostsEvery) == 0 {
 		hosts = manyHosts
 	}
-	events := schedule(random)
-	events = append(events, silences(seed, events)...)
+	scheduled := schedule(random)
+	events := append(scheduled, silences(seed, scheduled)...)
 	events = append(events, evacuations(seed)...)
 	events = append(events, deadlies(seed, events)...)
 	events = append(events, limits(seed)...)
@@ -108,6 +112,7 @@
 	events = append(events, cuts(seed)...)
 	events = append(events, crashingParts(seed)...)
 	events = append(events, rolloutLosses(seed)...)
+	events = append(events, targetSilences(seed, scheduled)...)
 	w := newWorldWith(t, hosts, seed, worldOptions{thinHosts: hasThinHosts(seed), ownDialIPs: hasCuts(seed), versions: softwareVersions(seed)})
 	if hasSlowLinks(seed) {
 		w.slowDownLinks()
@@ -116,6 +121,7 @@
 	w.playAll(events, seed)
 	w.check()
 	w.checkCuts()
+	w.checkSockets()
 	w.report(seed, events)
 }
 
@@ -127,6 +133,7 @@
 	for _, h := range w.hosts {
 		traffic.Go(func() { w.probe(ctx, h) })
 	}
+	traffic.Go(func() { w.seedSocketTraffic(ctx, seed) })
 	var streams, patient []*resumedStream
 	if len(w.options.versions) > 0 {
 		traffic.Go(func() { streams = w.resumeTraffic(ctx, seed, seedResumers) })
@@ -198,9 +205,9 @@
 	t.Logf("%d fresh seeds", n)
 }
 
-// fixedSeeds run in CI. Together they cover planned work alone, many hosts and all kinds of faults, what targets announce
-// and a store that comes back from a copy.
-var fixedSeeds = []uint64{1, 2, 3, 21}
+// fixedSeeds run in CI. Together they cover planned work alone, many hosts and all kinds of faults, what targets announce,
+// a store that comes back from a copy, targets that fall silent in numbers, and callers that close their sending side.
+var fixedSeeds = []uint64{1, 2, 3, 21, 9}
 
 func TestFixedSeeds(t *testing.T) {
 	for _, seed := range fixedSeeds {
--- a/router/forward/stream.go
+++ b/router/forward/stream.go
@@ -53,6 +53,9 @@
 	}
 	s := q.stream
 	s.scanner.DropPartial()
+	if !q.headSent && q.route.Resumable {
+		s.scanner.Follow(q.callerLastEventID)
+	}
 	q.releaseBuffer() // of a previous attempt
 	var pending []byte
 	unfinished := 0 // bytes since the last complete event
@@ -77,6 +80,10 @@
 				}
 				pending = emptied(pending)
 			}
+			if s.scanner.Repeats() {
+				a.conn.Finish(false)
+				return a.adjustResult(ctx, broken, fmt.Errorf("target resumed the stream behind %q with the event %q", a.resumedAfter, s.scanner.FirstID()))
+			}
 			switch {
 			case events > 0:
 				a.silence.restart()
--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -25,6 +25,7 @@
 	Status        int           // 0: 200
 	Delay         time.Duration // before the response begins
 	Events        int           // number of events of a stream; 0: a whole response
+	From          int           // number of the first event, whatever the request says; 0: as it says
 	Mark          string        // added to the data of each event; empty: nothing
 	Gap           time.Duration // between events
 	Body          string        // of a whole response
@@ -71,6 +72,9 @@
 	conns    map[net.Conn]bool
 	ended    chan struct{} // closed by Close
 	once     sync.Once
+
+	suspended int           // calls of Suspend that are in force
+	running   chan struct{} // closed as the backend goes on; nil while it is not suspended
 }
 
 // Start starts a backend on a free port of 127.0.0.1.
@@ -158,13 +162,14 @@
 	}
 }
 
-func (b *Backend) serve(c net.Conn) {
+func (b *Backend) serve(conn net.Conn) {
 	defer func() {
-		_ = c.Close()
+		_ = conn.Close()
 		b.mu.Lock()
-		delete(b.conns, c)
+		delete(b.conns, conn)
 		b.mu.Unlock()
 	}()
+	c := &suspendable{Conn: conn, backend: b}
 	reader := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(reader)
@@ -212,6 +217,9 @@
 	if last, err := strconv.Atoi(run.Header.Get(b.names.LastEventID)); err == nil {
 		run.From = last + 1
 	}
+	if how.From > 0 {
+		run.From = how.From
+	}
 	b.mu.Lock()
 	b.runs = append(b.runs, run)
 	b.mu.Unlock()
@@ -333,6 +341,9 @@
 
 // reset makes closing the connection send a TCP reset.
 func reset(c net.Conn) {
+	if s, ok := c.(*suspendable); ok {
+		c = s.Conn
+	}
 	if tcp, ok := c.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
