proofs/soak: say how many silences and socket requests a seed had

Cause: the log of a seed that passed did not say whether the new kinds were in it. Change: the line of each seed has both counts. Result: log only.

--- a/proofs/soak/soak_test.go
+++ b/proofs/soak/soak_test.go
@@ -157,7 +157,14 @@
 func (w *world) report(seed uint64, events []event) {
 	w.watch.mu.Lock()
 	defer w.watch.mu.Unlock()
-	w.t.Logf("seed %d: %d hosts, slow links %v, thin hosts %v, %d events, %d requests, %d runs of deadly requests", seed, len(w.hosts), hasSlowLinks(seed), w.options.thinHosts, len(events), len(w.watch.calls), len(w.watch.deadly))
+	silences := 0
+	for _, e := range events {
+		if e.kind == silentKind {
+			silences++
+		}
+	}
+	w.t.Logf("seed %d: %d hosts, slow links %v, thin hosts %v, %d events, %d of them silences of targets, %d requests, %d judged at sockets, %d runs of deadly requests",
+		seed, len(w.hosts), hasSlowLinks(seed), w.options.thinHosts, len(events), silences, len(w.watch.calls), len(w.watch.socketAnswers), len(w.watch.deadly))
 	if len(w.watch.violations) == 0 {
 		return
 	}
