--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -251,7 +251,7 @@
 	switch {
 	case a.request.ctx.Err() != nil:
 		return callerGone, err
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, errors.Is(err, errEndedAtDeadline):
 		return outOfTime, err
 	}
 	return res, err
@@ -302,6 +302,10 @@
 	}
 	a.recordFirstByte()
 	a.confirmsRun = provesRun(resp)
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		a.conn.Finish(false)
+		return broken, errors.New("target switched protocols, which it was not asked to")
+	}
 	if resp.Header.Get(names.Stamp) == "" {
 		a.conn.Finish(false)
 		return broken, fmt.Errorf("target response %s has no signature", resp.Status)
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -166,6 +166,7 @@
 	stream         *stream
 	headSent       bool             // the head of a target's response was sent to the caller
 	closeDelimited bool             // that head has neither length nor chunks: the response ends with the connection
+	writeFailed    bool             // a write to the caller failed: it can't have the whole response
 	ended          bool             // the response to the caller may be completed
 	exitProbe      <-chan bool      // whether the target of the last broken attempt exited
 	brokeEarly     bool             // that attempt had run only briefly
@@ -187,7 +188,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{handler: h, w: w, r: r, ctx: r.Context(), arrived: time.Now(), suspendedBefore: h.suspended(), excluded: map[string]bool{}}
-	defer q.resetUnlessEnded()
+	defer q.closeUnlessEnded()
 	q.serve()
 }
 
@@ -199,9 +200,6 @@
 	if q.outcome.End == EndAborted {
 		panic(http.ErrAbortHandler)
 	}
-	if q.closeDelimited {
-		q.closeInOrder()
-	}
 	q.ended = true
 }
 
--- a/router/forward/stream.go
+++ b/router/forward/stream.go
@@ -53,6 +53,9 @@
 	}
 	s := q.stream
 	s.scanner.DropPartial()
+	if !q.headSent && q.route.Resumable {
+		s.scanner.Follow(q.callerLastEventID)
+	}
 	q.releaseBuffer() // of a previous attempt
 	var pending []byte
 	unfinished := 0 // bytes since the last complete event
--- a/router/sse/sse.go
+++ b/router/sse/sse.go
@@ -115,6 +115,9 @@
 	s.pendingID, s.firstID, s.after, s.repeats = "", "", s.lastID, false
 }
 
+// Follow has the source begin behind an event that its receiver has from elsewhere, see Repeats.
+func (s *Scanner) Follow(id string) { s.after = id }
+
 // Next returns the number that follows a numeric id; ok is false if the id is not a
 // number. A resumed stream can be checked for gaps with it.
 func Next(id string) (next int64, ok bool) {
