--- a/router/forward/streams_test.go
+++ b/router/forward/streams_test.go
@@ -243,15 +243,15 @@
 	f := newFixture(t)
 	names := backendNames
 	names.LastEventID = "" // the target ignores it
-	deaf, err := backend.Start("deaf", names, func(backend.Run) backend.Behaviour { return backend.Behaviour{Events: 10} })
+	ignoring, err := backend.Start("ignoring", names, func(backend.Run) backend.Behaviour { return backend.Behaviour{Events: 10} })
 	f.is.NoErr(err)
-	t.Cleanup(deaf.Close)
+	t.Cleanup(ignoring.Close)
 	f.add("e1", "engine", backend.Behaviour{}).SetBehaviour(func(backend.Run) backend.Behaviour {
-		f.targets.Put(target.Entry{ID: "deaf", Service: "engine", Address: deaf.Address(), Domain: "z1", Slots: 4})
+		f.targets.Put(target.Entry{ID: "ignoring", Service: "engine", Address: ignoring.Address(), Domain: "z1", Slots: 4})
 		return backend.Behaviour{Events: 10, BreakAfter: 4}
 	})
 	got := f.do(f.request("POST", "/stream/x", "p"))
-	f.is.Equal(len(deaf.Runs()), 1)
+	f.is.Equal(len(ignoring.Runs()), 1)
 	f.is.Equal(got.body, events("r1", 4))
 	f.is.True(got.err != nil) // nobody goes on with it
 	f.is.Equal(f.recorder.waitOutcome(t, "r1").Kind, CutOff)
