--- a/router/forward/cutcases_test.go
+++ b/router/forward/cutcases_test.go
@@ -416,8 +416,7 @@
 	}
 }
 
-// dialTimedOut reports whether a connection to a target was not made in time: at a high load the kernel drops some, and the
-// request goes to no other target then.
+// dialTimedOut reports whether a target could not be dialled in time, as the kernel drops connections at a high load.
 func (e *exchange) dialTimedOut() bool {
 	e.f.recorder.mu.Lock()
 	defer e.f.recorder.mu.Unlock()
