prepaid: don't write off tokens that hosts returned after the log came back

Organisations are refused for tokens that nobody has.

Cause: as an account is settled, what lost records may have granted is written off. It was the limit less what was certainly left less what is granted now. Living hosts return tokens before that, which lowers what is granted, so that the returned tokens counted as possibly lost.

Evidence: the accounts of a failing run. Known of the earlier era: 33,113 granted, at least 56,854 left, so at most 10,033 are missing. Hosts had returned 10,170, 22,943 were granted, and 20,203 were written off.

Why it works: what the lost records granted was granted in the earlier eras, so it is bounded by what is known of these. Returns in the new era are of tokens that were known, or are subtracted from the bound and what is outstanding alike.

TestTokensReturnedAfterAReturnOfTheLogAreNotWrittenOff failed before (300 for 100).

--- a/router/prepaid/lostgrants_group_test.go
+++ b/router/prepaid/lostgrants_group_test.go
@@ -272,6 +272,20 @@
 	})
 }
 
+// Guards against tokens that living hosts return after the log came back, and that are written off as if lost records had
+// granted them.
+func TestTokensReturnedAfterAReturnOfTheLogAreNotWrittenOff(t *testing.T) {
+	is := is.New(t)
+	al := &allocation{limit: 1000, highestLimit: 1000, known: true}
+	lives := func(host string) bool { return host != "dead" }
+	account := Account{Limit: 1000, Era: 1, Granted: 300, Bases: []Base{{Offset: 9, Granted: 300, Writer: "dead", HostWithheld: 600, OwnWithheld: 700}}}
+	is.Equal(al.mayBeMissing(account, 1, lives), int64(100))
+	returned, _, _ := account.Apply(Change{Return: 200})
+	is.Equal(returned.Granted, int64(100))
+	is.Equal(al.mayBeMissing(returned, 1, lives), int64(100))
+	is.Equal(al.mayBeMissing(returned, 1, nil), int64(700)) // nothing was withheld from several hosts
+}
+
 // Guards against a host without others in reach that can take no more once it has taken its part.
 func TestOnlyTakerIsNotHeldBackForLong(t *testing.T) {
 	inGroup(t, 1_000_000, func(is *is.I, g *lossGroup) {
--- a/router/prepaid/settle.go
+++ b/router/prepaid/settle.go
@@ -81,10 +81,11 @@
 	return a
 }
 
-// mayBeMissing returns how many tokens of an account the lost records may have granted beyond what is known. lives
-// reports whether a host lives, if only one does not; nil: more don't.
+// mayBeMissing returns how many tokens of an account the lost records of earlier eras may have granted beyond what is known
+// of these eras: tokens that hosts have returned since are not among them. lives reports whether a host lives, if only one
+// does not; nil: more don't.
 func (al *allocation) mayBeMissing(account Account, era int64, lives func(host string) bool) int64 {
-	return max(al.highestLimit, account.Limit) - al.certainlyLeft(account, era-1, lives) - account.Granted
+	return max(al.highestLimit, account.Limit) - al.certainlyLeft(account, era-1, lives) - grantedBefore(account.Bases)
 }
 
 // certainlyLeft returns how many tokens the records up to an era have not granted, though some of them were lost.
