forward: a failing test of streams that another success ends

Callers see a stream of which they have a part end as whole: its target broke off, and the target that was asked for the rest responded 204, 202 or 205 with no body. forwardStream takes any status below 300 for the rest of the stream, and a bodyless one for its proved end, as with 101 before.

--- /dev/null
+++ b/router/forward/joined_test.go
@@ -0,0 +1,57 @@
+package forward
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"maststage.dev/router/target"
+	"maststage.dev/standin/rawtarget"
+)
+
+// addReplies adds engines that, whichever they are, serve the first attempt with the first reply, the second with the second one,
+// and so on, and counts the attempts.
+func (f *fixture) addReplies(replies ...rawtarget.Reply) *atomic.Int64 {
+	f.t.Helper()
+	next := &atomic.Int64{}
+	for i := range replies {
+		raw, err := rawtarget.Start(func(*http.Request) rawtarget.Reply {
+			return replies[min(int(next.Add(1)), len(replies))-1]
+		})
+		f.is.NoErr(err)
+		f.t.Cleanup(raw.Close)
+		f.targets.Put(target.Entry{ID: fmt.Sprintf("e%d", i), Service: "engine", Address: raw.Address(), Domain: "z1", Slots: 4})
+	}
+	return next
+}
+
+// streamed is a reply with chunks of a stream. A whole one has the last chunk, too.
+func streamed(whole bool, status string, chunks ...string) rawtarget.Reply {
+	text := "HTTP/1.1 " + status + "\r\nX-Id: r1\r\nX-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, c := range chunks {
+		text += fmt.Sprintf("%x\r\n%s\r\n", len(c), c)
+	}
+	if whole {
+		return rawtarget.Reply{Text: text + "0\r\n\r\n"}
+	}
+	return rawtarget.Reply{Text: text, Ending: rawtarget.Close}
+}
+
+// Guards against a stream that ends as whole after a part, as the target that should go on with it responds with another success.
+func TestAnotherStatusDoesNotEndAStream(t *testing.T) {
+	for name, text := range map[string]string{
+		"no content":    "HTTP/1.1 204 No Content\r\nX-Id: r1\r\nX-Stamp: s\r\n\r\n",
+		"accepted":      "HTTP/1.1 202 Accepted\r\nX-Id: r1\r\nX-Stamp: s\r\nContent-Length: 0\r\n\r\n",
+		"reset content": "HTTP/1.1 205 Reset Content\r\nX-Id: r1\r\nX-Stamp: s\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.addReplies(streamed(false, "200 OK", "id: 1\ndata: 1\n\n"), rawtarget.Reply{Text: text})
+			got := f.call("HTTP/1.1", "/stream/x", "Connection: close\r\nContent-Length: 1\r\n", "p").readAll()
+			if got.looksWhole() {
+				t.Errorf("the caller takes this for a whole response: %q", got.bytes)
+			}
+		})
+	}
+}
