forward: another success is not the rest of a stream

Symptom: a stream whose target breaks off ends as whole at its caller if the target asked for the rest responds 204, 202 or 205 with no body. Cause: any status below 300 counted as the rest, and a framed empty body as its end. Now a response to the rest must have the status that the caller has been sent; else the attempt is broken, as for 404 or 101, and the next target may go on. Evidence: TestAnotherStatusDoesNotEndAStream looks at the bytes at the caller's socket: 3 of 3 statuses looked whole before, 0 of 3 now; the tests of forward named Resum or Stream pass.

--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -310,13 +310,13 @@
 		a.conn.Finish(false)
 		return broken, fmt.Errorf("target response %s has no signature", resp.Status)
 	}
-	if q.route.Kind == routing.Streaming && resp.StatusCode < http.StatusMultipleChoices {
-		return a.forwardStream(ctx, resp)
-	}
-	if q.headSent {
+	if q.headSent && resp.StatusCode != q.outcome.Status {
 		a.conn.Finish(false)
 		return broken, fmt.Errorf("target responded %s instead of resuming the stream", resp.Status)
 	}
+	if q.route.Kind == routing.Streaming && resp.StatusCode < http.StatusMultipleChoices {
+		return a.forwardStream(ctx, resp)
+	}
 	return a.forwardBuffered(ctx, resp)
 }
 
