forward, sse: failing tests of events that callers get twice

Callers see events that they have, in a stream framed as whole: (1) a caller takes up a stream, the first target breaks off after a comment, and the next one sends the stream from its start: Follow is called before the head only, and no event with an id has been forwarded; (2) a target begins the rest of a stream with the very event that is the caller's last, and its id is no number: ids that are none are not compared at all.

--- a/router/forward/joined_test.go
+++ b/router/forward/joined_test.go
@@ -55,3 +55,26 @@
 		})
 	}
 }
+
+// Guards against events that a caller who takes up a stream has, and gets again since the first target broke off after bytes
+// without an event and the next one sends the stream from the start.
+func TestTargetThatRepeatsEventsAfterACommentDoesNotGoOnWithAStream(t *testing.T) {
+	f := newFixture(t)
+	f.addReplies(streamed(false, "200 OK", ": wait\n\n"), streamed(true, "200 OK", "id: 1\ndata: 1\n\n", "id: 2\ndata: 2\n\n"))
+	got := f.call("HTTP/1.1", "/stream/x", "Connection: close\r\nLast-Event-Id: 1\r\nContent-Length: 1\r\n", "p").readAll()
+	_, body, err := got.response()
+	if body != ": wait\n\n" || err == nil {
+		t.Errorf("the caller received %q, %v", body, err)
+	}
+}
+
+// Guards against an event that a caller gets twice since its id, which is no number, is not compared.
+func TestTargetThatRepeatsTheLastEventDoesNotGoOnWithAStream(t *testing.T) {
+	f := newFixture(t)
+	f.addReplies(streamed(false, "200 OK", "id: a\ndata: 1\n\n"), streamed(true, "200 OK", "id: a\ndata: 1\n\n", "id: b\ndata: 2\n\n"))
+	got := f.call("HTTP/1.1", "/stream/x", "Connection: close\r\nContent-Length: 1\r\n", "p").readAll()
+	_, body, err := got.response()
+	if body != "id: a\ndata: 1\n\n" || err == nil {
+		t.Errorf("the caller received %q, %v", body, err)
+	}
+}
--- a/router/sse/sse_test.go
+++ b/router/sse/sse_test.go
@@ -86,6 +86,7 @@
 		{"id: 6\n\nid: 12\n\n", ": c\n\nid: 12\n\n", 5, true, "12"},
 		{"id: 6\n\nid: 12\n\n", "data: x\n\nid: 13\n\nid: 5\n\n", 24, false, "5"}, // ids within one source are its own
 		{"id: b\n\n", "id: a\n\n", 7, false, "a"},
+		{"id: a\n\n", "id: a\n\nid: b\n\n", 0, true, "a"},
 		{"id: 6\n\n", "id: a\n\n", 7, false, "a"},
 		{"data: x\n\n", "id: 1\n\n", 7, false, "1"},
 	} {
