forward: check what follows a comment against the event that the caller has

Symptom: a caller that takes up a stream gets events again that it has, framed as whole, if the first target sends a comment and breaks off and the next one sends the stream from its start. Cause: the caller's last id was given to the scanner only while no head was sent; a comment sends the head, but no id. Now it is given while no event with an id was forwarded, which is also as long as targets are asked to go on behind it (lastEventID).

--- a/router/forward/stream.go
+++ b/router/forward/stream.go
@@ -53,7 +53,7 @@
 	}
 	s := q.stream
 	s.scanner.DropPartial()
-	if !q.headSent && q.route.Resumable {
+	if s.scanner.LastID() == "" && q.route.Resumable {
 		s.scanner.Follow(q.callerLastEventID)
 	}
 	q.releaseBuffer() // of a previous attempt
