sse: an event whose id is that of the last one repeats it

Symptom: a stream with ids that are no numbers has its last event twice if the target that goes on with it begins with that event. Cause: such ids were not compared. Equal ids prove the repetition, whatever they are; different ones still tell nothing. Evidence: TestTargetThatRepeatsTheLastEventDoesNotGoOnWithAStream at the caller's socket: 1 of 1 before, 0 of 1 now; a row of TestRepeatedEventsOfAResumedStreamAreFound.

--- a/router/sse/sse.go
+++ b/router/sse/sse.go
@@ -86,11 +86,11 @@
 	return true
 }
 
-// follows reports whether an event may follow another one by their ids; ids that are no numbers tell nothing.
+// follows reports whether an event may follow another one by their ids; different ids that are no numbers tell nothing.
 func follows(id, after string) bool {
 	next, ok := Next(id)
 	least, known := Next(after)
-	return !ok || !known || next > least
+	return id != after && (!ok || !known || next > least)
 }
 
 // Repeats reports whether the source that continues the stream began with an event that it already had. Scan stops there.
