forward: a failing test of streams that are joined behind events without ids

Callers see events twice in a stream framed as whole: a target sends events without ids and breaks off, and the next one, asked to go on behind the last id, or from the start if there is none, sends them again.

--- a/router/forward/joined_test.go
+++ b/router/forward/joined_test.go
@@ -38,6 +38,32 @@
 	return rawtarget.Reply{Text: text, Ending: rawtarget.Close}
 }
 
+// Guards against events without ids that a caller gets twice: no target can be told to go on behind them.
+func TestStreamWhoseLastEventHasNoIDIsNotJoinedWithAnother(t *testing.T) {
+	for name, c := range map[string]struct{ first, second []string }{
+		"no ids":           {[]string{"data: 1\n\n", "data: 2\n\n"}, []string{"data: 1\n\n", "data: 2\n\n", "data: 3\n\n"}},
+		"none in the last": {[]string{"id: 1\ndata: 1\n\n", "data: 2\n\n"}, []string{"data: 2\n\n", "id: 3\ndata: 3\n\n"}},
+		"an empty one":     {[]string{"id: 1\ndata: 1\n\n", "id:\ndata: 2\n\n"}, []string{"data: 2\n\n", "id: 3\ndata: 3\n\n"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.addReplies(streamed(false, "200 OK", c.first...), streamed(true, "200 OK", c.second...))
+			got := f.call("HTTP/1.1", "/stream/x", "Connection: close\r\nContent-Length: 1\r\n", "p").readAll()
+			_, body, err := got.response()
+			if body != c.first[0]+c.first[1] || err == nil {
+				t.Errorf("the caller received %q, %v", body, err)
+			}
+		})
+	}
+	t.Run("comments are none", func(t *testing.T) {
+		f := newFixture(t)
+		f.addReplies(streamed(false, "200 OK", ": wait\n\n", "id: 1\ndata: 1\n\n", ": wait\n\n"), streamed(true, "200 OK", "id: 2\ndata: 2\n\n"))
+		_, body, err := f.call("HTTP/1.1", "/stream/x", "Connection: close\r\nContent-Length: 1\r\n", "p").readAll().response()
+		f.is.NoErr(err)
+		f.is.Equal(body, ": wait\n\nid: 1\ndata: 1\n\n: wait\n\nid: 2\ndata: 2\n\n")
+	})
+}
+
 // Guards against a stream that ends as whole after a part, as the target that should go on with it responds with another success.
 func TestAnotherStatusDoesNotEndAStream(t *testing.T) {
 	for name, text := range map[string]string{
