forward, sse: don't go on with a stream behind an event without an id

Symptom: a stream that may be resumed has events twice if they have no ids: the next target is asked to go on behind the last id, if there is one, and sends them again. Cause: nothing noted that events had followed the last id. Now a stream whose newest event with data has no id of its own is not retried, neither after a break nor for silence alone, and ends as cut off. Comments and events without data are dispatched by no client and don't count.

--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -164,6 +164,7 @@
 	mayHaveTokens  bool              // a target may have generated tokens
 	undelivered    int64             // bound on the tokens that targets generated but did not deliver
 	stream         *stream
+	unnamed        atomic.Bool      // the newest event of the stream has no id, so that no target can go on behind it
 	headSent       bool             // the head of a target's response was sent to the caller
 	closeDelimited bool             // that head has neither length nor chunks: the response ends with the connection
 	writeFailed    bool             // a write to the caller failed: it can't have the whole response
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -138,6 +138,9 @@
 // mayRetry reports whether the request may go to another target after an attempt;
 // inFlight says that the attempt has not ended yet.
 func (q *request) mayRetry(res result, inFlight bool) bool {
+	if q.unnamed.Load() {
+		return false
+	}
 	if q.retryGranted {
 		q.retryGranted = false
 		return true
--- a/router/forward/stream.go
+++ b/router/forward/stream.go
@@ -69,6 +69,7 @@
 			before := s.scanner.Events()
 			complete := s.scanner.Scan(data)
 			events := s.scanner.Events() - before
+			q.unnamed.Store(s.scanner.Unnamed())
 			a.countEvents(events)
 			a.noteSurvival()
 			if complete > 0 {
--- a/router/sse/sse.go
+++ b/router/sse/sse.go
@@ -19,6 +19,9 @@
 	firstID   string // id of the first complete event since DropPartial that had one
 	after     string // the first id since DropPartial must be greater, if both are numbers; empty: it may be any
 	repeats   bool
+	hasData   bool // the current event has data
+	hasID     bool // the current event has an id of its own
+	unnamed   bool // see Unnamed
 	events    int
 	skipLF    bool // the last byte was a carriage return
 }
@@ -62,7 +65,9 @@
 		s.inEvent = true
 		if id, ok := bytes.CutPrefix(s.line, []byte("id:")); ok {
 			s.pendingID = strings.TrimPrefix(string(id), " ")
+			s.hasID = s.pendingID != ""
 		}
+		s.hasData = s.hasData || bytes.HasPrefix(s.line, []byte("data:")) || string(s.line) == "data"
 		s.line = s.line[:0]
 		s.blank = false
 		return false
@@ -71,9 +76,11 @@
 	if !s.inEvent {
 		return true // a further blank line belongs to the event before it
 	}
-	s.inEvent = false
+	unnamed := !s.hasID && (s.unnamed || s.hasData)
+	s.inEvent, s.hasData, s.hasID = false, false, false
 	if s.pendingID == "" {
 		s.events++
+		s.unnamed = unnamed
 		return true
 	}
 	s.firstID = cmp.Or(s.firstID, s.pendingID)
@@ -82,7 +89,7 @@
 		return false
 	}
 	s.events++
-	s.lastID, s.after = s.pendingID, ""
+	s.lastID, s.after, s.unnamed = s.pendingID, "", unnamed
 	return true
 }
 
@@ -99,6 +106,10 @@
 // LastID returns the id of the last complete event that had one.
 func (s *Scanner) LastID() string { return s.lastID }
 
+// Unnamed reports whether events without an id of their own have followed that of LastID: a source that goes on behind it would
+// send them again.
+func (s *Scanner) Unnamed() bool { return s.unnamed }
+
 // FirstID returns the id of the first complete event since DropPartial that had one.
 func (s *Scanner) FirstID() string { return s.firstID }
 
@@ -111,7 +122,7 @@
 // DropPartial discards the current event, so that another source can continue the stream.
 func (s *Scanner) DropPartial() {
 	s.line = s.line[:0]
-	s.inEvent, s.blank, s.skipLF = false, false, false
+	s.inEvent, s.hasData, s.hasID, s.blank, s.skipLF = false, false, false, false, false
 	s.pendingID, s.firstID, s.after, s.repeats = "", "", s.lastID, false
 }
 
--- a/router/sse/sse_test.go
+++ b/router/sse/sse_test.go
@@ -99,3 +99,24 @@
 		is.Equal(s.LastID(), c.last)
 	}
 }
+
+// Guards against going on behind the last id though events without one have followed it.
+func TestEventsBehindTheLastIDAreFound(t *testing.T) {
+	for text, behind := range map[string]bool{
+		"": false, "id: 1\n\n": false, "id: 1\ndata: x\n\n": false, "id: 1\n\n: c\n\n": false, "id: 1\n\nevent: ping\n\n": false,
+		"data: x\n\n": true, "data\n\n": true, "id: 1\n\ndata: y\n\n": true, "id: 1\n\nid:\ndata: y\n\n": true,
+		"id: 1\n\ndata: y\n\nid: 2\n\n": false, "id: 1\n\ndata: y\n\n: c\n\n": true, "id: 1\n\ndata: y\n": false,
+	} {
+		is := is.New(t)
+		var s Scanner
+		s.Scan([]byte(text))
+		is.Equal(s.Unnamed(), behind)
+		s.DropPartial()
+		is.Equal(s.Unnamed(), behind)
+	}
+	var s Scanner
+	s.Scan([]byte("id: 1\n\n"))
+	s.DropPartial()
+	s.Scan([]byte("data: y\n\nid: 1\n\n")) // repeats the last event, which counts for nothing
+	is.New(t).True(s.Unnamed())
+}
