forward: a failing test of targets that exit as the caller stops sending

Callers see a stream without framing, of which they have a part, end with an orderly close: its target exited, and the caller closed its sending side in the 100 ms in which the host waits for the target's address to refuse connections. That ends the request's context, ProbePresence then returns that it doesn't know, and checkEnd takes that for whole.

--- a/router/forward/closed_test.go
+++ b/router/forward/closed_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -40,3 +41,26 @@
 		})
 	}
 }
+
+// Guards against a response without framing that is taken for whole though its target exited midway, as its caller stopped
+// sending before the host knew that.
+func TestResponseOfATargetThatExitedIsNotWholeForACallerThatStopsSending(t *testing.T) {
+	for _, after := range []time.Duration{0, 10 * time.Millisecond, 30 * time.Millisecond, 50 * time.Millisecond} {
+		for _, protocol := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			t.Run(fmt.Sprintf("%v, %s", after, protocol), func(t *testing.T) {
+				t.Parallel()
+				f := newFixture(t)
+				f.add("e1", "engine", backend.Behaviour{Events: 10, CrashAfter: 3, NoLength: true})
+				caller := f.call(protocol, "/once/x", "Content-Length: 1\r\n", "p")
+				got := received{bytes: caller.readUntil("id: 3\n")}
+				time.Sleep(after)
+				caller.closeSending()
+				rest := caller.readAll()
+				got.bytes, got.reset = got.bytes+rest.bytes, rest.reset
+				if got.looksWhole() {
+					t.Errorf("the caller takes this for a whole response: %q", got.bytes)
+				}
+			})
+		}
+	}
+}
