forward: a request that ends as its target's presence is checked has no whole response

Symptom: a stream without framing whose target exits midway ends as whole at a caller that closes its sending side in the 20 or 100 ms before the host probes the target's address. Cause: the end of the request's context ends the probe, which then knows nothing, and checkEnd took that for a proved end. Now the context's end is the error of the check; the result is that of a caller that is gone, which is aborted with a reset.

--- a/router/forward/targetexit.go
+++ b/router/forward/targetexit.go
@@ -34,7 +34,8 @@
 const deadlineDoubt = minTimeLeft
 
 // checkEnd checks a response that was read to its end. It returns errExitedAtEnd if the response is unframed and its target
-// is gone, and errEndedAtDeadline if it is unframed and its target had hardly time left: it may have broken off anywhere.
+// is gone, and errEndedAtDeadline if it is unframed and its target had hardly time left: it may have broken off anywhere. The
+// end of the request as it checks an unframed response is an error, too.
 func (a *attempt) checkEnd(resp *http.Response) error {
 	succeeded := resp.StatusCode < http.StatusMultipleChoices
 	if isFramed(resp) {
@@ -56,8 +57,9 @@
 		return errExitedAtEnd
 	case target.Present:
 		a.survivedAtEnd = succeeded
+		return nil
 	}
-	return nil
+	return a.request.ctx.Err()
 }
 
 // How long a target that exits may take after the end of an unframed response until its address refuses connections. The
