--- a/router/forward/stream.go
+++ b/router/forward/stream.go
@@ -53,7 +53,7 @@
 	}
 	s := q.stream
 	s.scanner.DropPartial()
-	if !q.headSent && q.route.Resumable {
+	if s.scanner.LastID() == "" && q.route.Resumable {
 		s.scanner.Follow(q.callerLastEventID)
 	}
 	q.releaseBuffer() // of a previous attempt
@@ -69,6 +69,7 @@
 			before := s.scanner.Events()
 			complete := s.scanner.Scan(data)
 			events := s.scanner.Events() - before
+			q.unnamed.Store(s.scanner.Unnamed())
 			a.countEvents(events)
 			a.noteSurvival()
 			if complete > 0 {
