target, forward: ask another host for a target that ended a response through a tunnel

Symptom: a stream without framing, or a response, whose target exits midway ends as whole at its caller if the connection went through another host. Cause: the carrying host passes the end on as an orderly one, which is right, but the host of the caller probed the target by its own links, which fail then: no answer counted as whole. Now it asks other hosts for a connection while its own links to the service fail, and a target that they don't reach either is gone. And such an end no longer blames the carrying host: the next response of the same target could ask nobody then. What remains: if no other host can be asked the end still counts.

--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -103,6 +103,7 @@
 	withheld        bool          // not sent, though the target could be reached
 	lackedRoom      bool          // this host had no memory for a long event
 	unproved        bool          // the response ended, but nothing shows that it is complete
+	endChecked      bool          // an unframed response came to its end, and it was checked whether the target is there
 	status          int
 	resumedAfter    string
 	silence         *silenceTimer
--- a/router/forward/reach.go
+++ b/router/forward/reach.go
@@ -18,7 +18,7 @@
 	silence := res == silent || res == outOfTime
 	switch {
 	case a.tunnel != nil:
-		if res == broken || res == cutOff || silence {
+		if (res == broken || res == cutOff) && !a.endChecked || silence {
 			a.tunnel.Blame()
 		}
 	case a.waits:
--- a/router/forward/targetexit.go
+++ b/router/forward/targetexit.go
@@ -45,6 +45,7 @@
 	if left, ok := a.request.timeLeft(); ok && left < deadlineDoubt {
 		return errEndedAtDeadline
 	}
+	a.endChecked = true
 	a.conn.Close() // the probe may need its place in the pool
 	ctx, cancel := context.WithTimeout(a.request.ctx, exitProbeTimeout)
 	defer cancel()
--- a/router/target/exit.go
+++ b/router/target/exit.go
@@ -9,6 +9,8 @@
 	"time"
 
 	log "github.com/sirupsen/logrus"
+
+	"maststage.dev/router/tunnel"
 )
 
 // exitProbe checks whether a target's process has exited. Concurrent callers share one probe.
@@ -72,6 +74,9 @@
 	case <-ctx.Done():
 		return PresenceUnknown
 	}
+	if r.opts.Tunnels != nil && t.path.Cut() {
+		return r.presenceByOthers(ctx, t)
+	}
 	probe := r.probeSince(ctx, t, time.Now())
 	if probe == nil {
 		return PresenceUnknown
@@ -79,6 +84,18 @@
 	return probe.presence
 }
 
+// presenceByOthers asks other hosts for the presence, for a host whose own links to the target fail.
+func (r *Registry) presenceByOthers(ctx context.Context, t *Target) Presence {
+	err := r.probeByOthers(ctx, t)
+	switch {
+	case err == nil:
+		return Present
+	case errors.Is(err, tunnel.ErrNotReached):
+		return Gone
+	}
+	return PresenceUnknown
+}
+
 // probeSince returns a completed probe that began at a time or later, or that found that the target has exited; nil if ctx
 // ends first.
 func (r *Registry) probeSince(ctx context.Context, t *Target, since time.Time) *exitProbe {
@@ -160,6 +177,10 @@
 	if r.opts.Tunnels == nil {
 		return true
 	}
-	throughOthers := func(ctx context.Context) (net.Conn, error) { return r.dialTunnel(ctx, t) }
-	return t.Pool.Probe(ctx, throughOthers) != nil
+	return r.probeByOthers(ctx, t) != nil
+}
+
+// probeByOthers connects to a target through another host, and keeps the connection for requests.
+func (r *Registry) probeByOthers(ctx context.Context, t *Target) error {
+	return t.Pool.Probe(ctx, func(ctx context.Context) (net.Conn, error) { return r.dialTunnel(ctx, t) })
 }
