standin: responses given as bytes, and links that pass resets on

The soak had no target that stops at a byte of its response: a backend composes its responses itself, and a link in front of it turned the reset of a target into an orderly close.

A behaviour may have a response as bytes, in two parts with a pause between them, after which the connection is kept, closed or reset. A link passes resets on if its options say so; the others close as before.

go test ./standin/... passes.

--- a/standin/backend/backend.go
+++ b/standin/backend/backend.go
@@ -46,6 +46,7 @@
 	RetryAfter    string        // of a refusal; empty: none
 	Brittle       []string      // values of the brittle header of each response
 	Slots         *Slots        // bounds the requests that run and wait; nil: no bound
+	Raw           *Raw          // sent after Delay in place of any other response; nil: not
 }
 
 // Run is one request that the backend began to run.
@@ -245,6 +246,9 @@
 		b.Close()
 		return false
 	}
+	if how.Raw != nil {
+		return how.Raw.send(c)
+	}
 	if how.CrossedFirst {
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: other\r\n%s: s\r\nContent-Length: 5\r\n\r\nother", b.names.RequestID, b.names.Stamp)
 	}
--- a/standin/faultlink/conn.go
+++ b/standin/faultlink/conn.go
@@ -1,9 +1,11 @@
 package faultlink
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -26,6 +28,7 @@
 	silenced atomic.Bool // drops all bytes from now on
 	lostDown atomic.Bool // bytes were dropped
 	lostUp   atomic.Bool
+	wasReset atomic.Bool // by the server
 	once     sync.Once
 }
 
@@ -75,6 +78,9 @@
 			break
 		}
 	}
+	if c.wasReset.Load() {
+		resetOnClose(c.near)
+	}
 	c.close()
 	// read returns once its connection is closed; what it still sends is dropped.
 	for range arriving {
@@ -89,6 +95,9 @@
 		data := make([]byte, chunk)
 		n, err := c.far.Read(data)
 		if err != nil {
+			if c.link.opts.PassResets && errors.Is(err, syscall.ECONNRESET) {
+				c.wasReset.Store(true)
+			}
 			return
 		}
 		fault := c.link.active(c.client)
--- a/standin/faultlink/faultlink.go
+++ b/standin/faultlink/faultlink.go
@@ -56,6 +56,8 @@
 	To     string // IP:port to connect to
 	// Arrive returns when bytes down arrive at the earliest, apart from faults; nil: at once.
 	Arrive func(bytes int) time.Time
+	// PassResets resets a connection to the client that the server reset; without it the connection is closed.
+	PassResets bool
 }
 
 // Link is a proxy to one address.
