proofs/soak: responses that stop at a byte, seen at sockets of real hosts

Responses cut at each byte were tested in the process of the handler only; real hosts had met targets that break off after an event at most.

Twelve hosts as processes, of which six cannot connect to targets and reach them through the others. Judged as the callers after silences are; a body without framing that its target closes, which nothing in the response shows, may end by a close and not be framed. Through other hosts the heads of one kind of stream and one of single responses are cut, as a host that carried a broken response is avoided for a second.

--- a/proofs/soak/cut_test.go
+++ b/proofs/soak/cut_test.go
@@ -64,8 +64,14 @@
 	}
 }
 
+// foreignIP belongs to no machine (RFC 5737), so that no connection can be made from it.
+const foreignIP = "192.0.2.1"
+
 // dialIP is the local IP of the host's connections to targets.
 func (h *host) dialIP() string {
+	if h.cutOff {
+		return foreignIP
+	}
 	ip, _, _ := net.SplitHostPort(h.world.address(dialPart, h.number))
 	return ip
 }
--- a/proofs/soak/endchecks_test.go
+++ b/proofs/soak/endchecks_test.go
@@ -11,11 +11,12 @@
 	requests, successes, whole, broken, resumed int // broken off visibly; resumed at another target within the response
 	refused, none, left, open, wrong            int
 	unframed, unframedWhole, unframedShort      int // HTTP/1.1 responses that end with the connection: all, whole, short
+	unproved                                    int // short, and closed as their targets closed them
 }
 
 func (n socketTally) String() string {
-	return fmt.Sprintf("%d requests, %d successes: %d whole, %d broken off visibly, %d resumed, %d wrong; %d refused, %d without a response, %d left, %d open; of HTTP/1.1 successes that end with the connection %d: %d whole, %d short",
-		n.requests, n.successes, n.whole, n.broken, n.resumed, n.wrong, n.refused, n.none, n.left, n.open, n.unframed, n.unframedWhole, n.unframedShort)
+	return fmt.Sprintf("%d requests, %d successes: %d whole, %d broken off visibly, %d resumed, %d wrong; %d refused, %d without a response, %d left, %d open, %d closed short as by their targets; of HTTP/1.1 successes that end with the connection %d: %d whole, %d short",
+		n.requests, n.successes, n.whole, n.broken, n.resumed, n.wrong, n.refused, n.none, n.left, n.open, n.unproved, n.unframed, n.unframedWhole, n.unframedShort)
 }
 
 // checkSockets: a success that its caller's bytes show as whole is whole, with its target's stamp, and of any other success the
@@ -122,6 +123,8 @@
 		}
 	case a.end == endFramed:
 		return "not whole, framed as whole"
+	case a.end == endClosed && a.unproved:
+		n.unproved++
 	case a.end == endClosed:
 		if !old {
 			n.unframedShort++
--- a/proofs/soak/endings_test.go
+++ b/proofs/soak/endings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -32,6 +33,7 @@
 
 const (
 	kindKeeps       socketKind = "keeps its connection"
+	kindCloses      socketKind = "asks for its connection to be closed"
 	kindStopsEarly  socketKind = "closes its sending side after a time"
 	kindStopsQuiet  socketKind = "closes its sending side when nothing comes"
 	kindOld         socketKind = "speaks HTTP/1.0"
@@ -77,6 +79,7 @@
 	body           string
 	extra          string // after the response, without a request
 	last           bool   // the host said that it closes the connection
+	unproved       bool   // its target may close the connection anywhere in a body without framing, so that a close is no end
 	err            error
 }
 
@@ -84,6 +87,9 @@
 	return strings.HasPrefix(a.path, streamPath) || strings.HasPrefix(a.path, oncePath)
 }
 
+// reusable reports whether the connection may be used again after the response.
+func (a *socketAnswer) reusable() bool { return a.end == endFramed && !a.last && a.extra == "" }
+
 // mayRunOnce reports whether the request must not be repeated.
 func (a *socketAnswer) mayRunOnce() bool { return a.path == unsafePath || a.path == oncePath }
 
@@ -108,6 +114,9 @@
 // socketBehaviour is a target's behaviour for the request of such a caller.
 func (w *world) socketBehaviour(s *targetState, run backend.Run) backend.Behaviour {
 	w.watch.socketArrival(s, run)
+	if c := w.stopCaseOf(run); c != nil {
+		return backend.Behaviour{Raw: c.respond(s.id, run)}
+	}
 	unframed := w.options.unframed || w.options.mixed && s.place%3 == 0
 	b := backend.Behaviour{Delay: plainDelay, Body: socketWhole(run.ID), NoLength: unframed}
 	if !strings.HasPrefix(run.URI, safePath) && !strings.HasPrefix(run.URI, unsafePath) {
@@ -148,6 +157,10 @@
 	reader *bufio.Reader
 	random *rand.Rand
 	paths  []string
+	lines  string        // further lines of the heads of its requests
+	wait   time.Duration // for the end of a response; 0: socketWait
+	// unproved says that its next response is one of a socketAnswer with unproved.
+	unproved bool
 
 	mu      sync.Mutex
 	stopped time.Time     // when its sending side was closed
@@ -156,20 +169,28 @@
 	until   time.Time     // end of the wait for bytes
 }
 
-// callBySocket opens a connection and sends requests on it as the kind of caller does.
-func (w *world) callBySocket(ctx context.Context, kind socketKind, paths []string, random *rand.Rand) {
-	h := w.hosts[random.IntN(len(w.hosts))]
+// dialCaller opens a connection of a caller to a host. It returns nil if the host does not accept it.
+func (w *world) dialCaller(h *host, kind socketKind, paths []string, random *rand.Rand) *socketCaller {
 	conn, err := net.DialTimeout("tcp", h.listen, time.Second)
 	if err != nil {
 		time.Sleep(refusedPause)
-		return
+		return nil
 	}
-	defer conn.Close()
 	c := &socketCaller{world: w, kind: kind, host: h, conn: conn.(*net.TCPConn), random: random, paths: paths}
 	c.reader = bufio.NewReader(c)
+	return c
+}
+
+// callBySocket opens a connection and sends requests on it as the kind of caller does.
+func (w *world) callBySocket(ctx context.Context, kind socketKind, paths []string, random *rand.Rand) {
+	c := w.dialCaller(w.hosts[random.IntN(len(w.hosts))], kind, paths, random)
+	if c == nil {
+		return
+	}
+	defer c.conn.Close()
 	switch kind {
 	case kindKeeps:
-		for ctx.Err() == nil && c.ask() {
+		for ctx.Err() == nil && c.ask().reusable() {
 			time.Sleep(time.Duration(random.Int64N(int64(2 * socketThinkTime))))
 		}
 	case kindSendsBefore:
@@ -184,9 +205,8 @@
 	}
 }
 
-// ask sends a request and reads its response and, where the connection is not used again, all that follows. It reports whether
-// the connection may be used again.
-func (c *socketCaller) ask() bool {
+// ask sends a request and reads its response and, where the connection is not used again, all that follows.
+func (c *socketCaller) ask() *socketAnswer {
 	a := c.send()
 	after := time.Duration(c.random.Int64N(int64(maxStopAfter)))
 	switch c.kind {
@@ -198,14 +218,14 @@
 		defer time.AfterFunc(after, c.leave).Stop()
 	}
 	c.receive(a)
-	return a.end == endFramed && !a.last && a.extra == ""
+	return a
 }
 
 // send sends the next request.
 func (c *socketCaller) send() *socketAnswer {
 	names := platform.Headers
 	a := &socketAnswer{
-		kind: c.kind, host: c.host, started: time.Now(),
+		kind: c.kind, host: c.host, started: time.Now(), unproved: c.unproved,
 		id: fmt.Sprintf("%s-%d", c.world.network, lastRequest.Add(1)), path: c.paths[c.random.IntN(len(c.paths))],
 	}
 	protocol := "HTTP/1.1"
@@ -215,11 +235,15 @@
 	var head strings.Builder
 	fmt.Fprintf(&head, "POST %s%s%s %s\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\n", a.path, socketPart, a.id, protocol, callersHost,
 		names.RequestID, a.id, names.Deadline, requestLimit.Milliseconds(), names.Key, keyOf(largeTenant))
+	if c.kind == kindCloses {
+		head.WriteString("Connection: close\r\n")
+	}
+	head.WriteString(c.lines)
 	if a.isStream() {
 		fmt.Fprintf(&head, "%s: %d,%d\r\n%s: e%d:30,%x:10\r\n", names.Usage, tokensIn, maxOut, names.PromptParts, c.random.IntN(5), c.random.Uint32())
 	}
 	body := sentBody(a.id)
-	c.until = time.Now().Add(socketWait)
+	c.until = time.Now().Add(cmp.Or(c.wait, socketWait))
 	_, a.err = fmt.Fprintf(c.conn, "%sContent-Length: %d\r\n\r\n%s", head.String(), len(body), body)
 	return a
 }
--- a/proofs/soak/options_test.go
+++ b/proofs/soak/options_test.go
@@ -6,7 +6,11 @@
 type worldOptions struct {
 	thinHosts  bool          // some hosts have a slow link in their settings
 	ownDialIPs bool          // hosts connect to targets from addresses of their own, so that they can be cut off from them
+	cutOff     int           // number of hosts, the last ones, that can't connect to targets themselves
 	engines    int           // number of engine targets; 0: the usual number
+	plains     int           // number of plain targets; 0: the usual number
+	retries    float64       // per request, in the hosts' settings; 0: the usual number
+	resets     bool          // targets' resets reach the hosts as such
 	versions   []string      // software versions of the engine targets, evenly divided; nil: one
 	maxConns   int           // connections that each target takes from all hosts together; 0: the usual number
 	downTime   time.Duration // of engine targets that crashed; the usual one if shorter
--- a/proofs/soak/silences_test.go
+++ b/proofs/soak/silences_test.go
@@ -158,5 +158,6 @@
 	n.requests, n.successes, n.whole, n.broken = n.requests+m.requests, n.successes+m.successes, n.whole+m.whole, n.broken+m.broken
 	n.refused, n.none, n.left, n.open, n.wrong = n.refused+m.refused, n.none+m.none, n.left+m.left, n.open+m.open, n.wrong+m.wrong
 	n.resumed, n.unframed = n.resumed+m.resumed, n.unframed+m.unframed
+	n.unproved += m.unproved
 	n.unframedWhole, n.unframedShort = n.unframedWhole+m.unframedWhole, n.unframedShort+m.unframedShort
 }
--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -53,7 +53,8 @@
 	watch   *watch
 
 	options   worldOptions
-	slowLinks bool // hosts have slow links, and the configuration is large
+	stopCases []*stopCase // responses that stop at a byte, by the number in caseHeader
+	slowLinks bool        // hosts have slow links, and the configuration is large
 
 	replacing sync.WaitGroup // targets that are being replaced after they crashed
 	stopped   bool           // targets are no longer replaced
@@ -81,6 +82,7 @@
 	name, zone           string
 	listen, ready, peers string
 	store                *faultlink.Link // between the host and the store
+	cutOff               bool            // it can't connect to targets itself
 
 	mu      sync.Mutex
 	busy    bool // a fault of its process is in progress
@@ -147,12 +149,13 @@
 	for range cmp.Or(options.engines, engineTargets) {
 		w.addTarget(engineService)
 	}
-	for range max(plainTargets, options.brittle) {
+	for range max(plainTargets, options.plains, options.brittle) {
 		w.addTarget(plainService)
 	}
 	w.firstConfig()
 	for i := range n {
 		w.addHost(i)
+		w.hosts[i].cutOff = i >= n-options.cutOff
 	}
 	for _, h := range w.hosts {
 		h.start()
@@ -220,8 +223,8 @@
 		"[bounds]\ndrain_ms = %d\nevacuate_ms = %d\ngrace_s = %g\nretry_ratio = %g\nretry_slack = %d\nretry_window_s = %g\n"+
 		"[output]\nlines_per_second = 2000\nlevel = debug\naccount_s = %g\n",
 		h.name, h.zone, h.listen, h.ready, h.peers, h.world.seeds(), h.store.Address(), logPartitions,
-		drainWithin.Milliseconds(), evacuateWithin.Milliseconds(), graceTime.Seconds(), retryRatio, retrySlack, retryWindow.Seconds(), accountEvery.Seconds())
-	if h.world.options.ownDialIPs {
+		drainWithin.Milliseconds(), evacuateWithin.Milliseconds(), graceTime.Seconds(), cmp.Or(h.world.options.retries, retryRatio), retrySlack, retryWindow.Seconds(), accountEvery.Seconds())
+	if h.world.options.ownDialIPs || h.cutOff {
 		text = strings.Replace(text, "[log]", "dial_ip = "+h.dialIP()+"\n[log]", 1)
 	}
 	text += h.capacitySettings()
@@ -344,7 +347,7 @@
 		w.endReplacing() // also if the test ended early
 		b.Close()
 	})
-	s.link = faultlink.Open(w.t, faultlink.Options{Listen: w.address(targetLinkPart, s.place), To: b.Address()})
+	s.link = faultlink.Open(w.t, faultlink.Options{Listen: w.address(targetLinkPart, s.place), To: b.Address(), PassResets: w.options.resets})
 	w.mu.Lock()
 	w.targets = append(w.targets, s)
 	for number, fault := range w.cuts {
