--- a/router/forward/streams_test.go
+++ b/router/forward/streams_test.go
@@ -79,7 +79,9 @@
 			f.is.Equal(got.body, events("r1", 10))
 			f.is.Equal(f.runCount(), 2)
 			if broken.Status == 0 {
+				f.recorder.mu.Lock()
 				first := f.recorder.attempts[0].Target
+				f.recorder.mu.Unlock()
 				f.is.Equal(got.header.Get("X-Stamp"), first) // the head is the first target's
 			}
 		})
