forward: a test of switches of protocols as the first response

Cause: the test of a switch that should go on with a stream passes by the check of its status, too, so that no test failed without the check of switches (review). Change: a first response 101 is tested at the caller's socket.

--- a/router/forward/joined_test.go
+++ b/router/forward/joined_test.go
@@ -104,3 +104,15 @@
 		t.Errorf("the caller received %q, %v", body, err)
 	}
 }
+
+// Guards against a switch of protocols that is forwarded as the response to a request that did not ask for it.
+func TestSwitchOfProtocolsIsNoResponse(t *testing.T) {
+	f := newFixture(t)
+	events := []string{"id: 1\ndata: 1\n\n", "id: 2\ndata: 2\n\n"}
+	switches := "HTTP/1.1 101 Switching Protocols\r\nX-Id: r1\r\nX-Stamp: s\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"
+	f.addReplies(rawtarget.Reply{Text: switches + events[0], Ending: rawtarget.Close}, streamed(true, "200 OK", events...))
+	resp, body, err := f.call("HTTP/1.1", "/stream/x", "Connection: close\r\nContent-Length: 1\r\n", "p").readAll().response()
+	f.is.NoErr(err)
+	f.is.Equal(resp.StatusCode, http.StatusOK)
+	f.is.Equal(body, events[0]+events[1])
+}
