proofs/soak: targets that are stopped processes, seen at sockets

Silences of targets were simulated in the process of the test. A process that is stopped differs: it reads and answers what came on connections that were closed meanwhile, the kernel accepts for it, and its timers are late.

Twenty targets of three services are processes, the test's own program, and stopped by SIGSTOP for 0.6 to 2.6 s, all or two thirds of them, of one service or of all, beside four changes of the configuration. They write which requests they ran as they end. The callers, the changes and the judgement are those of the test of silences.

--- a/proofs/soak/endchecks_test.go
+++ b/proofs/soak/endchecks_test.go
@@ -60,6 +60,11 @@
 			}
 		}
 	}
+	for _, p := range w.processes {
+		for _, id := range p.ran {
+			runs[id]++
+		}
+	}
 	return runs
 }
 
--- a/proofs/soak/endings_test.go
+++ b/proofs/soak/endings_test.go
@@ -117,11 +117,7 @@
 	if c := w.stopCaseOf(run); c != nil {
 		return backend.Behaviour{Raw: c.respond(s.id, run)}
 	}
-	unframed := w.options.unframed || w.options.mixed && s.place%3 == 0
-	b := backend.Behaviour{Delay: plainDelay, Body: socketWhole(run.ID), NoLength: unframed}
-	if !strings.HasPrefix(run.URI, safePath) && !strings.HasPrefix(run.URI, unsafePath) {
-		b = backend.Behaviour{Delay: engineDelay, Gap: socketGap, Events: eventsOf(run.ID), Mark: s.id, NoLength: unframed}
-	}
+	b := soundSocketBehaviour(s.id, run, w.options.unframed || w.options.mixed && s.place%3 == 0)
 	s.mu.Lock()
 	fault := s.alter
 	s.mu.Unlock()
@@ -133,6 +129,14 @@
 	return b
 }
 
+// soundSocketBehaviour is socketBehaviour of a target without a fault.
+func soundSocketBehaviour(target string, run backend.Run, noLength bool) backend.Behaviour {
+	if strings.HasPrefix(run.URI, safePath) || strings.HasPrefix(run.URI, unsafePath) {
+		return backend.Behaviour{Delay: plainDelay, Body: socketWhole(run.ID), NoLength: noLength}
+	}
+	return backend.Behaviour{Delay: engineDelay, Gap: socketGap, Events: eventsOf(run.ID), Mark: target, NoLength: noLength}
+}
+
 // socketTraffic has callers of these kinds ask hosts until ctx ends.
 func (w *world) socketTraffic(ctx context.Context, seed uint64, kinds []socketKind, paths []string) {
 	var all sync.WaitGroup
--- a/proofs/soak/options_test.go
+++ b/proofs/soak/options_test.go
@@ -8,6 +8,7 @@
 	ownDialIPs bool          // hosts connect to targets from addresses of their own, so that they can be cut off from them
 	cutOff     int           // number of hosts, the last ones, that can't connect to targets themselves
 	engines    int           // number of engine targets; 0: the usual number
+	processes  bool          // targets are processes: processTargets of each service
 	plains     int           // number of plain targets; 0: the usual number
 	retries    float64       // per request, in the hosts' settings; 0: the usual number
 	resets     bool          // targets' resets reach the hosts as such
--- a/proofs/soak/silences_test.go
+++ b/proofs/soak/silences_test.go
@@ -66,27 +66,36 @@
 			traffic.Go(func() {
 				w.socketTraffic(ctx, seed, socketKinds(silentCallers), []string{streamPath, streamPath, oncePath, oncePath, safePath, unsafePath})
 			})
-			w.playSilences(c.share, rand.New(rand.NewPCG(seed, 60)))
+			silent := rand.New(rand.NewPCG(seed, 60))
+			w.playSilences(silent, func() {
+				list := w.readyTargets(engineService)
+				suspendFor(list[:int(c.share*float64(len(list)))], silentMin+time.Duration(silent.Int64N(int64(silentSpread))))
+			})
 			time.Sleep(silentSettle)
 			stop()
 			traffic.Wait()
-			tallies := w.checkSockets()
-			var all socketTally
-			for _, n := range tallies {
-				all.add(*n)
-			}
-			t.Logf("all: %v", all)
-			if all.open > 0 {
-				t.Errorf("%d responses had not ended %v after the request", all.open, socketWait)
-			}
-			if keep := tallies[kindKeeps]; float64(keep.whole) < silentWholePart*float64(keep.requests) {
-				t.Errorf("callers that keep their connections got %d whole responses to %d requests", keep.whole, keep.requests)
-			}
+			w.checkAfterSilences()
 			w.report(seed, nil)
 		})
 	}
 }
 
+// checkAfterSilences checks the responses that callers got beside silences.
+func (w *world) checkAfterSilences() {
+	tallies := w.checkSockets()
+	var all socketTally
+	for _, n := range tallies {
+		all.add(*n)
+	}
+	w.t.Logf("all: %v", all)
+	if all.open > 0 {
+		w.t.Errorf("%d responses had not ended %v after the request", all.open, socketWait)
+	}
+	if keep := tallies[kindKeeps]; float64(keep.whole) < silentWholePart*float64(keep.requests) {
+		w.t.Errorf("callers that keep their connections got %d whole responses to %d requests", keep.whole, keep.requests)
+	}
+}
+
 // addOnceRoute adds the route of streams that may not be resumed.
 func (w *world) addOnceRoute() {
 	w.publish(func(c *platformtest.Config) {
@@ -96,8 +105,8 @@
 	})
 }
 
-// playSilences plays a silence of engine targets beside each change of the configuration.
-func (w *world) playSilences(share float64, random *rand.Rand) {
+// playSilences plays a silence of targets beside each change of the configuration.
+func (w *world) playSilences(random *rand.Rand, silence func()) {
 	changes := []func(){
 		func() { w.setStreamTimeout(silentTimeout) },
 		func() { w.routeEvents(otherService) },
@@ -113,8 +122,7 @@
 		time.Sleep(time.Until(begin.Add(time.Duration(n) * silentInterval)))
 		change()
 		time.Sleep(time.Duration(random.Int64N(int64(silentLead))))
-		list := w.readyTargets(engineService)
-		suspendFor(list[:int(share*float64(len(list)))], silentMin+time.Duration(random.Int64N(int64(silentSpread))))
+		silence()
 	}
 }
 
--- a/proofs/soak/soak_test.go
+++ b/proofs/soak/soak_test.go
@@ -38,6 +38,10 @@
 var program string
 
 func TestMain(m *testing.M) {
+	if id := os.Getenv(processVariable); id != "" {
+		runTargetProcess(id)
+		return
+	}
 	flag.Parse()
 	log.SetLevel(log.PanicLevel)
 	os.Exit(run(m))
--- a/proofs/soak/world_test.go
+++ b/proofs/soak/world_test.go
@@ -53,8 +53,9 @@
 	watch   *watch
 
 	options   worldOptions
-	stopCases []*stopCase // responses that stop at a byte, by the number in caseHeader
-	slowLinks bool        // hosts have slow links, and the configuration is large
+	processes []*targetProcess // targets that are processes
+	stopCases []*stopCase      // responses that stop at a byte, by the number in caseHeader
+	slowLinks bool             // hosts have slow links, and the configuration is large
 
 	replacing sync.WaitGroup // targets that are being replaced after they crashed
 	stopped   bool           // targets are no longer replaced
@@ -146,11 +147,10 @@
 		t: t, dir: t.TempDir(), network: takeNetwork(t), log: memlog.New(), options: options,
 		watch: newWatch(), random: rand.New(rand.NewPCG(seed, 1)), written: map[logKey][]byte{}, cuts: map[int]faultlink.Fault{},
 	}
-	for range cmp.Or(options.engines, engineTargets) {
-		w.addTarget(engineService)
-	}
-	for range max(plainTargets, options.plains, options.brittle) {
-		w.addTarget(plainService)
+	if options.processes {
+		w.startProcesses()
+	} else {
+		w.startTargets()
 	}
 	w.firstConfig()
 	for i := range n {
@@ -166,6 +166,16 @@
 	return w
 }
 
+// startTargets starts the targets that the options ask for.
+func (w *world) startTargets() {
+	for range cmp.Or(w.options.engines, engineTargets) {
+		w.addTarget(engineService)
+	}
+	for range max(plainTargets, w.options.plains, w.options.brittle) {
+		w.addTarget(plainService)
+	}
+}
+
 // address returns an address of this cluster.
 func (w *world) address(part, number int) string {
 	return fmt.Sprintf("%s.%d.%d:9000", w.network, part, number+1)
@@ -326,15 +336,17 @@
 	w.startTarget(&targetState{id: fmt.Sprintf("%s-%d", service, number), service: service, zone: fmt.Sprintf("z%d", number%3), version: version, place: number, cuts: map[int]func(){}})
 }
 
+// backendNames are the headers of targets.
+var backendNames = backend.Names{
+	RequestID: platform.Headers.RequestID, ExpectTarget: platform.Headers.ExpectTarget,
+	LastEventID: platform.Headers.LastEventID, Stamp: platform.Headers.Stamp, NotRun: platform.Headers.NotRun, Limit: platform.Headers.Limit,
+	Leaving: platform.Headers.Leaving, Brittle: brittleHeader,
+}
+
 // startTarget starts a target that is described but not running and writes its entry.
 func (w *world) startTarget(s *targetState) {
 	service := s.service
-	names := backend.Names{
-		RequestID: platform.Headers.RequestID, ExpectTarget: platform.Headers.ExpectTarget,
-		LastEventID: platform.Headers.LastEventID, Stamp: platform.Headers.Stamp, NotRun: platform.Headers.NotRun, Limit: platform.Headers.Limit,
-		Leaving: platform.Headers.Leaving, Brittle: brittleHeader,
-	}
-	b, err := backend.Start(s.id, names, func(run backend.Run) backend.Behaviour { return w.behaviour(s, run) })
+	b, err := backend.Start(s.id, backendNames, func(run backend.Run) backend.Behaviour { return w.behaviour(s, run) })
 	if err != nil {
 		w.t.Error(err)
 		return
