proofs/exhaustion: clients that do not end their requests exhaust a host

Cause, as the tests show it: nothing bounds what all clients together make a host hold. A body is kept for as long as its client likes, a refused request whose body stops short keeps its connection, short header lines take many times their text, and connections are accepted until no descriptor is left for targets and for the log.

The tests start a router as on a machine of 112 MB and 512 descriptors, with bodies of 2 MB, and a crowd of 150 or 600 clients at each of its four listeners, one test at a time. They check that it lives, its peak memory, its descriptors, and that an ordinary request is served.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,9 @@
 
 # Packages with stateful fuzzing; CI gives them a fixed seed.
 FUZZED = ./fold ./fold/view ./daemon/claim ./daemon/ledger ./router/prepaid ./router/sse ./router/retrybudget
-PLAIN = $(filter-out $(FUZZED:./%=maststage.dev/%),$(shell go list $(PACKAGES)))
+# Tests that measure the memory of a process: each alone.
+ALONE = ./proofs/exhaustion
+PLAIN = $(filter-out $(FUZZED:./%=maststage.dev/%) $(ALONE:./%=maststage.dev/%),$(shell go list $(PACKAGES)))
 
 # Tests that fail for a fault not mended yet, one a line in KNOWN-RED.txt. A part of a test is
 # named as go test does, TestX/part: the other parts run.
@@ -21,6 +23,7 @@
 test: build ## all tests, fixed seeds
 	go test -count=1 -skip '$(RED)' $(FUZZED) -rapid.seed=1 -rapid.checks=5000 -rapid.steps=100 -rapid.nofailfile
 	go test -count=1 -timeout 30m -skip '$(RED)' $(PLAIN)
+	go test -count=1 -timeout 20m -skip '$(RED)' $(ALONE)
 	@echo "known red, not run:"; cat KNOWN-RED.txt
 
 # Decoders of what others write, each with its fuzz test, and how many inputs CI gives each: a count
