forward: a body that stops short is refused at the request's deadline

Cause: the deadline was applied to attempts, not to the body that comes before them, and the server for callers has no read timeout, so that long responses are possible.

Change: reads of the body fail from the deadline on; the answer is 408, which says that the request has not run. The deadline is taken back once the body is there. A body's buffer grows with what arrives: one of known length was allocated at once, and one without a length was copied more often.

--- a/router/forward/admit.go
+++ b/router/forward/admit.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -137,28 +139,64 @@
 		}
 		reader = http.MaxBytesReader(q.w, q.r.Body, maxBytes)
 	}
+	if !q.deadline.IsZero() {
+		q.setReadDeadline(q.deadline)
+	}
 	body, err := readBody(reader, q.r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return q.refuseByConfig(TooLarge), err
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return BodyTimeout, err
 	case err != nil && q.ctx.Err() != nil:
 		return CallerGone, err
 	case err != nil:
 		return BadRequest, err
 	}
 	q.body = body
+	q.setReadDeadline(time.Time{})
 	return OK, nil
 }
 
-// readBody reads a body; one of known length goes into a buffer of that size.
+// setReadDeadline has reads from the caller fail from a moment on; zero: never.
+func (q *request) setReadDeadline(t time.Time) {
+	// An error means that the connection has no deadlines.
+	_ = http.NewResponseController(q.w).SetReadDeadline(t)
+}
+
+// Sizes of the first buffer for a body, in bytes.
+const (
+	knownBodyBytes   = 64 << 10 // at most, of one that has a length
+	unknownBodyBytes = 8 << 10
+)
+
+// readBody reads a body of a length, or to its end if that is negative. Its buffer grows with what arrives: a caller may announce
+// more than it sends.
 func readBody(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
+	first, largest := int64(unknownBodyBytes), int64(math.MaxInt64)
+	if length >= 0 {
+		first, largest = min(length, knownBodyBytes), length
+	}
+	body := make([]byte, 0, first)
+	for int64(len(body)) < largest {
+		if len(body) == cap(body) {
+			larger := make([]byte, len(body), min(largest, 2*int64(cap(body))))
+			copy(larger, body)
+			body = larger
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case err == io.EOF && int64(len(body)) < length:
+			return body, io.ErrUnexpectedEOF
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return body, err
+		}
 	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
+	return body, nil
 }
 
 // reserve reserves the request's maximum token usage in its organisation's budget.
--- a/router/forward/kind.go
+++ b/router/forward/kind.go
@@ -17,12 +17,13 @@
 	BadKey         Kind = "bad_key"
 	BadRequest     Kind = "bad_request"
 	TooLarge       Kind = "too_large"
+	BodyTimeout    Kind = "body_timeout"    // its body did not arrive in time
 	OverBudget     Kind = "over_budget"     // larger than the whole budget
 	Unconfirmed    Kind = "unconfirmed"     // this host's configuration refuses it, and a newer one may not
 	BudgetWait     Kind = "budget_wait"     // no tokens are available now
 	Stopping       Kind = "stopping"        // this host shuts down too soon to serve it
 	CatchingUp     Kind = "catching_up"     // this host was suspended and has not refreshed its state yet
-	HostBusy       Kind = "host_busy"       // this host's network link or processor is overloaded
+	HostBusy       Kind = "host_busy"       // this host's network link, processor or memory is overloaded
 	NoTarget       Kind = "no_target"       // no target was available
 	NoRegion       Kind = "no_region"       // route and organisation have no allowed region in common
 	TargetsFull    Kind = "targets_full"    // the rate limits of all suitable targets are used up
@@ -80,6 +81,7 @@
 	BadKey:         {http.StatusUnauthorized, 0},
 	BadRequest:     {http.StatusBadRequest, 0},
 	TooLarge:       {http.StatusRequestEntityTooLarge, 0},
+	BodyTimeout:    {http.StatusRequestTimeout, 0},
 	OverBudget:     {http.StatusPaymentRequired, 0},
 	Unconfirmed:    {http.StatusServiceUnavailable, minUnconfirmedRetryAfter},
 	BudgetWait:     {http.StatusServiceUnavailable, 5 * time.Second},
