inbound, node: what clients make a host hold is bounded at all listeners

Callers saw: a crowd of clients that don't end their requests ended a process, or left it without descriptors, so that it served nobody for as long as they stayed.

Cause: each request has limits, their sum had none. Bodies, parsed heads and connections were held for as long as the clients liked, and nothing knew how much that was; the settings didn't tell the process what its machine has.

Change: one account (lib/inbound) of the connections, heads and bodies of all four listeners, and of responses that callers don't read. Its bound is a part of the machine's memory and descriptors (settings memory_mb and descriptors in [capacity], filled in by the platform). Beyond it, what waits for its client gives way, first what has held most for longest; a request that was received whole is never ended, small ones have a part to themselves, and an evicted body's request gets 503, as it has not run.

The settings of its machine tell memory and descriptors now.

--- a/lib/graceful/graceful.go
+++ b/lib/graceful/graceful.go
@@ -26,7 +26,8 @@
 type Server struct {
 	http    *http.Server
 	leaving atomic.Bool
-	admit   func(inUse int) bool // nil: all connections are taken
+	admit   func(inUse int) bool                  // nil: all connections are taken
+	wrap    func(c *net.TCPConn) (net.Conn, bool) // nil: connections are served as they are
 
 	mu        sync.Mutex
 	listener  *listener
@@ -36,17 +37,22 @@
 }
 
 // New wraps an http.Server, which the caller must not use otherwise. It replaces its
-// Handler and ConnState.
+// Handler and ConnState, and calls the latter first.
 func New(s *http.Server) *Server {
 	g := &Server{http: s, idle: map[net.Conn]time.Time{}, busy: map[net.Conn]struct{}{}, idleGrace: idleGracePeriod}
-	handler := s.Handler
+	handler, connState := s.Handler, s.ConnState
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if g.leaving.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		handler.ServeHTTP(w, r)
 	})
-	s.ConnState = g.trackState
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if connState != nil {
+			connState(c, state)
+		}
+		g.trackState(c, state)
+	}
 	return g
 }
 
@@ -54,6 +60,10 @@
 // request; another one is closed unread. All are taken once Shutdown begins. It must be called before Serve.
 func (s *Server) SetAdmission(admit func(inUse int) bool) { s.admit = admit }
 
+// SetWrap has wrap make the connection to serve of each that was accepted; if it reports false, the accepted one is closed unread.
+// It must be called before Serve.
+func (s *Server) SetWrap(wrap func(c *net.TCPConn) (net.Conn, bool)) { s.wrap = wrap }
+
 // admits reports whether to take a new connection.
 func (s *Server) admits() bool {
 	if s.admit == nil || s.leaving.Load() {
@@ -94,6 +104,7 @@
 		return errNotTCP
 	}
 	wrapped := newListener(tcp, s.admits)
+	wrapped.wrap = s.wrap
 	s.mu.Lock()
 	s.listener = wrapped
 	s.mu.Unlock()
--- a/lib/graceful/listener.go
+++ b/lib/graceful/listener.go
@@ -14,7 +14,8 @@
 // reset them, with the requests already sent on them.
 type listener struct {
 	*net.TCPListener
-	admit       func() bool // whether to take a new connection, see Server.SetAdmission
+	admit       func() bool                           // whether to take a new connection, see Server.SetAdmission
+	wrap        func(c *net.TCPConn) (net.Conn, bool) // see Server.SetWrap; nil: none
 	closing     atomic.Bool
 	drained     chan struct{} // closed once Accept has returned the last connection
 	drainedOnce sync.Once     // guards the close of drained
@@ -28,8 +29,26 @@
 	return &listener{TCPListener: l, admit: admit, drained: make(chan struct{})}
 }
 
-// Accept returns the next connection, and http.ErrServerClosed after the last one.
+// Accept returns the next connection that is to be served, and http.ErrServerClosed after the last one.
 func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.accept()
+		if err != nil || l.wrap == nil {
+			return c, err
+		}
+		tcp, ok := c.(*net.TCPConn)
+		if !ok {
+			return c, nil
+		}
+		if wrapped, ok := l.wrap(tcp); ok {
+			return wrapped, nil
+		}
+		_ = c.Close() // unread
+	}
+}
+
+// accept returns the next connection as the kernel has it.
+func (l *listener) accept() (net.Conn, error) {
 	for !l.closing.Load() {
 		c, err := l.TCPListener.Accept()
 		if err == nil && !l.closing.Load() && !l.admit() {
--- a/proofs/exhaustion/crowd_test.go
+++ b/proofs/exhaustion/crowd_test.go
@@ -59,7 +59,7 @@
 		return unfinished(c, l, "Content-Length: 8000", func() error { return writeBytes(c, 7999) })
 	}},
 	{"many refused bodies stop short", manyClients, func(c net.Conn, l listener) error {
-		return unfinished(c, listener{l.name, l.address, "/nowhere", l.maxBody}, "Content-Length: 8000", func() error { return writeBytes(c, 7999) })
+		return unfinished(c, listener{l.name, l.address, "/nowhere", l.maxBody, l.headers}, "Content-Length: 8000", func() error { return writeBytes(c, 7999) })
 	}},
 	{"heads over the limit", manyClients, func(c net.Conn, l listener) error { return writeHead(c, l, 4*maxHeaderBytes) }},
 	{"heads without end", manyClients, func(c net.Conn, l listener) error { return writeHead(c, l, endlessBytes) }},
@@ -72,21 +72,25 @@
 	for _, l := range listeners {
 		for _, what := range conducts {
 			t.Run(l.name+"/"+strings.ReplaceAll(what.name, " ", "_"), func(t *testing.T) {
-				m := startMachine(t)
-				crowd := startCrowd(what, l)
-				defer crowd.leave()
-				crowd.sent.Wait()
-				m.settle()
-				m.checkHeld()
-				m.eventuallyServes()
-				crowd.leave()
-				m.eventuallyServes()
-				m.checkHeld()
+				startMachine(t).outlives(what, l)
 			})
 		}
 	}
 }
 
+// outlives requires that the process lives and serves beside a crowd, and after it.
+func (m *machine) outlives(what conduct, l listener) {
+	crowd := startCrowd(what, l)
+	defer crowd.leave()
+	crowd.sent.Wait()
+	m.settle()
+	m.checkHeld()
+	m.eventuallyServes()
+	crowd.leave()
+	m.eventuallyServes()
+	m.checkHeld()
+}
+
 // Guards against a bound that requests inside the limits meet while nothing else is in progress.
 func TestRequestsInsideTheLimitsAreServed(t *testing.T) {
 	startMachine(t)
@@ -174,7 +178,7 @@
 
 // unfinished sends the head of a request and what body writes.
 func unfinished(c net.Conn, l listener, framing string, body func() error) error {
-	if _, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: a\r\n%s\r\n\r\n", l.path, routeHost, framing); err != nil {
+	if _, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: a\r\n%s%s\r\n\r\n", l.path, routeHost, l.headers, framing); err != nil {
 		return err
 	}
 	return body()
--- a/proofs/exhaustion/machine_test.go
+++ b/proofs/exhaustion/machine_test.go
@@ -20,6 +20,7 @@
 
 	"maststage.dev/platform"
 	"maststage.dev/platform/platformtest"
+	"maststage.dev/proofs/fleet"
 	"maststage.dev/standin/backend"
 	"maststage.dev/standin/memlog"
 )
@@ -65,6 +66,7 @@
 		panic(err)
 	}
 	defer os.RemoveAll(dir)
+	defer fleet.Clean()
 	program = filepath.Join(dir, "maststage-router")
 	if out, err := exec.Command("go", "build", "-o", program, "maststage.dev/cmd/maststage-router").CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "build failed: %v\n%s", err, out)
@@ -73,18 +75,20 @@
 	return m.Run()
 }
 
-// machine is a host of one router process, with the log and a target in the test's process.
+// machine is a host of one process of the system.
 type machine struct {
 	t       *testing.T
-	process *exec.Cmd
-	ended   chan struct{} // closed once the process has exited
+	pid     int
+	network string       // of its listeners, as /proc/net/tcp has it
+	serves  func() error // sends an ordinary request
 }
 
 // machineSettings are the settings of the router's process.
 var machineSettings = fmt.Sprintf("[host]\nname = h0\ndomain = z0\nlisten = %s\nready_listen = %s\npeer_listen = %s\nmetrics_listen = %s\nseeds = %s\n"+
-	"[log]\naddress = %s\npartitions = 1\n", callersAddress, readyAddress, hostsAddress, metricsAddress, hostsAddress, storeAddress)
+	"[log]\naddress = %s\npartitions = 1\n[capacity]\nmemory_mb = %d\ndescriptors = %d\n",
+	callersAddress, readyAddress, hostsAddress, metricsAddress, hostsAddress, storeAddress, memoryBytes>>20, descriptors)
 
-// startMachine starts the log, a target and the router, and waits until the router serves.
+// startMachine starts the log and a target in the test's process, and the router, and waits until the router serves.
 func startMachine(t *testing.T) *machine {
 	store := memlog.New()
 	served, err := platformtest.Serve(storeAddress, store.Host("h0"))
@@ -113,55 +117,52 @@
 	store.Put(platformtest.Servers, "t0", platformtest.Encode(platformtest.Server{
 		Service: service, Address: target.Address(), Zone: "z0", State: platformtest.Ready, Slots: 50,
 	}))
-	m := &machine{t: t, ended: make(chan struct{})}
-	m.start()
+	m := &machine{t: t, pid: startRouter(t), network: routerNetwork, serves: servesPlain}
+	m.eventuallyServes()
 	return m
 }
 
-func (m *machine) start() {
-	dir := m.t.TempDir()
+// startRouter starts the router until the end of the test and returns the id of its process.
+func startRouter(t *testing.T) (pid int) {
+	dir := t.TempDir()
 	path := filepath.Join(dir, "router.ini")
 	if err := os.WriteFile(path, []byte(machineSettings), 0o600); err != nil {
-		m.t.Fatal(err)
+		t.Fatal(err)
 	}
 	out, err := os.Create(filepath.Join(dir, "router.log"))
 	if err != nil {
-		m.t.Fatal(err)
+		t.Fatal(err)
 	}
-	m.process = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec %q -config %q", descriptors, program, path))
-	m.process.Stdout, m.process.Stderr = out, out
-	m.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := m.process.Start(); err != nil {
-		m.t.Fatal(err)
+	process := exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec %q -config %q", descriptors, program, path))
+	process.Stdout, process.Stderr = out, out
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := process.Start(); err != nil {
+		t.Fatal(err)
 	}
-	go func() {
-		_ = m.process.Wait() // checkLives reports an unexpected end
+	t.Cleanup(func() {
+		_ = process.Process.Kill() // it may have ended
+		_ = process.Wait()
 		_ = out.Close()
-		close(m.ended)
-	}()
-	m.t.Cleanup(func() {
-		_ = m.process.Process.Kill() // it may have ended
-		<-m.ended
-		if text, err := os.ReadFile(out.Name()); err == nil && m.t.Failed() {
-			m.t.Logf("end of the router's log:\n%s", text[max(0, len(text)-4000):])
+		if text, err := os.ReadFile(out.Name()); err == nil && t.Failed() {
+			t.Logf("end of the router's log:\n%s", text[max(0, len(text)-4000):])
 		}
 	})
-	m.eventuallyServes()
+	return process.Process.Pid
 }
 
 // lives reports whether the process runs.
 func (m *machine) lives() bool {
-	select {
-	case <-m.ended:
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", m.pid))
+	if err != nil {
 		return false
-	default:
-		return true
 	}
+	_, state, _ := strings.Cut(string(text), ") ")
+	return !strings.HasPrefix(state, "Z") && !strings.HasPrefix(state, "X")
 }
 
 // peakMemory returns the largest resident size of the process so far, in bytes.
 func (m *machine) peakMemory() int64 {
-	file, err := os.Open(fmt.Sprintf("/proc/%d/status", m.process.Process.Pid))
+	file, err := os.Open(fmt.Sprintf("/proc/%d/status", m.pid))
 	if err != nil {
 		m.t.Fatal(err)
 	}
@@ -179,16 +180,44 @@
 	return 0
 }
 
+// unreadBytes returns the bytes that have arrived at the sockets of the machine's listeners and that the process has not read.
+func (m *machine) unreadBytes() (total int64) {
+	file, err := os.Open("/proc/net/tcp")
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	defer file.Close()
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		fields := strings.Fields(lines.Text())
+		if len(fields) < 5 || !strings.HasPrefix(fields[1], m.network) || fields[3] == listenState {
+			continue
+		}
+		_, queue, _ := strings.Cut(fields[4], ":")
+		bytes, err := strconv.ParseInt(queue, 16, 64)
+		if err != nil {
+			m.t.Fatal(err)
+		}
+		total += bytes
+	}
+	return total
+}
+
+// In /proc/net/tcp: the router's IP, 127.19.0.1 in host byte order, and the state of listeners.
+const (
+	routerNetwork = "0100137F:"
+	listenState   = "0A"
+)
+
 // openDescriptors counts the descriptors of the process.
 func (m *machine) openDescriptors() int {
-	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", m.process.Process.Pid))
+	list, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", m.pid))
 	if err != nil {
 		m.t.Fatal(err)
 	}
 	return len(list)
 }
 
-// Bounds of eventuallyServes. They only end a test whose router serves nobody.
+// Bounds of eventuallyServes. They only end a test whose process serves nobody.
 const (
 	serveAttempts = 8
 	attemptTime   = 4 * time.Second
@@ -200,7 +229,7 @@
 	var last error
 	for range serveAttempts {
 		if !m.lives() {
-			m.t.Fatal("the router has exited")
+			m.t.Fatal("the process has exited")
 		}
 		if last = m.serves(); last == nil {
 			return
@@ -210,8 +239,8 @@
 	m.t.Fatalf("no ordinary request is served: %v", last)
 }
 
-// serves sends an ordinary request.
-func (m *machine) serves() error {
+// servesPlain sends an ordinary request to the router.
+func servesPlain() error {
 	return exchange(ordinaryBody, func(c net.Conn) error {
 		return writeRequest(c, fmt.Sprintf("Content-Length: %d", ordinaryBody), func() error { return writeBytes(c, ordinaryBody) })
 	})
@@ -219,16 +248,17 @@
 
 // listeners are the addresses of the router's listeners.
 var listeners = []listener{
-	{"callers", callersAddress, routePrefix + "x", maxBodyBytes},
-	{"ready", readyAddress, "/v1/ready", 128 << 10},
-	{"hosts", hostsAddress, "/fleet/lend", 1 << 20},
-	{"metrics", metricsAddress, "/metrics", 128 << 10},
+	{"callers", callersAddress, routePrefix + "x", maxBodyBytes, ""},
+	{"ready", readyAddress, "/v1/ready", 128 << 10, ""},
+	{"hosts", hostsAddress, "/fleet/lend", 1 << 20, ""},
+	{"metrics", metricsAddress, "/metrics", 128 << 10, ""},
 }
 
 // listener is one listener of the router.
 type listener struct {
 	name, address, path string
-	maxBody             int // that it reads
+	maxBody             int    // that it reads
+	headers             string // of requests, each with its end of line
 }
 
 // Bounds of settle.
@@ -254,14 +284,14 @@
 // checkHeld requires that the process lives and holds no more than its machine has, but for what it needs for its own work.
 func (m *machine) checkHeld() {
 	if !m.lives() {
-		m.t.Fatal("the router has exited")
+		m.t.Fatal("the process has exited")
 	}
-	peak, open := m.peakMemory(), m.openDescriptors()
+	peak, open := m.peakMemory()+m.unreadBytes(), m.openDescriptors()
 	m.t.Logf("peak memory %d MB of %d, %d descriptors of %d", peak>>20, memoryBytes>>20, open, descriptors)
 	if peak > memoryBytes {
-		m.t.Errorf("the router used %d MB, and its machine has %d", peak>>20, memoryBytes>>20)
+		m.t.Errorf("the process used %d MB, and its machine has %d", peak>>20, memoryBytes>>20)
 	}
 	if open > descriptors-freeDescriptors {
-		m.t.Errorf("the router has %d descriptors open, and its machine has %d", open, descriptors)
+		m.t.Errorf("the process has %d descriptors open, and its machine has %d", open, descriptors)
 	}
 }
--- a/router/forward/admit.go
+++ b/router/forward/admit.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"maststage.dev/lib/inbound"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/routing"
 )
@@ -147,6 +148,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return q.refuseByConfig(TooLarge), err
+	case errors.Is(err, inbound.ErrEvicted):
+		return HostBusy, err
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return BodyTimeout, err
 	case err != nil && q.ctx.Err() != nil:
--- a/router/forward/ending.go
+++ b/router/forward/ending.go
@@ -82,7 +82,7 @@
 // resetOnClose decides whether any close of the caller's connection resets it, by whomever: net/http closes it when a write
 // fails, and the kernel when this process ends.
 func (q *request) resetOnClose(reset bool) {
-	if tcp, ok := q.r.Context().Value(callerConn{}).(*net.TCPConn); ok {
+	if tcp, ok := q.r.Context().Value(callerConn{}).(interface{ SetLinger(seconds int) error }); ok {
 		linger := -1 // the default
 		if reset {
 			linger = 0
@@ -98,7 +98,7 @@
 // request: the kernel resets a connection that is closed with bytes unread, and drops what is still on the way to the caller.
 // It reads from the socket itself, as net/http may be reading from the connection.
 func (q *request) discardReceived() {
-	tcp, ok := q.r.Context().Value(callerConn{}).(*net.TCPConn)
+	tcp, ok := q.r.Context().Value(callerConn{}).(syscall.Conn)
 	if !ok {
 		return
 	}
--- a/router/httpconn/pool.go
+++ b/router/httpconn/pool.go
@@ -71,7 +71,9 @@
 // DetectDead sets the same options on a connection as on those of a pool, so that it fails as soon once its other side
 // is gone.
 func DetectDead(nc net.Conn, userTimeout time.Duration) {
-	if tcp, ok := nc.(*net.TCPConn); ok {
+	if tcp, ok := nc.(interface {
+		SetKeepAliveConfig(c net.KeepAliveConfig) error
+	}); ok {
 		_ = tcp.SetKeepAliveConfig(keepAlive) // without it, the system's defaults apply
 	}
 	setUserTimeout(nc, userTimeout)
--- a/router/node/gauges.go
+++ b/router/node/gauges.go
@@ -18,6 +18,8 @@
 	n.observer.RegisterGauge("streams_remembered", func() float64 { return float64(n.streams.Len()) })
 	n.observer.RegisterGauge("open_requests", func() float64 { return float64(n.handler.InFlight()) })
 	n.registerCapacityGauges()
+	n.observer.RegisterGauge("clients_held_bytes", func() float64 { return float64(n.inbound.Bytes()) })
+	n.observer.RegisterGauge("clients_connections", func() float64 { return float64(n.inbound.Connections()) })
 	n.observer.RegisterGauge("unread_bytes", func() float64 { return float64(n.unread.Held()) })
 	n.observer.RegisterGauge("targets_unread_bytes", func() float64 { return float64(n.unsent.Held()) })
 	n.observer.RegisterGauge("hosts", func() float64 { return float64(n.fleet.Size()) })
--- a/router/node/listen.go
+++ b/router/node/listen.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	log "github.com/sirupsen/logrus"
 
 	"maststage.dev/lib/guard"
+	"maststage.dev/lib/inbound"
 )
 
 // listen opens all listeners.
@@ -21,27 +23,40 @@
 	if err := n.serve(n.server, h.Listen, "callers"); err != nil {
 		return err
 	}
-	if err := n.serveAux(h.ReadyListen, "ready", ready); err != nil {
+	if err := n.serveAux(h.ReadyListen, "ready", ready, readyShare); err != nil {
 		return err
 	}
-	if err := n.serveAux(h.PeerListen, "hosts", n.fleet.Handler()); err != nil {
+	if err := n.serveAux(h.PeerListen, "hosts", n.fleet.Handler(), hostShare); err != nil {
 		return err
 	}
 	if h.MetricsListen == "" {
 		return nil
 	}
-	return n.serveAux(h.MetricsListen, "metrics", n.observer.Handler())
+	return n.serveAux(h.MetricsListen, "metrics", n.observer.Handler(), metricsShare)
 }
 
 // auxTimeout bounds the requests of other hosts and of the platform.
 const auxTimeout = 10 * time.Second
 
-func (n *Node) serveAux(address, what string, handler http.Handler) error {
-	s := &http.Server{Handler: handler, ReadTimeout: auxTimeout, IdleTimeout: auxTimeout}
+// serveAux serves other clients than callers, which may have a share of the descriptors.
+func (n *Node) serveAux(address, what string, handler http.Handler, share float64) error {
+	s := &http.Server{
+		Handler: n.inbound.Handler(handler, 0), ReadTimeout: auxTimeout, IdleTimeout: auxTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: inbound.ConnContext, ConnState: inbound.TrackState,
+	}
 	n.auxServers = append(n.auxServers, s)
-	return n.serve(s, address, what)
+	return n.serve(auxServer{s, n.inbound.Listener(share)}, address, what)
+}
+
+// auxServer serves a listener whose connections are charged to the account.
+type auxServer struct {
+	*http.Server
+	part *inbound.Listener
 }
 
+// Serve serves a TCP listener.
+func (s auxServer) Serve(l net.Listener) error { return s.Server.Serve(s.part.Accept(l)) }
+
 // server accepts connections.
 type server interface{ Serve(l net.Listener) error }
 
@@ -50,6 +65,7 @@
 	if err != nil {
 		return fmt.Errorf("listening for connections of %s: %w", what, err)
 	}
+	limitReceiveBuffers(listener)
 	log.WithFields(log.Fields{"for": what, "address": address}).Info("listening")
 	guard.Go(what+" server", func() {
 		if err := s.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -58,3 +74,23 @@
 	})
 	return nil
 }
+
+// receiveBuffer bounds what the kernel keeps for a connection whose bytes are not read, in bytes. Without it the kernel lets the
+// buffer grow to megabytes.
+const receiveBuffer = 64 << 10
+
+// limitReceiveBuffers bounds the receive buffers of a listener's future connections.
+func limitReceiveBuffers(l net.Listener) {
+	tcp, ok := l.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	// Without the option, the system's default applies.
+	_ = raw.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+	})
+}
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -14,6 +14,7 @@
 
 	"maststage.dev/lib/graceful"
 	"maststage.dev/lib/guard"
+	"maststage.dev/lib/inbound"
 	"maststage.dev/router/capacity"
 	"maststage.dev/router/eventlog"
 	"maststage.dev/router/fleet"
@@ -107,6 +108,7 @@
 	streamPast     *streamversion.Past
 	streamJournal  *streamversion.Journal // nil: the log has no topic for it
 	intake         *intake.Gate
+	inbound        *inbound.Account
 	suspensions    *suspend.Detector
 	lastWake       atomic.Pointer[wake] // of the newest suspension
 	balances       *balanceLog
@@ -151,6 +153,7 @@
 		reach:          reach.New(),
 		intake:         intake.New(),
 	}
+	n.inbound = newInbound(cfg, func() { n.observer.Count("clients_evicted_total") })
 	n.capacity = capacity.New(cfg.Capacity.LinkMbps, n.leaving)
 	n.calls = logcount.New(env.Log, n.countCall)
 	n.env.Log = n.calls
@@ -186,6 +189,7 @@
 	n.retries = retrybudget.NewSet(retryLimits(cfg), n.knownHosts, time.Now())
 	n.newAllocator(incarnation)
 	n.unread = unread.New(int64(cfg.Callers.UnreadBytes), func() { n.observer.Count("callers_cut_total") })
+	n.inbound.Include(n.unread.Held)
 	n.unsent = unsent.New(unsent.Limits{
 		Total: int64(cfg.Targets.UnreadBytes), PerTarget: int64(cfg.Targets.UnreadBytesPerTarget),
 	}, func() { n.observer.Count("unread_requests_aborted_total") })
--- a/router/node/stop.go
+++ b/router/node/stop.go
@@ -8,8 +8,8 @@
 	log "github.com/sirupsen/logrus"
 
 	"maststage.dev/lib/graceful"
+	"maststage.dev/lib/inbound"
 	"maststage.dev/lib/wait"
-	"maststage.dev/router/forward"
 	"maststage.dev/router/settings"
 )
 
@@ -17,14 +17,16 @@
 // the configuration can't be applied to it.
 func (n *Node) callerServer() *graceful.Server {
 	server := graceful.New(&http.Server{
-		Handler:           n.handler,
-		ConnContext:       forward.ConnContext,
+		Handler:           n.callerHandler(),
+		ConnContext:       connContext,
+		ConnState:         inbound.TrackState,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          nil,
 	})
 	server.SetAdmission(n.admitsConnection)
+	server.SetWrap(n.inbound.Listener(callerShare).Wrap)
 	return server
 }
 
--- a/router/settings/sections.go
+++ b/router/settings/sections.go
@@ -151,12 +151,17 @@
 	// UnreadBytes bounds the memory for response bytes that callers have not read. Above it
 	// the connections that have been blocked longest are closed.
 	UnreadBytes int `ini:"unread_bytes" default:"16777216"`
+	// BodyS bounds the time, in seconds, in which the body of a request must arrive. An earlier deadline of the request counts.
+	BodyS float64 `ini:"body_s" default:"60"`
 }
 
 func (c Callers) check() error {
 	if c.UnreadBytes <= 0 {
 		return invalidValue("callers", "unread_bytes", fmt.Sprint(c.UnreadBytes), "is not above 0")
 	}
+	if c.BodyS <= 0 {
+		return invalidValue("callers", "body_s", fmt.Sprint(c.BodyS), "is not above 0")
+	}
 	return nil
 }
 
@@ -165,15 +170,31 @@
 	// LinkMbps is the speed of the network link in each direction in Mbit/s; 0: unknown, then callers are moved and
 	// refused only once connections to targets are slow.
 	LinkMbps float64 `ini:"link_mbps" default:"0"`
+	// MemoryMb is the memory of the machine in MB, and Descriptors how many the process may have open; 0: as the system tells.
+	// Clients of all listeners together may use a part of them.
+	MemoryMb    int `ini:"memory_mb" default:"0"`
+	Descriptors int `ini:"descriptors" default:"0"`
 }
 
 func (c Capacity) check() error {
 	if !(c.LinkMbps <= maxLinkMbps) {
 		return invalidValue("capacity", "link_mbps", fmt.Sprint(c.LinkMbps), "is not a speed in Mbit/s up to 10000000")
 	}
+	if c.MemoryMb > 0 && c.MemoryMb < minMemoryMb {
+		return invalidValue("capacity", "memory_mb", fmt.Sprint(c.MemoryMb), fmt.Sprintf("is neither 0 nor %d or more", minMemoryMb))
+	}
+	if c.Descriptors > 0 && c.Descriptors < minDescriptors {
+		return invalidValue("capacity", "descriptors", fmt.Sprint(c.Descriptors), fmt.Sprintf("is neither 0 nor %d or more", minDescriptors))
+	}
 	return nil
 }
 
+// A host with less serves nobody.
+const (
+	minMemoryMb    = 64
+	minDescriptors = 256
+)
+
 // maxLinkMbps is faster than any link, so that a speed in other units is noticed.
 const maxLinkMbps = 1e7
 
--- a/router/tunnel/server.go
+++ b/router/tunnel/server.go
@@ -224,7 +224,7 @@
 // closeWrite ends the bytes to the other host. Closing the connection with bytes of it unread would reset it, and with it
 // what is still on the way.
 func (c *carried) closeWrite() {
-	if tcp, ok := c.toHost.(*net.TCPConn); ok {
+	if tcp, ok := c.toHost.(interface{ CloseWrite() error }); ok {
 		_ = tcp.CloseWrite()
 		return
 	}
@@ -234,7 +234,7 @@
 // abort resets the connection to the other host, so that it doesn't take the end for an orderly one, and closes the
 // target's.
 func (c *carried) abort() {
-	if tcp, ok := c.toHost.(*net.TCPConn); ok {
+	if tcp, ok := c.toHost.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = c.toHost.Close()
