daemon: what clients make maststaged hold is bounded at both listeners

Callers saw: as for the router, a crowd that doesn't end its requests takes all memory and descriptors of a host; without the secret of the hosts, too.

Cause: the router's, and two more. The secret was checked once a message was there, so that anybody could make a host gather messages of 64 MB. And over HTTP/2 the server holds up to 1 MB of each connection before a handler reads.

Change: the account of lib/inbound at both listeners, settings in [machine] (memory_mb, descriptors, body_time). The secret is checked before a message is read. HTTP/2 windows are 128 KB a connection.

--- a/daemon/node/http.go
+++ b/daemon/node/http.go
@@ -10,6 +10,7 @@
 	"maststage.dev/daemon/entry"
 	"maststage.dev/daemon/operator"
 	"maststage.dev/lib/graceful"
+	"maststage.dev/lib/inbound"
 )
 
 const (
@@ -17,6 +18,9 @@
 	idleTimeout     = 2 * time.Minute
 	maxHeader       = 16 << 10
 	messageOverhead = 64 << 10 // bytes of a message besides its input
+	// What a server holds over HTTP/2 before a handler reads it, in bytes.
+	connectionWindow = 128 << 10
+	streamWindow     = 64 << 10
 )
 
 // newHTTP returns the server for callers, operators and metrics.
@@ -33,10 +37,14 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return graceful.New(&http.Server{
-		Handler: mux, Protocols: protocols,
+	server := graceful.New(&http.Server{
+		Handler: n.inbound.Handler(mux, n.cfg.Machine.BodyTime), Protocols: protocols,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ConnContext: inbound.ConnContext, ConnState: inbound.TrackState,
+		HTTP2: &http.HTTP2Config{MaxReceiveBufferPerConnection: connectionWindow, MaxReceiveBufferPerStream: streamWindow},
 	})
+	server.SetWrap(n.inbound.Listener(callerShare).Wrap)
+	return server
 }
 
 // health serves the load balancer: 503 while this host must not get new requests.
@@ -60,6 +68,9 @@
 			return 0
 		})
 	}
+	n.metrics.Gauge("clients_held_bytes", func() float64 { return float64(n.inbound.Bytes()) })
+	n.metrics.Gauge("clients_connections", func() float64 { return float64(n.inbound.Connections()) })
+	n.metrics.Gauge("clients_evicted", func() float64 { return float64(n.evicted.Load()) })
 	number("outbox_records", func(id *identity) int { return id.writer.Waiting() })
 	number("claims_held", func(id *identity) int { return id.Register.Held() })
 	number("bills_held", func(id *identity) int { return id.Bills.Held() })
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -26,6 +26,7 @@
 	"maststage.dev/fold"
 	"maststage.dev/lib/graceful"
 	"maststage.dev/lib/guard"
+	"maststage.dev/lib/inbound"
 	"maststage.dev/lib/rendezvous"
 )
 
@@ -46,6 +47,8 @@
 	metrics  *metric.Set
 	grpc     *grpc.Server
 	http     *graceful.Server
+	inbound  *inbound.Account
+	evicted  atomic.Uint64 // requests and connections that the account has evicted
 	loans    atomic.Uint64
 
 	current         atomic.Pointer[identity]
@@ -84,6 +87,7 @@
 	})
 	n.failureDetector.Store(n.newDetector(""))
 	n.store.Subscribe(n)
+	n.inbound = n.newInbound(cfg.Machine)
 	n.grpc = peer.NewServer(peerHandler{n}, cfg.Peers.Secret)
 	n.http = n.newHTTP()
 	n.addGauges()
@@ -157,7 +161,7 @@
 		return fmt.Errorf("listening for callers: %w", err)
 	}
 	guard.Go("peer server", func() {
-		if err := n.grpc.Serve(pl); err != nil {
+		if err := n.grpc.Serve(n.peerListener(pl)); err != nil {
 			log.WithError(err).Error("peer server failed")
 		}
 	})
--- a/daemon/peer/server.go
+++ b/daemon/peer/server.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
+	"google.golang.org/grpc/tap"
 
 	peerv1 "maststage.dev/api/peer/v1"
 	"maststage.dev/daemon/claim"
@@ -22,6 +23,12 @@
 
 const maxTailEntries = 500
 
+// Bounds of what a client may send, and of its time, before it has shown the secret.
+const (
+	maxHeaderList    = 16 << 10
+	handshakeTimeout = 5 * time.Second
+)
+
 // Handler serves the calls of other hosts.
 type Handler interface {
 	Execute(ctx context.Context, req *peerv1.ExecuteRequest, send func(*peerv1.ExecuteResponse) error) error
@@ -47,6 +54,10 @@
 func NewServer(d Handler, secret string) *grpc.Server {
 	g := grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessage),
+		// Before a message is read: clients without the secret make the host hold none.
+		grpc.InTapHandle(func(ctx context.Context, _ *tap.Info) (context.Context, error) { return ctx, authenticate(ctx, secret) }),
+		grpc.MaxHeaderListSize(maxHeaderList),
+		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.UnaryInterceptor(func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
 			if err := authenticate(ctx, secret); err != nil {
 				return nil, err
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -19,6 +19,7 @@
 	Requests Requests `ini:"requests"`
 	Targets  Targets  `ini:"targets"`
 	Log      Log      `ini:"log"`
+	Machine  Machine  `ini:"machine"`
 }
 
 // Load reads and checks the file at path.
@@ -68,5 +69,5 @@
 	if s.Budgets.MaxSlice == 0 {
 		return fmt.Errorf("section [budgets]: key \"max_slice\": must be above 0")
 	}
-	return nil
+	return s.Machine.check()
 }
--- a/daemon/settings/settings_test.go
+++ b/daemon/settings/settings_test.go
@@ -51,6 +51,9 @@
 		{"; borrow = true", "borrow = maybe", `section [budgets]: key "borrow": "maybe" is neither true nor false`},
 		{"; level = info", "level = loud", `section [log]: key "level"`},
 		{"; format = text", "format = xml", `section [log]: key "format": "xml" is neither "text" nor "json"`},
+		{"; memory_mb = 0", "memory_mb = 8", `section [machine]: key "memory_mb": 8 is neither 0 nor 64 or more`},
+		{"; descriptors = 0", "descriptors = 64", `section [machine]: key "descriptors": 64 is neither 0 nor 256 or more`},
+		{"; body_time = 60s", "body_time = 0s", `section [machine]: key "body_time": must be above 0`},
 		{"[log]", "[logs]", `section [logs]: not known`},
 		{"; queue = 1000", "queues = 1", `section [targets]: key "queues" is not known`},
 	} {
--- a/proofs/exhaustion/daemon_test.go
+++ b/proofs/exhaustion/daemon_test.go
@@ -1,6 +1,7 @@
 package exhaustion
 
 import (
+	"context"
 	"encoding/binary"
 	"encoding/hex"
 	"errors"
@@ -20,7 +21,7 @@
 const (
 	callerKey = "the-callers-key"
 	// daemonSettings are the settings of maststaged for its machine.
-	daemonSettings = ""
+	daemonSettings = "[machine]\nmemory_mb = 112\ndescriptors = 512\n"
 	// messageBytes is the size of the messages that clients begin over HTTP/2.
 	messageBytes = 4 << 20
 	// streams is how many requests a client sends on a connection over HTTP/2.
@@ -65,7 +66,7 @@
 var overHTTP2 = conduct{"messages over HTTP 2 stop short", fewClients, func(c net.Conn, l listener) error {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	transport := &http.Transport{Protocols: protocols, Dial: func(string, string) (net.Conn, error) { return c, nil }}
+	transport := &http.Transport{Protocols: protocols, DialContext: func(context.Context, string, string) (net.Conn, error) { return c, nil }}
 	sent := make(chan error, streams)
 	for range streams {
 		body := &stalledBody{rest: l.maxBody - 1, sent: sent}
