--- a/router/node/inbound.go
+++ b/router/node/inbound.go
@@ -15,19 +15,19 @@
 // What clients of all listeners may make this host hold, as parts of what its machine has. The rest is for the host's own state, for
 // responses, and for its connections to targets, to the log and to other hosts.
 const (
-	clientMemory     = 0.35
-	callerShare      = 0.4 // of the descriptors
-	hostShare        = 0.25
-	readyShare       = 0.03
-	metricsShare     = 0.03
-	collectorPortion = 0.9 // of the memory; near it the garbage collector runs more often
+	clientMemory  = 0.35
+	callerShare   = 0.4 // of the descriptors
+	hostShare     = 0.25
+	readyShare    = 0.03
+	metricsShare  = 0.03
+	runtimeMemory = 0.9 // limit of the runtime, near which the garbage collector runs more often
 )
 
 // newInbound makes the account of what clients make this host hold.
 func newInbound(cfg *settings.Settings, onEvict func()) *inbound.Account {
 	memory := cmp.Or(int64(cfg.Capacity.MemoryMb)<<20, inbound.MachineMemory())
 	if cfg.Capacity.MemoryMb > 0 {
-		debug.SetMemoryLimit(int64(collectorPortion * float64(memory)))
+		debug.SetMemoryLimit(int64(runtimeMemory * float64(memory)))
 	}
 	return inbound.New(inbound.Limits{
 		Bytes:       int64(clientMemory * float64(memory)),
