--- a/router/node/inbound.go
+++ b/router/node/inbound.go
@@ -13,7 +13,7 @@
 )
 
 // What clients of all listeners may make this host hold, as parts of what its machine has. The rest is for the host's own state, for
-// responses, and for its connections to targets, to the log and to other hosts.
+// bodies while they are copied, and for its connections to targets, to the log and to other hosts.
 const (
 	clientMemory  = 0.35
 	callerShare   = 0.4 // of the descriptors
