--- a/lib/inbound/account.go
+++ b/lib/inbound/account.go
@@ -20,9 +20,8 @@
 
 // Limits bound what the clients of a process can make it hold.
 type Limits struct {
-	Bytes       int64         // memory of connections, heads and bodies
-	Connections int           // sum of the connections of all listeners, to which their shares refer
-	BodyTime    time.Duration // within which a body must arrive, unless its handler sets a deadline
+	Bytes       int64 // memory of connections, heads and bodies
+	Connections int   // that the shares of listeners refer to
 }
 
 const (
--- a/lib/inbound/body.go
+++ b/lib/inbound/body.go
@@ -11,7 +11,7 @@
 const lingerTime = time.Second
 
 // Handler charges the bodies of requests to the account until next returns. Bodies that the account has evicted fail with ErrEvicted.
-// bodyTime bounds the time in which a body must arrive; 0: as the server does.
+// bodyTime bounds the time in which a body must arrive, unless next sets a deadline; 0: the server's own time-out does.
 func (a *Account) Handler(next http.Handler, bodyTime time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Body == nil || r.Body == http.NoBody {
