--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/world"
 mkdir -p ../../target/review-2
-go build -o ../../target/review-2/ .
+go build -buildvcs=false -o ../../target/review-2/ .
