--- a/review/world/back.go
+++ b/review/world/back.go
@@ -8,9 +8,9 @@
 	"time"
 )
 
-// Figures of the case "back": those of the sheet, with three machines and the model service's longest kind of request.
+// Figures of the case "back": those of the sheet, with its six machines and the model service's longest kind of request.
 const (
-	backHosts     = 3
+	backHosts     = 6
 	backTraffic   = 9 * time.Second  // until all processes are killed
 	backDown      = time.Second      // until the machine that is not lost is started again
 	backDark      = 5 * time.Second  // until the machines without power are back
--- a/review/world/ended.go
+++ b/review/world/ended.go
@@ -17,7 +17,8 @@
 	endedPieces   = 60
 	endedGap      = 25 * time.Millisecond
 	endedStreams  = 6 // in each round
-	endedRounds   = 3
+	endedRounds   = 4
+	endedDark     = 2 * time.Second        // in each second round the runner's machine says nothing for so long
 	endedRunners  = 4                      // of which one crashes in each round
 	endedCrashAt  = 600 * time.Millisecond // after the streams of a round began
 	endedInTokens = 1460
@@ -70,8 +71,10 @@
 	process *exec.Cmd
 	born    time.Time
 	over    bool
+	held    bool          // it is not started again yet
 	begun   int           // runs, in all
 	back    chan struct{} // gets an item at each start, once the process listens
+	gone    chan struct{} // gets an item at each end
 }
 
 func (p *runnerProcess) start() error {
@@ -107,8 +110,9 @@
 		}
 		_ = c.Wait()
 		p.mu.Lock()
-		over := p.over
+		over := p.over || p.held
 		p.mu.Unlock()
+		p.gone <- struct{}{}
 		if !over {
 			_ = p.start()
 		}
@@ -146,7 +150,7 @@
 		if err != nil {
 			return false, err
 		}
-		p := &runnerProcess{w: w, id: fmt.Sprintf("i-7f3a91c%d", i), address: address, back: make(chan struct{}, 100)}
+		p := &runnerProcess{w: w, id: fmt.Sprintf("i-7f3a91c%d", i), address: address, back: make(chan struct{}, 100), gone: make(chan struct{}, 100)}
 		if err := p.start(); err != nil {
 			return false, err
 		}
@@ -180,12 +184,9 @@
 		}
 		time.Sleep(endedCrashAt)
 		if w.trouble {
-			p := busiest(runners, begun)
-			w.rec.logf("runner %s crashes", p.id)
-			p.crash()
-			<-p.back
-			w.store.put("keyed.servers", p.id, p.entry())
-			w.rec.logf("runner %s is back", p.id)
+			if err := crashAndReturn(w, busiest(runners, begun), round%2 == 1); err != nil {
+				return false, err
+			}
 		}
 		streams.Wait()
 		for _, r := range replies {
@@ -227,3 +228,29 @@
 	}
 	return runners[most]
 }
+
+// crashAndReturn crashes a runner, which is started again at once, or after its machine was dark for a while.
+func crashAndReturn(w *world, p *runnerProcess, dark bool) error {
+	p.mu.Lock()
+	p.held = dark
+	p.mu.Unlock()
+	w.rec.logf("runner %s crashes", p.id)
+	p.crash()
+	<-p.gone
+	if dark {
+		end, err := darken(p.address)
+		if err != nil {
+			return err
+		}
+		w.rec.logf("the machine of runner %s says nothing", p.id)
+		time.Sleep(endedDark)
+		end()
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	<-p.back
+	w.store.put("keyed.servers", p.id, p.entry())
+	w.rec.logf("runner %s is back", p.id)
+	return nil
+}
