--- a/review/world/budgets.go
+++ b/review/world/budgets.go
@@ -67,6 +67,7 @@
 	}
 	s.mu.Unlock()
 	s.runs.Add(1)
+	s.w.rec.logf("runner %s runs %s: %d tokens in, %d out at most", e.runner.id, e.id, in, out)
 	events := int(out+stride-1) / stride
 	for piece := 1; piece <= events; piece++ {
 		if !e.sleep(stride * stepTime) {
@@ -181,6 +182,7 @@
 	shortIn, shortOut = 826, 15   // the mean prompt of a chat, 3 events
 	longStreams       = 24        // at each host
 	paceHosts         = 2
+	chatParts         = 8 // different shared parts of the chats' prompts
 )
 
 // casePace: answers of short streams are lost at a service whose other streams have long prompts (BUDGET).
@@ -216,7 +218,7 @@
 		time.AfterFunc(losingTime, func() { s.losing.Store(false) })
 	}
 	w.drain(12, 60*time.Second, func(n int64) call {
-		return stream(0, ownerChat, shortIn, shortOut, fmt.Sprintf("5c1e07a2:198,%x:628", 0x10000+n))
+		return stream(0, ownerChat, shortIn, shortOut, fmt.Sprintf("%x:198,%x:628", 0x5c1e07a0+n%chatParts, 0x10000+n))
 	})
 	return s.checkBudget(prepaid), nil
 }
