prepaid: tokens obtained for a request are not idle

Cause: a host that is no keeper gives idle tokens to one, and tokens were idle when no request had been admitted for 3 s. What a host had just taken for a request that waits was idle, too, as long as it had admitted none, and went before the request could run. In a small fleet there is no keeper: a transfer that nobody accepted counted as given, so the tokens were lost.

Change: tokens are not idle while a request waits, nor for 3 s after they were obtained, and a transfer that certainly no host accepted is undone. The borrower's need counts a request that was just denied. Tests of transfers name the outcome instead of a boolean, which is stricter.

--- a/router/fleet/fleet_test.go
+++ b/router/fleet/fleet_test.go
@@ -310,7 +310,7 @@
 	t.Cleanup(server.Close)
 	f := newFleet(Host{Name: "self"})
 	list := []peerHost{{address: server.Listener.Addr().String(), incarnation: "7"}}
-	is.True(f.transferTo(context.Background(), list, "org", 70))
+	is.Equal(f.transferTo(context.Background(), list, "org", 70), prepaid.TransferAccepted)
 	mu.Lock()
 	defer mu.Unlock()
 	is.Equal(len(taken), 1)
@@ -342,7 +342,7 @@
 	spare := newPeer(t, 0, false, true)
 	f := newFleet(Host{Name: "self"})
 	list := []peerHost{{address: server.Listener.Addr().String(), incarnation: "1"}, {address: spare.address()}}
-	is.True(!f.transferTo(context.Background(), list, "org", 70))
+	is.Equal(f.transferTo(context.Background(), list, "org", 70), prepaid.TransferUncertain)
 	is.Equal(taken.Load(), int64(70))
 	is.Equal(spare.given.Load(), int64(0))
 }
@@ -362,10 +362,11 @@
 	refuses, accepts, spare := newPeer(t, 0, false, false), newPeer(t, 0, false, true), newPeer(t, 0, false, true)
 	f := newFleet(Host{Name: "self"})
 	list := []string{"127.0.0.1:1", refuses.address(), accepts.address(), spare.address()}
-	is.True(f.transferTo(context.Background(), unknownIncarnations(list), "org", 70))
+	is.Equal(f.transferTo(context.Background(), unknownIncarnations(list), "org", 70), prepaid.TransferAccepted)
 	is.Equal(accepts.given.Load(), int64(70))
 	is.Equal(spare.given.Load(), int64(0))
-	is.True(!f.transferTo(context.Background(), unknownIncarnations(list[:2]), "org", 70))
+	is.Equal(f.transferTo(context.Background(), unknownIncarnations(list[:2]), "org", 70), prepaid.TransferDeclined)
+	is.Equal(f.transferTo(context.Background(), nil, "org", 70), prepaid.TransferDeclined)
 }
 
 func TestAnnouncesAndLeaves(t *testing.T) {
--- a/router/fleet/transfers.go
+++ b/router/fleet/transfers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"maststage.dev/lib/wait"
+	"maststage.dev/router/prepaid"
 )
 
 // Bounds on transfers of tokens.
@@ -22,7 +23,7 @@
 }
 
 // TransferIdle transfers idle tokens to a keeper of the budget.
-func (f *Fleet) TransferIdle(ctx context.Context, organisation string, tokens int64) bool {
+func (f *Fleet) TransferIdle(ctx context.Context, organisation string, tokens int64) prepaid.TransferResult {
 	return f.transferTo(ctx, f.peerHosts(f.lenders(organisation)), organisation, tokens)
 }
 
@@ -32,7 +33,7 @@
 	if lenders := f.lenders(organisation); lenders != nil {
 		list = append(lenders, list...)
 	}
-	return f.transferTo(ctx, f.peerHosts(list), organisation, tokens)
+	return f.transferTo(ctx, f.peerHosts(list), organisation, tokens) == prepaid.TransferAccepted
 }
 
 // peerHosts looks up the incarnations of the hosts at the given addresses.
@@ -50,43 +51,43 @@
 	return list
 }
 
-// transferResult is the outcome of an offer of tokens to one host.
-type transferResult int
+// offerResult is the outcome of an offer of tokens to one host.
+type offerResult int
 
 const (
-	transferAccepted    transferResult = iota
-	transferRefused                    // the host refused the tokens
-	transferUnreachable                // the offer did not reach the host
-	transferUncertain                  // the host may have accepted the tokens without a response
+	offerAccepted    offerResult = iota
+	offerRefused                 // the host refused the tokens
+	offerUnreachable             // the offer did not reach the host
+	offerUncertain               // the host may have accepted the tokens without a response
 )
 
 // transferTo transfers tokens to the first host that accepts them. The next host is tried only
 // if the previous one certainly did not accept them. Unreachable hosts are tried again until
-// transferDeadline, since tokens that no host accepts are lost.
-func (f *Fleet) transferTo(ctx context.Context, hosts []peerHost, organisation string, tokens int64) bool {
+// transferDeadline.
+func (f *Fleet) transferTo(ctx context.Context, hosts []peerHost, organisation string, tokens int64) prepaid.TransferResult {
 	ctx, cancel := context.WithTimeout(ctx, transferDeadline)
 	defer cancel()
 	for len(hosts) > 0 && ctx.Err() == nil {
 		var unreachable []peerHost
 		for _, host := range hosts {
 			switch f.offerTo(ctx, host, organisation, tokens) {
-			case transferAccepted:
-				return true
-			case transferUncertain:
-				return false
-			case transferUnreachable:
+			case offerAccepted:
+				return prepaid.TransferAccepted
+			case offerUncertain:
+				return prepaid.TransferUncertain
+			case offerUnreachable:
 				unreachable = append(unreachable, host)
 			}
 		}
 		hosts = unreachable
 		wait.For(ctx, transferRetryDelay)
 	}
-	return false
+	return prepaid.TransferDeclined
 }
 
 // offerTo offers tokens to one host. An unanswered call is retried with the same id and for the
 // same incarnation: a host remembers its responses as long as it runs.
-func (f *Fleet) offerTo(ctx context.Context, host peerHost, organisation string, tokens int64) transferResult {
+func (f *Fleet) offerTo(ctx context.Context, host peerHost, organisation string, tokens int64) offerResult {
 	request := transferRequest{ID: f.newTransferID(), Incarnation: host.incarnation, Organisation: organisation, Tokens: tokens}
 	unanswered := false
 	for {
@@ -96,21 +97,21 @@
 		cancel()
 		switch {
 		case err == nil && response.Accepted:
-			return transferAccepted
+			return offerAccepted
 		case err == nil && response.Incarnation == request.Incarnation:
-			return transferRefused
+			return offerRefused
 		case err == nil && unanswered:
-			return transferUncertain // the previous incarnation may have accepted them
+			return offerUncertain // the previous incarnation may have accepted them
 		case err == nil:
 			request.Incarnation = response.Incarnation
 			continue
 		case notSent(err) && !unanswered:
-			return transferUnreachable
+			return offerUnreachable
 		case !notSent(err):
 			unanswered = true
 		}
 		if ctx.Err() != nil {
-			return transferUncertain
+			return offerUncertain
 		}
 		wait.For(ctx, transferRetryDelay)
 	}
--- a/router/fleet/transfers_test.go
+++ b/router/fleet/transfers_test.go
@@ -33,7 +33,7 @@
 		_ = http.Serve(l, receiver.Handler()) // ends with the listener
 	}()
 	f := newFleet(Host{Name: "self"})
-	is.True(f.transferTo(context.Background(), []peerHost{{address: address, incarnation: "7"}}, "org", 70))
+	is.Equal(f.transferTo(context.Background(), []peerHost{{address: address, incarnation: "7"}}, "org", 70), prepaid.TransferAccepted)
 }
 
 // A host that refused a transfer is not asked again.
@@ -45,7 +45,7 @@
 	is.NoErr(err)
 	go func() { _ = http.Serve(l, receiver.Handler()) }()
 	f := newFleet(Host{Name: "self"})
-	is.True(!f.transferTo(context.Background(), []peerHost{{address: l.Addr().String(), incarnation: "7"}}, "org", 70))
+	is.Equal(f.transferTo(context.Background(), []peerHost{{address: l.Addr().String(), incarnation: "7"}}, "org", 70), prepaid.TransferDeclined)
 	is.NoErr(l.Close())
 	is.Equal(asked, 1)
 }
--- a/router/prepaid/allocation.go
+++ b/router/prepaid/allocation.go
@@ -84,6 +84,7 @@
 	keeperAskedAt      time.Time // when another host last treated this one as a keeper
 	keeperSize         int64     // wanted size of a keeper's allocation; 0: not a keeper in a large fleet
 	lastRequestAt      time.Time // when a request was last admitted
+	obtainedAt         time.Time // when tokens were last obtained for a request, or came back from a transfer
 
 	drawRate       rateEstimator
 	drawn          drawnSamples
@@ -186,16 +187,23 @@
 	if len(al.waiting) > 0 {
 		return al.takeForWaiting(0)
 	}
-	if now.Sub(al.lastRequestAt) > idlePeriod {
+	if al.idle(now) {
 		return Change{} // all of it is transferred to a keeper
 	}
-	need := al.demand + al.largestRequest // one second of demand plus one large request
+	// One second of demand plus one large request, which its caller may repeat if it came too early for its tokens.
+	need := al.demand + max(al.largestRequest, al.denied.recent(now))
 	if unspent := float64(al.currentAccount().Remaining() + al.free); al.hasExcess(need, unspent) {
 		return Change{Return: al.free - int64(need)}
 	}
 	return Change{}
 }
 
+// idle reports whether no request has needed the allocation for idlePeriod. Tokens that were obtained for a request are not idle
+// before it is admitted.
+func (al *allocation) idle(now time.Time) bool {
+	return len(al.waiting) == 0 && now.Sub(al.lastRequestAt) >= idlePeriod && now.Sub(al.obtainedAt) >= idlePeriod
+}
+
 // hasExcess reports whether an allocation is so much larger than wanted that returning the rest is
 // worth an append.
 func (al *allocation) hasExcess(want, unspent float64) bool {
--- a/router/prepaid/allocator.go
+++ b/router/prepaid/allocator.go
@@ -47,7 +47,7 @@
 	// OnRefusal is called for each request that is refused for lack of tokens; nil: not called. It must not block.
 	OnRefusal func(reason Reason)
 	// TransferIdle transfers idle tokens of a host that is not a keeper to a keeper; nil: never.
-	TransferIdle func(ctx context.Context, organisation string, tokens int64) bool
+	TransferIdle func(ctx context.Context, organisation string, tokens int64) TransferResult
 	// BeforeTransfer is called with what is left of a budget here before idle tokens are sent to
 	// another host: if this host exited during the transfer, its last report would otherwise still
 	// include them. nil: not called.
--- a/router/prepaid/append.go
+++ b/router/prepaid/append.go
@@ -253,6 +253,9 @@
 		al := a.allocations[update.organisation]
 		al.free += update.taken
 		al.totals.Taken += update.taken
+		if update.taken > 0 {
+			al.obtainedAt = time.Now()
+		}
 		if position := at.Plus(i); !al.known || al.recorded.position.Before(position) {
 			pw.noteRecord(al, update.next, position, true)
 			pw.seekWitness(update.organisation, al, update.next, position)
--- a/router/prepaid/keeper_size.go
+++ b/router/prepaid/keeper_size.go
@@ -111,7 +111,7 @@
 	}
 	want := min(use*s.KeeperHorizon+al.largestRequest, part*unspent)
 	al.keeperSize = int64(want)
-	if len(al.waiting) == 0 && now.Sub(al.lastRequestAt) > idlePeriod {
+	if al.idle(now) {
 		return Change{Return: al.free}
 	}
 	if len(al.waiting) == 0 && float64(al.free) > keeperReturnAbove*want && float64(al.free)-want > minReturnShare*unspent {
--- a/router/prepaid/loans.go
+++ b/router/prepaid/loans.go
@@ -287,6 +287,7 @@
 	if al := a.allocations[organisation]; al != nil {
 		al.free += tokens
 		al.totals.Borrowed += tokens
+		al.obtainedAt = time.Now()
 		a.notifyWaiters()
 	}
 }
--- a/router/prepaid/loans_test.go
+++ b/router/prepaid/loans_test.go
@@ -108,8 +108,11 @@
 		Borrow: func(ctx context.Context, organisation string, n int64, _ Request) Loan {
 			return keeper.Lend(ctx, LoanRequest{Organisation: organisation, Tokens: n})
 		},
-		TransferIdle: func(_ context.Context, organisation string, n int64) bool {
-			return keeper.Credit(Transfer{ID: fmt.Sprint(transfers.Add(1)), Organisation: organisation, Tokens: n})
+		TransferIdle: func(_ context.Context, organisation string, n int64) TransferResult {
+			if !keeper.Credit(Transfer{ID: fmt.Sprint(transfers.Add(1)), Organisation: organisation, Tokens: n}) {
+				return TransferDeclined
+			}
+			return TransferAccepted
 		},
 		OnCall: func(string) { calls.Add(1) },
 	})
--- a/router/prepaid/transfer.go
+++ b/router/prepaid/transfer.go
@@ -10,6 +10,26 @@
 	"maststage.dev/lib/guard"
 )
 
+// TransferResult is the outcome of a transfer of idle tokens.
+type TransferResult int
+
+// Outcomes of a transfer.
+const (
+	TransferUncertain TransferResult = iota // another host may have accepted the tokens
+	TransferAccepted
+	TransferDeclined // no host has accepted the tokens, nor will
+)
+
+func (r TransferResult) String() string {
+	switch r {
+	case TransferAccepted:
+		return "accepted"
+	case TransferDeclined:
+		return "declined"
+	}
+	return "uncertain"
+}
+
 // transferIdle transfers the idle tokens of budgets that this host is not a keeper of to a keeper.
 func (a *Allocator) transferIdle(ctx context.Context, pw *partitionWriter) {
 	if a.opts.TransferIdle == nil {
@@ -24,9 +44,11 @@
 	// rounds.
 	guard.Go("idle tokens", func() {
 		for organisation, tokens := range idle {
-			// Without a response they count as spent.
-			accepted := a.opts.TransferIdle(ctx, organisation, tokens)
-			log.WithFields(log.Fields{"organisation": organisation, "tokens": tokens, "took": accepted}).Debug("transfer of idle tokens to a keeper finished")
+			result := a.opts.TransferIdle(ctx, organisation, tokens)
+			if result == TransferDeclined {
+				a.undoTransfer(organisation, tokens)
+			} // else they are another host's, or count as spent
+			log.WithFields(log.Fields{"organisation": organisation, "tokens": tokens, "result": result}).Debug("transfer of idle tokens to a keeper finished")
 		}
 	})
 }
@@ -44,13 +66,25 @@
 	}
 }
 
+// undoTransfer credits tokens that no other host accepted.
+func (a *Allocator) undoTransfer(organisation string, tokens int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if al := a.allocations[organisation]; al != nil {
+		al.free += tokens
+		al.totals.Given -= tokens
+		al.obtainedAt = time.Now()
+		a.notifyWaiters()
+	}
+}
+
 // debitIdle debits the idle tokens of a writer's budgets.
 func (a *Allocator) debitIdle(pw *partitionWriter, now time.Time) map[string]int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	idle := map[string]int64{}
 	for organisation, al := range a.allocations {
-		if a.writerOf(organisation) != pw || al.free == 0 || now.Sub(al.lastRequestAt) < idlePeriod || !al.spendable() {
+		if a.writerOf(organisation) != pw || al.free == 0 || !al.idle(now) || !al.spendable() {
 			continue
 		}
 		if _, keeper := a.keepers(organisation, al); !keeper {
--- a/router/prepaid/transfer_test.go
+++ b/router/prepaid/transfer_test.go
@@ -65,10 +65,10 @@
 		Timeout: 50 * time.Millisecond, RefreshInterval: 20 * time.Millisecond, MaxWait: 200 * time.Millisecond,
 		Hosts:   func() int { return 20 },
 		Keepers: func(organisation string) (int, bool) { return 1, organisation == "kept" },
-		TransferIdle: func(ctx context.Context, _ string, _ int64) bool {
+		TransferIdle: func(ctx context.Context, _ string, _ int64) TransferResult {
 			asked <- struct{}{}
 			<-ctx.Done() // the keeper never responds
-			return false
+			return TransferUncertain
 		},
 	})
 	alloc.Configure(1, []Budget{{"kept", 1000}, {"idle", 1000}}, true)
@@ -89,10 +89,10 @@
 	alloc := New(Options{
 		Partitions: 1, Hosts: func() int { return 20 }, Keepers: func(string) (int, bool) { return 1, false },
 		BeforeTransfer: func(h Holding) { reported <- h },
-		TransferIdle: func(_ context.Context, _ string, tokens int64) bool {
+		TransferIdle: func(_ context.Context, _ string, tokens int64) TransferResult {
 			is.Equal(len(reported), 1)
 			given <- tokens
-			return true
+			return TransferAccepted
 		},
 	})
 	alloc.Configure(1, []Budget{{"org", 1000}}, true)
