node: a stopping host begins no request that may outlast it

Cause: Node.Accepts went by the time since the stop alone: 4.5 s for all requests that are no streams, whatever time they may take.

Change: the decision gets the request's own deadline, the earlier one of its caller and its route. A request that may not be repeated is begun only if the host outlives that deadline, from the SIGTERM on; others only then, too, once load balancers have noticed the stop (3 s of 8). The rest is refused at once with 503, so that its caller goes to another host. The times until which a host takes anything at all are as before.

--- a/router/forward/admit.go
+++ b/router/forward/admit.go
@@ -33,7 +33,8 @@
 		return kind, nil
 	}
 	q.countArrival()
-	if kind := h.opts.MayBegin(q.ctx, q.arrived, q.route.Kind == routing.Streaming); kind != OK {
+	q.setDeadline()
+	if kind := h.opts.MayBegin(q.ctx, q.arrival()); kind != OK {
 		return kind, nil
 	}
 	if !q.admitToLink() || !h.opts.Overload.Admit(q.arrived) {
@@ -43,7 +44,6 @@
 		return NoRegion, nil
 	}
 	q.setService(q.route.PickService(rand.Float64()))
-	q.setDeadline()
 	if kind, err := q.readBody(); kind != OK {
 		return kind, err
 	}
@@ -129,6 +129,10 @@
 	}
 }
 
+func (q *request) arrival() Arrival {
+	return Arrival{At: q.arrived, Deadline: q.deadline, Streaming: q.route.Kind == routing.Streaming, Repeatable: q.route.Repeatable()}
+}
+
 func (q *request) readBody() (Kind, error) {
 	if q.r.Body == nil || q.r.Body == http.NoBody {
 		return OK, nil
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -82,7 +82,7 @@
 	// other hosts.
 	CloseConnections func() bool
 	// MayBegin returns OK if a new request may begin, else why not. It may block briefly.
-	MayBegin func(ctx context.Context, arrived time.Time, streaming bool) Kind
+	MayBegin func(ctx context.Context, a Arrival) Kind
 	// Suspended returns the length of all suspensions of the host; nil: never suspended.
 	Suspended func() time.Duration
 	// ConfigAge returns how long ago the configuration was last confirmed to be the newest; nil: it always is.
@@ -91,6 +91,14 @@
 	ConfigAgeLimit func() time.Duration
 }
 
+// Arrival is what decides whether a host may begin a request.
+type Arrival struct {
+	At         time.Time
+	Deadline   time.Time // for the response; zero: none
+	Streaming  bool
+	Repeatable bool // the request may run more than once
+}
+
 // Handler serves callers.
 type Handler struct {
 	opts      Options
--- a/router/forward/harness_test.go
+++ b/router/forward/harness_test.go
@@ -239,7 +239,7 @@
 }
 
 // mayBegin implements Options.MayBegin; it refuses as a stopping host does unless admits is set.
-func (f *fixture) mayBegin(context.Context, time.Time, bool) Kind {
+func (f *fixture) mayBegin(context.Context, Arrival) Kind {
 	if f.admits.Load() {
 		return OK
 	}
--- a/router/node/harness_test.go
+++ b/router/node/harness_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -243,7 +244,10 @@
 }
 
 // call sends a request through a host.
-func (f *testFleet) call(h *host, path, key string) reply {
+func (f *testFleet) call(h *host, path, key string) reply { return f.callWith(h, path, key, nil) }
+
+// callWith is call with further headers.
+func (f *testFleet) callWith(h *host, path, key string, more http.Header) reply {
 	req, err := http.NewRequest(http.MethodPost, "http://"+h.cfg.Host.Listen+path, strings.NewReader("body"))
 	if err != nil {
 		return reply{err: err}
@@ -253,6 +257,7 @@
 	req.Header.Set("X-Id", id)
 	req.Header.Set("X-Key", key)
 	req.Header.Set("X-Tokens", "60,40")
+	maps.Copy(req.Header, more)
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		return reply{id: id, err: err}
--- a/router/node/stop.go
+++ b/router/node/stop.go
@@ -10,6 +10,7 @@
 	"maststage.dev/lib/graceful"
 	"maststage.dev/lib/inbound"
 	"maststage.dev/lib/wait"
+	"maststage.dev/router/forward"
 	"maststage.dev/router/settings"
 )
 
@@ -60,8 +61,7 @@
 
 const referenceGrace = 8 * time.Second
 
-// Accepts reports whether a new request may begin at this host: a host that is stopping accepts none that
-// it might not finish.
+// Accepts reports whether this host still takes new requests.
 func (n *Node) Accepts(streaming bool) bool {
 	started := n.stopStarted.Load()
 	if started == nil {
@@ -73,6 +73,25 @@
 	return time.Since(*started) < n.scaleToGrace(responseTime)
 }
 
+// endsAt returns when a host that is stopping ends the requests that are still in flight; zero: it isn't stopping.
+func (n *Node) endsAt() time.Time {
+	started := n.stopStarted.Load()
+	if started == nil {
+		return time.Time{}
+	}
+	return started.Add(settings.Seconds(n.cfg.Bounds.GraceS) - stopMargin)
+}
+
+// mayFinish reports whether a host that is stopping may begin a request: one whose deadline it outlives. Until load balancers
+// have noticed the stop, it also takes longer requests that may be repeated, and streams: most end well before their deadlines.
+func (n *Node) mayFinish(a forward.Arrival) bool {
+	end := n.endsAt()
+	if end.IsZero() || !a.Deadline.IsZero() && !a.Deadline.After(end) {
+		return true
+	}
+	return (a.Repeatable || a.Streaming) && time.Since(*n.stopStarted.Load()) < n.scaleToGrace(streamTime)
+}
+
 // Stop begins a graceful shutdown: the host is no longer ready, finishes its requests and exits within
 // the grace time.
 func (n *Node) Stop() {
@@ -87,8 +106,8 @@
 // drain waits until no request is in flight and none has arrived for a moment, and returns this host's
 // tokens.
 func (n *Node) drain(ctx context.Context) {
-	started := time.Now()
-	deadline := started.Add(settings.Seconds(n.cfg.Bounds.GraceS) - stopMargin)
+	started := *n.stopStarted.Load()
+	deadline := n.endsAt()
 	quietSince := started
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		now := time.Now()
--- a/router/node/suspend.go
+++ b/router/node/suspend.go
@@ -76,15 +76,15 @@
 // admits reports whether a new request may begin, or why not. A request that arrives while the host
 // catches up waits for that, which takes a few milliseconds if the log is reachable, and is then
 // served by the current state.
-func (n *Node) admits(ctx context.Context, arrived time.Time, streaming bool) forward.Kind {
-	n.suspensions.RequestArrived(arrived)
-	for n.catchingUp() && ctx.Err() == nil && time.Since(arrived) < catchUpWait {
+func (n *Node) admits(ctx context.Context, a forward.Arrival) forward.Kind {
+	n.suspensions.RequestArrived(a.At)
+	for n.catchingUp() && ctx.Err() == nil && time.Since(a.At) < catchUpWait {
 		wait.For(ctx, catchUpPollInterval)
 	}
 	switch {
 	case n.catchingUp():
 		return forward.CatchingUp
-	case !n.Accepts(streaming):
+	case !n.Accepts(a.Streaming) || !n.mayFinish(a):
 		return forward.Stopping
 	}
 	return forward.OK
