node: requests that outlast the grace time get a response

Callers saw: a request that was in flight as its host's grace time ended got a closed connection (LOST): the caller can't tell it from a crash.

Cause: the server's shutdown waits until the grace time ends and then closes the connections that are still in use.

Evidence: TestRequestThatOutlastsTheGraceTimeGetsAResponse fails without the call (EOF in place of 504). router/forward passes.

--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -101,13 +101,15 @@
 
 // Handler serves callers.
 type Handler struct {
-	opts      Options
-	names     Headers
-	managed   map[string]bool
-	protected map[string]bool
-	config    atomic.Pointer[routing.Config]
-	inFlight  atomic.Int64
-	waiting   *waitingAttempts
+	opts        Options
+	names       Headers
+	managed     map[string]bool
+	protected   map[string]bool
+	config      atomic.Pointer[routing.Config]
+	inFlight    atomic.Int64
+	waiting     *waitingAttempts
+	ended       context.Context // done once EndRequests was called
+	endRequests context.CancelFunc
 }
 
 // New returns a handler without a configuration; it refuses requests until SetConfig.
@@ -122,9 +124,15 @@
 		opts.Unsent = unsent.New(unsent.Unlimited, func() {})
 	}
 	names := opts.Names.canonical()
-	return &Handler{opts: opts, names: names, managed: names.managed(), protected: names.protected(), waiting: newWaitingAttempts()}
+	h := &Handler{opts: opts, names: names, managed: names.managed(), protected: names.protected(), waiting: newWaitingAttempts()}
+	h.ended, h.endRequests = context.WithCancel(context.Background())
+	return h
 }
 
+// EndRequests ends the requests in flight, and those that still come, as if their deadlines had passed: each gets its final response, unless
+// a part of a response was sent already.
+func (h *Handler) EndRequests() { h.endRequests() }
+
 // SetConfig applies a configuration to new requests. Requests in flight keep theirs, but don't go to
 // regions that the new one excludes.
 func (h *Handler) SetConfig(c *routing.Config) { h.config.Store(c) }
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -42,11 +42,12 @@
 
 // run attempts targets until one delivers a response or no further attempt is allowed.
 func (q *request) run() (Kind, error) {
-	ctx, cancel := q.ctx, context.CancelFunc(func() {})
+	ctx, cancel := context.WithCancel(q.ctx)
 	if !q.deadline.IsZero() {
 		ctx, cancel = context.WithDeadline(q.ctx, q.deadline)
 	}
 	defer cancel()
+	defer context.AfterFunc(q.handler.ended, cancel)()
 	unreachable := 0
 	var last error
 	for {
--- a/router/node/stop.go
+++ b/router/node/stop.go
@@ -108,6 +108,8 @@
 func (n *Node) drain(ctx context.Context) {
 	started := *n.stopStarted.Load()
 	deadline := n.endsAt()
+	// A caller whose request is still in flight then gets a final response rather than a closed connection.
+	defer time.AfterFunc(time.Until(deadline), n.handler.EndRequests).Stop()
 	quietSince := started
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		now := time.Now()
@@ -121,15 +123,15 @@
 		}
 		wait.For(ctx, drainPollInterval)
 	}
-	n.returnTokensAndLeave(ctx)
+	n.returnTokensAndLeave(ctx, deadline.Add(stopMargin/2))
 	n.shutdownServers(deadline)
 	log.WithFields(log.Fields{"open": n.handler.InFlight(), "took": time.Since(started).Round(time.Millisecond)}).Info("graceful shutdown done")
 }
 
 // returnTokensAndLeave returns free tokens to the log or, if that is unreachable, transfers them to
-// another host, and removes this host's announcement.
-func (n *Node) returnTokensAndLeave(ctx context.Context) {
-	c, cancel := context.WithTimeout(ctx, returnTimeout)
+// another host, and removes this host's announcement, until the deadline.
+func (n *Node) returnTokensAndLeave(ctx context.Context, deadline time.Time) {
+	c, cancel := context.WithTimeout(ctx, min(returnTimeout, time.Until(deadline)))
 	defer cancel()
 	up, _ := n.configReplica.Up()
 	if up {
--- a/router/node/stop_late_test.go
+++ b/router/node/stop_late_test.go
@@ -78,6 +78,24 @@
 	f.is.Equal(len(b.Runs()), 1)
 }
 
+// Guards against a request that outlasts the grace time of its host and gets a closed connection instead of a response.
+func TestRequestThatOutlastsTheGraceTimeGetsAResponse(t *testing.T) {
+	f := newFleet(t)
+	f.publish(config(1, plainRoute, ""))
+	f.backend("t1", backend.Behaviour{Delay: 5 * time.Second})
+	h := f.start(f.settings("h1"))
+	f.ready(h)
+	replies := make(chan reply)
+	go func() { replies <- f.call(h, "/r/x", "") }()
+	f.eventually("it is in flight", func() bool { return h.handler.InFlight() == 1 })
+	h.Stop()
+	got := <-replies
+	f.is.NoErr(got.err)
+	f.is.Equal(got.status, http.StatusGatewayTimeout) // it may have run
+	f.is.True(!time.Now().Before(h.endsAt()))
+	<-h.done
+}
+
 // callWithin sends a request with a deadline.
 func (f *testFleet) callWithin(h *host, path string, deadline time.Duration) reply {
 	return f.callWith(h, path, "", http.Header{"X-Deadline": {fmt.Sprint(deadline.Milliseconds())}})
