forward: a stopping host moves no work that outlasts it

Cause: a target that is silent for a multiple of its latency objective is given up for another one, which begins anew and may not end before the host does.

Change: while a host stops, silence moves no request whose deadline the host does not outlive. Its first run goes on. A request that the host outlives is moved as ever, and so is one whose connection broke or whose target refused it.

Evidence: TestStoppingHostDoesNotMoveWorkThatOutlastsIt failed before (two runs where one ends in time). Silence tests of router/forward pass.

--- a/router/forward/admit.go
+++ b/router/forward/admit.go
@@ -133,6 +133,12 @@
 	return Arrival{At: q.arrived, Deadline: q.deadline, Streaming: q.route.Kind == routing.Streaming, Repeatable: q.route.Repeatable()}
 }
 
+// outlastsHost reports whether the host is stopping and may end before the request's deadline.
+func (q *request) outlastsHost() bool {
+	end := q.handler.opts.EndsAt()
+	return !end.IsZero() && (q.deadline.IsZero() || q.deadline.After(end))
+}
+
 func (q *request) readBody() (Kind, error) {
 	if q.r.Body == nil || q.r.Body == http.NoBody {
 		return OK, nil
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -83,6 +83,9 @@
 	CloseConnections func() bool
 	// MayBegin returns OK if a new request may begin, else why not. It may block briefly.
 	MayBegin func(ctx context.Context, a Arrival) Kind
+	// EndsAt returns when a host that is stopping ends the requests that are still in flight; zero: it isn't stopping. nil: it
+	// never stops.
+	EndsAt func() time.Time
 	// Suspended returns the length of all suspensions of the host; nil: never suspended.
 	Suspended func() time.Duration
 	// ConfigAge returns how long ago the configuration was last confirmed to be the newest; nil: it always is.
@@ -123,6 +126,9 @@
 	if opts.Unsent == nil {
 		opts.Unsent = unsent.New(unsent.Unlimited, func() {})
 	}
+	if opts.EndsAt == nil {
+		opts.EndsAt = func() time.Time { return time.Time{} }
+	}
 	names := opts.Names.canonical()
 	h := &Handler{opts: opts, names: names, managed: names.managed(), protected: names.protected(), waiting: newWaitingAttempts()}
 	h.ended, h.endRequests = context.WithCancel(context.Background())
--- a/router/forward/harness_test.go
+++ b/router/forward/harness_test.go
@@ -168,7 +168,8 @@
 	backends   map[string]*backend.Backend
 	draining   atomic.Bool
 	admits     atomic.Bool
-	configAge  atomic.Int64 // a time.Duration
+	endOfHost  atomic.Pointer[time.Time] // nil: it isn't stopping
+	configAge  atomic.Int64              // a time.Duration
 	nextID     int
 }
 
@@ -230,7 +231,7 @@
 		Quarantine: f.guard, Unread: f.unread, StreamVersions: f.streams,
 		Names: testHeaders, Targets: f.targets, Budgets: f.budgets, Observer: f.recorder, StreamPace: f.streamPace, Overload: f.overload, Capacity: f.capacity,
 		Retries:          retrybudget.NewSet(retrybudget.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}, one, time.Time{}),
-		CloseConnections: func() bool { return f.draining.Load() || f.overload.IsUnready(time.Now()) }, MayBegin: f.mayBegin,
+		CloseConnections: func() bool { return f.draining.Load() || f.overload.IsUnready(time.Now()) }, MayBegin: f.mayBegin, EndsAt: f.endsAt,
 		ConfigAge:      func() time.Duration { return time.Duration(f.configAge.Load()) },
 		ConfigAgeLimit: func() time.Duration { return testConfigAgeLimit },
 	})
@@ -246,6 +247,14 @@
 	return Stopping
 }
 
+// endsAt implements Options.EndsAt.
+func (f *fixture) endsAt() time.Time {
+	if at := f.endOfHost.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 func (f *fixture) configure(text string) {
 	f.t.Helper()
 	config, err := routing.Parse([]byte(text))
--- a/router/forward/responses_test.go
+++ b/router/forward/responses_test.go
@@ -375,3 +375,17 @@
 		is.Equal(isFramed(resp), framed)
 	}
 }
+
+// Guards against a host that stops, abandons a run that would end in time and begins another one that can't.
+func TestStoppingHostDoesNotMoveWorkThatOutlastsIt(t *testing.T) {
+	f := newFixture(t)
+	for _, id := range []string{"t1", "t2"} {
+		f.add(id, "plain", backend.Behaviour{Delay: 700 * time.Millisecond, Body: "done"})
+	}
+	end := time.Now().Add(time.Second)
+	f.endOfHost.Store(&end)
+	got := f.do(f.request("GET", "/safe/x", ""))
+	f.is.NoErr(got.err)
+	f.is.Equal(got.body, "done")
+	f.is.Equal(f.runCount(), 1)
+}
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -127,6 +127,9 @@
 	if q.retryGranted {
 		return true
 	}
+	if q.outlastsHost() {
+		return false // this run may end before the host does, and another one would begin anew
+	}
 	others := maps.Clone(q.excluded)
 	others[target] = true
 	if !q.route.Repeatable() || !q.handler.opts.Targets.HasCandidate(q.requirements(others)) {
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -196,7 +196,7 @@
 	n.handler = forward.New(forward.Options{
 		Names: env.Headers, Targets: n.targets, Budgets: n.allocator, Retries: n.retries,
 		StreamPace: streampace.New(), Overload: n.overload, Capacity: n.capacity, Permits: n.permits, DecodeBrittle: env.DecodeBrittle, Quarantine: n.guard, Unread: n.unread, Unsent: n.unsent,
-		Observer: n.observer, CloseConnections: n.closesAll, MayBegin: n.admits, Suspended: n.suspendedTime, Rollouts: n.rollouts, StreamVersions: n.streams, OnLack: n.lacksConnections,
+		Observer: n.observer, CloseConnections: n.closesAll, MayBegin: n.admits, EndsAt: n.endsAt, Suspended: n.suspendedTime, Rollouts: n.rollouts, StreamVersions: n.streams, OnLack: n.lacksConnections,
 		ConfigAge: n.configAge, ConfigAgeLimit: n.configAgeLimit,
 	})
 	n.suspensions = suspend.New(clocks, n.resumed)
