forward, streampace: lost responses of short streams are charged

Callers saw: nothing; an organisation got more than it had paid for.

Cause: the bound on what a lost run may have made took the shortest time to a first event that was seen at the service as a limit for all, though it depends on the prompt. A run of less than half of it counted as one that made nothing, and was not even charged for its prompt.

Change: all that is taken for granted of the first event is that it takes as long to generate as any other. Paces are kept for each service and software version, not learned from cold targets, and the margin is four, as a full batch is up to that much slower than an empty one. A target that failed the request in a whole response made no tokens: that costs nothing, at any pace.

TestRunWithoutTokensIsNotCharged no longer needs a pace.

--- a/router/forward/attempt.go
+++ b/router/forward/attempt.go
@@ -24,7 +24,7 @@
 
 // attemptTarget sends the request to one target and handles the response.
 func (q *request) attemptTarget(ctx context.Context, t *target.Target) (result, error) {
-	a := &attempt{request: q, target: t, started: time.Now(), work: float64(q.usage.in), rolloutRequest: q.rolloutRequest(len(q.excluded) == 0)}
+	a := &attempt{request: q, target: t, started: time.Now(), work: float64(q.usage.in), startedCold: q.handler.opts.Targets.IsCold(t), rolloutRequest: q.rolloutRequest(len(q.excluded) == 0)}
 	res, err := a.run(ctx)
 	targets := q.handler.opts.Targets
 	q.lacked = q.lacked || errors.Is(err, httpconn.ErrConnLimit)
@@ -89,6 +89,7 @@
 	waits           bool              // path counts the attempt as waiting
 	started         time.Time
 	work            float64 // prompt tokens counted as the target's load until it responds
+	startedCold     bool    // the target was cold
 	rolloutRequest  rollout.Request
 	timeToFirstByte time.Duration // 0 if the response did not begin
 	firstEvent      time.Time     // when the first event arrived
--- a/router/forward/charge_test.go
+++ b/router/forward/charge_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"maststage.dev/router/prepaid"
+	"maststage.dev/router/streampace"
 	"maststage.dev/standin/backend"
 )
 
@@ -38,7 +39,7 @@
 // teachPace makes the estimator learn that pace.
 func (f *fixture) teachPace() {
 	for range 30 {
-		f.streamPace.Observe("engine", firstEvent, 10*eventGap, 11)
+		f.streamPace.Observe(streampace.Source{Service: "engine"}, 10*eventGap, 11)
 	}
 }
 
@@ -102,9 +103,6 @@
 func TestRunWithoutTokensIsNotCharged(t *testing.T) {
 	f := newFixture(t)
 	f.creditBudget()
-	for range 30 {
-		f.streamPace.Observe("engine", time.Minute, 2*time.Second, 11)
-	}
 	f.add("e1", "engine", backend.Behaviour{Status: 500, Body: "no"})
 	f.do(f.ask("/once/x"))
 	f.is.Equal(f.recorder.waitOutcome(t, "r1").TokensUsed, int64(0))
@@ -151,3 +149,31 @@
 	f.is.Equal(end.Kind, CallerGone)
 	f.checkCharge(end, 1)
 }
+
+// Guards against a run that cost its target a prompt and some events, and is charged nothing because its response was lost before
+// any stream observed until then had begun: those had long prompts, and this one has a short one.
+func TestLostResponseIsChargedForItsPrompt(t *testing.T) {
+	const made = 3 // events that the target may have generated until the response broke off
+	head := "HTTP/1.1 200 OK\r\nX-Id: r1\r\nX-Stamp: e1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, how := range map[string]backend.Behaviour{
+		"closed before the head":    {Delay: made * eventGap, Raw: &backend.Raw{Close: true}},
+		"reset before the head":     {Delay: made * eventGap, Raw: &backend.Raw{Reset: true}},
+		"reset after the head":      {Raw: &backend.Raw{Text: head, Pause: made * eventGap, Reset: true}},
+		"reset after one event":     {Events: made, Gap: eventGap, BreakAfter: 1, Reset: true},
+		"target ended":              {Delay: made * eventGap, Crash: true},
+		"no response until the end": {NoResponse: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.creditBudget()
+			f.teachPace()
+			f.add("e1", "engine", how)
+			req := f.ask("/once/x")
+			req.Header.Set("X-Deadline", "400")
+			f.do(req)
+			end := f.recorder.waitOutcome(t, "r1")
+			f.is.True(end.TokensUsed >= 100+5*made)
+			f.is.Equal(f.freeTokens(), transferredTokens-end.TokensUsed)
+		})
+	}
+}
--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -183,7 +183,7 @@
 	possibleRuns   int               // attempts whose target may have run the request
 	failedResponse *bufferedResponse // a target's error response, sent if no retry succeeds
 	retryGranted   bool              // a retry was granted before the current attempt ended
-	mayHaveTokens  bool              // a target may have generated tokens
+	begun          bool              // a target may have generated a token
 	undelivered    int64             // bound on the tokens that targets generated but did not deliver
 	stream         *stream
 	unnamed        atomic.Bool      // the newest event of the stream has no id, so that no target can go on behind it
