streamversion: a list confirmed before a take-up is no proof

Cause: a host that knows one version for a route concluded without asking that a stream of it began there, if its list of targets had been confirmed within 2 s. Another host may have begun the stream at a version listed since. A response that the log sent before a process stood still counted as a confirmation as of its continuation, too.

Change: the list is proof only once it was confirmed by a call that began after the take-up came. Meanwhile the three hosts that would have been told are asked; the first of the two that concludes ends the wait.

--- a/router/forward/harness_test.go
+++ b/router/forward/harness_test.go
@@ -224,7 +224,7 @@
 	})
 	f.guard.SetPeers(noPeers{})
 	f.streams = streamversion.New(streamversion.Options{
-		Versions: f.targets.RecentVersions, ListAge: func() time.Duration { return 0 }, Count: func(string) {}, Go: func(_ string, run func()) { go run() },
+		Versions: f.targets.RecentVersions, ConfirmedSince: func(time.Time) bool { return true }, Count: func(string) {}, Go: func(_ string, run func()) { go run() },
 	})
 	f.streams.SetPeers(noPeers{})
 	f.handler = New(Options{
--- a/router/node/streams.go
+++ b/router/node/streams.go
@@ -30,7 +30,7 @@
 	}
 	n.streams = streamversion.New(streamversion.Options{
 		Versions: n.streamVersions, Services: n.streamPast.Services, Covers: n.streamPast.Covers, CatchUp: n.streamPast.CatchUp, Followed: n.streamPast.Followed, Await: n.streamPast.Await,
-		Journal: n.streamJournal, ListAge: n.streamUsesAge, Count: n.observer.Count, Go: guard.Go,
+		Journal: n.streamJournal, ConfirmedSince: n.streamVersionsConfirmed, Count: n.observer.Count, Go: guard.Go,
 	})
 }
 
@@ -58,6 +58,12 @@
 	return n.targetsReplica.Age()
 }
 
+// streamVersionsConfirmed reports whether the targets were confirmed to be the newest ones by a call that began after a moment, and
+// routes are not out of date.
+func (n *Node) streamVersionsConfirmed(since time.Time) bool {
+	return n.targetsReplica.RefreshedSince(since) && n.configAge() <= n.configAgeLimit()
+}
+
 // maxUsesAge is the age of targets and routes up to which this host counts as following them.
 const maxUsesAge = 5 * time.Second
 
--- a/router/streamversion/begin_test.go
+++ b/router/streamversion/begin_test.go
@@ -118,14 +118,9 @@
 				looked = true
 				return []string{"v1"}
 			},
-			Covers: func() bool { return looked || later != "records" },
-			ListAge: func() time.Duration {
-				if looked || later != "list" {
-					return 0
-				}
-				return time.Hour
-			},
-			Count: func(string) {}, Go: func(_ string, run func()) { go run() },
+			Covers:         func() bool { return looked || later != "records" },
+			ConfirmedSince: func(time.Time) bool { return looked || later != "list" },
+			Count:          func(string) {}, Go: func(_ string, run func()) { go run() },
 		})
 		f := &historyFleet{}
 		d.SetPeers(&historyHost{fleet: f})
--- a/router/streamversion/directory.go
+++ b/router/streamversion/directory.go
@@ -66,8 +66,8 @@
 	Await func(ctx context.Context, route string, o Origin)
 	// Journal keeps the origins of streams in the log; nil: nothing does.
 	Journal *Journal
-	// ListAge is how long ago Versions and the routes were last confirmed to be the newest ones.
-	ListAge func() time.Duration
+	// ConfirmedSince reports whether Versions were confirmed to be the newest ones by a call that began after a moment.
+	ConfirmedSince func(t time.Time) bool
 	// Count increments a counter.
 	Count func(name string)
 	// Go starts a goroutine.
--- a/router/streamversion/directory_test.go
+++ b/router/streamversion/directory_test.go
@@ -113,7 +113,7 @@
 				defer f.mu.Unlock()
 				return h.versions
 			},
-			ListAge: func() time.Duration { return h.listAge }, Count: func(string) {}, Go: func(_ string, run func()) { go run() },
+			ConfirmedSince: func(t time.Time) bool { return h.listAge <= time.Since(t) }, Count: func(string) {}, Go: func(_ string, run func()) { go run() },
 		})
 		h.SetPeers(h)
 		f.hosts[h.name] = h
--- a/router/streamversion/find.go
+++ b/router/streamversion/find.go
@@ -17,8 +17,8 @@
 	askTimeout = 300 * time.Millisecond
 	// journalTimeout bounds the wait for a read of the log.
 	journalTimeout = 700 * time.Millisecond
-	// maxListAge is the age up to which a host relies on its list of targets without asking others.
-	maxListAge = 2 * time.Second
+	// listPollInterval is the time between two looks whether this host's list of targets was confirmed.
+	listPollInterval = 5 * time.Millisecond
 )
 
 // Verdict says what is known of a stream.
@@ -73,34 +73,108 @@
 	}
 	d.opts.CatchUp()
 	// What vouches for the origins comes first: the list and the records may be loaded meanwhile.
-	covered, fresh := d.opts.Covers(), d.opts.ListAge() <= maxListAge
-	search := &search{origins: d.origins(route, services), covered: covered}
-	if fresh && search.covered && len(search.origins) == 1 {
-		if f, ok := d.findOtherOrigin(ctx, k, search); ok {
+	covered := d.opts.Covers()
+	l := &lookup{directory: d, started: now, question: Question{Key: k, Route: route, Services: services}, holders: d.peers.Holders(k)}
+	l.holders = l.holders[:min(len(l.holders), maxAsked)]
+	l.search = &search{origins: d.origins(route, services), covered: covered}
+	if covered && len(l.search.origins) == 1 {
+		if f, ok := l.confirmSole(ctx); ok {
 			return f
 		}
-		return search.finding(search.sole(), Found, FromOwnList)
 	}
-	q := Question{Key: k, Route: route, Services: services}
-	list := d.peers.Holders(k)
-	list = list[:min(len(list), maxAsked)]
-	for len(list) > 0 && search.found == nil {
-		n := min(len(list), firstAsked)
-		if search.asked > 0 {
-			n = len(list)
+	for len(l.holders) > 0 && l.search.found == nil {
+		n := len(l.holders)
+		if l.search.asked == 0 {
+			n = min(n, firstAsked)
 		}
-		d.ask(ctx, list[:n], q, search)
-		list = list[n:]
+		d.ask(ctx, l.next(n), l.question, l.search)
 	}
-	complete := search.covered && (fresh || search.isMajority())
+	maps.Copy(l.search.origins, d.origins(route, services)) // the list may have been confirmed meanwhile
+	complete := l.search.covered && (l.listConfirmed() || l.search.isMajority())
 	switch {
-	case search.found != nil:
-		d.remember(k, *search.found)
-		return search.finding(*search.found.Origin, verdictOf(search.found.Ambiguous), FromPeer)
-	case complete && len(search.origins) == 1:
-		return search.finding(search.sole(), Found, FromPeersLists)
+	case l.search.found != nil:
+		return l.found()
+	case complete && len(l.search.origins) == 1:
+		return l.search.finding(l.search.sole(), Found, FromPeersLists)
 	}
-	return d.findInJournal(ctx, k, search)
+	return d.findInJournal(ctx, k, l.search)
+}
+
+// lookup is one call of Find that the host's own table doesn't answer.
+type lookup struct {
+	directory *Directory
+	started   time.Time
+	question  Question
+	holders   []string // those that were not asked yet
+	search    *search
+}
+
+// next takes the next n hosts to ask.
+func (l *lookup) next(n int) []string {
+	n = min(n, len(l.holders))
+	list := l.holders[:n]
+	l.holders = l.holders[n:]
+	return list
+}
+
+// listConfirmed reports whether this host's list of targets was confirmed since the lookup began. Only then does it have every
+// version at which a stream can have begun that is looked up: one that was confirmed before may lack a version at which
+// another host began the stream meanwhile.
+func (l *lookup) listConfirmed() bool {
+	return l.directory.opts.ConfirmedSince(l.started)
+}
+
+// found is the finding that another host knows the stream.
+func (l *lookup) found() Finding {
+	answer := *l.search.found
+	l.directory.remember(l.question.Key, answer)
+	return l.search.finding(*answer.Origin, verdictOf(answer.Ambiguous), FromPeer)
+}
+
+// confirmSole finds out whether the only origin that this host knows is the only one that streams of the route can have begun at:
+// by its own list once that is confirmed, or by those of the hosts that would have been told of the stream, whichever comes
+// first. ok is false if neither says so.
+func (l *lookup) confirmSole(ctx context.Context) (f Finding, ok bool) {
+	d := l.directory
+	var asked chan *search
+	for {
+		if l.listConfirmed() {
+			if own := d.origins(l.question.Route, l.question.Services); len(own) > 1 {
+				l.search.origins = own
+				return Finding{}, false
+			}
+			return l.sole(ctx, FromOwnList), true
+		}
+		if asked == nil {
+			asked = make(chan *search, 1)
+			first, s := l.next(firstAsked), &search{origins: maps.Clone(l.search.origins), covered: l.search.covered}
+			d.opts.Go("stream version", func() {
+				d.ask(ctx, first, l.question, s)
+				asked <- s
+			})
+		}
+		timer := time.NewTimer(listPollInterval)
+		select {
+		case l.search = <-asked:
+			timer.Stop()
+			switch {
+			case l.search.found != nil:
+				return l.found(), true
+			case l.search.answered == l.search.asked && len(l.search.origins) == 1:
+				return l.sole(ctx, FromPeersLists), true
+			}
+			return Finding{}, false
+		case <-timer.C:
+		}
+	}
+}
+
+// sole is the finding that the stream began at the only origin, unless the log knows another one.
+func (l *lookup) sole(ctx context.Context, from Source) Finding {
+	if f, ok := l.directory.findOtherOrigin(ctx, l.question.Key, l.search); ok {
+		return f
+	}
+	return l.search.finding(l.search.sole(), Found, from)
 }
 
 // findOtherOrigin looks for a stream in the log before this host concludes that it has the sole origin that it knows. A
--- a/router/streamversion/gap_test.go
+++ b/router/streamversion/gap_test.go
@@ -39,7 +39,7 @@
 			time.Sleep(20 * time.Second)
 			f.log.TrimAll() // the log keeps its history for some seconds only
 			f.setCut(missed, false)
-			for missed.targets.Age() > maxListAge {
+			for missed.targets.Age() > 2*time.Second {
 				time.Sleep(time.Millisecond)
 			}
 			time.Sleep(lookInterval)
--- a/router/streamversion/history_test.go
+++ b/router/streamversion/history_test.go
@@ -89,7 +89,7 @@
 	journal := NewJournal(JournalOptions{Log: view, Topic: pastStreams, Partitions: 4, Host: name, Hosts: count, Timeout: pastTimeout, Count: ignore, Go: run})
 	h.directory = New(Options{
 		Versions: h.versions, Services: h.past.Services, Covers: h.past.Covers, CatchUp: h.past.CatchUp, Followed: h.past.Followed, Await: h.past.Await, Journal: journal,
-		ListAge: h.targets.Age, Count: ignore, Go: run,
+		ConfirmedSince: h.targets.RefreshedSince, Count: ignore, Go: run,
 	})
 	h.directory.SetPeers(h)
 	for _, task := range []func(context.Context){h.targets.Run, h.past.Run, h.directory.Run, journal.Run} {
