proofs/exhaustion: targets that send without end

Reported by other operators: a faulty target sent bytes without end, in a head or in a body, and its host kept them all and ran out of memory.

It does not happen here: heads, chunk framing, events and buffered bodies of targets are bounded since docs/design/endless-answers.md. What had not been tried was many such targets at once. The test has 200 of them, in 16 places of a response, on routes of safe requests and of streams, and 300 callers of which half read nothing.

--- a/proofs/exhaustion/machine_test.go
+++ b/proofs/exhaustion/machine_test.go
@@ -89,7 +89,10 @@
 	callersAddress, readyAddress, hostsAddress, metricsAddress, hostsAddress, storeAddress, memoryBytes>>20, descriptors)
 
 // startMachine starts the log and a target in the test's process, and the router, and waits until the router serves.
-func startMachine(t *testing.T) *machine {
+func startMachine(t *testing.T) *machine { return startMachineWith(t, nil) }
+
+// startMachineWith is startMachine with more targets, those of faultyService, by their addresses.
+func startMachineWith(t *testing.T, faulty []string) *machine {
 	store := memlog.New()
 	served, err := platformtest.Serve(storeAddress, store.Host("h0"))
 	if err != nil {
@@ -108,12 +111,17 @@
 	t.Cleanup(target.Close)
 	store.Put(platformtest.Operator, platformtest.ConfigKey, platformtest.Encode(platformtest.Config{
 		Version: 1, Limits: platformtest.Limits{MaxHeaderBytes: maxHeaderBytes, MaxBodyBytes: maxBodyBytes},
-		Services: []platformtest.Service{{Name: service, MaxConns: 100}},
+		Services: []platformtest.Service{{Name: service, MaxConns: 100}, {Name: faultyService, MaxConns: 100}},
 		Routes: []platformtest.Route{{
 			Name: "work", Host: routeHost, PathPrefix: routePrefix, Kind: "unsafe", Service: service,
 			TimeoutMs: float64(routeTime.Milliseconds()), TargetLatencyMs: 1000, MaxAttempts: 1, Public: true,
-		}},
+		}, faultyRoute("safe"), faultyRoute("streaming")},
 	}))
+	for i, address := range faulty {
+		store.Put(platformtest.Servers, fmt.Sprint("f", i), platformtest.Encode(platformtest.Server{
+			Service: faultyService, Address: address, Zone: "z0", State: platformtest.Ready, Slots: 50,
+		}))
+	}
 	store.Put(platformtest.Servers, "t0", platformtest.Encode(platformtest.Server{
 		Service: service, Address: target.Address(), Zone: "z0", State: platformtest.Ready, Slots: 50,
 	}))
