forward, prepaid: sums of token numbers don't overflow

Callers saw: nothing; any organisation could refill its budget.

Cause: the reservation of a negative sum adds tokens to what the host holds.

Change: a request may name 2^50 tokens at most; more is refused with 400, as what doesn't parse. The allocator refuses negative numbers by itself.

--- a/router/forward/charge_test.go
+++ b/router/forward/charge_test.go
@@ -177,3 +177,17 @@
 		})
 	}
 }
+
+// Guards against numbers of tokens whose sum overflows, so that a negative reservation adds tokens to a budget.
+func TestTokenUsageThatOverflowsIsRefused(t *testing.T) {
+	for _, usage := range []string{"9223372036854775807,9223372036844775809", "9223372036854775807,1", "4611686018427387904,4611686018427387904", "1125899906842625,0"} {
+		f := newFixture(t)
+		f.creditBudget()
+		f.add("e1", "engine", backend.Behaviour{Events: 1})
+		req := f.ask("/once/x")
+		req.Header.Set("X-Tokens", usage)
+		f.is.Equal(f.do(req).status, http.StatusBadRequest)
+		f.is.Equal(f.runCount(), 0)
+		f.is.Equal(f.freeTokens(), int64(transferredTokens))
+	}
+}
--- a/router/forward/headers.go
+++ b/router/forward/headers.go
@@ -161,21 +161,24 @@
 
 // parseUsage reads "IN,OUT".
 func parseUsage(text string) (usage, bool) {
-	first, second, ok := strings.Cut(text, ",")
-	if !ok {
-		return usage{}, false
-	}
-	in, err := strconv.ParseInt(strings.TrimSpace(first), 10, 64)
-	if err != nil || in < 0 {
-		return usage{}, false
-	}
-	out, err := strconv.ParseInt(strings.TrimSpace(second), 10, 64)
-	if err != nil || out < 0 {
+	first, second, _ := strings.Cut(text, ",")
+	in, okIn := parseTokens(first)
+	out, okOut := parseTokens(second)
+	if !okIn || !okOut {
 		return usage{}, false
 	}
 	return usage{in: in, out: out}, true
 }
 
+// maxTokens is the largest number of tokens that a request may name. Sums of such numbers don't overflow.
+const maxTokens = 1 << 50
+
+// parseTokens parses a number of tokens.
+func parseTokens(text string) (n int64, ok bool) {
+	n, err := strconv.ParseInt(strings.TrimSpace(text), 10, 64)
+	return n, err == nil && n >= 0 && n <= maxTokens
+}
+
 // sharedPrefix returns the parts of the prompt that other requests may share: all
 // but the last.
 func sharedPrefix(parts string) string {
--- a/router/prepaid/allocator.go
+++ b/router/prepaid/allocator.go
@@ -309,7 +309,7 @@
 	if al == nil {
 		return &Reservation{allocator: a, organisation: organisation}, nil
 	}
-	if tokens > al.limit {
+	if tokens < 0 || tokens > al.limit {
 		return nil, ErrTooLarge
 	}
 	if al.free < tokens || !al.spendable() || !a.leavesHeadroom(organisation, al, tokens) {
--- a/router/prepaid/allocator_test.go
+++ b/router/prepaid/allocator_test.go
@@ -134,3 +134,14 @@
 	again.Configure(1, []Budget{{"org", 1000}}, true)
 	is.Equal(spent+spend(again, "org", 10, 500), int64(1000))
 }
+
+// Guards against a reservation of a negative number of tokens, which would add them to the budget.
+func TestNegativeReservationIsRefused(t *testing.T) {
+	is := is.New(t)
+	alloc := New(Options{Partitions: 1, Hosts: func() int { return 1 }})
+	alloc.Configure(1, []Budget{{Organisation: "o", Limit: 100}}, false)
+	got, err := alloc.Reserve(context.Background(), "o", -50)
+	is.True(got == nil && errors.Is(err, ErrTooLarge))
+	held, _ := alloc.Holding("o")
+	is.Equal(held.Free, int64(0))
+}
