prepaid: nothing is taken for a request that has its tokens

Callers saw: fewer tokens in reach than the budget has, for a while. A host took a second request's worth for a request that had just got its tokens, and held it.

Cause: a request counts as waiting until its goroutine has removed it, after the lock was released under which it got its tokens. A round in between takes as many again.

Change: both happen under one lock.

TestNothingIsTakenForARequestThatHasItsTokens states it without goroutines.

--- a/router/prepaid/allocator.go
+++ b/router/prepaid/allocator.go
@@ -266,12 +266,19 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	a.addWaiter(organisation, tokens)
-	defer a.removeWaiter(organisation, tokens)
+	waits := true
+	defer func() {
+		if waits {
+			a.removeWaiter(organisation, tokens)
+		}
+	}()
 	dry := a.dryFound(organisation)
 	for {
 		// Fetched before the attempt, so that no gain between the two is missed.
 		gained := a.nextGain()
-		if got, err := a.tryReserve(organisation, tokens); got != nil || err != nil {
+		got, err := a.tryReserveWaiting(organisation, tokens)
+		waits = got == nil
+		if got != nil || err != nil {
 			return got, err
 		}
 		a.writerOf(organisation).requestRound()
@@ -305,6 +312,22 @@
 func (a *Allocator) tryReserve(organisation string, tokens int64) (*Reservation, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.tryReserveLocked(organisation, tokens)
+}
+
+// tryReserveWaiting is tryReserve for a request that waits, and no longer does once it has its tokens: no more are taken for it.
+func (a *Allocator) tryReserveWaiting(organisation string, tokens int64) (*Reservation, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	got, err := a.tryReserveLocked(organisation, tokens)
+	if al := a.allocations[organisation]; got != nil && al != nil {
+		al.removeWaiter(tokens)
+	}
+	return got, err
+}
+
+// tryReserveLocked is tryReserve; the lock is held.
+func (a *Allocator) tryReserveLocked(organisation string, tokens int64) (*Reservation, error) {
 	al := a.allocations[organisation]
 	if al == nil {
 		return &Reservation{allocator: a, organisation: organisation}, nil
--- a/router/prepaid/idle_test.go
+++ b/router/prepaid/idle_test.go
@@ -76,6 +76,23 @@
 	is.Equal(len(alloc.debitIdle(alloc.writers[0], time.Now().Add(idlePeriod))), 1) // they are if nobody needs them
 }
 
+// Guards against tokens that are taken twice for a request, as it still counts as waiting once it has them.
+func TestNothingIsTakenForARequestThatHasItsTokens(t *testing.T) {
+	is := is.New(t)
+	h := newHostGroup(t, 1)
+	alloc := New(Options{
+		Log: h.log.Host("a"), Topic: "b", Partitions: 1, Host: "a", Sizing: DefaultSizing, Timeout: time.Second,
+		Hosts: func() int { return 1 }, Keepers: func(string) (int, bool) { return 1, false },
+	})
+	alloc.Configure(1, []Budget{{"o", 10000}}, false)
+	alloc.addWaiter("o", 1000)
+	is.NoErr(alloc.writers[0].round(t.Context()))
+	got, err := alloc.tryReserveWaiting("o", 1000)
+	is.True(got != nil && err == nil)
+	is.NoErr(alloc.writers[0].round(t.Context()))
+	is.Equal(h.account(alloc, "o").Granted, int64(1000))
+}
+
 // Guards against borrowed tokens that are given away before the request for which they were borrowed is admitted.
 func TestBorrowedTokensAreNotIdle(t *testing.T) {
 	is := is.New(t)
