prepaid: tokens of a waiting request are not lent

Callers saw: a request waits at a host that is no keeper while its tokens come, and is refused: they were lent before it could run.

Cause: in a large fleet any host lent what it held, also what it had just taken for a request that waits. A loan had the same gap: it was credited under one lock and reserved under the next.

Change: a host that is no keeper lends nothing while its own requests wait, and says so when it is surveyed; a keeper of few lends as before, as it holds the tokens of all. A loan is reserved for its request under the lock under which it is credited.

Evidence: TestTokensOfAWaitingRequestAreNotLent fails on the code before (500 lent).

--- a/router/prepaid/fuzz_test.go
+++ b/router/prepaid/fuzz_test.go
@@ -282,7 +282,7 @@
 		m.note(lender, r)
 	}
 	if lent > 0 && rapid.Bool().Draw(t, "arrives") {
-		m.hosts[to].creditBorrowed("org", lent)
+		m.hosts[to].acceptLoan("org", lent, Loan{Tokens: lent})
 		return
 	}
 	m.lostLoans = append(m.lostLoans, lostLoan{lender: from, id: id})
--- a/router/prepaid/idle_test.go
+++ b/router/prepaid/idle_test.go
@@ -124,3 +124,18 @@
 	is.Equal(held.Totals.Given, int64(0))
 	is.Equal(len(alloc.debitIdle(alloc.writers[0], time.Now())), 0) // not offered again at once
 }
+
+// Guards against a host that is no keeper and lends what it has just taken for a request that waits there.
+func TestTokensOfAWaitingRequestAreNotLent(t *testing.T) {
+	is := is.New(t)
+	alloc := New(Options{Partitions: 1, Hosts: func() int { return 20 }, Keepers: func(string) (int, bool) { return 1, false }})
+	alloc.Configure(1, []Budget{{"o", 10000}}, false)
+	is.True(alloc.Credit(Transfer{ID: "1", Organisation: "o", Tokens: 1000}))
+	ask := LoanRequest{ID: "a", Organisation: "o", Tokens: 500, FreeOnly: true, AllowPartial: true}
+	alloc.addWaiter("o", 1000)
+	is.Equal(alloc.Lend(t.Context(), ask).Tokens, int64(0))
+	is.True(!alloc.AnswerSurvey(Survey{Organisation: "o", Tokens: 500}).Lends)
+	alloc.removeWaiter("o", 1000)
+	ask.ID = "b"
+	is.Equal(alloc.Lend(t.Context(), ask).Tokens, int64(500))
+}
--- a/router/prepaid/loans.go
+++ b/router/prepaid/loans.go
@@ -89,14 +89,22 @@
 	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
 	defer cancel()
 	loan := a.opts.Borrow(ctx, organisation, shortfall, q)
-	a.acceptLoan(organisation, shortfall, loan)
 	if loan.Shed {
+		a.acceptLoan(organisation, shortfall, loan)
 		return nil, true, ErrShed
 	}
-	got, err = a.tryReserve(organisation, tokens)
+	got, err = a.reserveWithLoan(organisation, tokens, shortfall, loan)
 	return got, loan.Authoritative, err
 }
 
+// reserveWithLoan accepts a loan and reserves the tokens of the request that it is for, so that nobody else gets them in between.
+func (a *Allocator) reserveWithLoan(organisation string, tokens, wanted int64, loan Loan) (*Reservation, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.acceptLoanLocked(organisation, wanted, loan)
+	return a.tryReserveLocked(organisation, tokens)
+}
+
 // shortfall is how many tokens the allocation lacks for a request. No more than that is borrowed,
 // since others can't reach what a non-keeper holds. recentlyDenied says that other hosts had too
 // few tokens for as much a moment ago.
@@ -116,15 +124,23 @@
 
 // acceptLoan credits a loan and records if it was too small.
 func (a *Allocator) acceptLoan(organisation string, wanted int64, loan Loan) {
-	if loan.Tokens > 0 {
-		a.creditBorrowed(organisation, loan.Tokens)
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.acceptLoanLocked(organisation, wanted, loan)
+}
+
+// acceptLoanLocked is acceptLoan; the lock is held.
+func (a *Allocator) acceptLoanLocked(organisation string, wanted int64, loan Loan) {
 	al := a.allocations[organisation]
 	if al == nil {
 		return
 	}
+	if loan.Tokens > 0 {
+		al.free += loan.Tokens
+		al.totals.Borrowed += loan.Tokens
+		al.obtainedAt = time.Now()
+		a.notifyWaiters()
+	}
 	if loan.Tokens < wanted && loan.Authoritative {
 		al.borrowDeniedAt, al.borrowDeniedTokens = time.Now(), wanted-loan.Tokens
 	}
@@ -181,11 +197,11 @@
 	if recentlyDenied {
 		return nil
 	}
+	loan := Loan{}
 	if shortfall > 0 {
-		loan := a.opts.BorrowFromKeepers(ctx, request.Organisation, shortfall)
-		a.acceptLoan(request.Organisation, shortfall, loan)
+		loan = a.opts.BorrowFromKeepers(ctx, request.Organisation, shortfall)
 	}
-	got, _ := a.tryReserve(request.Organisation, request.Tokens)
+	got, _ := a.reserveWithLoan(request.Organisation, request.Tokens, shortfall, loan)
 	return got
 }
 
@@ -225,8 +241,7 @@
 	if al == nil || request.Tokens <= 0 || a.closing || !al.spendable() || a.loans.recalled(request.ID) {
 		return 0
 	}
-	count, _ := a.keepers(request.Organisation, al)
-	if len(al.waiting) > 0 && !a.fewKeepers(count) {
+	if !a.lendsBesideWaiting(request.Organisation, al) {
 		return 0
 	}
 	lendable := al.lendableTokens()
@@ -245,6 +260,17 @@
 	return lent
 }
 
+// lendsBesideWaiting reports whether no request of this host waits for its tokens, or requests of other hosts have the same claim to
+// them: at one of few keepers, which hold the tokens of all. Elsewhere tokens that were taken for a waiting request are not lent.
+// The lock is held.
+func (a *Allocator) lendsBesideWaiting(organisation string, al *allocation) bool {
+	if len(al.waiting) == 0 {
+		return true
+	}
+	count, keeper := a.keepers(organisation, al)
+	return keeper && a.fewKeepers(count)
+}
+
 // lendReserved turns a reservation into a loan.
 func (a *Allocator) lendReserved(id string, r *Reservation) int64 {
 	a.mu.Lock()
@@ -280,14 +306,3 @@
 	a.notifyWaiters()
 	return loan.tokens
 }
-
-func (a *Allocator) creditBorrowed(organisation string, tokens int64) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if al := a.allocations[organisation]; al != nil {
-		al.free += tokens
-		al.totals.Borrowed += tokens
-		al.obtainedAt = time.Now()
-		a.notifyWaiters()
-	}
-}
--- a/router/prepaid/search.go
+++ b/router/prepaid/search.go
@@ -153,9 +153,9 @@
 	if al == nil || a.closing || !al.spendable() {
 		return SurveyAnswer{}
 	}
-	count, keeper := a.keepers(survey.Organisation, al)
+	_, keeper := a.keepers(survey.Organisation, al)
 	answer := SurveyAnswer{Keeper: keeper, Free: al.lendableTokens(), Log: !away}
-	answer.Lends = answer.Free >= survey.Tokens && (a.fewKeepers(count) || len(al.waiting) == 0) &&
+	answer.Lends = answer.Free >= survey.Tokens && a.lendsBesideWaiting(survey.Organisation, al) &&
 		(!keeper || a.leavesHeadroom(survey.Organisation, al, survey.Tokens))
 	needed := survey.Tokens
 	if al.keeperSize > 0 {
