node: a shutdown goes by the newest grace time

Cause: the shutdown read its grace time from the settings at the start.

Change: it goes by the newest settings as it begins, and by that value until it ends. The settings are read once more at the SIGTERM, as their file may change without a signal.

--- a/cmd/maststage-router/main.go
+++ b/cmd/maststage-router/main.go
@@ -93,6 +93,7 @@
 	guard.Go("settings", func() { watchSettings(ctx, n, path, hangups) })
 	guard.Go("signals", func() {
 		<-signals
+		n.Reload(path) // the grace time may have changed since the last look at the file
 		n.Stop()
 		<-signals
 		cancel()
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -128,6 +128,7 @@
 	started        time.Time
 	configQueued   chan struct{}             // a configuration is queued
 	stopStarted    atomic.Pointer[time.Time] // set when a graceful shutdown begins
+	stopGrace      atomic.Int64              // its grace time, in nanoseconds; set before it begins
 	stopping       chan struct{}
 	stopOnce       sync.Once
 }
--- a/router/node/reload.go
+++ b/router/node/reload.go
@@ -18,6 +18,11 @@
 		log.WithError(err).Error("settings not reloaded; the present ones stay active")
 		return
 	}
+	n.apply(fresh)
+}
+
+// apply applies valid settings.
+func (n *Node) apply(fresh *settings.Settings) {
 	n.reloadMu.Lock()
 	defer n.reloadMu.Unlock()
 	if reflect.DeepEqual(fresh, n.reloaded) {
--- a/router/node/stop.go
+++ b/router/node/stop.go
@@ -56,7 +56,15 @@
 
 // scaleToGrace scales one of the times above down if the grace time is shorter than referenceGrace.
 func (n *Node) scaleToGrace(d time.Duration) time.Duration {
-	return min(d, time.Duration(float64(d)/float64(referenceGrace)*float64(settings.Seconds(n.cfg.Bounds.GraceS))))
+	return min(d, time.Duration(float64(d)/float64(referenceGrace)*float64(n.graceTime())))
+}
+
+// graceTime is the grace time of the shutdown that has begun, else that of the newest settings.
+func (n *Node) graceTime() time.Duration {
+	if d := time.Duration(n.stopGrace.Load()); d > 0 {
+		return d
+	}
+	return settings.Seconds(n.newestSettings().Bounds.GraceS)
 }
 
 const referenceGrace = 8 * time.Second
@@ -79,7 +87,7 @@
 	if started == nil {
 		return time.Time{}
 	}
-	return started.Add(settings.Seconds(n.cfg.Bounds.GraceS) - stopMargin)
+	return started.Add(n.graceTime() - stopMargin)
 }
 
 // mayFinish reports whether a host that is stopping may begin a request: one whose deadline it outlives. Until load balancers
@@ -97,6 +105,7 @@
 func (n *Node) Stop() {
 	n.stopOnce.Do(func() {
 		now := time.Now()
+		n.stopGrace.Store(int64(n.graceTime()))
 		n.stopStarted.Store(&now)
 		log.WithFields(log.Fields{"open": n.handler.InFlight()}).Info("graceful shutdown started")
 		close(n.stopping)
--- a/router/node/stop_late_test.go
+++ b/router/node/stop_late_test.go
@@ -96,6 +96,24 @@
 	<-h.done
 }
 
+// Guards against a host that was told of a shorter grace time, goes by the one of its start as it stops, and is killed with requests
+// in flight.
+func TestStopGoesByTheNewestGraceTime(t *testing.T) {
+	f := newFleet(t)
+	h := f.start(f.settings("h1"))
+	reload := func(graceS float64) {
+		changed := *h.cfg
+		changed.Bounds.GraceS = graceS
+		h.apply(&changed)
+	}
+	reload(1)
+	h.Stop()
+	f.is.Equal(h.endsAt().Sub(*h.stopStarted.Load()), time.Second-stopMargin)
+	f.is.Equal(h.scaleToGrace(responseTime), responseTime/8)
+	reload(2) // a shutdown that has begun is not prolonged
+	f.is.Equal(h.endsAt().Sub(*h.stopStarted.Load()), time.Second-stopMargin)
+}
+
 // callWithin sends a request with a deadline.
 func (f *testFleet) callWithin(h *host, path string, deadline time.Duration) reply {
 	return f.callWith(h, path, "", http.Header{"X-Deadline": {fmt.Sprint(deadline.Milliseconds())}})
