forward: a target that can't be reached vouches for no response

Cause: the end of such a response is checked by a connection to its target. One that was neither accepted nor refused counted as proof that the target is there.

Change: only a target that can be reached vouches for the end. Else the response counts as broken off; a stream that may be resumed goes on elsewhere.

--- a/router/forward/targetexit.go
+++ b/router/forward/targetexit.go
@@ -27,15 +27,18 @@
 // errExitedAtEnd means that an unframed response ended since its target exited.
 var errExitedAtEnd = errors.New("target exited at the end of an unframed response")
 
+// errUnknownAtEnd means that an unframed response ended, and nothing shows whether its target exited.
+var errUnknownAtEnd = errors.New("target can't be reached at the end of an unframed response")
+
 // errEndedAtDeadline means that an unframed response ended as its deadline passed.
 var errEndedAtDeadline = errors.New("target ended an unframed response at its deadline")
 
 // deadlineDoubt is the time before a deadline from which a target that ends a response may have given up.
 const deadlineDoubt = minTimeLeft
 
-// checkEnd checks a response that was read to its end. It returns errExitedAtEnd if the response is unframed and its target
-// is gone, and errEndedAtDeadline if it is unframed and its target had hardly time left: it may have broken off anywhere. The
-// end of the request as it checks an unframed response is an error, too.
+// checkEnd checks a response that was read to its end. An unframed one may have broken off anywhere, and is an error, if its target
+// is gone (errExitedAtEnd), can't be reached (errUnknownAtEnd) or had hardly time left (errEndedAtDeadline). So is the end of the
+// request as it is checked.
 func (a *attempt) checkEnd(resp *http.Response) error {
 	succeeded := resp.StatusCode < http.StatusMultipleChoices
 	if isFramed(resp) {
@@ -60,7 +63,10 @@
 		a.survivedAtEnd = succeeded
 		return nil
 	}
-	return a.request.ctx.Err()
+	if err := a.request.ctx.Err(); err != nil {
+		return err
+	}
+	return errUnknownAtEnd
 }
 
 // How long a target that exits may take after the end of an unframed response until its address refuses connections. The
