streamversion: answers of holders aren't dropped

Callers would have seen: a take-up refused as unknown, though three hosts know the stream. As a host's list turns out to have a second version while the hosts are asked that would have been told of the stream, their answers were dropped, and only others asked.

Change: the lookup waits for those answers and goes on with them. Also: forward.run cancels the first of its two contexts, too.

Evidence: TestAnswersCountThoughTheListHasASecondVersionByThen fails on the code before (unknown, 2 hosts asked).

--- a/router/forward/handler.go
+++ b/router/forward/handler.go
@@ -135,8 +135,8 @@
 	return h
 }
 
-// EndRequests ends the requests in flight, and those that still come, as if their deadlines had passed: each gets its final response, unless
-// a part of a response was sent already.
+// EndRequests ends the requests in flight, and those that still come, as if their deadlines had passed: each gets its final
+// response, unless a part of a response was sent already.
 func (h *Handler) EndRequests() { h.endRequests() }
 
 // SetConfig applies a configuration to new requests. Requests in flight keep theirs, but don't go to
--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -43,11 +43,13 @@
 // run attempts targets until one delivers a response or no further attempt is allowed.
 func (q *request) run() (Kind, error) {
 	ctx, cancel := context.WithCancel(q.ctx)
-	if !q.deadline.IsZero() {
-		ctx, cancel = context.WithDeadline(q.ctx, q.deadline)
-	}
 	defer cancel()
 	defer context.AfterFunc(q.handler.ended, cancel)()
+	if !q.deadline.IsZero() {
+		var cancelAtDeadline context.CancelFunc
+		ctx, cancelAtDeadline = context.WithDeadline(ctx, q.deadline)
+		defer cancelAtDeadline()
+	}
 	unreachable := 0
 	var last error
 	for {
--- a/router/streamversion/find.go
+++ b/router/streamversion/find.go
@@ -133,17 +133,21 @@
 
 // confirmSole finds out whether the only origin that this host knows is the only one that streams of the route can have begun at:
 // by its own list once that is confirmed, or by those of the hosts that would have been told of the stream, whichever comes
-// first. ok is false if neither says so.
+// first. ok is false if neither says so; the search then has what the hosts answered that were asked.
 func (l *lookup) confirmSole(ctx context.Context) (f Finding, ok bool) {
 	d := l.directory
 	var asked chan *search
 	for {
 		if l.listConfirmed() {
-			if own := d.origins(l.question.Route, l.question.Services); len(own) > 1 {
-				l.search.origins = own
-				return Finding{}, false
+			own := d.origins(l.question.Route, l.question.Services)
+			if len(own) == 1 {
+				return l.sole(ctx, FromOwnList), true
 			}
-			return l.sole(ctx, FromOwnList), true
+			if asked != nil {
+				l.search = <-asked
+			}
+			maps.Copy(l.search.origins, own)
+			return Finding{}, false
 		}
 		if asked == nil {
 			asked = make(chan *search, 1)
@@ -157,10 +161,7 @@
 		select {
 		case l.search = <-asked:
 			timer.Stop()
-			switch {
-			case l.search.found != nil:
-				return l.found(), true
-			case l.search.answered == l.search.asked && len(l.search.origins) == 1:
+			if l.search.found == nil && l.search.answered == l.search.asked && len(l.search.origins) == 1 {
 				return l.sole(ctx, FromPeersLists), true
 			}
 			return Finding{}, false
--- a/router/streamversion/sole_test.go
+++ b/router/streamversion/sole_test.go
@@ -65,3 +65,38 @@
 		}
 	})
 }
+
+// peersThatKnow are three hosts that know a stream and answer after a while, and two that don't.
+type peersThatKnow struct{ fixedPeers }
+
+func (peersThatKnow) Holders(Key) []string { return []string{"a", "b", "c", "d", "e"} }
+
+func (p peersThatKnow) Ask(_ context.Context, address string, _ Question) (Answer, error) {
+	time.Sleep(50 * time.Millisecond)
+	if address > "c" {
+		return Answer{}, nil
+	}
+	return *p.answer, nil
+}
+
+// Guards against answers that are dropped as the list turns out to have a second version before they come.
+func TestAnswersCountThoughTheListHasASecondVersionByThen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o, listed := Origin{service, "v2"}, time.Now().Add(20*time.Millisecond)
+		d := New(Options{
+			Versions: func(string) []string {
+				if time.Now().Before(listed) {
+					return []string{"v1"}
+				}
+				return []string{"v1", "v2"}
+			},
+			Covers: func() bool { return true }, CatchUp: func() {}, Followed: func() bool { return true },
+			ConfirmedSince: func(time.Time) bool { return !time.Now().Before(listed) },
+			Count:          func(string) {}, Go: func(_ string, run func()) { go run() },
+		})
+		d.SetPeers(peersThatKnow{fixedPeers{&Answer{Origin: &o, KeepMs: 1000}}})
+		if f := d.Find(t.Context(), KeyOf("org", "a"), route, []string{service}); f.Verdict != Found || f.Origin != o {
+			t.Errorf("%+v", f)
+		}
+	})
+}
