--- a/router/node/largefleet_test.go
+++ b/router/node/largefleet_test.go
@@ -59,35 +59,47 @@
 	version  int64
 }
 
-// links carries the calls between hosts, each over the links of both.
+// links carries the calls between hosts.
 type links struct {
 	mu      sync.Mutex
 	hosts   map[string]*link
 	latency time.Duration
+	cut     func(from, to string) bool // whether packets between two addresses are lost; nil: none are
+}
+
+// transport carries the calls of one host.
+type transport struct {
+	*links
+	from string // the host's address
 }
 
 // link is a host's link and what its host serves.
 type link struct {
 	handler http.Handler
 	mbps    float64
-	free    time.Time // when what is queued has been sent
+	free    time.Time     // when what is queued has been sent
+	queue   time.Duration // how long packets wait at the link, each way
 }
 
 // RoundTrip implements http.RoundTripper.
-func (l *links) RoundTrip(r *http.Request) (*http.Response, error) {
+func (l *transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	l.mu.Lock()
-	to := l.hosts[r.URL.Host]
+	to, cut := l.hosts[r.URL.Host], l.cut != nil && l.cut(l.from, r.URL.Host)
 	l.mu.Unlock()
 	if to == nil {
 		return nil, fmt.Errorf("no host at %s", r.URL.Host)
 	}
-	if err := pause(r.Context(), l.latency); err != nil {
+	if cut {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	if err := pause(r.Context(), l.latencyTo(to)); err != nil {
 		return nil, err
 	}
 	recorder := httptest.NewRecorder()
 	to.handler.ServeHTTP(recorder, r)
 	body := recorder.Body.Bytes()
-	if err := pause(r.Context(), l.latency+l.send(to, len(body))); err != nil {
+	if err := pause(r.Context(), l.latencyTo(to)+l.send(to, len(body))); err != nil {
 		return nil, err
 	}
 	response := recorder.Result()
@@ -95,6 +107,13 @@
 	return response, nil
 }
 
+// latencyTo returns the latency of one way between this host and another.
+func (l *transport) latencyTo(to *link) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.latency + l.hosts[l.from].queue + to.queue
+}
+
 // send queues bytes on a link and returns when they have been sent.
 func (l *links) send(from *link, size int) time.Duration {
 	l.mu.Lock()
@@ -148,7 +167,7 @@
 	elapsed := func() time.Duration { return time.Since(start) }
 	view := f.log.Host(name)
 	n := newWithClocks(&cfg, Environment{
-		Log: view, Groups: view, Headers: headers, PeerTransport: &f.links,
+		Log: view, Groups: view, Headers: headers, PeerTransport: &transport{links: &f.links, from: address},
 		ConfigTopic: topicConfig, TargetsTopic: topicTargets, HostsTopic: topicHosts, BudgetsTopic: topicBudgets,
 		ArchiveTopic: topicArchive, MaxRecordBytes: 1 << 18, ConfigKey: "config", ReadyPath: "/ready",
 		DecodeConfig: routing.Parse,
