replica, fleet: responses that come late through a full link are taken

Callers saw a host serve by a configuration that was eight seconds old, alone among 295. Cause: a follower's call to a reader, a pull from another host and a read of the log were given up after 1.5 to 2 s without a byte, and each try began with a new connection. Where callers fill a host's link, a round trip takes about as long, so that nothing ever got through while the link was full. Class: fixed limits on whole round trips, with tries that begin anew.

Change: such a limit now says when another way is tried as well. The call goes on for 4 s more, on its connection, and its response is merged as it comes (patience.Await, Replica.Confirm). Reads of a log that responds late wait as long as its last response took. Connections may take as long.

--- a/lib/patience/patience.go
+++ b/lib/patience/patience.go
@@ -27,6 +27,29 @@
 type idleTimer struct {
 	timer   *time.Timer
 	silence time.Duration
+
+	notice        *time.Timer // tells of a shorter silence; nil: nothing does
+	noticeSilence time.Duration
+}
+
+// notify has silent told when no data has arrived for as long as the limits say. It is called before the transfer.
+func (w *idleTimer) notify(l Limits, silent chan<- struct{}) *time.Timer {
+	w.noticeSilence = l.Silence
+	w.notice = time.AfterFunc(l.First, func() {
+		select {
+		case silent <- struct{}{}:
+		default:
+		}
+	})
+	return w.notice
+}
+
+// arrived notes that data arrived.
+func (w *idleTimer) arrived() {
+	w.timer.Reset(w.silence)
+	if w.notice != nil {
+		w.notice.Reset(w.noticeSilence)
+	}
 }
 
 // New returns a context that ends when a transfer exceeds its limits. Data counts as
@@ -65,7 +88,7 @@
 func (r *reader) Read(p []byte) (int, error) {
 	n, err := r.Reader.Read(p[:min(len(p), maxRead)])
 	if n > 0 {
-		r.idle.timer.Reset(r.idle.silence)
+		r.idle.arrived()
 	}
 	return n, err
 }
--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -211,7 +211,7 @@
 func newClient(timeout time.Duration, transport http.RoundTripper, maxIdle int) *client {
 	if transport == nil {
 		transport = &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: max(timeout, pullTimeout)}).DialContext,
+			DialContext:         (&net.Dialer{Timeout: max(timeout, pullTimeout) + lateGrace}).DialContext,
 			MaxIdleConnsPerHost: maxIdle,
 			IdleConnTimeout:     5 * time.Second,
 			DisableCompression:  true,
@@ -232,10 +232,10 @@
 	return c.call(ctx, address, path, request, response)
 }
 
-// fetch makes a call that is worth waiting for or whose response may be large. It ends when the
-// other host sends nothing for pullTimeout.
+// fetch makes a call that is worth waiting for. It ends when the other host sends nothing for pullTimeout, and lateGrace
+// longer before its first byte.
 func (c *client) fetch(ctx context.Context, address, path string, request, response any) error {
-	ctx, cancel := patience.New(ctx, patience.Limits{First: pullTimeout, Silence: pullTimeout, Most: maxFetchTime})
+	ctx, cancel := patience.New(ctx, patience.Limits{First: pullTimeout + lateGrace, Silence: pullTimeout, Most: maxFetchTime})
 	defer cancel()
 	return c.call(ctx, address, path, request, response)
 }
--- a/router/fleet/follow.go
+++ b/router/fleet/follow.go
@@ -21,6 +21,9 @@
 	followHold = 700 * time.Millisecond
 	// followTimeout is how much longer than that a reader may be silent: a round trip over a full link takes up to 0.6 s.
 	followTimeout = 800 * time.Millisecond
+	// lateGrace is how much longer the response of a silent reader is taken. Where callers fill this host's link, each round
+	// trip may take over a second, and a call that was given up would begin with a new connection.
+	lateGrace = 4 * time.Second
 	// maxFollowedAge is the age of a reader's response above which another reader is asked next.
 	maxFollowedAge = 3 * time.Second
 )
@@ -57,21 +60,38 @@
 // errNoneKnown means that this host knows no readers.
 var errNoneKnown = errors.New("none is known")
 
-// followReader asks one reader.
+// followReader asks one reader. A response that comes too late for this call is merged as it comes.
 func (f *Fleet) followReader(ctx context.Context, address, topic string, from eventlog.Position) (replica.Update, error) {
-	request := newPullRequest(map[string]eventlog.Position{topic: from})
-	request.WaitMs = followHold.Milliseconds()
-	call, cancel := patience.New(ctx, patience.Limits{First: followHold + followTimeout, Silence: pullTimeout, Most: maxFetchTime})
-	defer cancel()
 	began := time.Now()
-	var response pullResponse
-	err := f.followClient.call(call, address, pathPull, request, &response)
+	update, err := patience.Await(ctx, patience.Limits{First: followHold + followTimeout, Silence: pullTimeout, Most: maxFetchTime}, lateGrace,
+		func(ctx context.Context) (replica.Update, error) { return f.callReader(ctx, address, topic, from) },
+		func(late replica.Update) { f.mergeLate(address, topic, late) })
 	if ctx.Err() == nil {
 		f.recordCallResult(address, err)
 	}
 	if err != nil {
 		return replica.Update{}, err
 	}
+	if update.Age > maxFollowedAge {
+		f.recordCallResult(address, errOutdated)
+		f.readers.requestLook()
+	}
+	if len(update.Records) == 0 {
+		// A reader of an earlier build responds at once.
+		wait.For(ctx, followHold/2-time.Since(began))
+	}
+	return update, nil
+}
+
+// callReader makes one call to a reader.
+func (f *Fleet) callReader(ctx context.Context, address, topic string, from eventlog.Position) (replica.Update, error) {
+	request := newPullRequest(map[string]eventlog.Position{topic: from})
+	request.WaitMs = followHold.Milliseconds()
+	began := time.Now()
+	var response pullResponse
+	if err := f.followClient.call(ctx, address, pathPull, request, &response); err != nil {
+		return replica.Update{}, err
+	}
 	encoded, found := response.Topics[topic]
 	if !found {
 		return replica.Update{}, errNotAhead
@@ -82,17 +102,21 @@
 		return replica.Update{}, err
 	}
 	update.Age += max(time.Since(began)-time.Duration(response.HeldMs)*time.Millisecond, 0) // the transfer's time
-	if update.Age > maxFollowedAge {
-		f.recordCallResult(address, errOutdated)
-		f.readers.requestLook()
-	}
-	if len(update.Records) == 0 {
-		// A reader of an earlier build responds at once.
-		wait.For(ctx, followHold/2-time.Since(began))
-	}
 	return update, nil
 }
 
+// mergeLate applies a reader's response that came after another one was asked.
+func (f *Fleet) mergeLate(address, topic string, update replica.Update) {
+	f.recordCallResult(address, nil)
+	f.readers.responded()
+	c := f.opts.Replicas[topic]
+	if c == nil {
+		return
+	}
+	c.MergeUpdate(update)
+	c.Confirm(update.End, update.Age)
+}
+
 // Errors of readers that respond.
 var (
 	errNotAhead = errors.New("the reader knows less of the topic than this host")
--- a/router/fleet/pull.go
+++ b/router/fleet/pull.go
@@ -10,6 +10,7 @@
 
 	log "github.com/sirupsen/logrus"
 
+	"maststage.dev/lib/patience"
 	"maststage.dev/lib/wait"
 	"maststage.dev/router/eventlog"
 	"maststage.dev/router/logging"
@@ -22,10 +23,10 @@
 	// hostsPerRound is how many hosts a round asks: one of them may be cut off, too.
 	hostsPerRound = 2
 	// maxConcurrentPulls bounds the pulls in progress over all rounds.
-	maxConcurrentPulls = 6
-	// pullTimeout is how long another host may be silent. A call needs two round trips, and where
-	// client traffic fills this host's link one round trip takes up to 0.6 s. An unreachable host
-	// only occupies one of maxConcurrentPulls.
+	maxConcurrentPulls = 16
+	// pullTimeout is how long another host may be silent before others may fetch records in its place. Its response is
+	// taken for lateGrace longer: a call needs two round trips, and where client traffic fills this host's link one
+	// takes over a second. An unreachable host only occupies one of maxConcurrentPulls.
 	pullTimeout = 1500 * time.Millisecond
 	// failedPullLogRate bounds the log lines a second about failed pulls; a host that can reach
 	// no other tries some seven times a second.
@@ -50,6 +51,7 @@
 
 // run pulls while replicas are stale, until ctx ends.
 func (p *puller) run(ctx context.Context) {
+	ctx = patience.WithLife(ctx)
 	for ctx.Err() == nil {
 		if topics := p.fleet.staleTopics(); len(topics) > 0 {
 			p.startRound(ctx, topics)
@@ -154,12 +156,11 @@
 // host's replicas. Only one pull at a time fetches: two that fetch the same records over a
 // saturated link take twice as long and may complete too late to be useful.
 func (p *puller) pull(ctx context.Context, address string, topics map[string]eventlog.Position) error {
-	calls := p.fleet.client
 	asked := time.Now()
 	request := newPullRequest(topics)
 	request.EndsOnly = true
 	var ends pullResponse
-	if err := calls.fetch(ctx, address, pathPull, request, &ends); err != nil {
+	if err := p.fleet.client.fetch(ctx, address, pathPull, request, &ends); err != nil {
 		return err
 	}
 	for _, e := range ends.Quarantine {
@@ -177,21 +178,44 @@
 		p.fleet.recordPull(asked)
 		return nil
 	}
-	began := time.Now()
-	var response pullResponse
-	if err := calls.fetch(ctx, address, pathPull, newPullRequest(missing), &response); err != nil {
+	fetched, err := patience.Await(ctx, pullLimits, lateGrace,
+		func(ctx context.Context) (fetchedRecords, error) { return p.fetch(ctx, address, missing) },
+		func(late fetchedRecords) { _ = p.merge(address, missing, late) })
+	if err != nil {
 		return err
 	}
-	p.mu.Lock()
-	p.lastSource = address
-	p.mu.Unlock()
-	if err := p.fleet.merge(address, missing, response, time.Since(began)); err != nil {
+	if err := p.merge(address, missing, fetched); err != nil {
 		return err
 	}
 	p.fleet.recordPull(asked)
 	return nil
 }
 
+// pullLimits are those of a call for records.
+var pullLimits = patience.Limits{First: pullTimeout, Silence: pullTimeout, Most: maxFetchTime}
+
+// fetchedRecords are another host's response to a call for records.
+type fetchedRecords struct {
+	response pullResponse
+	took     time.Duration // of the call
+}
+
+// fetch asks another host for the records of topics from the given positions on.
+func (p *puller) fetch(ctx context.Context, address string, missing map[string]eventlog.Position) (f fetchedRecords, err error) {
+	began := time.Now()
+	err = p.fleet.client.call(ctx, address, pathPull, newPullRequest(missing), &f.response)
+	f.took = time.Since(began)
+	return f, err
+}
+
+// merge applies fetched records.
+func (p *puller) merge(address string, requested map[string]eventlog.Position, fetched fetchedRecords) error {
+	p.mu.Lock()
+	p.lastSource = address
+	p.mu.Unlock()
+	return p.fleet.merge(address, requested, fetched.response, fetched.took)
+}
+
 // merge applies the records of the topics that were requested from another host. took is the duration of the call.
 func (f *Fleet) merge(address string, requested map[string]eventlog.Position, response pullResponse, took time.Duration) error {
 	for topic, encoded := range response.Topics {
--- a/router/replica/replica.go
+++ b/router/replica/replica.go
@@ -79,6 +79,7 @@
 	unconfirmed      int               // entries with keptUntil
 	loaded           bool
 	behind           bool               // the log's last response left records out
+	lateness         time.Duration      // how much longer the log may be silent, as its responses come late
 	lastContact      time.Time          // time of the log's response that the records are based on
 	lastRefresh      time.Time          // start of the newest successful step
 	cancelStep       context.CancelFunc // cancels the step in progress, or the pause after it
@@ -117,6 +118,7 @@
 
 // Run follows the log until ctx ends.
 func (r *Replica) Run(ctx context.Context) {
+	ctx = patience.WithLife(ctx)
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		started := time.Now()
@@ -240,25 +242,79 @@
 	return r.poll(ctx, from)
 }
 
-// poll waits for new records from the log.
+// poll waits for new records from the log. A response that comes too late for this read is merged as it comes.
 func (r *Replica) poll(ctx context.Context, from eventlog.Position) (age time.Duration, err error) {
-	c, cancel := patience.New(ctx, patience.Limits{First: r.opts.LongPoll + r.opts.ReadTimeout, Silence: r.opts.ReadTimeout, Most: maxReadTime})
-	defer cancel()
-	batch, err := r.opts.Log.Read(c, r.opts.Partition, from, r.longPoll())
+	began := time.Now()
+	limits := patience.Limits{First: r.pollTimeout(), Silence: r.opts.ReadTimeout, Most: maxReadTime}
+	read, err := patience.Await(ctx, limits, lateGrace,
+		func(ctx context.Context) (readResult, error) { return r.read(ctx, from) },
+		func(late readResult) { r.mergeLate(late, from, began) })
+	if err != nil {
+		return 0, err
+	}
+	r.recordPollTime(time.Since(began))
 	var restored *eventlog.EraError
-	if errors.Is(err, eventlog.ErrTrimmed) || errors.As(err, &restored) {
+	if errors.Is(read.err, eventlog.ErrTrimmed) || errors.As(read.err, &restored) {
 		return r.load(ctx)
 	}
-	end := from.Plus(len(batch.Records))
+	return 0, r.mergeRead(read, from)
+}
+
+// pollTimeout is how long the log may be silent before another read begins: longer while its responses are late.
+func (r *Replica) pollTimeout() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.opts.LongPoll + r.opts.ReadTimeout + r.lateness
+}
+
+// recordPollTime notes how long a read took that succeeded.
+func (r *Replica) recordPollTime(took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	late := took - r.opts.LongPoll - r.opts.ReadTimeout/2
+	r.lateness = min(max(late, 0), lateGrace)
+}
+
+// lateGrace is how much longer than a read waits for it a response of the log is taken. Where callers fill this host's
+// link, each round trip may take over a second, and a read that was given up would begin with a new connection.
+const lateGrace = 4 * time.Second
+
+// readResult is what a read of the log returned. The records before an error count.
+type readResult struct {
+	batch eventlog.Batch
+	err   error
+}
+
+// read makes one read of the log. The error of the log is part of the result.
+func (r *Replica) read(ctx context.Context, from eventlog.Position) (readResult, error) {
+	batch, err := r.opts.Log.Read(ctx, r.opts.Partition, from, r.longPoll())
+	return readResult{batch: batch, err: err}, nil
+}
+
+// mergeRead merges what was read from a position on.
+func (r *Replica) mergeRead(read readResult, from eventlog.Position) error {
+	end := from.Plus(len(read.batch.Records))
 	// Records received before an error count: the next read continues after them.
-	if err == nil || len(batch.Records) > 0 {
-		r.Merge(batch.Records, end, from)
+	if read.err == nil || len(read.batch.Records) > 0 {
+		r.Merge(read.batch.Records, end, from)
 	}
-	if err == nil {
+	if read.err == nil {
 		r.dropUnconfirmed(time.Now())
 	}
-	r.setBehind(err == nil && end.Before(batch.End))
-	return 0, err
+	r.setBehind(read.err == nil && end.Before(read.batch.End))
+	return read.err
+}
+
+// mergeLate merges what a read that began at a given time returned after another one had begun.
+func (r *Replica) mergeLate(read readResult, from eventlog.Position, began time.Time) {
+	r.recordPollTime(time.Since(began))
+	end := from.Plus(len(read.batch.Records))
+	if read.err != nil && len(read.batch.Records) == 0 || end.Before(r.End()) {
+		return
+	}
+	if r.mergeRead(read, from) == nil && !end.Before(read.batch.End) {
+		r.Confirm(end, time.Since(began))
+	}
 }
 
 // longPoll is how long the log may hold a read now.
@@ -290,9 +346,7 @@
 		*p = partialLoad{began: time.Now()}
 	}
 	for {
-		c, cancel := patience.New(ctx, patience.Limits{First: 2 * r.opts.ReadTimeout, Silence: r.opts.ReadTimeout, Most: maxReadTime})
-		page, err := r.opts.Log.Newest(c, r.opts.Partition, p.afterKey)
-		cancel()
+		page, err := r.loadPage(ctx, p.afterKey)
 		if err != nil {
 			return 0, err
 		}
@@ -315,6 +369,21 @@
 	return age, nil
 }
 
+// loadPage reads a page of newest records. One that comes too late for this call is applied if it is the whole topic.
+func (r *Replica) loadPage(ctx context.Context, afterKey string) (eventlog.Page, error) {
+	began := time.Now()
+	return patience.Await(ctx, patience.Limits{First: 2 * r.opts.ReadTimeout, Silence: r.opts.ReadTimeout, Most: maxReadTime}, lateGrace,
+		func(ctx context.Context) (eventlog.Page, error) {
+			return r.opts.Log.Newest(ctx, r.opts.Partition, afterKey)
+		},
+		func(late eventlog.Page) {
+			if afterKey == "" && !late.More {
+				r.replaceAll(late.Records, late.End)
+				r.Confirm(late.End, time.Since(began))
+			}
+		})
+}
+
 // errRestoredMeanwhile means that the pages of a load are from before and after the log was restored.
 var errRestoredMeanwhile = errors.New("replica: the log was restored during the load")
 
