fleet: a follower that is cut off from all readers reads the configuration itself

A host of a fleet of over 250 hosts has the log's topics from a few readers. Cause: one that lost the readers, but not the log, stayed behind for as long as that lasted, since followers never read the log, and served by the old configuration all the while.

Change: if no reader has responded for 2.5 s, a follower reads the configuration from the log by long polls, and goes back once a reader responds, which it probes each second.

--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -57,6 +57,9 @@
 	CallTimeout      time.Duration // of a call to another host
 	// Groups divides the readers' places among hosts; nil: each host reads the log itself.
 	Groups eventlog.Groups
+	// ReadAlone holds the topics that followers read themselves while no reader responds: those of which the log can bear that
+	// all hosts read them.
+	ReadAlone map[string]bool
 	// OnSource is called when reads in progress are from another source than this host has now. nil: nothing is called.
 	OnSource func()
 	// Replicas holds the replicas of the log's topics that hosts pull from each other, by topic.
--- a/router/fleet/follow.go
+++ b/router/fleet/follow.go
@@ -24,12 +24,15 @@
 	// lateGrace is how much longer the response of a silent reader is taken. Where callers fill this host's link, each round
 	// trip may take over a second, and a call that was given up would begin with a new connection.
 	lateGrace = 4 * time.Second
+	// minFollowTime is the least time that a reader may be silent, when it is about to count that none responds.
+	minFollowTime = 100 * time.Millisecond
 	// maxFollowedAge is the age of a reader's response above which another reader is asked next.
 	maxFollowedAge = 3 * time.Second
 )
 
 // Follow returns the changes of a topic from a position on as a reader has them, if this host follows readers. It
-// waits up to followHold for the first change. An error is a replica.ErrNoReader.
+// waits up to followHold for the first change. An error is a replica.ErrNoReader. While no reader responds, isFollower is
+// false for topics that this host may read itself.
 func (f *Fleet) Follow(ctx context.Context, topic string, from eventlog.Position) (update replica.Update, isFollower bool, err error) {
 	r := f.readers
 	switch r.await(ctx, topic) {
@@ -38,6 +41,10 @@
 	case undecided:
 		return replica.Update{}, true, fmt.Errorf("%w: %w", replica.ErrNoReader, ctx.Err())
 	}
+	readsAlone := f.readsAlone(topic, from)
+	if readsAlone && r.cutOff() {
+		return replica.Update{}, false, nil
+	}
 	f.exchangeFigures(ctx)
 	err = errNoneKnown
 	tried := map[string]bool{}
@@ -53,17 +60,27 @@
 			return update, true, nil
 		}
 		r.requestLook()
+		if readsAlone && r.cutOff() {
+			return replica.Update{}, false, nil
+		}
 	}
 	return replica.Update{}, true, fmt.Errorf("%w: %w", replica.ErrNoReader, err)
 }
 
+// readsAlone reports whether this host may read a topic itself while no reader responds. A topic that it has not loaded is
+// not read: as a large fleet starts, all hosts would.
+func (f *Fleet) readsAlone(topic string, from eventlog.Position) bool {
+	return f.opts.ReadAlone[topic] && from != eventlog.Position{}
+}
+
 // errNoneKnown means that this host knows no readers.
 var errNoneKnown = errors.New("none is known")
 
 // followReader asks one reader. A response that comes too late for this call is merged as it comes.
 func (f *Fleet) followReader(ctx context.Context, address, topic string, from eventlog.Position) (replica.Update, error) {
 	began := time.Now()
-	update, err := patience.Await(ctx, patience.Limits{First: followHold + followTimeout, Silence: pullTimeout, Most: maxFetchTime}, lateGrace,
+	silence := f.readers.silenceOf(f.readsAlone(topic, from))
+	update, err := patience.Await(ctx, patience.Limits{First: silence, Silence: pullTimeout, Most: maxFetchTime}, lateGrace,
 		func(ctx context.Context) (replica.Update, error) { return f.callReader(ctx, address, topic, from) },
 		func(late replica.Update) { f.mergeLate(address, topic, late) })
 	if ctx.Err() == nil {
--- a/router/fleet/readers.go
+++ b/router/fleet/readers.go
@@ -8,14 +8,17 @@
 
 	log "github.com/sirupsen/logrus"
 
+	"maststage.dev/lib/patience"
 	"maststage.dev/lib/wait"
 	"maststage.dev/router/eventlog"
 )
 
 // What hosts read of the log would grow with the fleet if each read it. In a large fleet a few readers follow the log,
 // and all other hosts follow a reader. The log itself divides the readers' places among the hosts that join a group, so
-// that all agree on them before they know each other. A host that follows readers never falls back on the log: it
-// asks another reader, and once the log has given a silent reader's place to another host, that one.
+// that all agree on them before they know each other. A host that follows readers does not go back to the log when one
+// falls silent: it asks another reader, and once the log has given a silent reader's place to another host, that one.
+// While none responds, it may be cut off from the other hosts alone: it reads Options.ReadAlone itself, if it had loaded
+// them before.
 
 // Bounds on readers.
 const (
@@ -81,6 +84,7 @@
 	others        []reader      // the other readers, by address
 	lookUp        chan struct{} // requests a look at who the readers are
 	onChange      func()        // called after the mode changed, except when it is first decided
+	alone         bool          // this host has been cut off from the readers
 	generation    int64
 	joined        time.Time     // start of the last successful join
 	place         bool          // the last join gave this host a place
@@ -107,11 +111,13 @@
 	if r.groups == nil {
 		return
 	}
+	ctx = patience.WithLife(ctx)
 	if !r.fastLink() {
 		wait.For(ctx, wait.Jitter(firstLookDelay))
 	}
 	for ctx.Err() == nil {
 		r.wait(ctx, min(r.round(ctx), checkInterval))
+		r.probe(ctx)
 	}
 }
 
@@ -242,8 +248,17 @@
 // responded notes that a reader responded.
 func (r *readers) responded() {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.since = time.Now()
+	wasAlone := r.alone
+	r.alone = false
+	r.mu.Unlock()
+	if !wasAlone {
+		return
+	}
+	log.Info("a reader responds again")
+	if r.onChange != nil {
+		r.onChange()
+	}
 }
 
 // await waits until this host knows from where it has a topic, and returns it. The announcements of hosts tell whether
--- a/router/node/node.go
+++ b/router/node/node.go
@@ -271,7 +271,7 @@
 			PeerKey: n.peerKey, LinkMbps: n.cfg.Capacity.LinkMbps, StreamVersions: true, VersionRecords: true, PromptParts: true,
 		},
 		Tunnels: n.tunnelServer, Permits: n.permitServer, Transport: n.env.PeerTransport,
-		Groups: n.groups(), OnSource: n.refreshReplicas,
+		Groups: n.groups(), OnSource: n.refreshReplicas, ReadAlone: map[string]bool{n.env.ConfigTopic: true},
 		Log: n.env.Log, Topic: n.env.HostsTopic, Seeds: n.cfg.Host.Seeds,
 		AnnounceInterval: announceInterval, PullInterval: pullInterval, CallTimeout: peerTimeout,
 		Replicas: map[string]*replica.Replica{
