forward: an unframed response whose connection was reset is not whole

Callers got a part of a response as a whole one. Cause: the kernel reports a reset to one system call alone. While a long upload is still being written, the write takes the error, and the read of a response that ends with its connection sees an orderly end. Class: an end taken for granted.

Change: at the end of an unframed response the connection is asked whether it was reset: by a write that failed, or by its state in the kernel (TCP_INFO), which is set before either call returns.

A whole response with a length, sent before the end of the upload, is still delivered (a test of its own, which passed before).

--- a/router/forward/targetexit.go
+++ b/router/forward/targetexit.go
@@ -24,6 +24,9 @@
 	return isFramed(resp) && resp.StatusCode < http.StatusMultipleChoices
 }
 
+// errResetAtEnd means that an unframed response ended with a reset of its connection.
+var errResetAtEnd = errors.New("target reset the connection at the end of an unframed response")
+
 // errExitedAtEnd means that an unframed response ended since its target exited.
 var errExitedAtEnd = errors.New("target exited at the end of an unframed response")
 
@@ -36,8 +39,8 @@
 // deadlineDoubt is the time before a deadline from which a target that ends a response may have given up.
 const deadlineDoubt = minTimeLeft
 
-// checkEnd checks a response that was read to its end. An unframed one may have broken off anywhere, and is an error, if its target
-// is gone (errExitedAtEnd), can't be reached (errUnknownAtEnd) or had hardly time left (errEndedAtDeadline). So is the end of the
+// checkEnd checks a response that was read to its end. An unframed one may have broken off anywhere, and is an error, if its
+// connection was reset (errResetAtEnd), or its target is gone (errExitedAtEnd), can't be reached (errUnknownAtEnd) or had hardly time left (errEndedAtDeadline). So is the end of the
 // request as it is checked.
 func (a *attempt) checkEnd(resp *http.Response) error {
 	succeeded := resp.StatusCode < http.StatusMultipleChoices
@@ -45,6 +48,9 @@
 		a.survivedAtEnd = succeeded
 		return nil
 	}
+	if a.conn.WasReset() {
+		return errResetAtEnd
+	}
 	if left, ok := a.request.timeLeft(); ok && left < deadlineDoubt {
 		return errEndedAtDeadline
 	}
--- a/router/httpconn/conn.go
+++ b/router/httpconn/conn.go
@@ -34,6 +34,7 @@
 
 	closed    atomic.Bool
 	writing   atomic.Bool   // the current request is not written whole
+	unwritten atomic.Bool   // writing the current request failed
 	noReuse   bool          // the connection must not be reused
 	written   chan error    // result of writing the current request
 	stopWatch func() bool   // stops watching the context
@@ -87,6 +88,7 @@
 	c.request = &http.Request{Method: req.Method}
 	c.written = make(chan error, 1)
 	c.writing.Store(true)
+	c.unwritten.Store(false)
 	if len(req.Head)+len(req.Body) <= InlineRequestBytes {
 		return c.sendInline(req)
 	}
@@ -109,10 +111,17 @@
 func (c *Conn) sendInBackground(req Request) {
 	buffers := net.Buffers{req.Head, req.Body}
 	_, err := buffers.WriteTo(c.nc)
+	c.unwritten.Store(err != nil)
 	c.writing.Store(false)
 	c.written <- err
 }
 
+// WasReset reports, once the end of the response was read, whether the target broke the connection off rather than closing it
+// in order. It tells no such end of a connection that another host carries: that host does.
+func (c *Conn) WasReset() bool {
+	return c.unwritten.Load() || c.indirect == nil && WasReset(c.nc)
+}
+
 // Unsent reports whether a part of the current request has not arrived at the target's machine: it is not
 // written, or lies in this host's kernel. It may be called from another goroutine.
 func (c *Conn) Unsent() bool {
