--- a/router/tunnel/server.go
+++ b/router/tunnel/server.go
@@ -10,8 +10,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"maststage.dev/router/httpconn"
 )
 
 // Errors of ServerOptions.Dial that refuse a tunnel.
@@ -144,6 +147,7 @@
 	toHost   net.Conn
 	fromHost *bufio.Reader
 	toTarget net.Conn
+	unsent   atomic.Bool // a write to the target failed
 }
 
 // carry copies both ways until either side closes.
@@ -177,6 +181,7 @@
 		if n > 0 {
 			c.server.opts.Copied(n)
 			if _, werr := c.toTarget.Write(buffer[:n]); werr != nil {
+				c.unsent.Store(true)
 				break
 			}
 		}
@@ -206,7 +211,7 @@
 				return
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && !c.targetReset() {
 			if _, werr := c.toHost.Write([]byte{0, 0}); werr != nil {
 				c.abort()
 				return
@@ -221,6 +226,9 @@
 	}
 }
 
+// targetReset reports, once the end of what the target sent was read, whether that was a reset.
+func (c *carried) targetReset() bool { return c.unsent.Load() || httpconn.WasReset(c.toTarget) }
+
 // closeWrite ends the bytes to the other host. Closing the connection with bytes of it unread would reset it, and with it
 // what is still on the way.
 func (c *carried) closeWrite() {
