--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -14,6 +14,7 @@
 
 	"maststage.dev/lib/patience"
 	"maststage.dev/router/eventlog"
+	"maststage.dev/router/httpconn"
 	"maststage.dev/router/permit"
 	"maststage.dev/router/prepaid"
 	"maststage.dev/router/quarantine"
@@ -254,6 +255,9 @@
 		return err
 	}
 	defer resp.Body.Close()
+	if err := httpconn.CheckHead(resp); err != nil {
+		return err
+	}
 	if resp.StatusCode != http.StatusOK {
 		return &statusError{address: address, path: path, status: resp.Status}
 	}
--- a/router/httpconn/conn.go
+++ b/router/httpconn/conn.go
@@ -152,7 +152,7 @@
 			c.noReuse = true
 			return nil, &Error{MaybeSent: true, Err: err}
 		}
-		resp, err := http.ReadResponse(c.reader, c.request)
+		resp, err := ReadResponse(c.reader, c.request)
 		if err != nil {
 			c.noReuse = true
 			return nil, &Error{MaybeSent: true, Err: err}
--- a/router/permit/client.go
+++ b/router/permit/client.go
@@ -372,7 +372,7 @@
 	}
 	limit := httpconn.NewHeadLimit(nc)
 	reader := bufio.NewReader(limit)
-	resp, err := http.ReadResponse(reader, call)
+	resp, err := httpconn.ReadResponse(reader, call)
 	limit.End()
 	if err != nil {
 		_ = nc.Close()
--- a/router/tunnel/dialer.go
+++ b/router/tunnel/dialer.go
@@ -173,7 +173,7 @@
 	if err := call.Write(nc); err != nil {
 		return err
 	}
-	resp, err := http.ReadResponse(reader, call)
+	resp, err := httpconn.ReadResponse(reader, call)
 	if err != nil {
 		return err
 	}
