routing: numbers of a configuration that are no duration are errors

Cause: a time-out of 9.3e18 ms, or of -1, passed, and became a negative duration: requests of the route ended before they began. Change: Config.Index checks the durations of routes and services, and names the route, the field and the number.

--- a/router/routing/config.go
+++ b/router/routing/config.go
@@ -141,7 +141,11 @@
 	c.byOrganisation = map[string]*Organisation{}
 	c.byService = map[string]*Service{}
 	for i := range c.Services {
-		c.byService[c.Services[i].Name] = &c.Services[i]
+		service := &c.Services[i]
+		if !isDuration(service.ColdS * millisecondsPerSecond) {
+			return fmt.Errorf("configuration: service %q: a cold start of %v s is not a valid duration", service.Name, service.ColdS)
+		}
+		c.byService[service.Name] = service
 	}
 	for i := range c.Organisations {
 		organisation := &c.Organisations[i]
@@ -156,6 +160,11 @@
 		if !strings.HasPrefix(route.PathPrefix, "/") {
 			return fmt.Errorf("configuration: route %q: path prefix %q does not begin with a slash", route.Name, route.PathPrefix)
 		}
+		for name, ms := range map[string]float64{"timeout": route.TimeoutMs, "target latency": route.TargetLatencyMs, "gap target": route.GapTargetMs} {
+			if !isDuration(ms) {
+				return fmt.Errorf("configuration: route %q: a %s of %v ms is not a valid duration", route.Name, name, ms)
+			}
+		}
 		host := strings.ToLower(route.Host)
 		c.byHost[host] = append(c.byHost[host], route)
 		c.restricted = c.restricted || len(route.AllowedRegions) > 0
@@ -169,6 +178,15 @@
 	return nil
 }
 
+const (
+	// maxMilliseconds bounds the durations of a configuration. Larger numbers overflow a time.Duration, alone or in sums.
+	maxMilliseconds       = 1e12
+	millisecondsPerSecond = 1000
+)
+
+// isDuration reports whether a number of milliseconds is a valid duration.
+func isDuration(ms float64) bool { return ms >= 0 && ms <= maxMilliseconds }
+
 // Match returns the route for a host name and a path, or nil if there is none. The path is as received, without
 // its query.
 func (c *Config) Match(host, path string) *Route {
