daemon/node: an unframed response of a target is an error

Cause: maststaged decoded whatever arrived until the connection of a unary call ended. A response without a length or chunks that broke off between two fields of the message was a whole one. Change: such a response is an error; servers of RPCs send a length or chunks.

Evidence, TestUnframedResponseOfATargetIsAnError: before, the part with the request's id alone was taken as the result; after, an error.

--- a/daemon/node/calls.go
+++ b/daemon/node/calls.go
@@ -44,11 +44,11 @@
 
 // newHTTPClient returns the client for calls to the platform and to targets.
 func newHTTPClient(cfg *settings.Settings) *http.Client {
-	return &http.Client{Transport: patience.Transport(&http.Transport{
+	return &http.Client{Transport: patience.Transport(framedTransport{&http.Transport{
 		MaxIdleConnsPerHost: maxConns,
 		IdleConnTimeout:     time.Minute,
 		DialContext:         (&net.Dialer{Timeout: cfg.Platform.Timeout}).DialContext,
-	})}
+	}})}
 }
 
 // Append appends to the log. After an error the entry may have been appended or not.
