reach, target, forward: sound targets serve beside entries at which nobody listens

Callers were refused at all hosts (no target) where five or more targets of a service, listed at addresses where nobody listens, stood beside three sound ones. Cause: failed dials count as evidence that the host's own links are cut; the test that ends this began anew while more targets were not reached than were, so that five dead of eight kept it going without end; and a request gave up after four targets that can't be reached. Class: evidence about targets taken for evidence about links.

Change: targets that the test refutes don't hold it up and don't count until they are reached; a target that two dials in a row did not reach is chosen after all others, however many there are; targets that refuse at once don't use up a request's four tries, but 32.

--- a/router/forward/run.go
+++ b/router/forward/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"syscall"
 	"time"
 
 	"maststage.dev/router/routing"
@@ -36,7 +37,8 @@
 func (r result) mayHaveRun() bool { return r != notSent && r != refused }
 
 const (
-	maxUnreachable = 4                     // unreachable targets per request
+	maxUnreachable = 4                     // unreachable targets per request, but for those that refuse at once
+	maxRefusing    = 32                    // targets per request at whose address nobody listens
 	minTimeLeft    = 20 * time.Millisecond // before the deadline, for another attempt
 )
 
@@ -50,7 +52,7 @@
 		ctx, cancelAtDeadline = context.WithDeadline(ctx, q.deadline)
 		defer cancelAtDeadline()
 	}
-	unreachable := 0
+	unreachable, refusing := 0, 0
 	var last error
 	for {
 		if q.quarantined() {
@@ -88,11 +90,13 @@
 			return CallerGone, err
 		case res == outOfTime:
 			return q.giveUp(Timeout, err)
+		case res == notSent && errors.Is(err, syscall.ECONNREFUSED):
+			refusing++
 		case res == notSent:
 			unreachable++
 		}
 		q.excluded[t.ID] = true
-		if unreachable >= maxUnreachable || !q.mayRetry(res, false) {
+		if unreachable >= maxUnreachable || refusing >= maxRefusing || !q.mayRetry(res, false) {
 			return q.giveUp(TargetFailed, err)
 		}
 	}
--- a/router/node/cut_test.go
+++ b/router/node/cut_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -44,6 +45,9 @@
 	f := &cutFleet{testFleet: newFleet(t), gates: map[[2]string]*gate.Gate{}}
 	f.bounds = "retry_ratio = 1\n" // for a few requests each of which may need one
 	f.addressFor = func(host, target, address string) string {
+		if strings.HasPrefix(target, deadPrefix) {
+			return address
+		}
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		key := [2]string{host, target}
--- a/router/reach/back.go
+++ b/router/reach/back.go
@@ -69,18 +69,26 @@
 	b.proofs[p] = true
 	delete(b.refuted, p)
 	if len(b.proofs) >= min(minProofs, len(s.paths)-len(b.refuted)) && now.Sub(b.proofsSince) >= b.hold {
-		s.byDials, s.hung = false, false
-		s.changed(now)
+		s.endDialFailures(now)
 	}
 }
 
+// endDialFailures records that new connections to the service succeed. Targets that were not reached in the test are gone
+// themselves, as far as this host can tell. The lock is held.
+func (s *service) endDialFailures(now time.Time) {
+	for p := range s.back.refuted {
+		p.excused = true
+	}
+	s.byDials, s.hung = false, false
+	s.changed(now)
+}
+
 // EndDialTest ends the test of new connections: a dial has succeeded, and no other host reaches the targets better.
 func (p *Path) EndDialTest(now time.Time) {
 	p.monitor.mu.Lock()
 	defer p.monitor.mu.Unlock()
 	if s := p.service; s.byDials {
-		s.byDials, s.hung = false, false
-		s.changed(now)
+		s.endDialFailures(now)
 	}
 }
 
@@ -94,16 +102,15 @@
 	return p.service.back.lostAt
 }
 
-// recordFailed records a dial that failed. Some targets may be gone; more failures than successes end the test. The lock
-// is held.
+// recordFailed records a dial that failed. Some targets may be gone, however many; one that was reached in the test before
+// ends it. The lock is held.
 func (s *service) recordFailed(p *Path) {
 	b := &s.back
 	if len(b.proofs) == 0 {
 		return
 	}
 	b.refuted[p] = true
-	delete(b.proofs, p)
-	if len(b.refuted) > len(b.proofs) {
+	if b.proofs[p] {
 		clear(b.proofs)
 	}
 }
--- a/router/reach/reach.go
+++ b/router/reach/reach.go
@@ -79,6 +79,7 @@
 	waitingSince time.Time // when waiting was last 0
 	silentAt     time.Time // when a request was last given up because nothing arrived
 	probedAt     time.Time // newest probe
+	excused      bool      // others were reached when it was not: until it is reached, its dials say nothing of the links
 }
 
 // Add adds a target.
@@ -116,7 +117,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if o == Connected {
-		p.connectedAt = now
+		p.connectedAt, p.excused = now, false
 		p.service.recordConnected(p, now)
 		return
 	}
@@ -128,7 +129,17 @@
 
 // fails reports whether the newest dial failed within dialWindow.
 func (p *Path) fails(now time.Time) bool {
-	return p.failedAt.After(p.connectedAt) && now.Sub(p.failedAt) <= dialWindow
+	return !p.excused && p.failedAt.After(p.connectedAt) && now.Sub(p.failedAt) <= dialWindow
+}
+
+// counted counts the targets whose dials say something of the links.
+func counted(paths []*Path) (n int) {
+	for _, p := range paths {
+		if !p.excused {
+			n++
+		}
+	}
+	return n
 }
 
 // dials counts the targets that dials fail to reach, and those that were reached since the first of these dials began.
@@ -159,7 +170,7 @@
 // that were not dialled are out of reach, too. The lock is held.
 func (m *Monitor) judgeDials(s *service, o Outcome, now time.Time) {
 	failing, connected := dials(s.paths, now)
-	if dialsFail(failing, connected, len(s.paths)) {
+	if dialsFail(failing, connected, counted(s.paths)) {
 		s.loseDials(o, failing, now)
 	}
 	var all []*Path
@@ -167,7 +178,7 @@
 		all = append(all, other.paths...)
 	}
 	failing, connected = dials(all, now)
-	if !dialsFail(failing, connected, len(all)) {
+	if !dialsFail(failing, connected, counted(all)) {
 		return
 	}
 	for _, other := range m.services {
--- a/router/target/choose.go
+++ b/router/target/choose.go
@@ -96,7 +96,7 @@
 }
 
 // candidates lists the targets that may take the request: the ready ones that are not ejected, full,
-// silent, exited or under test after a pause; if there are none, the other ready ones; if there are none of
+// silent, exited, not reached of late or under test after a pause; if there are none, the other ready ones; if there are none of
 // these either, those that left less than the drain limit ago. It never lists evacuated targets, those whose
 // region or version isn't allowed, those that asked for a pause, or those whose share of a rate is used up.
 // Cold targets among the latter are listed in heldBack. The lock is held.
@@ -117,7 +117,7 @@
 			if now.Sub(t.leavingSince) < r.opts.DrainLimit {
 				leaving = append(leaving, t)
 			}
-		case !w.isTrial() && now.Before(t.health.ejectedUntil) || now.Before(t.health.fullUntil) || t.silent(now) || t.recentlyExited(now) || t.underTest(now):
+		case !w.isTrial() && now.Before(t.health.ejectedUntil) || now.Before(t.health.fullUntil) || now.Before(t.health.unreachedUntil) || t.silent(now) || t.recentlyExited(now) || t.underTest(now):
 			ejected = append(ejected, t)
 		default:
 			good = append(good, t)
--- a/router/target/health.go
+++ b/router/target/health.go
@@ -51,6 +51,9 @@
 	ejection          time.Duration // length of the last ejection
 	ejectedAt         time.Time
 	fullUntil         time.Time // avoided until then because it refused a request
+	unreached         int       // consecutive dials that failed
+	unreachedFor      time.Duration
+	unreachedUntil    time.Time // avoided until then because of these
 }
 
 // serviceStats aggregates the targets of a service.
@@ -251,12 +254,31 @@
 	h.consecutiveBroken, h.samples, h.failureRate = 0, 0, h.failureRate/2
 }
 
-// RecordDialFailure records that no connection to the target could be made.
+// RecordDialFailure records that no connection to the target could be made. Others are preferred then, however many targets
+// can't be reached.
 func (r *Registry) RecordDialFailure(t *Target) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t.health.consecutiveBroken++
-	r.ejectIfFailing(t, time.Now())
+	now, h := time.Now(), &t.health
+	h.consecutiveBroken++
+	r.ejectIfFailing(t, now)
+	h.unreached++
+	if h.unreached >= ejectAfterBroken {
+		h.unreachedFor = min(max(2*h.unreachedFor, minEjection), maxEjection)
+		h.unreachedUntil = now.Add(h.unreachedFor)
+	}
+}
+
+// recordReached records that a connection to the target was made.
+func (r *Registry) recordReached(t *Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t.health.forgetUnreached()
+}
+
+// forgetUnreached forgets that dials failed.
+func (h *health) forgetUnreached() {
+	h.unreached, h.unreachedFor, h.unreachedUntil = 0, 0, time.Time{}
 }
 
 // Ejected reports whether a target is ejected because of its failures.
--- a/router/target/reach.go
+++ b/router/target/reach.go
@@ -106,6 +106,9 @@
 	outcome := dialOutcome(err)
 	r.opts.OnDialed(outcome)
 	t.path.RecordDial(outcome, began, time.Now())
+	if outcome == reach.Connected {
+		r.recordReached(t)
+	}
 	switch {
 	case outcome != reach.Connected:
 		r.suspect(t)
@@ -207,6 +210,7 @@
 	for _, other := range r.services[t.Service] {
 		if forgives {
 			other.health.consecutiveBroken, other.health.ejectedUntil = 0, time.Time{}
+			other.health.forgetUnreached()
 		}
 		if dead {
 			other.Pool.CloseIdleDirect()
