replica: a late response of the log doesn't make the next read wait longer

Cause: reads waited as long as the last response had taken. Change: the time limit of a read is the same again; late responses are taken as before.

--- a/router/replica/replica.go
+++ b/router/replica/replica.go
@@ -79,7 +79,6 @@
 	unconfirmed      int               // entries with keptUntil
 	loaded           bool
 	behind           bool               // the log's last response left records out
-	lateness         time.Duration      // how much longer the log may be silent, as its responses come late
 	lastContact      time.Time          // time of the log's response that the records are based on
 	lastRefresh      time.Time          // start of the newest successful step
 	cancelStep       context.CancelFunc // cancels the step in progress, or the pause after it
@@ -245,14 +244,13 @@
 // poll waits for new records from the log. A response that comes too late for this read is merged as it comes.
 func (r *Replica) poll(ctx context.Context, from eventlog.Position) (age time.Duration, err error) {
 	began := time.Now()
-	limits := patience.Limits{First: r.pollTimeout(), Silence: r.opts.ReadTimeout, Most: maxReadTime}
+	limits := patience.Limits{First: r.opts.LongPoll + r.opts.ReadTimeout, Silence: r.opts.ReadTimeout, Most: maxReadTime}
 	read, err := patience.Await(ctx, limits, lateGrace,
 		func(ctx context.Context) (readResult, error) { return r.read(ctx, from) },
 		func(late readResult) { r.mergeLate(late, from, began) })
 	if err != nil {
 		return 0, err
 	}
-	r.recordPollTime(time.Since(began))
 	var restored *eventlog.EraError
 	if errors.Is(read.err, eventlog.ErrTrimmed) || errors.As(read.err, &restored) {
 		return r.load(ctx)
@@ -260,21 +258,6 @@
 	return 0, r.mergeRead(read, from)
 }
 
-// pollTimeout is how long the log may be silent before another read begins: longer while its responses are late.
-func (r *Replica) pollTimeout() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.opts.LongPoll + r.opts.ReadTimeout + r.lateness
-}
-
-// recordPollTime notes how long a read took that succeeded.
-func (r *Replica) recordPollTime(took time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	late := took - r.opts.LongPoll - r.opts.ReadTimeout/2
-	r.lateness = min(max(late, 0), lateGrace)
-}
-
 // lateGrace is how much longer than a read waits for it a response of the log is taken. Where callers fill this host's
 // link, each round trip may take over a second, and a read that was given up would begin with a new connection.
 const lateGrace = 4 * time.Second
@@ -307,7 +290,6 @@
 
 // mergeLate merges what a read that began at a given time returned after another one had begun.
 func (r *Replica) mergeLate(read readResult, from eventlog.Position, began time.Time) {
-	r.recordPollTime(time.Since(began))
 	end := from.Plus(len(read.batch.Records))
 	if read.err != nil && len(read.batch.Records) == 0 || end.Before(r.End()) {
 		return
