tunnel: a broken end doesn't drop what the target had sent

Cause: the fix of resets under uploads reset the connection to the other host, and with it what was still on the way: a response with a length that came whole before the reset could be lost. Change: the carrying host closes its side without the frame that tells an orderly end; the other host reads all that arrived and takes the tunnel for broken then.

--- a/router/tunnel/server.go
+++ b/router/tunnel/server.go
@@ -198,7 +198,8 @@
 	_ = c.toHost.Close()
 }
 
-// copyDown copies from the target in frames until the target closes. Anything but an orderly end breaks the tunnel.
+// copyDown copies from the target in frames until the target closes. Only an orderly end is told by an empty frame. Without it
+// the other host takes the tunnel for broken, once it has read all that arrived.
 func (c *carried) copyDown() {
 	buffer := make([]byte, frameHeader+bufferBytes)
 	for {
@@ -211,10 +212,12 @@
 				return
 			}
 		}
-		if errors.Is(err, io.EOF) && !c.targetReset() {
-			if _, werr := c.toHost.Write([]byte{0, 0}); werr != nil {
-				c.abort()
-				return
+		if errors.Is(err, io.EOF) {
+			if !c.targetReset() {
+				if _, werr := c.toHost.Write([]byte{0, 0}); werr != nil {
+					c.abort()
+					return
+				}
 			}
 			c.closeWrite() // copyUp ends the tunnel once the other host has closed it
 			return
--- a/router/tunnel/uploadreset_test.go
+++ b/router/tunnel/uploadreset_test.go
@@ -24,7 +24,7 @@
 			f.addHost(f.options())
 			d := f.dialer()
 			const tunnels = 30
-			whole := 0
+			whole, arrived := 0, 0
 			for range tunnels {
 				conn := f.dial(d)
 				go func() {
@@ -35,14 +35,21 @@
 						}
 					}
 				}()
-				if _, err := io.ReadAll(conn); err == nil {
+				got, err := io.ReadAll(conn)
+				if err == nil {
 					whole++
 				}
+				if string(got) == "part" {
+					arrived++
+				}
 				f.is.NoErr(conn.Close())
 			}
 			if whole > 0 {
 				t.Errorf("%d of %d tunnels ended in order", whole, tunnels)
 			}
+			if arrived*10 < tunnels*9 {
+				t.Errorf("%d of %d parts arrived", arrived, tunnels)
+			}
 		})
 	}
 }
