fleet, platform: long dials are for calls that are worth waiting for

Cause: a dial goes on when its call was given up; with 5.5 s for each call to a host that is gone, and 5 s for the log, a host with few descriptors would have several times as many open dials as before.

--- a/router/fleet/calls.go
+++ b/router/fleet/calls.go
@@ -207,12 +207,21 @@
 	maxIdleFollowConns = 3 // a follower makes one call for each topic at once
 )
 
+// patientDialTimeout bounds the dial of a call that is worth waiting for. A dial goes on when its call was given up, and takes
+// a descriptor as long.
+const patientDialTimeout = 3 * time.Second
+
 // newClient returns a client whose calls use transport, or TCP connections if it is nil, of which at most maxIdle to
 // each host are kept.
 func newClient(timeout time.Duration, transport http.RoundTripper, maxIdle int) *client {
+	return newDialingClient(timeout, max(timeout, pullTimeout), transport, maxIdle)
+}
+
+// newDialingClient is newClient with the time that a connection may take.
+func newDialingClient(timeout, dialTimeout time.Duration, transport http.RoundTripper, maxIdle int) *client {
 	if transport == nil {
 		transport = &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: max(timeout, pullTimeout) + lateGrace}).DialContext,
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: maxIdle,
 			IdleConnTimeout:     5 * time.Second,
 			DisableCompression:  true,
--- a/router/fleet/cutoff.go
+++ b/router/fleet/cutoff.go
@@ -9,8 +9,7 @@
 	"maststage.dev/lib/patience"
 )
 
-// cutOffTime is how long no reader may have responded before a follower reads topics itself. It is below the time within
-// which a change of the configuration has to be in force.
+// cutOffTime is how long no reader may have responded before a follower reads topics itself.
 const cutOffTime = 2500 * time.Millisecond
 
 // silenceOf is how long a reader may be silent before another way to a topic is tried, which this host may read itself or
--- a/router/fleet/fleet.go
+++ b/router/fleet/fleet.go
@@ -120,6 +120,7 @@
 	exchange      exchanger
 	readers       *readers
 	followClient  *client
+	pullClient    *client
 	packs         packCache
 
 	mu           sync.Mutex
@@ -160,7 +161,7 @@
 func New(opts Options) *Fleet {
 	calls := newClient(opts.CallTimeout, opts.Transport, maxIdleConns)
 	f := &Fleet{
-		opts: opts, client: calls, followClient: newClient(opts.CallTimeout, opts.Transport, maxIdleFollowConns), recalls: newRecaller(calls, opts.Self.Name+"/"+opts.Self.Incarnation),
+		opts: opts, client: calls, followClient: newDialingClient(opts.CallTimeout, patientDialTimeout, opts.Transport, maxIdleFollowConns), pullClient: newDialingClient(opts.CallTimeout, patientDialTimeout, opts.Transport, maxIdleConns), recalls: newRecaller(calls, opts.Self.Name+"/"+opts.Self.Incarnation),
 		settlingSince: time.Now(), lastAnnounced: time.Now(), lastRead: time.Now(), createdAt: time.Now(), seeds: opts.Seeds, hosts: map[string]peerState{}, silentSince: map[string]time.Time{},
 		announceNow: make(chan struct{}, 1), joinedLog: logging.NewLimiter(joinedLinesPerSecond),
 		exchange: exchanger{host: opts.Self.Name, aggregates: opts.Aggregates},
--- a/router/fleet/pull.go
+++ b/router/fleet/pull.go
@@ -160,7 +160,7 @@
 	request := newPullRequest(topics)
 	request.EndsOnly = true
 	var ends pullResponse
-	if err := p.fleet.client.fetch(ctx, address, pathPull, request, &ends); err != nil {
+	if err := p.fleet.pullClient.fetch(ctx, address, pathPull, request, &ends); err != nil {
 		return err
 	}
 	for _, e := range ends.Quarantine {
@@ -203,7 +203,7 @@
 // fetch asks another host for the records of topics from the given positions on.
 func (p *puller) fetch(ctx context.Context, address string, missing map[string]eventlog.Position) (f fetchedRecords, err error) {
 	began := time.Now()
-	err = p.fleet.client.call(ctx, address, pathPull, newPullRequest(missing), &f.response)
+	err = p.fleet.pullClient.call(ctx, address, pathPull, newPullRequest(missing), &f.response)
 	f.took = time.Since(began)
 	return f, err
 }
