--- a/router/reach/reach_test.go
+++ b/router/reach/reach_test.go
@@ -377,3 +377,46 @@
 		})
 	}
 }
+
+// Guards against a service that stays out of reach as long as more of its targets are gone than live.
+func TestServiceReturnsBesideTargetsThatAreGone(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	paths := add(m, "a", 8)
+	gone := paths[3:]
+	byName := map[string]*Path{}
+	for _, p := range paths {
+		byName[p.target] = p
+	}
+	now := dialTime
+	cutOff(paths, now)
+	is.True(paths[0].Cut())
+	probe := func(d time.Duration) {
+		for ; d > 0; d -= 100 * time.Millisecond {
+			now += 100 * time.Millisecond
+			for _, id := range m.DueProbes(at(now)) {
+				p := byName[id]
+				isGone := false
+				for _, g := range gone {
+					isGone = isGone || g == p
+				}
+				if isGone {
+					p.RecordDial(Refused, at(now), at(now))
+				} else {
+					p.connect(now)
+				}
+			}
+		}
+	}
+	probe(5 * time.Second)
+	is.True(!paths[0].Cut())
+	for range 3 { // more failures of the same targets say nothing of the links
+		for _, p := range gone {
+			now += 10 * time.Millisecond
+			p.RecordDial(Refused, at(now), at(now))
+		}
+		is.True(!paths[0].Cut())
+	}
+	cutOff(paths, now+time.Second) // a cut of the links is still noticed
+	is.True(paths[0].Cut())
+}
